http: pass HTTP messages on unchanged, in pieces

Opaque requests need to know exactly which bytes belong to a message: bytes after an answer, resets at the end of an answer without length and answers before the body was read must not be taken for the answer. evhttp hides these, so both sides of a passed-on request stand on bufferevents and http_parser.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 PACKAGES = build-essential pkg-config curl libevent-dev libzmq3-dev \
 	libprotobuf-c-dev libyaml-dev libjson-glib-dev liblog4c-dev \
-	libglib2.0-dev libxxhash-dev libtalloc-dev libssl-dev gnuplot-nox
+	libglib2.0-dev libxxhash-dev libtalloc-dev libssl-dev libhttp-parser-dev gnuplot-nox
 LINT_PACKAGES = clang clang-format clang-tidy libclang-rt-14-dev \
 	protobuf-c-compiler protobuf-compiler doxygen spin
 
@@ -19,7 +19,7 @@
 WARNINGS  = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wno-unused-parameter
 PKG_CFLAGS = $(shell pkg-config --cflags $(LIBS))
-PKG_LIBS   = $(shell pkg-config --libs $(LIBS)) -llog4c -lm
+PKG_LIBS   = $(shell pkg-config --libs $(LIBS)) -llog4c -lhttp_parser -lm
 
 ifneq ($(SANITIZE),)
 CFLAGS += -fsanitize=$(SANITIZE) -fno-omit-frame-pointer \
@@ -33,16 +33,22 @@
 CMD_OBJ  = $(patsubst %.c,$(BUILD)/%.o,$(wildcard builtin/cmd-*.c))
 DAEMONS  = $(patsubst builtin/%.c,%,$(wildcard builtin/lwm-*.c))
 PROGRAMS = $(DAEMONS) $(patsubst builtin/%.c,%,$(wildcard builtin/lacewingmast.c))
+PLATFORM_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out platform/lwm-%,\
+	$(wildcard platform/*.c)))
+PLATFORM_PROGRAMS = $(patsubst platform/%.c,%,$(wildcard platform/lwm-*.c))
 TESTS    = $(patsubst t/%.c,%,$(wildcard t/t[0-9]*.c))
 TEST_LIB = $(patsubst %.c,$(BUILD)/%.o,$(wildcard t/lib-*.c))
 PROTOS   = $(wildcard proto/*.proto)
 OWN_SRC  = $(wildcard *.c *.h builtin/*.c builtin/*.h t/*.c t/*.h \
-	fuzz/*.c)
+	fuzz/*.c platform/*.c platform/*.h)
 
-.PHONY: all tests check check-built demo bench bench-control slopes model fuzz \
+.PHONY: all platform tests check check-built demo bench bench-control slopes model fuzz \
 	lint lint-deps format deps generate check-generated clean
 
-all: $(PROGRAMS:%=$(BUILD)/%)
+all: $(PROGRAMS:%=$(BUILD)/%) platform
+
+# What deploy/system.toml runs.
+platform: $(PLATFORM_PROGRAMS:%=$(BUILD)/%)
 
 tests: all $(BUILD)/lwm-controld-faults $(TESTS:%=$(BUILD)/t/%)
 
@@ -60,6 +66,10 @@
 $(DAEMONS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/builtin/%.o $(BUILD)/liblwm.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+$(PLATFORM_PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/platform/%.o \
+		$(PLATFORM_OBJ) $(BUILD)/liblwm.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 # The control daemon with fault points, for tests only.
 FAULT_OBJ = $(patsubst %,$(BUILD)/faults/%.o,fault file store wal snapshot)
 
--- /dev/null
+++ b/caller-server.c
@@ -0,0 +1,476 @@
+#include "caller-server.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+#include "base.h"
+#define LOG_PART "callers"
+#include "logging.h"
+#include "settings.h"
+
+#define BACKLOG 512
+/** What a caller may send ahead while its last request is answered. */
+#define MAX_AHEAD_BYTES   (64u * 1024)
+#define BODY_TIMEOUT_MS   10000
+#define USER_TIMEOUT_MS   10000
+#define KEEPALIVE_IDLE_S  5
+#define KEEPALIVE_EVERY_S 2
+#define KEEPALIVE_COUNT   3
+
+typedef struct connection connection_t;
+
+struct caller_request
+{
+  connection_t *connection;
+  uint64_t begun_ms;
+  bool chunked;
+  bool no_body; /* the answer has none: HEAD, 204, 304 */
+  void *data;
+};
+
+struct connection
+{
+  caller_server_t *server;
+  struct bufferevent *stream;
+  http_reader_t *reader;
+  GByteArray *body;
+  caller_request_t request;
+  bool is_open; /* a request is being answered */
+  bool is_replying;
+  bool is_too_large;
+  bool closes;    /* after this answer */
+  bool is_paused; /* reading ahead was stopped */
+};
+
+struct caller_server
+{
+  caller_server_options_t options;
+  struct evconnlistener *listener;
+  GHashTable *connections; /* connection_t, as a set */
+  uint32_t open_requests;
+  bool is_draining;
+};
+
+static int
+free_connection (connection_t *connection)
+{
+  caller_server_t *server = connection->server;
+
+  if (connection->is_open)
+    server->open_requests--;
+  g_hash_table_remove (server->connections, connection);
+  bufferevent_free (connection->stream);
+  g_byte_array_free (connection->body, TRUE);
+  return 0;
+}
+
+static void
+set_read_timeout (connection_t *connection, uint32_t timeout_ms)
+{
+  struct timeval timeout
+      = { .tv_sec = timeout_ms / 1000, .tv_usec = (timeout_ms % 1000) * 1000 };
+
+  bufferevent_set_timeouts (connection->stream,
+                            timeout_ms > 0 ? &timeout : NULL, NULL);
+}
+
+/** The body outgrew the bound, or the request is malformed. */
+static void
+refuse (connection_t *connection, const char *status)
+{
+  struct evbuffer *out = bufferevent_get_output (connection->stream);
+
+  log_info ("Refused what is no proper request. status=%s", status);
+  evbuffer_add_printf (out,
+                       "HTTP/1.1 %s\r\nContent-Length: 0\r\n"
+                       "Connection: close\r\n\r\n",
+                       status);
+  connection->closes = true;
+  bufferevent_disable (connection->stream, EV_READ);
+}
+
+static void
+on_body (const uint8_t *data, size_t size_bytes, void *context)
+{
+  connection_t *connection = context;
+
+  if (connection->body->len + size_bytes
+      > connection->server->options.limits.max_body_bytes)
+    connection->is_too_large = true;
+  else
+    g_byte_array_append (connection->body, data, (guint)size_bytes);
+}
+
+static void
+open_request (connection_t *connection)
+{
+  caller_server_t *server = connection->server;
+
+  connection->is_open = true;
+  connection->is_replying = false;
+  connection->closes
+      = connection->closes || !http_reader_keeps_alive (connection->reader);
+  connection->request.no_body
+      = strcmp (http_reader_method (connection->reader), "HEAD") == 0;
+  server->open_requests++;
+  set_read_timeout (connection, 0);
+  server->options.on_request (&connection->request, server->options.context);
+}
+
+static void
+time_request (connection_t *connection)
+{
+  if (!http_reader_begun (connection->reader))
+    return;
+  if (connection->request.begun_ms == 0)
+    {
+      connection->request.begun_ms = clock_mono_ms ();
+      set_read_timeout (connection,
+                        connection->server->options.limits.head_timeout_ms);
+    }
+  if (http_reader_has_head (connection->reader))
+    set_read_timeout (connection, BODY_TIMEOUT_MS);
+}
+
+/** Reads on until a request is whole; at most one is open. */
+static void
+read_requests (connection_t *connection)
+{
+  struct evbuffer *in = bufferevent_get_input (connection->stream);
+
+  while (!connection->is_open && !connection->closes
+         && evbuffer_get_length (in) > 0)
+    {
+      size_t length = evbuffer_get_contiguous_space (in);
+      const uint8_t *data = evbuffer_pullup (in, (ev_ssize_t)length);
+      size_t used;
+      http_reader_result_t result
+          = http_reader_feed (connection->reader, data, length, &used);
+
+      evbuffer_drain (in, used);
+      time_request (connection);
+      if (connection->is_too_large)
+        refuse (connection, "413 Content Too Large");
+      else if (result == HTTP_READER_ERROR)
+        refuse (connection, "400 Bad Request");
+      else if (result == HTTP_READER_END)
+        {
+          open_request (connection);
+          return;
+        }
+    }
+}
+
+static void
+on_readable (struct bufferevent *stream, void *context)
+{
+  connection_t *connection = context;
+  struct evbuffer *in = bufferevent_get_input (stream);
+
+  if (!connection->is_open)
+    read_requests (connection);
+  else if (evbuffer_get_length (in) > MAX_AHEAD_BYTES)
+    {
+      connection->is_paused = true;
+      bufferevent_disable (stream, EV_READ);
+    }
+}
+
+static void
+on_written (struct bufferevent *stream, void *context)
+{
+  connection_t *connection = context;
+  caller_server_t *server = connection->server;
+
+  if (connection->is_open)
+    server->options.on_drained (&connection->request, server->options.context);
+  else if (connection->closes)
+    talloc_free (connection);
+}
+
+static void
+on_event (struct bufferevent *stream, short what, void *context)
+{
+  connection_t *connection = context;
+  caller_server_t *server = connection->server;
+
+  if (connection->is_open)
+    server->options.on_gone (&connection->request, server->options.context);
+  talloc_free (connection);
+}
+
+static void
+watch_peer (evutil_socket_t fd)
+{
+  int on = 1;
+  int idle_s = KEEPALIVE_IDLE_S;
+  int every_s = KEEPALIVE_EVERY_S;
+  int count = KEEPALIVE_COUNT;
+  unsigned user_timeout_ms = USER_TIMEOUT_MS;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof every_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int address_bytes,
+           void *context)
+{
+  caller_server_t *server = context;
+  connection_t *connection = talloc_zero (server, connection_t);
+  http_reader_options_t reader_options
+      = { .kind = HTTP_READER_REQUEST,
+          .max_head_bytes = server->options.limits.max_head_bytes,
+          .on_body = on_body,
+          .context = connection };
+
+  watch_peer (fd);
+  connection->server = server;
+  connection->request.connection = connection;
+  connection->reader = http_reader_new (connection, &reader_options);
+  connection->body = g_byte_array_new ();
+  connection->stream = bufferevent_socket_new (server->options.base, fd,
+                                               BEV_OPT_CLOSE_ON_FREE);
+  g_hash_table_add (server->connections, connection);
+  talloc_set_destructor (connection, free_connection);
+  bufferevent_setcb (connection->stream, on_readable, on_written, on_event,
+                     connection);
+  set_read_timeout (connection, server->options.limits.idle_timeout_ms);
+  bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+}
+
+static int
+free_server (caller_server_t *server)
+{
+  GList *open = g_hash_table_get_keys (server->connections);
+
+  if (server->listener != NULL)
+    evconnlistener_free (server->listener);
+  for (GList *item = open; item != NULL; item = item->next)
+    talloc_free (item->data);
+  g_list_free (open);
+  g_hash_table_destroy (server->connections);
+  return 0;
+}
+
+caller_server_t *
+caller_server_new (void *parent, const caller_server_options_t *options)
+{
+  caller_server_t *server = talloc_zero (parent, caller_server_t);
+  struct sockaddr_storage address;
+  int address_bytes = sizeof address;
+
+  server->options = *options;
+  server->connections = g_hash_table_new (NULL, NULL);
+  talloc_set_destructor (server, free_server);
+  if (evutil_parse_sockaddr_port (options->listen, (struct sockaddr *)&address,
+                                  &address_bytes)
+      == 0)
+    server->listener = evconnlistener_new_bind (
+        options->base, on_accept, server,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
+        (struct sockaddr *)&address, address_bytes);
+  if (server->listener != NULL)
+    return server;
+  complain ("cannot listen on '%s': %s", options->listen, strerror (errno));
+  talloc_free (server);
+  return NULL;
+}
+
+void
+caller_server_set_limits (caller_server_t *server,
+                          const caller_limits_t *limits)
+{
+  server->options.limits = *limits;
+}
+
+void
+caller_server_drain (caller_server_t *server)
+{
+  server->is_draining = true;
+}
+
+void
+caller_server_close_idle (caller_server_t *server)
+{
+  GList *open = g_hash_table_get_keys (server->connections);
+
+  for (GList *item = open; item != NULL; item = item->next)
+    {
+      connection_t *connection = item->data;
+
+      if (!connection->is_open && !connection->closes
+          && !http_reader_begun (connection->reader)
+          && evbuffer_get_length (bufferevent_get_input (connection->stream))
+                 == 0)
+        talloc_free (connection);
+    }
+  g_list_free (open);
+}
+
+uint32_t
+caller_server_open_requests (const caller_server_t *server)
+{
+  return server->open_requests;
+}
+
+const char *
+caller_request_method (const caller_request_t *request)
+{
+  return http_reader_method (request->connection->reader);
+}
+
+const char *
+caller_request_target (const caller_request_t *request)
+{
+  return http_reader_target (request->connection->reader);
+}
+
+const http_fields_t *
+caller_request_fields (const caller_request_t *request)
+{
+  return http_reader_fields (request->connection->reader);
+}
+
+const uint8_t *
+caller_request_body (const caller_request_t *request, size_t *size_bytes)
+{
+  *size_bytes = request->connection->body->len;
+  return request->connection->body->data;
+}
+
+uint64_t
+caller_request_begun_ms (const caller_request_t *request)
+{
+  return request->begun_ms;
+}
+
+void
+caller_request_set_data (caller_request_t *request, void *data)
+{
+  request->data = data;
+}
+
+void *
+caller_request_data (const caller_request_t *request)
+{
+  return request->data;
+}
+
+static bool
+is_framing (const char *name)
+{
+  return strcasecmp (name, "Content-Length") == 0
+         || strcasecmp (name, "Transfer-Encoding") == 0
+         || strcasecmp (name, "Connection") == 0;
+}
+
+void
+caller_reply_begin (caller_request_t *request,
+                    uint32_t status,
+                    const char *reason,
+                    const http_fields_t *fields,
+                    int64_t length_bytes)
+{
+  connection_t *connection = request->connection;
+  struct evbuffer *out = bufferevent_get_output (connection->stream);
+
+  request->no_body = request->no_body || status == 204 || status == 304;
+  request->chunked = length_bytes < 0 && !request->no_body;
+  connection->is_replying = true;
+  connection->closes = connection->closes || connection->server->is_draining;
+  evbuffer_add_printf (out, "HTTP/1.1 %u %s\r\n", status, reason);
+  for (size_t i = 0; i < fields->count; i++)
+    if (!is_framing (fields->items[i].name))
+      evbuffer_add_printf (out, "%s: %s\r\n", fields->items[i].name,
+                           fields->items[i].value);
+  if (request->chunked)
+    evbuffer_add_printf (out, "Transfer-Encoding: chunked\r\n");
+  else if (length_bytes >= 0 && status != 204)
+    evbuffer_add_printf (out, "Content-Length: %jd\r\n",
+                         (intmax_t)length_bytes);
+  if (connection->closes)
+    evbuffer_add_printf (out, "Connection: close\r\n");
+  evbuffer_add (out, "\r\n", 2);
+}
+
+void
+caller_reply_data (caller_request_t *request,
+                   const void *data,
+                   size_t size_bytes)
+{
+  struct evbuffer *out = bufferevent_get_output (request->connection->stream);
+
+  if (size_bytes == 0 || request->no_body)
+    return;
+  if (request->chunked)
+    evbuffer_add_printf (out, "%zx\r\n", size_bytes);
+  evbuffer_add (out, data, size_bytes);
+  if (request->chunked)
+    evbuffer_add (out, "\r\n", 2);
+}
+
+/** Waits for the next request, or for the last answer to leave. */
+static void
+next_request (connection_t *connection)
+{
+  connection->is_open = false;
+  connection->server->open_requests--;
+  connection->request = (caller_request_t){ .connection = connection };
+  g_byte_array_set_size (connection->body, 0);
+  http_reader_reset (connection->reader);
+  if (connection->closes)
+    {
+      bufferevent_disable (connection->stream, EV_READ);
+      return;
+    }
+  set_read_timeout (connection,
+                    connection->server->options.limits.idle_timeout_ms);
+  if (connection->is_paused)
+    bufferevent_enable (connection->stream, EV_READ);
+  connection->is_paused = false;
+  /* Bytes that came ahead are read in a turn of their own. */
+  bufferevent_trigger (connection->stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void
+caller_reply_end (caller_request_t *request)
+{
+  struct evbuffer *out = bufferevent_get_output (request->connection->stream);
+
+  if (request->chunked)
+    evbuffer_add (out, "0\r\n\r\n", 5);
+  next_request (request->connection);
+}
+
+void
+caller_reply_break (caller_request_t *request)
+{
+  talloc_free (request->connection);
+}
+
+size_t
+caller_reply_pending_bytes (const caller_request_t *request)
+{
+  return evbuffer_get_length (
+      bufferevent_get_output (request->connection->stream));
+}
--- /dev/null
+++ b/exchange.c
@@ -0,0 +1,462 @@
+#include "exchange.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+#include "base.h"
+#define LOG_PART "exchange"
+#include "logging.h"
+
+#define MAX_HEAD_BYTES (64u * 1024)
+#define MAX_KEPT       8 /* idle connections to one upstream */
+/** Unacknowledged bytes or keep-alive probes end a silent connection. */
+#define USER_TIMEOUT_MS   1500
+#define KEEPALIVE_IDLE_S  1
+#define KEEPALIVE_EVERY_S 1
+#define KEEPALIVE_COUNT   2
+/** A kept connection is left this long before its peer would close it. */
+#define IDLE_MARGIN_MS 500
+
+typedef struct connection connection_t;
+
+struct exchange
+{
+  connection_t *connection;
+  exchange_callbacks_t callbacks;
+  void *context;
+  bool was_kept;
+};
+
+struct connection
+{
+  exchange_pool_t *pool;
+  uint64_t owner;
+  struct bufferevent *stream;
+  http_reader_t *reader;
+  exchange_t *exchange; /* NULL while idle */
+  bool is_connected;
+  bool is_reading; /* its reader is at work */
+  bool is_doomed;  /* closes after this answer */
+  uint64_t idle_until_ms;
+};
+
+struct exchange_pool
+{
+  exchange_pool_options_t options;
+  GPtrArray *kept; /* connection_t, oldest first */
+  uint64_t opened;
+  struct event *sweep;
+};
+
+#define SWEEP_MS 250
+
+static int
+free_connection (connection_t *connection)
+{
+  g_ptr_array_remove (connection->pool->kept, connection);
+  bufferevent_free (connection->stream);
+  return 0;
+}
+
+/** Ends the connection, and with it the exchange. */
+static void
+fail (connection_t *connection, exchange_failure_t how)
+{
+  exchange_t *exchange = connection->exchange;
+
+  connection->exchange = NULL;
+  exchange->callbacks.on_failed (exchange, how, exchange->context);
+  talloc_free (exchange);
+  talloc_free (connection);
+}
+
+static exchange_failure_t
+failure_of (const connection_t *connection)
+{
+  if (!connection->is_connected)
+    return EXCHANGE_NOT_SENT;
+  return http_reader_has_head (connection->reader) ? EXCHANGE_BROKEN
+                                                   : EXCHANGE_NO_ANSWER;
+}
+
+static void
+on_head (void *context)
+{
+  connection_t *connection = context;
+  exchange_t *exchange = connection->exchange;
+
+  if (exchange != NULL)
+    exchange->callbacks.on_head (exchange, exchange->context);
+}
+
+static void
+on_body (const uint8_t *data, size_t size_bytes, void *context)
+{
+  connection_t *connection = context;
+  exchange_t *exchange = connection->exchange;
+
+  if (exchange != NULL)
+    exchange->callbacks.on_body (exchange, data, size_bytes, exchange->context);
+}
+
+/** How long the peer keeps an idle connection, as its last answer says. */
+static uint32_t
+kept_ms (const connection_t *connection)
+{
+  const char *value = http_fields_find (http_reader_fields (connection->reader),
+                                        "Keep-Alive");
+  const char *timeout = value != NULL ? strstr (value, "timeout=") : NULL;
+  uint32_t seconds;
+
+  if (timeout == NULL)
+    return connection->pool->options.idle_timeout_ms;
+  seconds = (uint32_t)strtoul (timeout + strlen ("timeout="), NULL, 10);
+  return MIN (seconds, 3600) * 1000;
+}
+
+static uint32_t
+kept_count (const exchange_pool_t *pool, uint64_t owner)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < pool->kept->len; i++)
+    {
+      const connection_t *kept = g_ptr_array_index (pool->kept, i);
+
+      count += kept->owner == owner;
+    }
+  return count;
+}
+
+static bool
+may_keep (const connection_t *connection)
+{
+  struct bufferevent *stream = connection->stream;
+
+  return !connection->is_doomed && http_reader_keeps_alive (connection->reader)
+         && evbuffer_get_length (bufferevent_get_input (stream)) == 0
+         && evbuffer_get_length (bufferevent_get_output (stream)) == 0
+         && kept_ms (connection) > IDLE_MARGIN_MS
+         && kept_count (connection->pool, connection->owner) < MAX_KEPT;
+}
+
+static void
+finish (connection_t *connection)
+{
+  exchange_t *exchange = connection->exchange;
+  bool keep = may_keep (connection);
+
+  connection->exchange = NULL;
+  exchange->callbacks.on_end (exchange, exchange->context);
+  talloc_free (exchange);
+  if (!keep)
+    {
+      talloc_free (connection);
+      return;
+    }
+  connection->idle_until_ms
+      = clock_mono_ms () + kept_ms (connection) - IDLE_MARGIN_MS;
+  http_reader_reset (connection->reader);
+  g_ptr_array_add (connection->pool->kept, connection);
+}
+
+static void
+on_readable (struct bufferevent *stream, void *context)
+{
+  connection_t *connection = context;
+  struct evbuffer *in = bufferevent_get_input (stream);
+
+  if (connection->exchange == NULL)
+    {
+      log_info ("Closed a connection on which an upstream spoke unasked.");
+      talloc_free (connection);
+      return;
+    }
+  while (evbuffer_get_length (in) > 0)
+    {
+      size_t length = evbuffer_get_contiguous_space (in);
+      const uint8_t *data = evbuffer_pullup (in, (ev_ssize_t)length);
+      size_t used;
+      http_reader_result_t result;
+
+      connection->is_reading = true;
+      result = http_reader_feed (connection->reader, data, length, &used);
+      connection->is_reading = false;
+      if (connection->exchange == NULL)
+        {
+          /* Cancelled from one of its callbacks. */
+          talloc_free (connection);
+          return;
+        }
+      evbuffer_drain (in, used);
+      if (result == HTTP_READER_MORE)
+        continue;
+      if (result == HTTP_READER_END)
+        finish (connection);
+      else
+        fail (connection, failure_of (connection));
+      return;
+    }
+}
+
+static void
+on_closed (connection_t *connection)
+{
+  http_reader_result_t result = http_reader_close (connection->reader);
+
+  if (connection->exchange == NULL)
+    talloc_free (connection);
+  else if (result == HTTP_READER_END)
+    {
+      connection->is_doomed = true;
+      finish (connection);
+    }
+  else
+    fail (connection, failure_of (connection));
+}
+
+static void
+on_event (struct bufferevent *stream, short what, void *context)
+{
+  connection_t *connection = context;
+
+  if ((what & BEV_EVENT_CONNECTED) != 0)
+    {
+      connection->is_connected = true;
+      bufferevent_set_timeouts (stream, NULL, NULL);
+      return;
+    }
+  if (connection->exchange == NULL)
+    talloc_free (connection);
+  else if ((what & BEV_EVENT_EOF) != 0)
+    on_closed (connection);
+  else
+    fail (connection, failure_of (connection));
+}
+
+static void
+watch_peer (struct bufferevent *stream)
+{
+  evutil_socket_t fd = bufferevent_getfd (stream);
+  int on = 1;
+  int idle_s = KEEPALIVE_IDLE_S;
+  int every_s = KEEPALIVE_EVERY_S;
+  int count = KEEPALIVE_COUNT;
+  unsigned user_timeout_ms = USER_TIMEOUT_MS;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof every_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+}
+
+static connection_t *
+connect_to (exchange_pool_t *pool, const char *address, uint64_t owner)
+{
+  connection_t *connection = talloc_zero (pool, connection_t);
+  http_reader_options_t reader_options = { .kind = HTTP_READER_RESPONSE,
+                                           .max_head_bytes = MAX_HEAD_BYTES,
+                                           .on_head = on_head,
+                                           .on_body = on_body,
+                                           .context = connection };
+  uint32_t timeout_ms = pool->options.connect_timeout_ms;
+  struct timeval timeout
+      = { .tv_sec = timeout_ms / 1000, .tv_usec = (timeout_ms % 1000) * 1000 };
+  struct sockaddr_storage to;
+  int to_bytes = sizeof to;
+
+  connection->pool = pool;
+  connection->owner = owner;
+  connection->reader = http_reader_new (connection, &reader_options);
+  connection->stream = bufferevent_socket_new (
+      pool->options.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  talloc_set_destructor (connection, free_connection);
+  bufferevent_setcb (connection->stream, on_readable, NULL, on_event,
+                     connection);
+  bufferevent_set_timeouts (connection->stream, &timeout, &timeout);
+  bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+  pool->opened++;
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&to, &to_bytes)
+          != 0
+      || bufferevent_socket_connect (connection->stream, (struct sockaddr *)&to,
+                                     to_bytes)
+             != 0)
+    {
+      log_warn ("Cannot connect to an upstream. address=%s", address);
+      bufferevent_trigger_event (connection->stream, BEV_EVENT_ERROR,
+                                 BEV_TRIG_DEFER_CALLBACKS);
+    }
+  else
+    watch_peer (connection->stream);
+  return connection;
+}
+
+/** The connection to @a owner that was used last, or NULL. */
+static connection_t *
+take_kept (exchange_pool_t *pool, uint64_t owner)
+{
+  uint64_t now_ms = clock_mono_ms ();
+
+  for (guint i = pool->kept->len; i-- > 0;)
+    {
+      connection_t *connection = g_ptr_array_index (pool->kept, i);
+
+      if (connection->owner != owner || connection->idle_until_ms <= now_ms)
+        continue;
+      g_ptr_array_remove_index (pool->kept, i);
+      return connection;
+    }
+  return NULL;
+}
+
+static void
+close_kept (exchange_pool_t *pool, uint64_t owner, uint64_t now_ms)
+{
+  for (guint i = pool->kept->len; i-- > 0;)
+    {
+      connection_t *connection = g_ptr_array_index (pool->kept, i);
+
+      if (connection->owner == owner || connection->idle_until_ms <= now_ms)
+        talloc_free (connection);
+    }
+}
+
+void
+exchange_pool_forget (exchange_pool_t *pool, uint64_t owner)
+{
+  close_kept (pool, owner, 0);
+}
+
+static void
+on_sweep (evutil_socket_t fd, short what, void *context)
+{
+  close_kept (context, 0, clock_mono_ms ());
+}
+
+static int
+free_pool (exchange_pool_t *pool)
+{
+  event_free (pool->sweep);
+  return 0;
+}
+
+exchange_pool_t *
+exchange_pool_new (void *parent, const exchange_pool_options_t *options)
+{
+  exchange_pool_t *pool = talloc_zero (parent, exchange_pool_t);
+  struct timeval every = { .tv_usec = SWEEP_MS * 1000 };
+
+  pool->options = *options;
+  pool->kept = g_ptr_array_new ();
+  pool->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, pool);
+  event_add (pool->sweep, &every);
+  talloc_set_destructor (pool, free_pool);
+  return pool;
+}
+
+uint64_t
+exchange_pool_opened (const exchange_pool_t *pool)
+{
+  return pool->opened;
+}
+
+static void
+write_request (connection_t *connection, const exchange_options_t *options)
+{
+  struct evbuffer *out = bufferevent_get_output (connection->stream);
+
+  evbuffer_add_printf (out, "%s %s HTTP/1.1\r\n", options->method,
+                       options->target);
+  for (size_t i = 0; i < options->fields->count; i++)
+    evbuffer_add_printf (out, "%s: %s\r\n", options->fields->items[i].name,
+                         options->fields->items[i].value);
+  if (options->body_bytes > 0 || options->has_length)
+    evbuffer_add_printf (out, "Content-Length: %zu\r\n", options->body_bytes);
+  evbuffer_add (out, "\r\n", 2);
+  evbuffer_add (out, options->body, options->body_bytes);
+  if (strcmp (options->method, "HEAD") == 0)
+    http_reader_expect_no_body (connection->reader);
+}
+
+exchange_t *
+exchange_send (exchange_pool_t *pool, const exchange_options_t *options)
+{
+  connection_t *connection
+      = options->fresh ? NULL : take_kept (pool, options->owner);
+  exchange_t *exchange;
+  bool was_kept = connection != NULL;
+
+  if (connection == NULL)
+    connection = connect_to (pool, options->address, options->owner);
+  exchange = talloc_zero (pool, exchange_t);
+  exchange->connection = connection;
+  exchange->callbacks = *options->callbacks;
+  exchange->context = options->context;
+  exchange->was_kept = was_kept;
+  connection->exchange = exchange;
+  write_request (connection, options);
+  return exchange;
+}
+
+void
+exchange_cancel (exchange_t *exchange)
+{
+  connection_t *connection = exchange->connection;
+
+  talloc_free (exchange);
+  connection->exchange = NULL;
+  /* From one of its own callbacks, on_readable() frees the connection. */
+  if (!connection->is_reading)
+    talloc_free (connection);
+}
+
+void
+exchange_hold (exchange_t *exchange, bool hold)
+{
+  if (hold)
+    bufferevent_disable (exchange->connection->stream, EV_READ);
+  else
+    bufferevent_enable (exchange->connection->stream, EV_READ);
+}
+
+uint32_t
+exchange_status (const exchange_t *exchange)
+{
+  return http_reader_status (exchange->connection->reader);
+}
+
+const char *
+exchange_reason (const exchange_t *exchange)
+{
+  return http_reader_reason (exchange->connection->reader);
+}
+
+const http_fields_t *
+exchange_fields (const exchange_t *exchange)
+{
+  return http_reader_fields (exchange->connection->reader);
+}
+
+bool
+exchange_was_kept (const exchange_t *exchange)
+{
+  return exchange->was_kept;
+}
+
+bool
+exchange_was_sent (const exchange_t *exchange)
+{
+  return exchange->connection->is_connected;
+}
--- /dev/null
+++ b/http-reader.c
@@ -0,0 +1,334 @@
+#include "http-reader.h"
+
+#include <glib.h>
+#include <http_parser.h>
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+
+#define MAX_FIELDS 200
+
+struct http_reader
+{
+  http_reader_options_t options;
+  http_parser parser;
+  void *scratch; /* texts of the present message */
+  char *target;
+  char *reason;
+  char *name; /* of the field being read */
+  char *value;
+  http_fields_t fields;
+  uint32_t head_bytes;
+  bool begun;
+  bool has_head;
+  bool is_whole;
+  bool no_body;
+};
+
+const char *
+http_fields_find (const http_fields_t *fields, const char *name)
+{
+  for (size_t i = 0; i < fields->count; i++)
+    if (strcasecmp (fields->items[i].name, name) == 0)
+      return fields->items[i].value;
+  return NULL;
+}
+
+void
+http_fields_add (void *parent,
+                 http_fields_t *fields,
+                 const char *name,
+                 const char *value)
+{
+  fields->items = talloc_realloc (parent, fields->items, http_field_t,
+                                  (unsigned)fields->count + 1);
+  fields->items[fields->count].name = talloc_strdup (fields->items, name);
+  fields->items[fields->count].value = talloc_strdup (fields->items, value);
+  fields->count++;
+}
+
+/** Whether the comma-separated list @a value has the word @a name. */
+static bool
+list_has (const char *value, const char *name)
+{
+  size_t length = strlen (name);
+
+  while (*value != '\0')
+    {
+      value += strspn (value, ", \t");
+      if (strncasecmp (value, name, length) == 0
+          && strchr (", \t", value[length]) != NULL)
+        return true;
+      value += strcspn (value, ",");
+    }
+  return false;
+}
+
+bool
+http_field_is_hop (const http_fields_t *fields, const char *name)
+{
+  static const char *const hops[] = { "Connection",
+                                      "Keep-Alive",
+                                      "Proxy-Connection",
+                                      "Transfer-Encoding",
+                                      "TE",
+                                      "Trailer",
+                                      "Upgrade",
+                                      "Expect",
+                                      "Proxy-Authenticate",
+                                      "Content-Length",
+                                      "Proxy-Authorization",
+                                      NULL };
+
+  for (size_t i = 0; hops[i] != NULL; i++)
+    if (strcasecmp (hops[i], name) == 0)
+      return true;
+  for (size_t i = 0; i < fields->count; i++)
+    if (strcasecmp (fields->items[i].name, "Connection") == 0
+        && list_has (fields->items[i].value, name))
+      return true;
+  return false;
+}
+
+static http_reader_t *
+reader_of (http_parser *parser)
+{
+  return parser->data;
+}
+
+static void
+append (http_reader_t *reader, char **text, const char *at, size_t length)
+{
+  if (*text == NULL)
+    *text = talloc_strndup (reader->scratch, at, length);
+  else
+    *text = talloc_strndup_append_buffer (*text, at, length);
+}
+
+/** Head bytes are counted here, as http_parser's bound is for all readers. */
+static bool
+is_too_long (http_reader_t *reader, size_t length)
+{
+  reader->head_bytes += (uint32_t)length;
+  return reader->head_bytes > reader->options.max_head_bytes;
+}
+
+static void
+end_field (http_reader_t *reader)
+{
+  if (reader->name == NULL)
+    return;
+  http_fields_add (reader->scratch, &reader->fields, reader->name,
+                   reader->value != NULL ? reader->value : "");
+  reader->name = reader->value = NULL;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t length)
+{
+  http_reader_t *reader = reader_of (parser);
+
+  append (reader, &reader->target, at, length);
+  return is_too_long (reader, length);
+}
+
+static int
+on_status (http_parser *parser, const char *at, size_t length)
+{
+  http_reader_t *reader = reader_of (parser);
+
+  append (reader, &reader->reason, at, length);
+  return is_too_long (reader, length);
+}
+
+static int
+on_header_field (http_parser *parser, const char *at, size_t length)
+{
+  http_reader_t *reader = reader_of (parser);
+
+  if (reader->value != NULL)
+    end_field (reader);
+  append (reader, &reader->name, at, length);
+  return is_too_long (reader, length) || reader->fields.count > MAX_FIELDS;
+}
+
+static int
+on_header_value (http_parser *parser, const char *at, size_t length)
+{
+  http_reader_t *reader = reader_of (parser);
+
+  append (reader, &reader->value, at, length);
+  return is_too_long (reader, length);
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  http_reader_t *reader = reader_of (parser);
+
+  end_field (reader);
+  reader->has_head = true;
+  if (reader->options.on_head != NULL
+      && (parser->type == HTTP_REQUEST || parser->status_code >= 200))
+    reader->options.on_head (reader->options.context);
+  return reader->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  http_reader_t *reader = reader_of (parser);
+
+  reader->options.on_body ((const uint8_t *)at, length,
+                           reader->options.context);
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  reader_of (parser)->is_whole = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_url = on_url,
+  .on_status = on_status,
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+http_reader_t *
+http_reader_new (void *parent, const http_reader_options_t *options)
+{
+  http_reader_t *reader = talloc_zero (parent, http_reader_t);
+
+  reader->options = *options;
+  http_reader_reset (reader);
+  return reader;
+}
+
+void
+http_reader_reset (http_reader_t *reader)
+{
+  talloc_free (reader->scratch);
+  reader->scratch = talloc_new (reader);
+  reader->target = reader->reason = reader->name = reader->value = NULL;
+  reader->fields = (http_fields_t){ 0 };
+  reader->head_bytes = 0;
+  reader->begun = reader->has_head = false;
+  reader->is_whole = reader->no_body = false;
+  http_parser_init (&reader->parser, reader->options.kind == HTTP_READER_REQUEST
+                                         ? HTTP_REQUEST
+                                         : HTTP_RESPONSE);
+  reader->parser.data = reader;
+}
+
+void
+http_reader_expect_no_body (http_reader_t *reader)
+{
+  reader->no_body = true;
+}
+
+/** Goes on after an interim response (1xx), which is no answer. */
+static bool
+skip_interim (http_reader_t *reader)
+{
+  bool no_body = reader->no_body;
+
+  if (reader->parser.type != HTTP_RESPONSE || reader->parser.status_code >= 200
+      || reader->parser.status_code == 101)
+    return false;
+  http_reader_reset (reader);
+  reader->no_body = no_body;
+  return true;
+}
+
+http_reader_result_t
+http_reader_feed (http_reader_t *reader,
+                  const uint8_t *data,
+                  size_t size_bytes,
+                  size_t *used)
+{
+  *used = 0;
+  while (*used < size_bytes)
+    {
+      enum http_errno error;
+
+      reader->begun = true;
+      *used += http_parser_execute (&reader->parser, &callbacks,
+                                    (const char *)data + *used,
+                                    size_bytes - *used);
+      error = HTTP_PARSER_ERRNO (&reader->parser);
+      if (reader->is_whole && (error == HPE_PAUSED || error == HPE_OK))
+        {
+          if (skip_interim (reader))
+            continue;
+          return HTTP_READER_END;
+        }
+      if (error != HPE_OK || reader->parser.upgrade)
+        return HTTP_READER_ERROR;
+    }
+  return HTTP_READER_MORE;
+}
+
+http_reader_result_t
+http_reader_close (http_reader_t *reader)
+{
+  if (!reader->has_head || reader->is_whole)
+    return HTTP_READER_ERROR;
+  http_parser_execute (&reader->parser, &callbacks, NULL, 0);
+  return reader->is_whole ? HTTP_READER_END : HTTP_READER_ERROR;
+}
+
+bool
+http_reader_begun (const http_reader_t *reader)
+{
+  return reader->begun;
+}
+
+bool
+http_reader_has_head (const http_reader_t *reader)
+{
+  return reader->has_head;
+}
+
+bool
+http_reader_keeps_alive (const http_reader_t *reader)
+{
+  return http_should_keep_alive (&reader->parser) != 0;
+}
+
+const char *
+http_reader_method (const http_reader_t *reader)
+{
+  return http_method_str (reader->parser.method);
+}
+
+const char *
+http_reader_target (const http_reader_t *reader)
+{
+  return reader->target != NULL ? reader->target : "";
+}
+
+uint32_t
+http_reader_status (const http_reader_t *reader)
+{
+  return reader->parser.status_code;
+}
+
+const char *
+http_reader_reason (const http_reader_t *reader)
+{
+  return reader->reason != NULL ? reader->reason : "";
+}
+
+const http_fields_t *
+http_reader_fields (const http_reader_t *reader)
+{
+  return &reader->fields;
+}
