control: push announced upstreams, keep the group's voters

Upstreams announce at any control instance; each pushes changes to the entry instances that watch, which merge them by incarnation and sequence number. A replica that lost its disk is added under its new incarnation, and its old self taken out, without an operator.

--- a/control-client.c
+++ b/control-client.c
@@ -18,6 +18,7 @@
 #define NO_LEADER_MS     100 /* between tries while no leader is known */
 #define WATCH_EVERY_MS   1000
 #define WATCH_SILENCE_MS 2500
+#define BEHIND_MS        100 /* the home may push a revision a bit later */
 #define SILENT_MS        150 /* without an answer: others are asked first */
 #define SILENT_RETRY_MS  1000
 #define MAX_REDIRECTS    4 /* at once, without a pause */
@@ -33,6 +34,10 @@
   mq_t *mq;
   uint64_t asked_ms; /* oldest message without an answer, 0 for none */
   uint64_t sent_ms;
+  uint64_t heard_ms;
+  uint64_t watch_due_ms;
+  uint64_t epoch; /* of the part of the directory held from it */
+  uint64_t version;
 } peer_t;
 
 typedef struct
@@ -72,10 +77,10 @@
   uint64_t last_id;
   struct event *tick;
   size_t home; /* peer that pushes revisions */
-  uint64_t watch_due_ms;
   uint64_t home_heard_ms;
   uint64_t known;
-  uint64_t in_touch_ms; /* 0 for never */
+  uint64_t behind_since_ms; /* another replica has a later revision; 0: none */
+  uint64_t in_touch_ms;     /* 0 for never */
   client_counters_t counters;
 };
 
@@ -235,14 +240,69 @@
     }
 }
 
-/** The answer of the replica that is watched, or its push. */
+/** Makes @a peer the one that pushes revisions, and asks it at once. */
+static void
+move_home (control_client_t *client, size_t number)
+{
+  client->home = number;
+  client->home_heard_ms = clock_mono_ms ();
+  client->behind_since_ms = 0;
+  client->peers[number]->watch_due_ms = 0;
+}
+
+/** A replica other than the home may be ahead of it for a short while only. */
+static void
+compare_number (control_client_t *client, const peer_t *peer, uint64_t number)
+{
+  uint64_t now_ms = clock_mono_ms ();
+
+  if (number <= client->known)
+    return;
+  if (client->behind_since_ms == 0)
+    client->behind_since_ms = now_ms;
+  else if (client->behind_since_ms + BEHIND_MS < now_ms
+           && peer->number != client->home)
+    move_home (client, peer->number);
+}
+
+static void
+take_directory (control_client_t *client,
+                peer_t *peer,
+                const Lwm__ControlDirectory *part)
+{
+  bool is_next
+      = part->since == 0
+        || (part->epoch == peer->epoch && part->since <= peer->version);
+
+  if (is_next)
+    {
+      peer->epoch = part->epoch;
+      peer->version = part->version;
+    }
+  else
+    /* A message before this one was lost. */
+    peer->watch_due_ms = 0;
+  for (size_t i = 0; i < part->n_replicas; i++)
+    if (find_peer (client, "", part->replicas[i]) == NO_PEER)
+      add_peer (client, part->replicas[i]);
+  compare_number (client, peer, part->config_number);
+  if (client->options.on_directory != NULL)
+    client->options.on_directory (part, client->options.context);
+}
+
+/** The answer of a replica that is watched, or its push. */
 static void
 take_watch (control_client_t *client,
-            const peer_t *peer,
+            peer_t *peer,
             const Lwm__ControlAnswer *answer)
 {
   if (answer->revision != NULL)
-    take_revision (client, answer->revision);
+    {
+      take_revision (client, answer->revision);
+      client->behind_since_ms = 0;
+    }
+  if (answer->directory != NULL)
+    take_directory (client, peer, answer->directory);
   if (peer->number != client->home)
     return;
   if (!answer->stale)
@@ -251,8 +311,7 @@
       return;
     }
   /* It may be cut off from a group that goes on without it. */
-  client->home = (client->home + 1) % client->peer_count;
-  client->home_heard_ms = clock_mono_ms ();
+  move_home (client, (client->home + 1) % client->peer_count);
 }
 
 static void
@@ -335,29 +394,46 @@
 }
 
 static void
-watch (control_client_t *client, uint64_t now_ms)
+send_watch (control_client_t *client, peer_t *peer, uint64_t now_ms)
 {
   Lwm__ControlRequest request = LWM__CONTROL_REQUEST__INIT;
   Lwm__ControlWatch what = LWM__CONTROL_WATCH__INIT;
+  bool is_home = peer->number == client->home;
   size_t size_bytes;
   uint8_t *data;
 
-  if (client->options.on_revision == NULL || now_ms < client->watch_due_ms)
-    return;
-  if (client->home_heard_ms + WATCH_SILENCE_MS < now_ms)
-    {
-      client->home = (client->home + 1) % client->peer_count;
-      client->home_heard_ms = now_ms;
-    }
-  client->watch_due_ms = now_ms + WATCH_EVERY_MS;
+  peer->watch_due_ms = now_ms + WATCH_EVERY_MS;
   what.known = client->known;
+  what.no_config = !is_home || client->options.on_revision == NULL;
+  what.directory = client->options.on_directory != NULL;
+  what.epoch = peer->epoch;
+  what.version = peer->version;
+  if (client->options.address != NULL)
+    what.address = (char *)client->options.address;
   request.what_case = LWM__CONTROL_REQUEST__WHAT_WATCH;
   request.watch = &what;
   data = pack_request (client, &request, &size_bytes);
-  send_to (client, client->home, data, size_bytes);
+  send_to (client, peer->number, data, size_bytes);
   talloc_free (data);
 }
 
+static void
+watch (control_client_t *client, uint64_t now_ms)
+{
+  if (client->options.on_revision == NULL)
+    return;
+  if (client->home_heard_ms + WATCH_SILENCE_MS < now_ms)
+    move_home (client, (client->home + 1) % client->peer_count);
+  for (size_t i = 0; i < client->peer_count; i++)
+    {
+      peer_t *peer = client->peers[i];
+
+      if (now_ms >= peer->watch_due_ms
+          && (i == client->home || client->options.on_directory != NULL))
+        send_watch (client, peer, now_ms);
+    }
+}
+
 static void
 give_up (control_client_t *client, call_t *call)
 {
@@ -467,6 +543,13 @@
   return client;
 }
 
+void
+control_client_add_peer (control_client_t *client, const char *address)
+{
+  if (find_peer (client, "", address) == NO_PEER)
+    add_peer (client, address);
+}
+
 void
 control_client_call (control_client_t *client,
                      const Lwm__ControlRequest *request,
--- a/control-client.h
+++ b/control-client.h
@@ -12,6 +12,9 @@
  * A client with on_revision also watches the configuration: one replica pushes
  * each new revision, and another takes its place when it falls silent or has
  * lost its leader. Revisions are handed on in rising order only.
+ *
+ * With on_directory it watches the upstreams at every control instance it
+ * knows, and learns of new control instances from their answers.
  */
 #ifndef CONTROL_CLIENT_H
 #define CONTROL_CLIENT_H
@@ -35,13 +38,19 @@
 typedef void (*control_revision_cb_t) (const Lwm__ControlRevision *revision,
                                        void *context);
 
+/** Upstreams that changed, as one control instance tells; callback only. */
+typedef void (*control_directory_cb_t) (const Lwm__ControlDirectory *part,
+                                        void *context);
+
 typedef struct
 {
   struct event_base *base;
   char **peers; /**< control instances, "IP:PORT" */
   size_t peer_count;
-  uint64_t known_number;             /**< revision already held, 0 for none */
-  control_revision_cb_t on_revision; /**< NULL: do not watch */
+  uint64_t known_number;               /**< revision already held, 0 for none */
+  control_revision_cb_t on_revision;   /**< NULL: do not watch */
+  control_directory_cb_t on_directory; /**< NULL: do not watch upstreams */
+  const char *address; /**< where other entry instances reach this one */
   void *context;
   metrics_t *metrics; /**< lwm_control_client_* counters, or NULL */
 } control_client_options_t;
@@ -50,6 +59,9 @@
 control_client_t *control_client_new (void *parent,
                                       const control_client_options_t *options);
 
+/** Adds a control instance, unless it is known. */
+void control_client_add_peer (control_client_t *client, const char *address);
+
 /**
  * The general call. @a request is packed before this returns; its id is set by
  * the client.
--- /dev/null
+++ b/control-directory.c
@@ -0,0 +1,172 @@
+#include "control-directory.h"
+
+#include <talloc.h>
+
+#include "base.h"
+#include "control-internal.h"
+#define LOG_PART "directory"
+#include "logging.h"
+
+#define TICK_MS 200
+/** Announcements that may be missed before an upstream counts as silent. */
+#define SILENT_ANNOUNCEMENTS 4
+#define DEFAULT_ANNOUNCE_MS  1200
+
+struct control_directory
+{
+  control_server_t *server;
+  directory_t *directory;
+  uint64_t epoch;
+  uint64_t due_ms;
+};
+
+control_directory_t *
+control_directory_new (control_server_t *server)
+{
+  control_directory_t *directory = talloc_zero (server, control_directory_t);
+
+  directory->server = server;
+  directory->directory = directory_new (directory);
+  directory->epoch = random_id ();
+  return directory;
+}
+
+uint64_t
+control_directory_epoch (const control_directory_t *directory)
+{
+  return directory->epoch;
+}
+
+uint64_t
+control_directory_version (const control_directory_t *directory)
+{
+  return directory_version (directory->directory);
+}
+
+directory_result_t
+control_directory_put (control_directory_t *directory,
+                       const directory_statement_t *statement)
+{
+  directory_result_t result
+      = directory_put (directory->directory, statement, clock_mono_ms ());
+
+  if (result == DIRECTORY_STALE)
+    log_info ("Ignored a late announcement. upstream=%s sequence=%ju",
+              statement->id, (uintmax_t)statement->sequence);
+  if (result != DIRECTORY_CHANGED)
+    return result;
+  log_info ("An upstream announced a change. upstream=%s service=%s "
+            "address=%s state=%d sequence=%ju",
+            statement->id, statement->service, statement->address,
+            (int)statement->state, (uintmax_t)statement->sequence);
+  control_requests_push_directory (directory->server->requests);
+  return result;
+}
+
+bool
+control_directory_leave (control_directory_t *directory,
+                         const char *id,
+                         uint64_t born_ms)
+{
+  uint64_t version = control_directory_version (directory);
+  bool known
+      = directory_leave (directory->directory, id, born_ms, clock_mono_ms ());
+
+  log_info ("An upstream said that it ends. upstream=%s known=%d", id, known);
+  if (control_directory_version (directory) != version)
+    control_requests_push_directory (directory->server->requests);
+  return known;
+}
+
+static Lwm__ControlUpstream *
+copy_entry (const directory_entry_t *entry, void *parent)
+{
+  Lwm__ControlUpstream *upstream = talloc (parent, Lwm__ControlUpstream);
+
+  lwm__control_upstream__init (upstream);
+  upstream->id = (char *)entry->said.id;
+  upstream->address = (char *)entry->said.address;
+  upstream->zone = (char *)entry->said.zone;
+  upstream->service = (char *)entry->said.service;
+  upstream->born_ms = entry->said.born_ms;
+  upstream->sequence = entry->said.sequence;
+  upstream->state = (Lwm__ControlUpstreamState)entry->said.state;
+  upstream->slots = entry->said.slots;
+  upstream->cold_ms = entry->said.cold_ms;
+  return upstream;
+}
+
+/** Addresses of the control group's members. */
+static void
+add_replicas (const control_directory_t *directory, Lwm__ControlDirectory *part)
+{
+  const Lwm__ControlMembership *members
+      = raft_membership (directory->server->raft);
+
+  part->replicas = talloc_array (part, char *, members->n_members + 1);
+  part->n_replicas = members->n_members;
+  for (size_t i = 0; i < members->n_members; i++)
+    part->replicas[i]
+        = talloc_strdup (part->replicas, members->members[i]->address);
+}
+
+Lwm__ControlDirectory *
+control_directory_since (const control_directory_t *directory,
+                         uint64_t version,
+                         void *parent)
+{
+  Lwm__ControlDirectory *part = talloc (parent, Lwm__ControlDirectory);
+  size_t count;
+  const directory_entry_t *const *entries
+      = directory_entries (directory->directory, &count);
+
+  lwm__control_directory__init (part);
+  part->epoch = directory->epoch;
+  part->since = version;
+  part->version = control_directory_version (directory);
+  part->upstreams
+      = talloc_array (part, Lwm__ControlUpstream *, (unsigned)count + 1);
+  for (size_t i = 0; i < count; i++)
+    if (entries[i]->version > version)
+      part->upstreams[part->n_upstreams++]
+          = copy_entry (entries[i], part->upstreams);
+  add_replicas (directory, part);
+  return part;
+}
+
+void
+control_directory_tick (control_directory_t *directory, uint64_t now_ms)
+{
+  uint64_t version = control_directory_version (directory);
+  uint32_t announce_ms = directory->server->options.announce_ms;
+
+  if (now_ms < directory->due_ms)
+    return;
+  directory->due_ms = now_ms + TICK_MS;
+  if (announce_ms == 0)
+    announce_ms = DEFAULT_ANNOUNCE_MS;
+  directory_expire (directory->directory, SILENT_ANNOUNCEMENTS * announce_ms,
+                    now_ms);
+  if (control_directory_version (directory) == version)
+    return;
+  log_info ("An upstream fell silent. version=%ju",
+            (uintmax_t)control_directory_version (directory));
+  control_requests_push_directory (directory->server->requests);
+}
+
+directory_statement_t
+control_directory_statement (const Lwm__ControlUpstream *upstream)
+{
+  directory_statement_t statement
+      = { .id = upstream->id,
+          .address = upstream->address,
+          .zone = upstream->zone,
+          .service = upstream->service,
+          .born_ms = upstream->born_ms,
+          .sequence = upstream->sequence,
+          .state = (directory_state_t)upstream->state,
+          .slots = upstream->slots,
+          .cold_ms = upstream->cold_ms };
+
+  return statement;
+}
--- a/control-group.c
+++ b/control-group.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #include "base.h"
+#include "control-keeper.h"
 #include "members.h"
 #define LOG_PART "control"
 #include "logging.h"
@@ -12,6 +13,9 @@
 #define HELLO_VALID_MS 3000
 #define MAX_JOINERS    32
 #define MAX_MEMBERS    16
+#define KEEP_EVERY_MS  200
+/** A member not heard of for so long may be gone for good. */
+#define SILENT_MS 5000
 
 /** What another replica last told of itself. */
 typedef struct
@@ -29,6 +33,8 @@
   control_server_t *server;
   GPtrArray *joiners; /* joiner_t, children of group */
   uint64_t hello_due_ms;
+  uint64_t keep_due_ms;
+  uint64_t leads_since_ms; /* 0 while another leads */
 };
 
 static int
@@ -108,6 +114,12 @@
     }
 }
 
+static bool
+is_member (const control_group_t *group)
+{
+  return is_known_member (group, group->server->incarnation);
+}
+
 /** Notes who is there to be added; a member is not. */
 static void
 note_joiner (control_group_t *group, const Lwm__ControlPeerMessage *message)
@@ -207,10 +219,106 @@
   control_server_wake (server);
 }
 
-static bool
-is_member (const control_group_t *group)
+static control_keeper_replica_t
+describe_member (const control_group_t *group,
+                 const Lwm__ControlMember *member,
+                 uint64_t now_ms)
 {
-  return is_known_member (group, group->server->incarnation);
+  control_server_t *server = group->server;
+  control_keeper_replica_t replica
+      = { .name = member->name,
+          .incarnation = member->incarnation,
+          .is_member = true,
+          .is_voter = member->voter,
+          .is_caught_up
+          = raft_caught_up (server->raft, member->incarnation, now_ms) };
+
+  /* A new leader has heard nobody yet. */
+  replica.is_silent
+      = member->incarnation != server->incarnation
+        && now_ms >= group->leads_since_ms + SILENT_MS
+        && !control_peers_heard_within (server->peers, member->incarnation,
+                                        now_ms, SILENT_MS);
+  return replica;
+}
+
+static void
+change_by_itself (control_group_t *group,
+                  const control_keeper_replica_t *replica,
+                  Lwm__ControlMemberChangeKind kind)
+{
+  Lwm__ControlMemberChange change = LWM__CONTROL_MEMBER_CHANGE__INIT;
+  Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
+
+  change.kind = kind;
+  change.name = (char *)replica->name;
+  change.incarnation = replica->incarnation;
+  if (control_group_change (group, &change, &answer) == 0)
+    return;
+  log_info ("Changing the group's members. kind=%d name=%s incarnation=%ju",
+            (int)kind, replica->name, (uintmax_t)replica->incarnation);
+  control_server_wake (group->server);
+}
+
+/** As leader: adds who asks to join, and replaces who is gone. */
+static void
+keep_members (control_group_t *group, uint64_t now_ms)
+{
+  control_server_t *server = group->server;
+  const Lwm__ControlMembership *members = raft_membership (server->raft);
+  control_keeper_replica_t replicas[MAX_MEMBERS + MAX_JOINERS];
+  size_t count = 0;
+  size_t joiner_count;
+  size_t which = 0;
+  void *scratch = talloc_new (group);
+  Lwm__ControlMember **joiners
+      = control_group_waiting (group, scratch, &joiner_count);
+
+  for (size_t i = 0; i < members->n_members && i < MAX_MEMBERS; i++)
+    replicas[count++] = describe_member (group, members->members[i], now_ms);
+  for (size_t i = 0; i < joiner_count && i < MAX_JOINERS; i++)
+    replicas[count++]
+        = (control_keeper_replica_t){ .name = joiners[i]->name,
+                                      .incarnation = joiners[i]->incarnation };
+  switch (control_keeper_next (replicas, count, server->options.keep_voters,
+                               &which))
+    {
+    case CONTROL_KEEPER_ADD:
+      change_by_itself (group, &replicas[which],
+                        LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_ADD);
+      break;
+    case CONTROL_KEEPER_PROMOTE:
+      change_by_itself (group, &replicas[which],
+                        LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_PROMOTE);
+      break;
+    case CONTROL_KEEPER_REMOVE:
+      change_by_itself (group, &replicas[which],
+                        LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_REMOVE);
+      break;
+    default:
+      break;
+    }
+  talloc_free (scratch);
+}
+
+static void
+tick_keeper (control_group_t *group, uint64_t now_ms)
+{
+  control_server_t *server = group->server;
+
+  if (server->options.keep_voters == 0
+      || raft_status (server->raft).role != RAFT_LEADER)
+    {
+      group->leads_since_ms = 0;
+      return;
+    }
+  if (group->leads_since_ms == 0)
+    group->leads_since_ms = now_ms;
+  if (now_ms < group->keep_due_ms)
+    return;
+  group->keep_due_ms = now_ms + KEEP_EVERY_MS;
+  if (raft_in_touch (server->raft, now_ms))
+    keep_members (group, now_ms);
 }
 
 void
@@ -220,6 +328,7 @@
   const control_contact_t *contacts
       = control_peers_contacts (group->server->peers, &count);
 
+  tick_keeper (group, now_ms);
   if (is_member (group) || now_ms < group->hello_due_ms)
     return;
   group->hello_due_ms = now_ms + HELLO_EVERY_MS;
--- a/control-internal.h
+++ b/control-internal.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 
+#include "control-directory.h"
 #include "control-peers.h"
 #include "control-server.h"
 #include "mq.h"
@@ -48,6 +49,7 @@
   control_peers_t *peers;
   control_requests_t *requests;
   control_group_t *group;
+  control_directory_t *directory;
   struct event *tick;
   struct event *flush;
   GPtrArray *held; /* messages that wait for the sync */
@@ -109,6 +111,14 @@
 /** Pushes the last revision to those who watch. */
 void control_requests_push (control_requests_t *requests);
 
+/** Pushes what changed in the directory to those who want it. */
+void control_requests_push_directory (control_requests_t *requests);
+
+/** Addresses of watching entry instances, owned by @a parent. */
+char **control_requests_addresses (const control_requests_t *requests,
+                                   void *parent,
+                                   size_t *count);
+
 size_t control_requests_watchers (const control_requests_t *requests);
 
 control_group_t *control_group_new (control_server_t *server);
--- a/control-requests.c
+++ b/control-requests.c
@@ -12,6 +12,7 @@
 #define WATCH_VALID_MS 5000
 #define MAX_CLIENT_ID  64
 #define BUSY_RETRY_MS  50
+#define MAX_ADDRESS    64
 
 /** A client's request that an entry or a read round will answer. */
 typedef struct
@@ -30,6 +31,10 @@
 {
   uint64_t known; /* number last sent, or held by the client */
   uint64_t until_ms;
+  bool wants_config;
+  bool wants_directory;
+  uint64_t version;          /* of the directory, last sent */
+  char address[MAX_ADDRESS]; /* for other entry instances, or empty */
 } watcher_t;
 
 struct control_requests
@@ -197,14 +202,12 @@
   send_answer (requests, to, &answer);
 }
 
-static void
-watch (control_requests_t *requests, waiting_t *from)
+/** The watcher of that client, made when there is room; NULL when not. */
+static watcher_t *
+find_watcher (control_requests_t *requests, const waiting_t *from)
 {
   GBytes *client = g_bytes_new (from->client, from->client_bytes);
   watcher_t *watcher = g_hash_table_lookup (requests->watchers, client);
-  const Lwm__ControlRevision *revision
-      = statemachine_revision (requests->server->machine);
-  Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
 
   if (watcher == NULL && g_hash_table_size (requests->watchers) < MAX_WATCHERS)
     {
@@ -212,18 +215,56 @@
       g_hash_table_insert (requests->watchers, g_bytes_ref (client), watcher);
     }
   g_bytes_unref (client);
+  return watcher;
+}
+
+static void
+add_directory (control_requests_t *requests,
+               uint64_t since_version,
+               void *parent,
+               Lwm__ControlAnswer *answer)
+{
+  Lwm__ControlDirectory *part = control_directory_since (
+      requests->server->directory, since_version, parent);
+
+  part->config_number
+      = statemachine_revision (requests->server->machine)->number;
+  part->watchers
+      = control_requests_addresses (requests, part, &part->n_watchers);
+  answer->directory = part;
+}
+
+static void
+watch (control_requests_t *requests,
+       waiting_t *from,
+       const Lwm__ControlWatch *request)
+{
+  control_server_t *server = requests->server;
+  watcher_t *watcher = find_watcher (requests, from);
+  Lwm__ControlRevision *revision = statemachine_revision (server->machine);
+  Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
+  void *scratch = talloc_new (requests);
+
   if (watcher != NULL)
     {
       watcher->known = MAX (from->known, revision->number);
       watcher->until_ms = clock_mono_ms () + WATCH_VALID_MS;
+      watcher->wants_config = !request->no_config;
+      watcher->wants_directory = request->directory;
+      watcher->version = control_directory_version (server->directory);
+      g_strlcpy (watcher->address, request->address, sizeof watcher->address);
     }
-  if (revision->number > from->known)
-    {
-      answer_revision (requests, from);
-      return;
-    }
-  answer.stale = is_stale (requests->server);
+  answer.stale = is_stale (server);
+  if (!request->no_config && revision->number > from->known)
+    answer.revision = revision;
+  if (request->directory)
+    add_directory (requests,
+                   request->epoch == control_directory_epoch (server->directory)
+                       ? request->version
+                       : 0,
+                   scratch, &answer);
   send_answer (requests, from, &answer);
+  talloc_free (scratch);
 }
 
 static void
@@ -309,7 +350,7 @@
       break;
     case LWM__CONTROL_REQUEST__WHAT_WATCH:
       from.known = request->watch->known;
-      watch (requests, &from);
+      watch (requests, &from, request->watch);
       break;
     case LWM__CONTROL_REQUEST__WHAT_STATUS:
       answer_status (requests, &from);
@@ -404,37 +445,103 @@
   requests->was_leader = leads;
 }
 
+/** Removes those that have not asked again in time. */
+static void
+drop_late_watchers (control_requests_t *requests)
+{
+  uint64_t now_ms = clock_mono_ms ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, requests->watchers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((watcher_t *)value)->until_ms < now_ms)
+      g_hash_table_iter_remove (&iter);
+}
+
+char **
+control_requests_addresses (const control_requests_t *requests,
+                            void *parent,
+                            size_t *count)
+{
+  char **addresses = talloc_array (parent, char *,
+                                   g_hash_table_size (requests->watchers) + 1);
+  GHashTableIter iter;
+  gpointer value;
+
+  *count = 0;
+  g_hash_table_iter_init (&iter, requests->watchers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const watcher_t *watcher = value;
+
+      if (watcher->address[0] != '\0')
+        addresses[(*count)++] = talloc_strdup (addresses, watcher->address);
+    }
+  return addresses;
+}
+
 void
 control_requests_push (control_requests_t *requests)
 {
   control_server_t *server = requests->server;
   Lwm__ControlRevision *revision = statemachine_revision (server->machine);
-  uint64_t now_ms = clock_mono_ms ();
   GHashTableIter iter;
   gpointer key;
   gpointer value;
 
+  drop_late_watchers (requests);
   g_hash_table_iter_init (&iter, requests->watchers);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
       watcher_t *watcher = value;
       Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
+      Lwm__ControlDirectory number = LWM__CONTROL_DIRECTORY__INIT;
       gsize size_bytes;
       const uint8_t *client = g_bytes_get_data (key, &size_bytes);
 
-      if (watcher->until_ms < now_ms)
-        {
-          g_hash_table_iter_remove (&iter);
-          continue;
-        }
       if (watcher->known >= revision->number)
         continue;
       watcher->known = revision->number;
-      answer.revision = revision;
+      number.epoch = control_directory_epoch (server->directory);
+      number.since = number.version = watcher->version;
+      number.config_number = revision->number;
+      if (watcher->wants_config)
+        answer.revision = revision;
+      else
+        answer.directory = &number;
       control_server_answer (server, client, size_bytes, &answer);
     }
 }
 
+void
+control_requests_push_directory (control_requests_t *requests)
+{
+  control_server_t *server = requests->server;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  drop_late_watchers (requests);
+  g_hash_table_iter_init (&iter, requests->watchers);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      watcher_t *watcher = value;
+      Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
+      void *scratch = talloc_new (requests);
+      gsize size_bytes;
+      const uint8_t *client = g_bytes_get_data (key, &size_bytes);
+
+      if (watcher->wants_directory)
+        {
+          add_directory (requests, watcher->version, scratch, &answer);
+          watcher->version = control_directory_version (server->directory);
+          control_server_answer (server, client, size_bytes, &answer);
+        }
+      talloc_free (scratch);
+    }
+}
+
 size_t
 control_requests_watchers (const control_requests_t *requests)
 {
--- a/control-server.c
+++ b/control-server.c
@@ -422,6 +422,7 @@
 
   raft_tick (server->raft, now_ms);
   control_group_tick (server->group, now_ms);
+  control_directory_tick (server->directory, now_ms);
   expire (server, now_ms);
   on_flush (fd, what, arg);
 }
@@ -530,6 +531,7 @@
   server->address
       = talloc_strdup (server, address != NULL ? address : options->listen);
   server->requests = control_requests_new (server);
+  server->directory = control_directory_new (server);
   server->group = control_group_new (server);
   if (!listen_on (server, &why))
     goto failed;
@@ -542,3 +544,24 @@
   talloc_free (server);
   return NULL;
 }
+
+directory_result_t
+control_server_announce (control_server_t *server,
+                         const directory_statement_t *statement)
+{
+  return control_directory_put (server->directory, statement);
+}
+
+bool
+control_server_leave (control_server_t *server,
+                      const char *id,
+                      uint64_t born_ms)
+{
+  return control_directory_leave (server->directory, id, born_ms);
+}
+
+bool
+control_server_in_touch (const control_server_t *server)
+{
+  return raft_in_touch (server->raft, clock_mono_ms ());
+}
--- a/control-server.h
+++ b/control-server.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "control.pb-c.h"
+#include "directory.h"
 #include "metric.h"
 
 struct event_base;
@@ -32,6 +33,12 @@
   uint32_t heartbeat_ms;
   uint32_t election_timeout_ms;
   uint32_t snapshot_entries; /**< log entries between snapshots */
+  uint32_t announce_ms;      /**< between an upstream's announcements, or 0 */
+  /**
+   * Voters the group keeps by itself: joiners are added, and take the place of
+   * members that are gone for good. 0: members change by command only.
+   */
+  uint32_t keep_voters;
   metrics_t *metrics;
 } control_server_options_t;
 
@@ -42,6 +49,19 @@
 control_server_t *control_server_new (void *parent,
                                       const control_server_options_t *options);
 
+/** An upstream announced itself here; entry instances that watch are told. */
+directory_result_t
+control_server_announce (control_server_t *server,
+                         const directory_statement_t *statement);
+
+/** An upstream ends; @a born_ms 0 means the last one of that id. */
+bool control_server_leave (control_server_t *server,
+                           const char *id,
+                           uint64_t born_ms);
+
+/** Whether this replica has a leader, or leads with a quorum. */
+bool control_server_in_touch (const control_server_t *server);
+
 /** The present status, freed with @a parent. */
 Lwm__ControlStatus *control_server_status (control_server_t *server,
                                            void *parent);
--- a/statemachine.h
+++ b/statemachine.h
@@ -16,7 +16,7 @@
 
 #include "control.pb-c.h"
 
-#define STATEMACHINE_MAX_CONFIG_BYTES (1536u * 1024)
+#define STATEMACHINE_MAX_CONFIG_BYTES (4096u * 1024)
 #define STATEMACHINE_MAX_AUDIT        64
 
 typedef struct statemachine statemachine_t;
