gateway: route opaque requests by predicted loss

Entry instances tell one another of their jobs at engines; an engine is chosen by what the request and those already written to there would lose.

--- /dev/null
+++ b/gateway-internal.h
@@ -0,0 +1,148 @@
+/**
+ * @file gateway-internal.h
+ * What the parts of a gateway share: gateway.c (requests in, waiting, ends),
+ * gateway-attempt.c (sending and failures) and gateway-relay.c (answers). For
+ * those only.
+ */
+#ifndef GATEWAY_INTERNAL_H
+#define GATEWAY_INTERNAL_H
+
+#include <glib.h>
+
+#include "error.h"
+#include "event-stream.h"
+#include "exchange.h"
+#include "gateway.h"
+#include "retry.h"
+#include "upstream-choice.h"
+
+struct event;
+
+#define GATEWAY_MAX_TRIES 6
+
+/** Counters; one for each refusal reason is in refusals. */
+typedef struct
+{
+  metric_t *requests;
+  metric_t *answered;
+  metric_t *gone;
+  metric_t *broken;
+  metric_t *refusals[ERROR_KIND_COUNT];
+} gateway_counters_t;
+
+struct gateway
+{
+  gateway_options_t options;
+  gateway_config_t *config; /* in force, or NULL */
+  caller_server_t *callers;
+  exchange_pool_t *pool;
+  upstream_set_t *set;
+  load_share_t *share;
+  retry_t *retry;
+  GPtrArray *open;    /* gateway_request_t */
+  GPtrArray *waiting; /* gateway_request_t, in no order */
+  struct event *tick;
+  struct event *wake; /* looks at those that wait */
+  gateway_counters_t counters;
+};
+
+typedef struct gateway_request gateway_request_t;
+
+/** One request of a caller, from its arrival to its end. */
+struct gateway_request
+{
+  gateway_t *gateway;
+  caller_request_t *caller;
+  gateway_terms_t terms;
+  gateway_route_t route; /* copied: a new configuration may come */
+  const char *service;
+  engine_model_t *engine; /* NULL: a plain service */
+  const char *customer;   /* or NULL */
+  uint64_t config_number;
+  uint64_t begun_ms;
+  uint64_t deadline_ms;
+  struct event *timer;
+  uint64_t attempt_due_ms; /* when the attempt counts as hanging, or 0 */
+
+  uint32_t sent;  /* failed attempts that an upstream may have run */
+  uint32_t tries; /* all, with those that could not connect */
+  uint64_t avoid[GATEWAY_MAX_TRIES];
+  bool may_have_run;
+  bool is_waiting;
+
+  /* The present attempt. */
+  exchange_t *exchange; /* NULL between attempts */
+  uint64_t job_id;
+  uint64_t upstream_key;
+  char *upstream_id;
+  uint64_t attempt_ms; /* when it was sent */
+  double predicted_ms;
+  bool has_head;
+  bool is_foreign; /* the answer is not this request's */
+  bool is_spoilt;  /* its events cannot be used */
+  uint32_t attempt_events;
+  gateway_answer_t answer;
+
+  /* The answer. */
+  uint32_t status;
+  void *head; /* owns the next two */
+  const char *reason;
+  http_fields_t fields;
+  GByteArray *body;       /* of an answer that is passed on when whole */
+  event_stream_t *events; /* of a stream, NULL before its head */
+  bool is_begun;          /* its head has left for the caller */
+  bool is_held;           /* the upstream is held back by a slow caller */
+  bool has_event;
+  uint64_t last_event; /* passed on */
+  uint32_t event_count;
+  uint64_t first_event_ms;
+  uint64_t last_event_ms;
+};
+
+/** Finds a place for the request now, or lets it wait, or refuses it. */
+void gateway_place (gateway_request_t *request);
+
+/** Sends it to the upstream chosen. */
+void gateway_attempt (gateway_request_t *request, const choice_t *choice);
+
+/** Ends the present attempt, whose exchange is over or is cancelled here. */
+void gateway_attempt_over (gateway_request_t *request, upstream_job_end_t how);
+
+/** The attempt failed: sends again, passes on what came, or gives up. */
+void gateway_attempt_failed (gateway_request_t *request,
+                             retry_reason_t reason,
+                             bool has_run);
+
+/** When a stream counts as hanging if no event comes after one now. */
+uint64_t gateway_gap_due_ms (const gateway_request_t *request);
+
+/** The time that the attempt was given has passed. */
+void gateway_attempt_hangs (gateway_request_t *request);
+
+/** Callbacks of its exchange. */
+extern const exchange_callbacks_t gateway_relay_callbacks;
+
+/** Passes on the whole answer that is held. */
+void gateway_relay_answer (gateway_request_t *request);
+
+/** Time for the next event, or the first, to come. */
+void gateway_set_timer (gateway_request_t *request);
+
+/** Answers with an error of our own and ends the request. */
+void gateway_refuse (gateway_request_t *request,
+                     error_kind_t kind,
+                     uint32_t retry_after_ms);
+
+/** Breaks the answer off and ends the request. */
+void gateway_break (gateway_request_t *request, const char *why);
+
+/** The answer was passed on in full: ends the request. */
+void gateway_finish (gateway_request_t *request, uint32_t status);
+
+/** Looks soon at those that wait. */
+void gateway_wake (gateway_t *gateway);
+
+/** Milliseconds until the request's deadline, 0 when it has passed. */
+uint32_t gateway_left_ms (const gateway_request_t *request);
+
+#endif
--- /dev/null
+++ b/gateway-relay.c
@@ -0,0 +1,268 @@
+#include "gateway-internal.h"
+
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+
+#include "base.h"
+#define LOG_PART "gateway"
+#include "logging.h"
+
+/** Answers up to this size are passed on when they are whole. */
+#define MAX_HELD_BYTES (8u * 1024 * 1024)
+/** Bytes a slow caller may leave untaken before its upstream is held back. */
+#define MAX_PENDING_BYTES  (256u * 1024)
+#define FIRST_SERVER_ERROR 500
+#define STATUS_TIMED_OUT   504
+
+/** Keeps the head for later, as a failed attempt's answer may be passed on. */
+static void
+keep_head (gateway_request_t *request)
+{
+  const http_fields_t *fields = exchange_fields (request->exchange);
+
+  if (request->is_begun)
+    return;
+  talloc_free (request->head);
+  request->head = talloc_new (request);
+  request->fields = (http_fields_t){ 0 };
+  for (size_t i = 0; i < fields->count; i++)
+    if (!http_field_is_hop (fields, fields->items[i].name))
+      http_fields_add (request->head, &request->fields, fields->items[i].name,
+                       fields->items[i].value);
+  request->reason
+      = talloc_strdup (request->head, exchange_reason (request->exchange));
+}
+
+static bool
+is_stream (const gateway_request_t *request)
+{
+  return request->route.kind == ROUTE_STREAM && request->status == 200;
+}
+
+/** Whether the answer is another request's, or nobody's. */
+static bool
+is_foreign (const gateway_request_t *request)
+{
+  const gateway_answer_t *answer = &request->answer;
+
+  if (answer->request_id != NULL
+      && strcmp (answer->request_id, request->terms.id) != 0)
+    return true;
+  return request->status < 300 && !answer->is_signed;
+}
+
+static void
+fail_now (gateway_request_t *request, retry_reason_t reason)
+{
+  request->has_head = false;
+  gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
+  gateway_attempt_failed (request, reason, true);
+}
+
+/** The engine's own time is told from ours by its first event. */
+static void
+note_first_event (gateway_request_t *request, uint64_t now_ms)
+{
+  gateway_t *gateway = request->gateway;
+
+  load_share_answering (gateway->share, request->job_id);
+  if (request->engine != NULL && request->predicted_ms > 0)
+    upstream_set_slowness (gateway->set, request->upstream_key,
+                           (double)(now_ms - request->attempt_ms)
+                               / request->predicted_ms);
+  if (request->first_event_ms == 0)
+    request->first_event_ms = now_ms;
+  gateway_wake (gateway);
+}
+
+static void
+begin_stream (gateway_request_t *request)
+{
+  request->is_begun = true;
+  caller_reply_begin (request->caller, request->status, request->reason,
+                      &request->fields, -1);
+}
+
+static bool
+on_event (const event_stream_event_t *event, void *context)
+{
+  gateway_request_t *request = context;
+  uint64_t now_ms = clock_mono_ms ();
+
+  if (event->has_id && request->has_event
+      && event->id != request->last_event + 1)
+    {
+      log_warn ("An upstream's event is out of order. request=%s upstream=%s "
+                "event=%ju after=%ju",
+                request->terms.id, request->upstream_id, (uintmax_t)event->id,
+                (uintmax_t)request->last_event);
+      return false;
+    }
+  if (event->has_id)
+    {
+      request->has_event = true;
+      request->last_event = event->id;
+    }
+  if (request->attempt_events++ == 0)
+    note_first_event (request, now_ms);
+  upstream_set_progress (request->gateway->set, request->job_id, now_ms);
+  if (!request->is_begun)
+    begin_stream (request);
+  caller_reply_data (request->caller, event->data, event->size_bytes);
+  request->event_count++;
+  request->last_event_ms = now_ms;
+  return true;
+}
+
+static void
+on_head (exchange_t *exchange, void *context)
+{
+  gateway_request_t *request = context;
+
+  request->status = exchange_status (exchange);
+  request->has_head = true;
+  request->attempt_events = 0;
+  request->answer = (gateway_answer_t){ 0 };
+  request->gateway->options.protocol->read_answer (
+      request->status, exchange_fields (exchange), &request->answer);
+  request->is_foreign = is_foreign (request);
+  request->answer.request_id = NULL; /* the exchange's, and not needed now */
+  if (request->is_foreign)
+    return;
+  keep_head (request);
+  if (is_stream (request))
+    request->events = event_stream_new (request, on_event, request);
+}
+
+static void
+hold_if_slow (gateway_request_t *request)
+{
+  if (request->is_held
+      || caller_reply_pending_bytes (request->caller) < MAX_PENDING_BYTES)
+    return;
+  request->is_held = true;
+  exchange_hold (request->exchange, true);
+}
+
+static void
+on_body (exchange_t *exchange,
+         const uint8_t *data,
+         size_t size_bytes,
+         void *context)
+{
+  gateway_request_t *request = context;
+
+  if (request->is_foreign || request->is_spoilt)
+    return;
+  if (request->events != NULL)
+    {
+      request->is_spoilt
+          = !event_stream_feed (request->events, data, size_bytes);
+      if (request->is_spoilt)
+        {
+          fail_now (request, RETRY_CROSSED);
+          return;
+        }
+      if (request->event_count > 0)
+        request->attempt_due_ms = gateway_gap_due_ms (request);
+      gateway_set_timer (request);
+      hold_if_slow (request);
+      return;
+    }
+  if (request->body->len + size_bytes > MAX_HELD_BYTES)
+    {
+      log_warn ("An answer is too large. request=%s upstream=%s",
+                request->terms.id, request->upstream_id);
+      fail_now (request, RETRY_TRUNCATED);
+      return;
+    }
+  g_byte_array_append (request->body, data, (guint)size_bytes);
+}
+
+void
+gateway_relay_answer (gateway_request_t *request)
+{
+  caller_reply_begin (request->caller, request->status, request->reason,
+                      &request->fields, request->body->len);
+  caller_reply_data (request->caller, request->body->data, request->body->len);
+  gateway_finish (request, request->status);
+}
+
+static void
+end_stream (gateway_request_t *request)
+{
+  if (!event_stream_is_whole (request->events)
+      || (!request->is_begun && request->event_count == 0))
+    {
+      gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
+      request->has_head = false;
+      gateway_attempt_failed (request, RETRY_TRUNCATED, true);
+      return;
+    }
+  gateway_attempt_over (request, UPSTREAM_JOB_GOOD);
+  gateway_finish (request, request->status);
+}
+
+static void
+end_call (gateway_request_t *request)
+{
+  gateway_t *gateway = request->gateway;
+  bool has_failed = request->status >= FIRST_SERVER_ERROR
+                    && request->status != STATUS_TIMED_OUT;
+
+  if (request->answer.has_not_run || request->answer.is_misdirected)
+    {
+      gateway_attempt_over (request, request->answer.is_misdirected
+                                         ? UPSTREAM_JOB_FAILED
+                                         : UPSTREAM_JOB_REFUSED);
+      gateway_attempt_failed (request, RETRY_REFUSED, false);
+      return;
+    }
+  if (has_failed)
+    {
+      gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
+      gateway_attempt_failed (request, RETRY_ERROR, true);
+      return;
+    }
+  upstream_set_took (gateway->set, request->upstream_key,
+                     (double)(clock_mono_ms () - request->attempt_ms));
+  gateway_attempt_over (request, UPSTREAM_JOB_GOOD);
+  if (request->is_begun)
+    gateway_break (request, "resume_refused");
+  else
+    gateway_relay_answer (request);
+}
+
+static void
+on_end (exchange_t *exchange, void *context)
+{
+  gateway_request_t *request = context;
+
+  request->exchange = NULL;
+  if (request->is_foreign)
+    fail_now (request, RETRY_CROSSED);
+  else if (request->events != NULL)
+    end_stream (request);
+  else
+    end_call (request);
+}
+
+static void
+on_failed (exchange_t *exchange, exchange_failure_t how, void *context)
+{
+  gateway_request_t *request = context;
+  static const retry_reason_t reasons[] = { [EXCHANGE_NOT_SENT] = RETRY_CONNECT,
+                                            [EXCHANGE_NO_ANSWER] = RETRY_ERROR,
+                                            [EXCHANGE_BROKEN] = RETRY_BROKEN };
+
+  request->exchange = NULL;
+  request->has_head = false;
+  gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
+  gateway_attempt_failed (request, reasons[how], how != EXCHANGE_NOT_SENT);
+}
+
+const exchange_callbacks_t gateway_relay_callbacks = { .on_head = on_head,
+                                                       .on_body = on_body,
+                                                       .on_end = on_end,
+                                                       .on_failed = on_failed };
--- /dev/null
+++ b/gateway.c
@@ -0,0 +1,635 @@
+#include "gateway.h"
+
+#include <event2/event.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base.h"
+#include "gateway-internal.h"
+#include "http.h"
+#define LOG_PART "gateway"
+#include "logging.h"
+
+#define TICK_MS            100
+#define WAKE_MS            2
+#define QUEUE_EVERY_MS     20
+#define CONNECT_TIMEOUT_MS 600
+#define IDLE_TIMEOUT_MS    4000
+#define MAX_WAITING        512
+/** Without a wish of the caller or a timeout of the route. */
+#define DEFAULT_DEADLINE_MS 30000
+/** Time after which a caller that was refused may find room: a spread, so that
+ * those refused together do not return together. */
+#define RETRY_AFTER_MS        250
+#define RETRY_AFTER_SPREAD_MS 500
+
+uint32_t
+gateway_left_ms (const gateway_request_t *request)
+{
+  uint64_t now_ms = clock_mono_ms ();
+
+  return request->deadline_ms > now_ms
+             ? (uint32_t)(request->deadline_ms - now_ms)
+             : 0;
+}
+
+static int
+free_request (gateway_request_t *request)
+{
+  gateway_t *gateway = request->gateway;
+
+  g_ptr_array_remove_fast (gateway->open, request);
+  if (request->is_waiting)
+    g_ptr_array_remove_fast (gateway->waiting, request);
+  if (request->exchange != NULL)
+    exchange_cancel (request->exchange);
+  event_free (request->timer);
+  g_byte_array_free (request->body, TRUE);
+  return 0;
+}
+
+void
+gateway_wake (gateway_t *gateway)
+{
+  struct timeval wait = { .tv_usec = WAKE_MS * 1000 };
+
+  if (gateway->waiting->len > 0
+      && !event_pending (gateway->wake, EV_TIMEOUT, NULL))
+    event_add (gateway->wake, &wait);
+}
+
+/** One line for each end of a request. */
+static void
+log_end (const gateway_request_t *request, const char *how, uint32_t status)
+{
+  uint64_t now_ms = clock_mono_ms ();
+
+  log_info ("Request ended. request=%s how=%s status=%u route=%s customer=%s "
+            "upstream=%s sent=%u tries=%u first_ms=%ju took_ms=%ju "
+            "events=%u prompt=%u config=%ju",
+            request->terms.id, how, status, request->route.name,
+            request->customer != NULL ? request->customer : "-",
+            request->upstream_id != NULL ? request->upstream_id : "-",
+            request->sent, request->tries,
+            (uintmax_t)(request->first_event_ms > 0
+                            ? request->first_event_ms - request->begun_ms
+                            : 0),
+            (uintmax_t)(now_ms - request->begun_ms), request->event_count,
+            request->terms.prompt_tokens, (uintmax_t)request->config_number);
+}
+
+/** Writes a whole answer of our own. */
+static void
+reply_error (caller_request_t *caller,
+             error_kind_t kind,
+             const char *request_id,
+             uint32_t retry_after_ms)
+{
+  const error_answer_t *row = error_answer (kind);
+  JsonNode *node = http_error_node (kind, row->ran, NULL, request_id);
+  char *text = http_json_text (node);
+  void *scratch = talloc_new (NULL);
+  http_fields_t fields = { 0 };
+  char seconds[32];
+
+  json_node_unref (node);
+  http_fields_add (scratch, &fields, "Content-Type", "application/json");
+  if (retry_after_ms > 0)
+    {
+      snprintf (seconds, sizeof seconds, "%u.%03u", retry_after_ms / 1000,
+                retry_after_ms % 1000);
+      http_fields_add (scratch, &fields, "Retry-After", seconds);
+    }
+  caller_reply_begin (caller, (uint32_t)row->http_status, row->name, &fields,
+                      (int64_t)strlen (text));
+  caller_reply_data (caller, text, strlen (text));
+  caller_reply_end (caller);
+  g_free (text);
+  talloc_free (scratch);
+}
+
+static void
+count_refusal (gateway_t *gateway, error_kind_t kind)
+{
+  metric_add (gateway->counters.refusals[kind], 1);
+}
+
+void
+gateway_refuse (gateway_request_t *request,
+                error_kind_t kind,
+                uint32_t retry_after_ms)
+{
+  caller_request_t *caller = request->caller;
+
+  count_refusal (request->gateway, kind);
+  log_end (request, error_name (kind),
+           (uint32_t)error_answer (kind)->http_status);
+  caller_request_set_data (caller, NULL);
+  reply_error (caller, kind, request->terms.id, retry_after_ms);
+  talloc_free (request);
+}
+
+void
+gateway_break (gateway_request_t *request, const char *why)
+{
+  caller_request_t *caller = request->caller;
+
+  metric_add (request->gateway->counters.broken, 1);
+  log_end (request, why, 0);
+  caller_request_set_data (caller, NULL);
+  talloc_free (request);
+  caller_reply_break (caller);
+}
+
+void
+gateway_finish (gateway_request_t *request, uint32_t status)
+{
+  caller_request_t *caller = request->caller;
+
+  metric_add (request->gateway->counters.answered, 1);
+  log_end (request, "answered", status);
+  caller_request_set_data (caller, NULL);
+  talloc_free (request);
+  caller_reply_end (caller);
+}
+
+static uint32_t
+spread_ms (void)
+{
+  return RETRY_AFTER_MS + (uint32_t)(random_id () % RETRY_AFTER_SPREAD_MS);
+}
+
+static void
+wait_in_queue (gateway_request_t *request)
+{
+  gateway_t *gateway = request->gateway;
+
+  if (request->is_waiting)
+    return;
+  if (gateway->waiting->len >= MAX_WAITING)
+    {
+      gateway_refuse (request, ERROR_QUEUE_FULL, spread_ms ());
+      return;
+    }
+  request->is_waiting = true;
+  g_ptr_array_add (gateway->waiting, request);
+  log_info (
+      "Request waits for room. request=%s service=%s prompt=%u waiting=%u",
+      request->terms.id, request->service, request->terms.prompt_tokens,
+      gateway->waiting->len);
+}
+
+static choice_t
+choose (const gateway_request_t *request)
+{
+  gateway_t *gateway = request->gateway;
+  uint64_t now_ms = clock_mono_ms ();
+  choice_request_t ask
+      = { .service = request->service,
+          .model = request->engine,
+          .zone = gateway->options.zone,
+          .prompt_tokens = request->terms.prompt_tokens,
+          .answer_tokens = request->terms.answer_tokens,
+          .target_ms = request->route.target_ms,
+          .gap_target_ms = request->route.gap_target_ms,
+          .waited_ms = (uint32_t)(now_ms - request->begun_ms),
+          .left_ms = gateway_left_ms (request),
+          .avoid = request->avoid,
+          .avoid_count = MIN (request->tries, GATEWAY_MAX_TRIES),
+          .zone_cost_ms = gateway->options.zone_cost_ms,
+          .random = (uint32_t)random_id () };
+
+  return upstream_choose (gateway->set, &ask, now_ms);
+}
+
+void
+gateway_place (gateway_request_t *request)
+{
+  gateway_t *gateway = request->gateway;
+  choice_t choice = choose (request);
+
+  if (choice.kind == CHOICE_WAIT)
+    {
+      wait_in_queue (request);
+      return;
+    }
+  if (request->is_waiting)
+    {
+      request->is_waiting = false;
+      g_ptr_array_remove_fast (gateway->waiting, request);
+    }
+  if (choice.kind == CHOICE_SEND)
+    gateway_attempt (request, &choice);
+  else if (request->is_begun)
+    gateway_break (request, "no_upstream");
+  else if (request->may_have_run)
+    gateway_refuse (request, ERROR_UPSTREAM_FAILED, 0);
+  else if (choice.kind == CHOICE_HOPELESS)
+    gateway_refuse (request, ERROR_DEADLINE_UNMEETABLE, spread_ms ());
+  else
+    gateway_refuse (request, ERROR_NO_UPSTREAM, spread_ms ());
+}
+
+/** Earliest target first: who would be late soonest. */
+static gint
+compare_waiting (gconstpointer a, gconstpointer b)
+{
+  const gateway_request_t *one = *(const gateway_request_t *const *)a;
+  const gateway_request_t *other = *(const gateway_request_t *const *)b;
+  uint64_t one_ms = one->begun_ms + one->route.target_ms;
+  uint64_t other_ms = other->begun_ms + other->route.target_ms;
+
+  if (one->route.priority != other->route.priority)
+    return one->route.priority < other->route.priority ? -1 : 1;
+  return (one_ms > other_ms) - (one_ms < other_ms);
+}
+
+static void
+on_wake (evutil_socket_t fd, short what, void *context)
+{
+  gateway_t *gateway = context;
+  struct timeval later = { .tv_usec = QUEUE_EVERY_MS * 1000 };
+  GPtrArray *all = g_ptr_array_new ();
+
+  for (guint i = 0; i < gateway->waiting->len; i++)
+    g_ptr_array_add (all, g_ptr_array_index (gateway->waiting, i));
+  g_ptr_array_sort (all, compare_waiting);
+  for (guint i = 0; i < all->len; i++)
+    gateway_place (g_ptr_array_index (all, i));
+  g_ptr_array_free (all, TRUE);
+  if (gateway->waiting->len > 0)
+    event_add (gateway->wake, &later);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  gateway_request_t *request = context;
+  uint64_t now_ms = clock_mono_ms ();
+
+  if (now_ms >= request->deadline_ms)
+    {
+      if (request->exchange != NULL)
+        gateway_attempt_over (request, UPSTREAM_JOB_NEUTRAL);
+      if (request->is_begun)
+        gateway_break (request, "deadline_passed");
+      else
+        gateway_refuse (request, ERROR_DEADLINE_PASSED, 0);
+    }
+  else if (request->exchange != NULL && request->attempt_due_ms > 0
+           && now_ms >= request->attempt_due_ms)
+    gateway_attempt_hangs (request);
+  else
+    gateway_set_timer (request);
+}
+
+void
+gateway_set_timer (gateway_request_t *request)
+{
+  uint64_t now_ms = clock_mono_ms ();
+  uint64_t due_ms = request->deadline_ms;
+  uint64_t wait_ms;
+  struct timeval wait;
+
+  if (request->attempt_due_ms > 0 && request->attempt_due_ms < due_ms)
+    due_ms = request->attempt_due_ms;
+  wait_ms = due_ms > now_ms ? due_ms - now_ms : 0;
+  wait = (struct timeval){ .tv_sec = (time_t)(wait_ms / 1000),
+                           .tv_usec = (suseconds_t)(wait_ms % 1000) * 1000 };
+  event_add (request->timer, &wait);
+}
+
+/** Refuses what is not taken on at all. */
+static void
+turn_away (gateway_t *gateway,
+           caller_request_t *caller,
+           const gateway_terms_t *terms,
+           error_kind_t kind)
+{
+  const char *host = http_fields_find (caller_request_fields (caller), "Host");
+  bool may_return = error_answer (kind)->http_status == 503;
+
+  count_refusal (gateway, kind);
+  log_info ("Request turned away. request=%s reason=%s host=%s target=%s "
+            "config=%ju",
+            terms->id, error_name (kind), host != NULL ? host : "-",
+            caller_request_target (caller),
+            (uintmax_t)gateway_config_number (gateway));
+  reply_error (caller, kind, terms->id, may_return ? spread_ms () : 0);
+}
+
+/** Copies what the request needs of the configuration. */
+static void
+take_route (gateway_request_t *request,
+            const gateway_route_t *route,
+            const gateway_service_t *service,
+            const gateway_customer_t *customer)
+{
+  request->route = *route;
+  request->route.name = talloc_strdup (request, route->name);
+  request->route.targets = NULL;
+  request->service = talloc_strdup (request, service->name);
+  if (service->engine != NULL)
+    request->engine
+        = talloc_memdup (request, service->engine, sizeof *service->engine);
+  if (customer == NULL)
+    return;
+  request->customer = talloc_strdup (request, customer->name);
+  request->route.priority = customer->priority;
+}
+
+static void
+set_deadline (gateway_request_t *request)
+{
+  uint32_t wait_ms = request->route.timeout_ms > 0 ? request->route.timeout_ms
+                                                   : DEFAULT_DEADLINE_MS;
+
+  if (request->terms.has_deadline)
+    wait_ms = MIN (wait_ms, request->terms.deadline_ms);
+  request->deadline_ms = request->begun_ms + wait_ms;
+}
+
+static gateway_request_t *
+request_new (gateway_t *gateway,
+             caller_request_t *caller,
+             const gateway_terms_t *terms)
+{
+  gateway_request_t *request = talloc_zero (gateway, gateway_request_t);
+
+  request->gateway = gateway;
+  request->caller = caller;
+  request->terms = *terms;
+  request->begun_ms = caller_request_begun_ms (caller);
+  request->config_number = gateway->config->number;
+  request->last_event = terms->last_event;
+  request->has_event = terms->has_last_event;
+  request->body = g_byte_array_new ();
+  request->timer = event_new (gateway->options.base, -1, 0, on_timer, request);
+  talloc_set_destructor (request, free_request);
+  g_ptr_array_add (gateway->open, request);
+  caller_request_set_data (caller, request);
+  return request;
+}
+
+static void
+on_request (caller_request_t *caller, void *context)
+{
+  gateway_t *gateway = context;
+  const http_fields_t *fields = caller_request_fields (caller);
+  const char *host = http_fields_find (fields, "Host");
+  gateway_terms_t terms = { .id = "" };
+  const gateway_route_t *route;
+  const gateway_customer_t *customer = NULL;
+  gateway_request_t *request;
+
+  metric_add (gateway->counters.requests, 1);
+  gateway->options.protocol->read_terms (fields, &terms);
+  if (gateway->config == NULL)
+    {
+      turn_away (gateway, caller, &terms, ERROR_NO_CONFIGURATION);
+      return;
+    }
+  route = gateway_config_route (gateway->config, host != NULL ? host : "",
+                                caller_request_target (caller));
+  if (route == NULL)
+    {
+      turn_away (gateway, caller, &terms, ERROR_NOT_FOUND);
+      return;
+    }
+  if (gateway->config->has_customers && terms.key != NULL)
+    customer = gateway_config_customer (gateway->config, terms.key);
+  if (gateway->config->has_customers && customer == NULL && !route->is_public)
+    {
+      turn_away (gateway, caller, &terms, ERROR_UNAUTHORIZED);
+      return;
+    }
+  request = request_new (gateway, caller, &terms);
+  take_route (
+      request, route,
+      gateway_config_draw (gateway->config, route, (uint32_t)random_id ()),
+      customer);
+  set_deadline (request);
+  retry_note_request (gateway->retry, request->service, clock_mono_ms ());
+  gateway_set_timer (request);
+  gateway_place (request);
+}
+
+static void
+on_gone (caller_request_t *caller, void *context)
+{
+  gateway_t *gateway = context;
+  gateway_request_t *request = caller_request_data (caller);
+
+  if (request == NULL)
+    return;
+  metric_add (gateway->counters.gone, 1);
+  log_end (request, "caller_gone", 0);
+  if (request->exchange != NULL)
+    gateway_attempt_over (request, UPSTREAM_JOB_NEUTRAL);
+  talloc_free (request);
+}
+
+static void
+on_drained (caller_request_t *caller, void *context)
+{
+  gateway_request_t *request = caller_request_data (caller);
+
+  if (request == NULL || !request->is_held || request->exchange == NULL)
+    return;
+  request->is_held = false;
+  exchange_hold (request->exchange, false);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *context)
+{
+  gateway_t *gateway = context;
+
+  upstream_set_tick (gateway->set, clock_mono_ms ());
+}
+
+static void
+on_share_change (void *context)
+{
+  gateway_wake (context);
+}
+
+static void
+on_upstream_gone (const upstream_member_t *member, void *context)
+{
+  gateway_t *gateway = context;
+
+  log_info ("An upstream takes nothing new. upstream=%s address=%s", member->id,
+            member->address);
+  exchange_pool_forget (gateway->pool, member->key);
+}
+
+static void
+add_counters (gateway_t *gateway)
+{
+  metrics_t *metrics = gateway->options.metrics;
+  gateway_counters_t *counters = &gateway->counters;
+  char labels[64];
+
+  counters->requests = metrics_counter (metrics, "lwm_gateway_requests_total",
+                                        "Requests of callers.", NULL);
+  counters->answered
+      = metrics_counter (metrics, "lwm_gateway_answered_total",
+                         "Answers of upstreams passed on in full.", NULL);
+  counters->gone
+      = metrics_counter (metrics, "lwm_gateway_callers_gone_total",
+                         "Requests whose caller closed first.", NULL);
+  counters->broken = metrics_counter (metrics, "lwm_gateway_broken_total",
+                                      "Answers broken off midway.", NULL);
+  for (int kind = 0; kind < ERROR_KIND_COUNT; kind++)
+    {
+      snprintf (labels, sizeof labels, "reason=\"%s\"",
+                error_name ((error_kind_t)kind));
+      counters->refusals[kind] = metrics_counter (
+          metrics, "lwm_gateway_refusals_total",
+          "Requests answered with an error of our own.", labels);
+    }
+}
+
+static double
+read_waiting (void *context)
+{
+  const gateway_t *gateway = context;
+
+  return gateway->waiting->len;
+}
+
+static double
+read_config_number (void *context)
+{
+  return (double)gateway_config_number (context);
+}
+
+static int
+free_gateway (gateway_t *gateway)
+{
+  while (gateway->open->len > 0)
+    talloc_free (g_ptr_array_index (gateway->open, 0));
+  g_ptr_array_free (gateway->open, TRUE);
+  TALLOC_FREE (gateway->callers);
+  event_free (gateway->tick);
+  event_free (gateway->wake);
+  g_ptr_array_free (gateway->waiting, TRUE);
+  return 0;
+}
+
+static bool
+open_sockets (gateway_t *gateway)
+{
+  gateway_config_t *empty = gateway_config_new (gateway);
+  caller_server_options_t callers = { .base = gateway->options.base,
+                                      .listen = gateway->options.listen,
+                                      .limits = empty->limits,
+                                      .on_request = on_request,
+                                      .on_gone = on_gone,
+                                      .on_drained = on_drained,
+                                      .context = gateway };
+  load_share_options_t share = { .base = gateway->options.base,
+                                 .listen = gateway->options.share_listen,
+                                 .set = gateway->set,
+                                 .on_change = on_share_change,
+                                 .context = gateway,
+                                 .metrics = gateway->options.metrics };
+
+  talloc_free (empty);
+  gateway->share = load_share_new (gateway, &share);
+  if (gateway->share == NULL)
+    return false;
+  gateway->callers = caller_server_new (gateway, &callers);
+  return gateway->callers != NULL;
+}
+
+gateway_t *
+gateway_new (void *parent, const gateway_options_t *options)
+{
+  gateway_t *gateway = talloc_zero (parent, gateway_t);
+  upstream_set_options_t set
+      = { .on_gone = on_upstream_gone, .context = gateway };
+  exchange_pool_options_t pool = { .base = options->base,
+                                   .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                                   .idle_timeout_ms = IDLE_TIMEOUT_MS };
+  struct timeval every = { .tv_usec = TICK_MS * 1000 };
+
+  gateway->options = *options;
+  gateway->open = g_ptr_array_new ();
+  gateway->waiting = g_ptr_array_new ();
+  gateway->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gateway);
+  gateway->wake = event_new (options->base, -1, 0, on_wake, gateway);
+  talloc_set_destructor (gateway, free_gateway);
+  event_add (gateway->tick, &every);
+  gateway->set = upstream_set_new (gateway, &set);
+  gateway->pool = exchange_pool_new (gateway, &pool);
+  gateway->retry = retry_new (gateway, options->metrics);
+  add_counters (gateway);
+  metrics_gauge_read (options->metrics, "lwm_gateway_waiting",
+                      "Requests that wait for room at an upstream.", NULL,
+                      read_waiting, gateway);
+  metrics_gauge_read (options->metrics, "lwm_gateway_config_number",
+                      "Number of the configuration in force.", NULL,
+                      read_config_number, gateway);
+  if (open_sockets (gateway))
+    return gateway;
+  talloc_free (gateway);
+  return NULL;
+}
+
+void
+gateway_set_config (gateway_t *gateway, gateway_config_t *config)
+{
+  if (gateway->config != NULL && config->number <= gateway->config->number)
+    {
+      talloc_free (config);
+      return;
+    }
+  log_info ("Configuration is in force. number=%ju before=%ju routes=%zu "
+            "services=%zu customers=%zu",
+            (uintmax_t)config->number,
+            (uintmax_t)gateway_config_number (gateway), config->route_count,
+            config->service_count, config->customer_count);
+  talloc_free (gateway->config);
+  gateway->config = talloc_steal (gateway, config);
+  caller_server_set_limits (gateway->callers, &config->limits);
+}
+
+uint64_t
+gateway_config_number (const gateway_t *gateway)
+{
+  return gateway->config != NULL ? gateway->config->number : 0;
+}
+
+void
+gateway_follow (gateway_t *gateway, const directory_t *directory)
+{
+  upstream_set_follow (gateway->set, directory, clock_mono_ms ());
+  gateway_wake (gateway);
+}
+
+load_share_t *
+gateway_share (gateway_t *gateway)
+{
+  return gateway->share;
+}
+
+void
+gateway_drain (gateway_t *gateway)
+{
+  caller_server_drain (gateway->callers);
+}
+
+void
+gateway_close_idle (gateway_t *gateway)
+{
+  caller_server_close_idle (gateway->callers);
+}
+
+uint32_t
+gateway_open_requests (const gateway_t *gateway)
+{
+  return caller_server_open_requests (gateway->callers);
+}
--- /dev/null
+++ b/upstream-set.c
@@ -0,0 +1,341 @@
+#include "upstream-set.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define LOG_PART "upstreams"
+#include "logging.h"
+
+/** Weight of the newest answer in the smoothed share of failures. */
+#define FAILURE_WEIGHT 0.34
+/** Share of failures at which an upstream is ejected: two in a row. */
+#define EJECT_SHARE     0.55
+#define EJECT_MS        1500
+#define EJECT_MAX_MS    8000
+#define FULL_MS         100 /* one that was full is left alone so long */
+#define TIME_WEIGHT     0.2
+#define SLOWNESS_WEIGHT 0.25
+#define SLOWNESS_MAX    12.0
+#define SLOWNESS_FADE   0.995 /* each tick, towards 1 */
+#define WRITE_VALUE     10.0  /* a written token counts as so many read */
+
+struct upstream_set
+{
+  upstream_set_options_t options;
+  GHashTable *by_key; /* key -> upstream_member_t, children of set */
+  GPtrArray *members;
+  GHashTable *jobs; /* id -> upstream_job_t, children of their member */
+};
+
+double
+upstream_job_value (double prompt_tokens, double answer_tokens)
+{
+  return prompt_tokens + WRITE_VALUE * answer_tokens;
+}
+
+static int
+free_member (upstream_member_t *member)
+{
+  g_ptr_array_free (member->jobs, TRUE);
+  return 0;
+}
+
+static int
+free_set (upstream_set_t *set)
+{
+  while (set->members->len > 0)
+    talloc_free (g_ptr_array_remove_index_fast (set->members, 0));
+  g_ptr_array_free (set->members, TRUE);
+  g_hash_table_destroy (set->by_key);
+  g_hash_table_destroy (set->jobs);
+  return 0;
+}
+
+upstream_set_t *
+upstream_set_new (void *parent, const upstream_set_options_t *options)
+{
+  upstream_set_t *set = talloc_zero (parent, upstream_set_t);
+
+  set->options = *options;
+  set->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
+  set->members = g_ptr_array_new ();
+  set->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
+  talloc_set_destructor (set, free_set);
+  return set;
+}
+
+static upstream_member_t *
+find (const upstream_set_t *set, uint64_t key)
+{
+  return g_hash_table_lookup (set->by_key, &key);
+}
+
+static upstream_member_t *
+add (upstream_set_t *set, const directory_entry_t *entry)
+{
+  upstream_member_t *member = talloc_zero (set, upstream_member_t);
+
+  member->key = entry->key;
+  member->id = talloc_strdup (member, entry->said.id);
+  member->slowness = 1.0;
+  member->jobs = g_ptr_array_new ();
+  talloc_set_destructor (member, free_member);
+  g_hash_table_insert (set->by_key, &member->key, member);
+  g_ptr_array_add (set->members, member);
+  return member;
+}
+
+static void
+replace_text (upstream_member_t *member, char **text, const char *value)
+{
+  if (*text != NULL && strcmp (*text, value) == 0)
+    return;
+  talloc_free (*text);
+  *text = talloc_strdup (member, value);
+}
+
+static void
+follow_entry (upstream_set_t *set,
+              const directory_t *directory,
+              const directory_entry_t *entry)
+{
+  upstream_member_t *member = find (set, entry->key);
+  directory_state_t state = entry->said.state;
+  bool was_usable;
+
+  if (member == NULL && state == DIRECTORY_GONE)
+    return;
+  if (member == NULL)
+    member = add (set, entry);
+  was_usable = member->is_usable;
+  replace_text (member, &member->address, entry->said.address);
+  replace_text (member, &member->zone, entry->said.zone);
+  replace_text (member, &member->service, entry->said.service);
+  member->slots = entry->said.slots;
+  member->is_silent = state == DIRECTORY_SILENT;
+  member->is_usable = (state == DIRECTORY_READY || state == DIRECTORY_SILENT)
+                      && !directory_is_replaced (directory, entry);
+  if (was_usable && !member->is_usable && set->options.on_gone != NULL)
+    set->options.on_gone (member, set->options.context);
+}
+
+static void
+remove_member (upstream_set_t *set, guint index)
+{
+  upstream_member_t *member = g_ptr_array_index (set->members, index);
+
+  for (guint i = 0; i < member->jobs->len; i++)
+    {
+      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
+
+      g_hash_table_remove (set->jobs, &job->id);
+    }
+  g_hash_table_remove (set->by_key, &member->key);
+  g_ptr_array_remove_index_fast (set->members, index);
+  talloc_free (member);
+}
+
+void
+upstream_set_follow (upstream_set_t *set,
+                     const directory_t *directory,
+                     uint64_t now_ms)
+{
+  size_t count;
+  const directory_entry_t *const *entries
+      = directory_entries (directory, &count);
+
+  for (size_t i = 0; i < count; i++)
+    follow_entry (set, directory, entries[i]);
+  for (guint i = set->members->len; i-- > 0;)
+    {
+      const upstream_member_t *member = g_ptr_array_index (set->members, i);
+
+      if (directory_find (directory, member->key) == NULL)
+        remove_member (set, i);
+    }
+}
+
+const upstream_member_t *const *
+upstream_set_members (const upstream_set_t *set, size_t *count)
+{
+  *count = set->members->len;
+  return (const upstream_member_t *const *)set->members->pdata;
+}
+
+const upstream_member_t *
+upstream_set_find (const upstream_set_t *set, uint64_t key)
+{
+  return find (set, key);
+}
+
+const upstream_job_t *
+upstream_set_job (const upstream_set_t *set, uint64_t job_id)
+{
+  return g_hash_table_lookup (set->jobs, &job_id);
+}
+
+void
+upstream_set_begin (upstream_set_t *set, const upstream_job_t *job)
+{
+  upstream_member_t *member = find (set, job->upstream);
+  upstream_job_t *copy;
+
+  if (member == NULL || upstream_set_job (set, job->id) != NULL)
+    return;
+  copy = talloc_memdup (member, job, sizeof *job);
+  g_ptr_array_add (member->jobs, copy);
+  g_hash_table_insert (set->jobs, &copy->id, copy);
+}
+
+void
+upstream_set_progress (upstream_set_t *set, uint64_t job_id, uint64_t now_ms)
+{
+  upstream_job_t *job = g_hash_table_lookup (set->jobs, &job_id);
+
+  if (job == NULL)
+    return;
+  if (job->first_ms == 0)
+    job->first_ms = now_ms;
+  else if (job->gap_target_ms > 0 && now_ms > job->last_ms + job->gap_target_ms)
+    job->is_late = true;
+  job->last_ms = now_ms;
+}
+
+static void
+eject (upstream_member_t *member, uint64_t now_ms)
+{
+  uint64_t for_ms = EJECT_MS;
+
+  for (uint32_t i = 0; i < member->ejections && for_ms < EJECT_MAX_MS; i++)
+    for_ms *= 2;
+  member->trust = UPSTREAM_EJECTED;
+  member->ejections++;
+  member->ejected_until_ms = now_ms + MIN (for_ms, EJECT_MAX_MS);
+  log_info ("Ejected an upstream that fails. upstream=%s address=%s "
+            "failure_share=%.2f until_ms=%ju",
+            member->id, member->address, member->failure_share,
+            (uintmax_t)member->ejected_until_ms);
+}
+
+static void
+trust (upstream_member_t *member)
+{
+  if (member->trust == UPSTREAM_ON_TRIAL)
+    log_info ("Trusts an upstream again. upstream=%s address=%s", member->id,
+              member->address);
+  member->trust = UPSTREAM_TRUSTED;
+  member->ejections = 0;
+}
+
+static void
+judge (upstream_member_t *member, upstream_job_end_t how, uint64_t now_ms)
+{
+  if (how == UPSTREAM_JOB_REFUSED)
+    member->full_until_ms = now_ms + FULL_MS;
+  if (how != UPSTREAM_JOB_GOOD && how != UPSTREAM_JOB_FAILED)
+    return;
+  member->failure_share
+      += FAILURE_WEIGHT
+         * ((how == UPSTREAM_JOB_FAILED ? 1.0 : 0.0) - member->failure_share);
+  if (how == UPSTREAM_JOB_GOOD)
+    {
+      member->heard_ms = now_ms;
+      if (member->trust == UPSTREAM_ON_TRIAL)
+        trust (member);
+    }
+  else if (member->trust == UPSTREAM_ON_TRIAL
+           || (member->trust == UPSTREAM_TRUSTED
+               && member->failure_share > EJECT_SHARE))
+    eject (member, now_ms);
+}
+
+void
+upstream_set_end (upstream_set_t *set,
+                  uint64_t job_id,
+                  upstream_job_end_t how,
+                  uint64_t now_ms)
+{
+  upstream_job_t *job = g_hash_table_lookup (set->jobs, &job_id);
+  upstream_member_t *member;
+
+  if (job == NULL)
+    return;
+  member = find (set, job->upstream);
+  g_hash_table_remove (set->jobs, &job->id);
+  g_ptr_array_remove (member->jobs, job);
+  talloc_free (job);
+  judge (member, how, now_ms);
+}
+
+void
+upstream_set_each_job (const upstream_set_t *set,
+                       uint64_t owner,
+                       void (*each) (const upstream_job_t *job, void *context),
+                       void *context)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, set->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const upstream_job_t *)value)->owner == owner)
+      each (value, context);
+}
+
+void
+upstream_set_drop_owner (upstream_set_t *set, uint64_t owner)
+{
+  for (guint i = 0; i < set->members->len; i++)
+    {
+      upstream_member_t *member = g_ptr_array_index (set->members, i);
+
+      for (guint j = member->jobs->len; j-- > 0;)
+        {
+          upstream_job_t *job = g_ptr_array_index (member->jobs, j);
+
+          if (job->owner != owner)
+            continue;
+          g_hash_table_remove (set->jobs, &job->id);
+          g_ptr_array_remove_index (member->jobs, j);
+          talloc_free (job);
+        }
+    }
+}
+
+void
+upstream_set_took (upstream_set_t *set, uint64_t key, double took_ms)
+{
+  upstream_member_t *member = find (set, key);
+
+  if (member == NULL)
+    return;
+  if (member->answer_ms == 0)
+    member->answer_ms = took_ms;
+  else
+    member->answer_ms += TIME_WEIGHT * (took_ms - member->answer_ms);
+}
+
+void
+upstream_set_slowness (upstream_set_t *set, uint64_t key, double factor)
+{
+  upstream_member_t *member = find (set, key);
+
+  if (member == NULL)
+    return;
+  factor = CLAMP (factor, 0.5, SLOWNESS_MAX);
+  member->slowness += SLOWNESS_WEIGHT * (factor - member->slowness);
+}
+
+void
+upstream_set_tick (upstream_set_t *set, uint64_t now_ms)
+{
+  for (guint i = 0; i < set->members->len; i++)
+    {
+      upstream_member_t *member = g_ptr_array_index (set->members, i);
+
+      member->slowness = 1.0 + (member->slowness - 1.0) * SLOWNESS_FADE;
+      if (member->trust == UPSTREAM_EJECTED
+          && now_ms >= member->ejected_until_ms)
+        member->trust = UPSTREAM_ON_TRIAL;
+    }
+}
