platform: run on the users' platform

Settings file, entry and control instances as library modules; platform/ turns headers, configuration, announcements and operators' calls into our types.

--- /dev/null
+++ b/node-control.c
@@ -0,0 +1,299 @@
+#include "node-control.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "base.h"
+#include "control-client.h"
+#include "control-server.h"
+#include "daemon.h"
+#include "settings.h"
+#define LOG_PART "operator"
+#include "logging.h"
+
+#define HEARTBEAT_MS        150
+#define ELECTION_TIMEOUT_MS 600
+#define SNAPSHOT_ENTRIES    200
+#define MAX_BODY_BYTES      (4u * 1024 * 1024 + 65536)
+/** Those who call move on to another instance after a second. */
+#define CALL_TIMEOUT_MS 900
+#define STOP_MS         300
+#define DIGEST_BYTES    33
+
+struct node_control
+{
+  node_control_options_t options;
+  daemon_t *daemon;
+  control_server_t *server;
+  control_client_t *client;
+  struct event *stop;
+};
+
+/** A call under way. */
+typedef struct
+{
+  node_control_done_cb_t done;
+  void *context;
+  uint64_t number;
+  uint64_t begun_ms;
+} call_t;
+
+static void
+digest_of (const uint8_t *text, size_t text_bytes, char digest[DIGEST_BYTES])
+{
+  XXH128_hash_t hash = XXH3_128bits (text, text_bytes);
+
+  g_snprintf (digest, DIGEST_BYTES, "%016" PRIx64 "%016" PRIx64,
+              (uint64_t)hash.high64, (uint64_t)hash.low64);
+}
+
+static error_kind_t
+error_of (const Lwm__ControlAnswer *answer)
+{
+  switch (answer->result)
+    {
+    case LWM__CONTROL_RESULT__RESULT_OK:
+    case LWM__CONTROL_RESULT__RESULT_SAME:
+    case LWM__CONTROL_RESULT__RESULT_STALE:
+      return ERROR_NONE;
+    case LWM__CONTROL_RESULT__RESULT_CONFLICT:
+      return ERROR_NUMBER_CONFLICT;
+    case LWM__CONTROL_RESULT__RESULT_NOT_FOUND:
+      return ERROR_NO_CONFIGURATION;
+    case LWM__CONTROL_RESULT__RESULT_BAD_REQUEST:
+      return ERROR_BAD_CONFIGURATION;
+    default:
+      return ERROR_NO_QUORUM;
+    }
+}
+
+static void
+on_answer (const Lwm__ControlAnswer *control_answer, void *context)
+{
+  call_t *call = context;
+  node_control_answer_t answer = { .kind = error_of (control_answer) };
+
+  if (control_answer->revision != NULL)
+    {
+      answer.number = control_answer->revision->number;
+      answer.text = control_answer->revision->config.data;
+      answer.text_bytes = control_answer->revision->config.len;
+    }
+  log_info ("A call ended. proposed=%ju result=%d held=%ju took_ms=%ju "
+            "detail='%s'",
+            (uintmax_t)call->number, (int)control_answer->result,
+            (uintmax_t)answer.number,
+            (uintmax_t)(clock_mono_ms () - call->begun_ms),
+            control_answer->detail);
+  call->done (&answer, call->context);
+  talloc_free (call);
+}
+
+static call_t *
+call_new (node_control_t *control,
+          uint64_t number,
+          node_control_done_cb_t done,
+          void *context)
+{
+  call_t *call = talloc_zero (control, call_t);
+
+  call->done = done;
+  call->context = context;
+  call->number = number;
+  call->begun_ms = clock_mono_ms ();
+  return call;
+}
+
+void
+node_control_apply (node_control_t *control,
+                    uint64_t number,
+                    const uint8_t *text,
+                    size_t text_bytes,
+                    node_control_done_cb_t done,
+                    void *context)
+{
+  Lwm__ControlApply apply = LWM__CONTROL_APPLY__INIT;
+  char digest[DIGEST_BYTES];
+
+  digest_of (text, text_bytes, digest);
+  apply.number = number;
+  apply.digest = digest;
+  apply.config.data = (uint8_t *)text;
+  apply.config.len = text_bytes;
+  apply.who = (char *)"operator";
+  apply.when_ms = clock_wall_ms ();
+  control_client_apply (control->client, &apply, CALL_TIMEOUT_MS, on_answer,
+                        call_new (control, number, done, context));
+}
+
+void
+node_control_read (node_control_t *control,
+                   node_control_done_cb_t done,
+                   void *context)
+{
+  control_client_get (control->client, 0, CALL_TIMEOUT_MS, on_answer,
+                      call_new (control, 0, done, context));
+}
+
+directory_result_t
+node_control_announce (node_control_t *control,
+                       const directory_statement_t *statement)
+{
+  return control_server_announce (control->server, statement);
+}
+
+void
+node_control_leave (node_control_t *control, const char *id, uint64_t born_ms)
+{
+  control_server_leave (control->server, id, born_ms);
+}
+
+static void
+on_request (struct evhttp_request *request, void *context)
+{
+  node_control_t *control = context;
+
+  control->options.on_call (control, request);
+}
+
+static void
+on_stopped (evutil_socket_t fd, short what, void *context)
+{
+  node_control_t *control = context;
+
+  daemon_exit (control->daemon, EXIT_CODE_OK);
+}
+
+/** Calls that are open end first: the group answers within a few syncs. */
+static void
+on_stop (void *context)
+{
+  node_control_t *control = context;
+  struct timeval wait = { .tv_usec = STOP_MS * 1000 };
+
+  event_add (control->stop, &wait);
+}
+
+static void
+on_reload (void *context)
+{
+  node_control_t *control = context;
+
+  node_settings_reload (control->options.settings);
+}
+
+static void
+on_settings (const Lwm__NodeSettings *settings, void *context)
+{
+  node_control_t *control = context;
+  size_t count;
+  char **peers = node_settings_control_peers (control, settings, &count);
+
+  for (size_t i = 0; i < count; i++)
+    control_client_add_peer (control->client, peers[i]);
+  talloc_free (peers);
+}
+
+/** First members of the group, "IP=IP:PORT": names are the seeds' addresses. */
+static char **
+first_members (void *parent, const Lwm__NodeSettings *settings, size_t *count)
+{
+  char **members = node_settings_control_peers (parent, settings, count);
+
+  for (size_t i = 0; i < *count; i++)
+    {
+      char ip[64];
+      uint16_t port;
+
+      settings_split_address (members[i], ip, &port);
+      members[i] = talloc_asprintf (members, "%s=%s:%u", ip, ip, port);
+    }
+  return members;
+}
+
+static bool
+set_up_server (node_control_t *control)
+{
+  const Lwm__NodeSettings *settings
+      = node_settings_get (control->options.settings);
+  control_server_options_t options
+      = { .base = daemon_base (control->daemon),
+          .name = settings->address,
+          .listen = node_settings_own_address (control, settings),
+          .folder = settings->data_folder,
+          .join = !settings->found,
+          .heartbeat_ms = HEARTBEAT_MS,
+          .election_timeout_ms = ELECTION_TIMEOUT_MS,
+          .snapshot_entries = SNAPSHOT_ENTRIES,
+          .announce_ms = settings->announce_ms,
+          .keep_voters = 2 * MAX (settings->lost_machines, 1) + 1,
+          .metrics = daemon_metrics (control->daemon) };
+
+  options.members = first_members (control, settings, &options.member_count);
+  control->server = control_server_new (control, &options);
+  return control->server != NULL;
+}
+
+static void
+set_up_client (node_control_t *control)
+{
+  const Lwm__NodeSettings *settings
+      = node_settings_get (control->options.settings);
+  control_client_options_t options
+      = { .base = daemon_base (control->daemon),
+          .metrics = daemon_metrics (control->daemon) };
+
+  options.peers
+      = node_settings_control_peers (control, settings, &options.peer_count);
+  control->client = control_client_new (control, &options);
+  control_client_add_peer (control->client,
+                           node_settings_own_address (control, settings));
+}
+
+static int
+free_control (node_control_t *control)
+{
+  if (control->stop != NULL)
+    event_free (control->stop);
+  TALLOC_FREE (control->client);
+  TALLOC_FREE (control->server);
+  return 0;
+}
+
+int
+node_control_run (void *parent, const node_control_options_t *options)
+{
+  node_control_t *control = talloc_zero (parent, node_control_t);
+  const Lwm__NodeSettings *settings = node_settings_get (options->settings);
+  daemon_options_t daemon_options = { .listen = settings->control,
+                                      .log_level = settings->log_level,
+                                      .max_body_bytes = MAX_BODY_BYTES,
+                                      .fallback = on_request,
+                                      .on_stop = on_stop,
+                                      .on_reload = on_reload,
+                                      .context = control };
+  int code = EXIT_CODE_FAILED;
+
+  control->options = *options;
+  control->daemon = daemon_new (control, &daemon_options);
+  if (control->daemon == NULL)
+    goto out;
+  talloc_set_destructor (control, free_control);
+  control->stop
+      = event_new (daemon_base (control->daemon), -1, 0, on_stopped, control);
+  if (!set_up_server (control))
+    goto out;
+  set_up_client (control);
+  node_settings_watch (options->settings, daemon_base (control->daemon),
+                       on_settings, control);
+  code = daemon_run (control->daemon);
+
+out:
+  talloc_free (options->settings);
+  talloc_free (control);
+  return code;
+}
--- /dev/null
+++ b/node-settings.c
@@ -0,0 +1,220 @@
+#include "node-settings.h"
+
+#include <event2/event.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base.h"
+#include "settings.h"
+#include "yamlmsg.h"
+#define LOG_PART "settings"
+#include "logging.h"
+
+#define LOOK_EVERY_MS 500
+#define MAX_PORT      65535
+
+struct node_settings
+{
+  char *path;
+  Lwm__NodeSettings *content;
+  char *text; /* of the file, as last looked at */
+  struct event *look;
+  node_settings_cb_t on_change;
+  void *context;
+};
+
+static const yamlmsg_range_t ranges[] = {
+  { &lwm__node_settings__descriptor, "first_port", 1, MAX_PORT },
+  { &lwm__node_settings__descriptor, "last_port", 1, MAX_PORT },
+  { &lwm__node_settings__descriptor, "announce_ms", 10, 600000 },
+  { NULL, NULL, 0, 0 },
+};
+
+static int
+free_settings (node_settings_t *settings)
+{
+  if (settings->look != NULL)
+    event_free (settings->look);
+  return 0;
+}
+
+static void
+check_address (yamlmsg_t *reader, const char *field, const char *address)
+{
+  char ip[64];
+  uint16_t port;
+
+  if (*address != '\0' && !settings_split_address (address, ip, &port))
+    yamlmsg_mistake (reader, NULL, "%s: expected IP:PORT, got '%s'", field,
+                     address);
+}
+
+static void
+check (yamlmsg_t *reader, const Lwm__NodeSettings *content)
+{
+  if (*content->instance == '\0')
+    yamlmsg_mistake (reader, NULL, "instance: expected a name, got nothing");
+  if (*content->address == '\0')
+    yamlmsg_mistake (reader, NULL, "address: expected an IP, got nothing");
+  if (content->first_port == 0 || content->last_port < content->first_port)
+    yamlmsg_mistake (reader, NULL, "first_port: expected a range of ports");
+  check_address (reader, "callers", content->callers);
+  check_address (reader, "status", content->status);
+  check_address (reader, "control", content->control);
+  for (size_t i = 0; i < content->n_seeds; i++)
+    check_address (reader, "seeds", content->seeds[i]);
+}
+
+/** The content of @a text, or NULL with its mistakes. */
+static Lwm__NodeSettings *
+parse (void *parent, const char *path, const char *text, char **mistakes)
+{
+  Lwm__NodeSettings *content = talloc (parent, Lwm__NodeSettings);
+  yamlmsg_options_t options = { .ranges = ranges };
+  yamlmsg_t *reader;
+
+  lwm__node_settings__init (content);
+  reader = yamlmsg_new (content, &options, &content->base);
+  yamlmsg_read (reader, path, (const uint8_t *)text, strlen (text));
+  if (*yamlmsg_mistakes (reader) == '\0')
+    check (reader, content);
+  if (*yamlmsg_mistakes (reader) == '\0')
+    return content;
+  *mistakes = talloc_strdup (parent, yamlmsg_mistakes (reader));
+  talloc_free (content);
+  return NULL;
+}
+
+node_settings_t *
+node_settings_new (void *parent, const char *path)
+{
+  node_settings_t *settings = talloc_zero (parent, node_settings_t);
+  char *mistakes = NULL;
+  char *text = NULL;
+  GError *error = NULL;
+
+  settings->path = talloc_strdup (settings, path);
+  talloc_set_destructor (settings, free_settings);
+  if (!g_file_get_contents (path, &text, NULL, &error))
+    {
+      complain ("cannot read settings: %s", error->message);
+      g_error_free (error);
+      talloc_free (settings);
+      return NULL;
+    }
+  settings->text = talloc_strdup (settings, text);
+  g_free (text);
+  settings->content
+      = parse (settings, settings->path, settings->text, &mistakes);
+  if (settings->content != NULL)
+    return settings;
+  complain ("%s", mistakes);
+  talloc_free (settings);
+  return NULL;
+}
+
+const Lwm__NodeSettings *
+node_settings_get (const node_settings_t *settings)
+{
+  return settings->content;
+}
+
+static void
+take_text (node_settings_t *settings, const char *text)
+{
+  char *mistakes = NULL;
+  Lwm__NodeSettings *content;
+
+  talloc_free (settings->text);
+  settings->text = talloc_strdup (settings, text);
+  content = parse (settings, settings->path, text, &mistakes);
+  if (content == NULL)
+    {
+      log_error ("Settings have mistakes; the old ones stay. mistakes=%s",
+                 mistakes);
+      talloc_free (mistakes);
+      return;
+    }
+  talloc_free (settings->content);
+  settings->content = content;
+  log_info ("Settings were read again. seeds=%zu", content->n_seeds);
+  if (settings->on_change != NULL)
+    settings->on_change (content, settings->context);
+}
+
+void
+node_settings_reload (node_settings_t *settings)
+{
+  char *text = NULL;
+  GError *error = NULL;
+
+  if (!g_file_get_contents (settings->path, &text, NULL, &error))
+    {
+      log_error ("Cannot read settings; the old ones stay. error=%s",
+                 error->message);
+      g_error_free (error);
+      return;
+    }
+  if (strcmp (text, settings->text) != 0)
+    take_text (settings, text);
+  g_free (text);
+}
+
+static void
+on_look (evutil_socket_t fd, short what, void *context)
+{
+  node_settings_reload (context);
+}
+
+void
+node_settings_watch (node_settings_t *settings,
+                     struct event_base *base,
+                     node_settings_cb_t on_change,
+                     void *context)
+{
+  struct timeval every = { .tv_usec = LOOK_EVERY_MS * 1000 };
+
+  settings->on_change = on_change;
+  settings->context = context;
+  settings->look = event_new (base, -1, EV_PERSIST, on_look, settings);
+  event_add (settings->look, &every);
+}
+
+/** The same machine's port for messages between instances. */
+static char *
+inner_address (void *parent, const char *address, uint32_t port)
+{
+  char ip[64];
+  uint16_t other;
+
+  if (!settings_split_address (address, ip, &other))
+    return NULL;
+  return talloc_asprintf (parent, "%s:%u", ip, port);
+}
+
+char **
+node_settings_control_peers (void *parent,
+                             const Lwm__NodeSettings *settings,
+                             size_t *count)
+{
+  char **peers = talloc_array (parent, char *, settings->n_seeds + 1);
+
+  *count = 0;
+  for (size_t i = 0; i < settings->n_seeds; i++)
+    {
+      char *peer
+          = inner_address (peers, settings->seeds[i], settings->first_port);
+
+      if (peer != NULL)
+        peers[(*count)++] = peer;
+    }
+  return peers;
+}
+
+char *
+node_settings_own_address (void *parent, const Lwm__NodeSettings *settings)
+{
+  return talloc_asprintf (parent, "%s:%u", settings->address,
+                          settings->first_port);
+}
--- a/yamlmsg.c
+++ b/yamlmsg.c
@@ -3,6 +3,7 @@
 #include <ctype.h>
 #include <errno.h>
 #include <glib.h>
+#include <math.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
@@ -210,6 +211,22 @@
     expected (reader, node, field->name, "true or false");
 }
 
+static void
+read_real (yamlmsg_t *reader,
+           const ProtobufCFieldDescriptor *field,
+           const yaml_node_t *node,
+           double *value)
+{
+  const char *text = (const char *)node->data.scalar.value;
+  char *end;
+  double number = g_ascii_strtod (text, &end);
+
+  if (end == text || *end != '\0' || !isfinite (number) || number < 0)
+    expected (reader, node, field->name, "a number from 0");
+  else
+    *value = number;
+}
+
 static void
 read_scalar (yamlmsg_t *reader,
              ProtobufCMessage *message,
@@ -223,6 +240,8 @@
     expected (reader, node, field->name, "a single value");
   else if (field->type == PROTOBUF_C_TYPE_BOOL)
     read_bool (reader, field, node, member);
+  else if (field->type == PROTOBUF_C_TYPE_DOUBLE)
+    read_real (reader, field, node, member);
   else if (field->type == PROTOBUF_C_TYPE_ENUM)
     read_enum (reader, field, node, member);
   else if (field->type == PROTOBUF_C_TYPE_STRING)
