gateway: leave a silent upstream only for a sure place

Silence that the engine's known jobs explain is waited out, and an attempt ends only once another is paid for and placed.

--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -16,6 +16,9 @@
 /** Pauses between events, in times of what the caller accepts. */
 #define GAP_HANGS_FACTOR 4.0
 #define GAP_HANGS_MIN_MS 1200
+#define LOOK_AGAIN_MS      500
+/** Predictions of an engine's silence are this rough. */
+#define SILENCE_FACTOR 2.0
 /** Requests that may be read while a shorter one waits are less urgent. */
 #define URGENT_PROMPT_TOKENS 16000
 #define LONG_PROMPT_TOKENS   80000
@@ -206,20 +209,62 @@
     give_up (request);
 }
 
+/** Looks again later at an attempt that may yet be answered. */
+static void
+wait_on (gateway_request_t *request)
+{
+  request->attempt_due_ms = clock_mono_ms () + LOOK_AGAIN_MS;
+  gateway_set_timer (request);
+}
+
+/** Whether its engine is known to be reading for that long. */
+static bool
+is_silence_expected (const gateway_request_t *request)
+{
+  uint64_t now_ms = clock_mono_ms ();
+  uint64_t last_ms = MAX (request->attempt_ms, request->last_event_ms);
+  double expected_ms;
+
+  if (request->engine == NULL)
+    return false;
+  expected_ms = upstream_choice_silence_ms (request->gateway->set,
+                                            request->upstream_key,
+                                            request->engine, now_ms);
+  return (double)(now_ms - last_ms) < expected_ms * SILENCE_FACTOR;
+}
+
 void
 gateway_attempt_hangs (gateway_request_t *request)
 {
-  /* Late is better than never: without another attempt it goes on. */
+  choice_t choice;
+
+  /* Late is better than never: it is given up only for a sure better place. */
   if (request->sent + 1 >= request->route.attempts
-      || !upstream_choice_is_served (request->gateway->set, request->service))
+      || is_silence_expected (request))
+    {
+      wait_on (request);
+      return;
+    }
+  choice = gateway_choose (request);
+  if (choice.kind != CHOICE_SEND
+      || !retry_take (request->gateway->retry, request->service, RETRY_STALLED,
+                      request->gateway->options.retry_percent,
+                      clock_mono_ms ()))
     {
-      request->attempt_due_ms = 0;
-      gateway_set_timer (request);
+      wait_on (request);
       return;
     }
+  log_info ("An upstream is silent. request=%s upstream=%s silent_ms=%ju "
+            "events=%u",
+            request->terms.id, request->upstream_id,
+            (uintmax_t)(clock_mono_ms ()
+                        - MAX (request->attempt_ms, request->last_event_ms)),
+            request->event_count);
   request->has_head = false;
+  request->may_have_run = true;
+  request->sent++;
   gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
-  gateway_attempt_failed (request, RETRY_STALLED, true);
+  gateway_attempt (request, &choice);
 }
 
 uint64_t
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -99,6 +99,9 @@
   uint64_t last_event_ms;
 };
 
+/** Where it would go now. */
+choice_t gateway_choose (const gateway_request_t *request);
+
 /** Finds a place for the request now, or lets it wait, or refuses it. */
 void gateway_place (gateway_request_t *request);
 
--- a/gateway.c
+++ b/gateway.c
@@ -180,8 +180,8 @@
       gateway->waiting->len);
 }
 
-static choice_t
-choose (const gateway_request_t *request)
+choice_t
+gateway_choose (const gateway_request_t *request)
 {
   gateway_t *gateway = request->gateway;
   uint64_t now_ms = clock_mono_ms ();
@@ -207,7 +207,7 @@
 gateway_place (gateway_request_t *request)
 {
   gateway_t *gateway = request->gateway;
-  choice_t choice = choose (request);
+  choice_t choice = gateway_choose (request);
 
   if (choice.kind == CHOICE_WAIT)
     {
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -327,6 +327,23 @@
   return choice;
 }
 
+double
+upstream_choice_silence_ms (const upstream_set_t *set,
+                            uint64_t key,
+                            const engine_model_t *model,
+                            uint64_t now_ms)
+{
+  const upstream_member_t *member = upstream_set_find (set, key);
+  engine_state_t state;
+
+  if (member == NULL)
+    return 0;
+  state = look_at (model, member, now_ms);
+  return (engine_pass_ms (model, state.writers, state.context_tokens)
+          + state.unread_ms)
+         * member->slowness;
+}
+
 bool
 upstream_choice_is_served (const upstream_set_t *set, const char *service)
 {
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -65,6 +65,15 @@
                           const choice_request_t *request,
                           uint64_t now_ms);
 
+/**
+ * The longest time in which an engine may send nothing to those it writes to,
+ * as far as its known jobs tell: a pass that reads all that waits there.
+ */
+double upstream_choice_silence_ms (const upstream_set_t *set,
+                                   uint64_t key,
+                                   const engine_model_t *model,
+                                   uint64_t now_ms);
+
 /** Whether any upstream of @a service may be used. */
 bool upstream_choice_is_served (const upstream_set_t *set, const char *service);
 
