--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -73,6 +73,8 @@
   /* The present attempt. */
   exchange_t *exchange; /* NULL between attempts */
   uint64_t job_id;
+  uint64_t part_ids[CHOICE_MAX_HELPERS]; /* jobs of those that help to read */
+  uint32_t part_count;
   uint64_t upstream_key;
   char *upstream_id;
   uint64_t attempt_ms; /* when it was sent */
@@ -97,6 +99,7 @@
   uint32_t event_count;
   uint64_t first_event_ms;
   uint64_t last_event_ms;
+  uint32_t longest_gap_ms; /* between two events */
 };
 
 /** Where it would go now. */
@@ -111,6 +114,9 @@
 /** Ends the present attempt, whose exchange is over or is cancelled here. */
 void gateway_attempt_over (gateway_request_t *request, upstream_job_end_t how);
 
+/** The prompt is read: those that helped are free. */
+void gateway_parts_over (gateway_request_t *request);
+
 /** The attempt failed: sends again, passes on what came, or gives up. */
 void gateway_attempt_failed (gateway_request_t *request,
                              retry_reason_t reason,
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -67,6 +67,7 @@
   gateway_t *gateway = request->gateway;
 
   load_share_answering (gateway->share, request->job_id);
+  gateway_parts_over (request);
   if (request->engine != NULL && request->predicted_ms > 0)
     upstream_set_slowness (gateway->set, request->upstream_key,
                            (double)(now_ms - request->attempt_ms)
@@ -110,6 +111,10 @@
   if (!request->is_begun)
     begin_stream (request);
   caller_reply_data (request->caller, event->data, event->size_bytes);
+  if (request->last_event_ms > 0)
+    request->longest_gap_ms
+        = MAX (request->longest_gap_ms,
+               (uint32_t)(now_ms - request->last_event_ms));
   request->event_count++;
   request->last_event_ms = now_ms;
   return true;
--- a/gateway.c
+++ b/gateway.c
@@ -67,7 +67,7 @@
 
   log_info ("Request ended. request=%s how=%s status=%u route=%s customer=%s "
             "upstream=%s sent=%u tries=%u first_ms=%ju took_ms=%ju "
-            "events=%u prompt=%u config=%ju",
+            "events=%u gap_ms=%u prompt=%u answer=%u config=%ju",
             request->terms.id, how, status, request->route.name,
             request->customer != NULL ? request->customer : "-",
             request->upstream_id != NULL ? request->upstream_id : "-",
@@ -76,7 +76,8 @@
                             ? request->first_event_ms - request->begun_ms
                             : 0),
             (uintmax_t)(now_ms - request->begun_ms), request->event_count,
-            request->terms.prompt_tokens, (uintmax_t)request->config_number);
+            request->longest_gap_ms, request->terms.prompt_tokens,
+            request->terms.answer_tokens, (uintmax_t)request->config_number);
 }
 
 /** Writes a whole answer of our own. */
--- a/load-share.c
+++ b/load-share.c
@@ -13,7 +13,7 @@
 #define LOG_PART "load-share"
 #include "logging.h"
 
-#define BATCH_MS       4
+#define BATCH_MS       1
 #define WHOLE_EVERY_MS 1000
 #define SILENT_MS      2500
 #define MAX_PEERS      128
@@ -74,6 +74,7 @@
   message->answer_tokens = job->answer_tokens;
   message->kv_tokens = job->kv_tokens;
   message->gap_target_ms = job->gap_target_ms;
+  message->is_part = job->is_part;
   message->sent_ago_ms = (uint32_t)(now_ms - job->sent_ms);
   if (job->first_ms > 0)
     message->first_ago_ms = (uint32_t)(now_ms - job->first_ms) + 1;
@@ -200,7 +201,8 @@
                          .read_tokens = message->read_tokens,
                          .answer_tokens = message->answer_tokens,
                          .kv_tokens = message->kv_tokens,
-                         .gap_target_ms = message->gap_target_ms };
+                         .gap_target_ms = message->gap_target_ms,
+                         .is_part = message->is_part };
 
   job.value = upstream_job_value (job.prompt_tokens, job.answer_tokens);
   job.sent_ms = now_ms - message->sent_ago_ms;
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -8,6 +8,16 @@
 /** Where being late begins and is sure, as shares of the target. */
 #define LATE_FROM 0.7
 #define LATE_SURE 1.1
+/** The same for pauses between events. */
+#define PAUSE_FROM 0.75
+#define PAUSE_SURE 1.0
+/** A request waits rather than cost others this share of its own worth, until
+ * it has used that share of its target. */
+#define WAIT_DAMAGE 0.02
+#define WAIT_UNTIL  0.6
+/** Each engine that helps to read may fail, and is kept from others. */
+#define PART_COST       0.001
+#define MIN_PART_TOKENS 3000
 /** Small preferences, as shares of the request's own worth. */
 #define EMPTY_COST      0.02
 #define CROWDED_COST    0.05
@@ -27,12 +37,13 @@
 /** What runs on one engine now. */
 typedef struct
 {
+  uint32_t held; /* requests it works on, without parts for others */
   uint32_t writers;
   uint32_t readers;
   double context_tokens; /* of the writers */
   double unread_tokens;
   double unread_ms;
-  double pass_read_ms; /* the longest reading part of a pass */
+  double pass_read_ms; /* reading that may fall into one pass */
   double kv_tokens;
 } engine_state_t;
 
@@ -67,6 +78,17 @@
          || (member->trust == UPSTREAM_ON_TRIAL && member->jobs->len == 0);
 }
 
+/** Time an engine needs for its part of a job's prompt. */
+static double
+part_ms (const engine_model_t *model, const upstream_job_t *job)
+{
+  double whole_ms = engine_read_ms (model, job->prompt_tokens);
+
+  return job->prompt_tokens > 0
+             ? whole_ms * job->read_tokens / job->prompt_tokens
+             : 0;
+}
+
 /** Time the job at the head of an engine's reading still needs. */
 static double
 remaining_read_ms (const engine_model_t *model,
@@ -74,14 +96,25 @@
                    double since_ms,
                    double slowness)
 {
-  double whole_ms = engine_read_ms (model, job->prompt_tokens) * slowness;
+  double whole_ms = part_ms (model, job) * slowness;
 
-  if (job->prompt_tokens > 0)
-    whole_ms *= (double)job->read_tokens / job->prompt_tokens;
   /* It is never quite done before its first event is seen. */
   return fmax (whole_ms - since_ms, whole_ms * 0.1);
 }
 
+/** The longest reading part of one pass, for a part of a prompt. */
+static double
+pass_part_ms (const engine_model_t *model, double prompt, double part)
+{
+  double whole_ms = engine_read_ms (model, prompt);
+
+  if (part >= prompt)
+    return engine_pass_read_ms (model, prompt);
+  if (part <= engine_pass_tokens (model))
+    return whole_ms * part / prompt;
+  return whole_ms * engine_pass_tokens (model) / prompt;
+}
+
 static engine_state_t
 look_at (const engine_model_t *model,
          const upstream_member_t *member,
@@ -100,9 +133,9 @@
   for (guint i = 0; i < member->jobs->len; i++)
     {
       const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
-      double part_ms;
       double since_ms = 0;
 
+      state.held += !job->is_part;
       state.kv_tokens += job->kv_tokens;
       if (job->first_ms > 0)
         {
@@ -115,66 +148,43 @@
       state.unread_ms
           += remaining_read_ms (model, job, since_ms, member->slowness);
       state.unread_tokens += job->read_tokens;
-      part_ms = engine_pass_read_ms (model, job->read_tokens);
-      state.pass_read_ms = fmax (state.pass_read_ms, part_ms);
+      state.pass_read_ms
+          += pass_part_ms (model, job->prompt_tokens, job->read_tokens);
     }
   return state;
 }
 
-/** Predicted time from now to the first event of a prompt sent there. */
-static double
-first_event_ms (const choice_request_t *request,
-                const upstream_member_t *member,
-                const engine_state_t *state)
-{
-  const engine_model_t *model = request->model;
-  double write_ms
-      = engine_pass_ms (model, state->writers + 1, state->context_tokens);
-  double own_ms
-      = engine_read_ms (model, request->prompt_tokens) * member->slowness;
-  double passes = ceil ((state->unread_tokens + request->prompt_tokens)
-                        / fmax (engine_pass_tokens (model), 1));
-  double total_ms = state->unread_ms + own_ms + write_ms;
-
-  if (state->writers + state->readers > 0)
-    total_ms += (passes - 1) * write_ms + (write_ms + state->pass_read_ms) / 2;
-  if (strcmp (member->zone, request->zone) != 0)
-    total_ms += request->zone_cost_ms;
-  return total_ms;
-}
-
-/** What those being written to on that engine would lose. */
-static double
-loss_of_others (const upstream_member_t *member, double pause_ms)
+/** One engine as a place for a request, or for a part of its prompt. */
+typedef struct
 {
-  double loss = 0;
-
-  for (guint i = 0; i < member->jobs->len; i++)
-    {
-      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
+  const upstream_member_t *member;
+  engine_state_t state;
+  bool has_room;  /* for the whole request */
+  double write_ms; /* of a pass without reading */
+  double preference;
+  /* For the number of parts being weighed. */
+  double damage;
+  double ready_ms; /* when its part is read */
+} place_t;
 
-      if (job->first_ms == 0 || job->is_late || job->gap_target_ms == 0)
-        continue;
-      loss += job->value * LATE_SHARE
-              * ramp (pause_ms, 0.8 * job->gap_target_ms,
-                      1.05 * job->gap_target_ms);
-    }
-  return loss;
-}
+#define MAX_PLACES 64
 
 static bool
 has_room (const choice_request_t *request,
           const upstream_member_t *member,
-          const engine_state_t *state)
+          const engine_state_t *state,
+          uint64_t now_ms)
 {
   const engine_model_t *model = request->model;
   double slots = member->slots > 0 ? member->slots : model->slots;
   double kv_tokens
       = state->kv_tokens + request->prompt_tokens + request->answer_tokens;
 
-  if (member->jobs->len == 0)
+  if (member->full_until_ms > now_ms)
+    return false;
+  if (state->held == 0)
     return true;
-  return member->jobs->len + 1 <= slots * SLOTS_SHARE
+  return state->held + 1 <= slots * SLOTS_SHARE
          && kv_tokens <= (double)model->kv_tokens * KV_SHARE;
 }
 
@@ -186,9 +196,9 @@
 {
   double cost = 0;
 
-  if (member->jobs->len == 0)
+  if (state->held == 0)
     cost += EMPTY_COST;
-  cost += CROWDED_COST * member->jobs->len
+  cost += CROWDED_COST * state->held
           / fmax (member->slots, request->model->slots);
   if (strcmp (member->zone, request->zone) != 0)
     cost += OTHER_ZONE_COST;
@@ -197,41 +207,211 @@
   return cost;
 }
 
+/** What those being written to on that engine would lose. */
+static double
+loss_of_others (const upstream_member_t *member, double pause_ms)
+{
+  double loss = 0;
+
+  for (guint i = 0; i < member->jobs->len; i++)
+    {
+      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
+
+      if (job->first_ms == 0 || job->is_late || job->gap_target_ms == 0)
+        continue;
+      loss += job->value * LATE_SHARE
+              * ramp (pause_ms, PAUSE_FROM * job->gap_target_ms,
+                      PAUSE_SURE * job->gap_target_ms);
+    }
+  return loss;
+}
+
+/** What a part of the prompt, read in @a read_ms, does at that engine. */
 static void
-weigh_engine (const choice_request_t *request,
-              const upstream_member_t *member,
-              uint64_t now_ms,
-              choice_t *best)
+weigh_part (place_t *place, double read_ms, double pass_read_ms)
 {
-  const engine_model_t *model = request->model;
-  engine_state_t state = look_at (model, member, now_ms);
-  double value
-      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
-  double first_ms = first_event_ms (request, member, &state);
-  double reading_ms = engine_pass_read_ms (model, request->prompt_tokens);
-  double pause_ms;
-  double loss;
+  const engine_state_t *state = &place->state;
+  double slowness = place->member->slowness;
+  double pause_ms
+      = (place->write_ms + state->pass_read_ms + pass_read_ms) * slowness;
+
+  place->damage = loss_of_others (place->member, pause_ms);
+  place->ready_ms = state->unread_ms + read_ms * slowness;
+  if (state->writers + state->readers > 0)
+    place->ready_ms
+        += (place->write_ms + state->pass_read_ms) / 2 * slowness;
+}
+
+static double
+part_cost (const choice_request_t *request, const place_t *place, double value)
+{
+  return place->damage
+         + value * 0.1 * place->ready_ms / fmax (request->left_ms, 1);
+}
+
+/** Puts the engines that suit a part best first. */
+static void
+sort_places (const choice_request_t *request,
+             place_t *places,
+             uint32_t count,
+             double value)
+{
+  for (uint32_t i = 1; i < count; i++)
+    {
+      place_t place = places[i];
+      double cost = part_cost (request, &place, value);
+      uint32_t at = i;
+
+      while (at > 0 && part_cost (request, &places[at - 1], value) > cost)
+        {
+          places[at] = places[at - 1];
+          at--;
+        }
+      places[at] = place;
+    }
+}
+
+/** The engine that writes: the best of those with room. */
+static int
+find_writer (const place_t *places, uint32_t count, double value)
+{
+  int best = -1;
+  double least = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      double cost = places[i].damage + value * places[i].preference;
+
+      if (!places[i].has_room || (best >= 0 && cost >= least))
+        continue;
+      best = (int)i;
+      least = cost;
+    }
+  return best;
+}
+
+static double
+own_loss (const choice_request_t *request, double first_ms, double value)
+{
+  double loss
+      = value * LATE_SHARE
+        * ramp (first_ms + request->waited_ms, LATE_FROM * request->target_ms,
+                LATE_SURE * request->target_ms);
 
-  if (!has_room (request, member, &state) || member->full_until_ms > now_ms)
-    return;
-  pause_ms = (engine_pass_ms (model, state.writers + 1, state.context_tokens)
-              + state.pass_read_ms + reading_ms)
-             * member->slowness;
-  loss = value * LATE_SHARE
-         * ramp (first_ms + request->waited_ms, LATE_FROM * request->target_ms,
-                 LATE_SURE * request->target_ms);
   loss += value * (1 - LATE_SHARE)
           * ramp (first_ms, 0.6 * request->left_ms, request->left_ms);
   /* Also when it is late anyway, sooner is better. */
-  loss += value * 0.1 * first_ms / fmax (request->left_ms, 1);
-  loss += loss_of_others (member, pause_ms);
-  loss += value * preference (request, member, &state);
-  if (best->member != NULL && loss >= best->loss)
+  return loss + value * 0.1 * first_ms / fmax (request->left_ms, 1);
+}
+
+/** Weighs reading the prompt in @a parts parts. */
+static void
+weigh_parts (const choice_request_t *request,
+             place_t *places,
+             uint32_t count,
+             uint32_t parts,
+             choice_t *best)
+{
+  const engine_model_t *model = request->model;
+  double value
+      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
+  double tokens = request->prompt_tokens;
+  double read_ms = engine_read_ms (model, tokens) / parts;
+  double pass_read_ms = pass_part_ms (model, tokens, tokens / parts);
+  double loss = PART_COST * (parts - 1) * value;
+  double damage = 0;
+  double ready_ms = 0;
+  int writer;
+  uint32_t taken = 1;
+
+  for (uint32_t i = 0; i < count; i++)
+    weigh_part (&places[i], read_ms, pass_read_ms);
+  sort_places (request, places, count, value);
+  writer = find_writer (places, count, value);
+  if (writer < 0)
     return;
-  best->member = member;
+  damage = places[writer].damage;
+  ready_ms = places[writer].ready_ms;
+  for (uint32_t i = 0; i < count && taken < parts; i++)
+    if ((int)i != writer)
+      {
+        damage += places[i].damage;
+        ready_ms = fmax (ready_ms, places[i].ready_ms);
+        taken++;
+      }
+  ready_ms += places[writer].write_ms;
+  if (strcmp (places[writer].member->zone, request->zone) != 0)
+    ready_ms += request->zone_cost_ms;
+  loss += damage + value * places[writer].preference
+          + own_loss (request, ready_ms, value);
+  if (taken < parts || (best->member != NULL && loss >= best->loss))
+    return;
+  best->member = places[writer].member;
+  best->helper_count = 0;
+  for (uint32_t i = 0; i < count && best->helper_count + 1 < parts; i++)
+    if ((int)i != writer)
+      best->helpers[best->helper_count++] = places[i].member;
   best->loss = loss;
-  best->first_ms = first_ms;
-  best->pause_ms = pause_ms;
+  best->damage = damage;
+  best->first_ms = ready_ms;
+}
+
+/** Waiting a little costs nothing while the target is far off. */
+static bool
+should_wait (const choice_request_t *request, const choice_t *best)
+{
+  double value
+      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
+
+  return best->damage > WAIT_DAMAGE * value
+         && best->first_ms + request->waited_ms
+                < WAIT_UNTIL * request->target_ms;
+}
+
+static choice_t
+choose_engine (const upstream_set_t *set,
+               const choice_request_t *request,
+               bool desperate,
+               uint64_t now_ms)
+{
+  static const uint32_t parts[] = { 1, 2, 3, 4, 6, 8, 11, 16 };
+  choice_t best = { .kind = CHOICE_NONE };
+  place_t places[MAX_PLACES];
+  size_t count;
+  const upstream_member_t *const *members = upstream_set_members (set, &count);
+
+  for (size_t i = 0; i < count && best.usable < MAX_PLACES; i++)
+    {
+      /* Begins anywhere, so that instances do not all prefer the same. */
+      const upstream_member_t *member = members[(i + request->random) % count];
+      place_t *place = &places[best.usable];
+
+      if (!is_candidate (request, member, desperate))
+        continue;
+      place->member = member;
+      place->state = look_at (request->model, member, now_ms);
+      place->has_room = has_room (request, member, &place->state, now_ms);
+      place->preference = preference (request, member, &place->state);
+      place->write_ms
+          = engine_pass_ms (request->model, place->state.writers + 1,
+                            place->state.context_tokens);
+      best.usable++;
+    }
+  for (size_t i = 0; i < sizeof parts / sizeof *parts; i++)
+    {
+      uint32_t number = MIN (parts[i], best.usable);
+
+      if (i > 0
+          && (number <= parts[i - 1]
+              || request->prompt_tokens / number < MIN_PART_TOKENS))
+        break;
+      weigh_parts (request, places, best.usable, number, &best);
+    }
+  if (best.member != NULL)
+    best.kind = should_wait (request, &best) ? CHOICE_WAIT : CHOICE_SEND;
+  else if (best.usable > 0)
+    best.kind = CHOICE_WAIT;
+  return best;
 }
 
 static void
@@ -279,7 +459,7 @@
 }
 
 static choice_t
-choose_among (const upstream_set_t *set,
+choose_plain (const upstream_set_t *set,
               const choice_request_t *request,
               bool desperate,
               uint64_t now_ms)
@@ -298,10 +478,7 @@
       if (!is_candidate (request, member, desperate))
         continue;
       best.usable++;
-      if (request->model != NULL)
-        weigh_engine (request, member, now_ms, &best);
-      else
-        weigh_plain (request, member, usual_ms, now_ms, &best);
+      weigh_plain (request, member, usual_ms, now_ms, &best);
     }
   if (best.member != NULL)
     best.kind = CHOICE_SEND;
@@ -310,6 +487,17 @@
   return best;
 }
 
+static choice_t
+choose_among (const upstream_set_t *set,
+              const choice_request_t *request,
+              bool desperate,
+              uint64_t now_ms)
+{
+  return request->model != NULL
+             ? choose_engine (set, request, desperate, now_ms)
+             : choose_plain (set, request, desperate, now_ms);
+}
+
 choice_t
 upstream_choose (const upstream_set_t *set,
                  const choice_request_t *request,
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -5,10 +5,10 @@
  *
  * For engines the loss is counted in work that would come too late: the
  * request's own first event against its target, and the pauses that reading
- * its prompt makes for those being written to on that engine. So long prompts
- * end up apart from short ones while engines are free, and beside them when
- * all are taken. Among equal engines busy ones go first, which keeps others
- * empty for long prompts.
+ * its prompt makes for those being written to. A prompt may be read by several
+ * engines at once, each an even part, which makes the pauses short; the one
+ * that writes the answer also keeps the prompt's memory. A request that would
+ * make others late waits while its own target allows it.
  *
  * Plain services take the least expected time, own availability zone first.
  */
@@ -54,8 +54,11 @@
 {
   choice_kind_t kind;
   const upstream_member_t *member; /**< with CHOICE_SEND */
+  /** Engines that read parts of the prompt with it. */
+  const upstream_member_t *helpers[CHOICE_MAX_HELPERS];
+  uint32_t helper_count;
   double first_ms;   /**< predicted time to the first event there */
-  double pause_ms;   /**< predicted pause for others there */
+  double damage;     /**< what others would lose */
   double loss;       /**< predicted, in upstream_job_value() units */
   uint32_t usable;   /**< upstreams that were looked at */
   uint32_t retry_ms; /**< with CHOICE_HOPELESS: when there may be room */
