gateway: count the next short request where a prompt is read

A prompt read by three engines blocks each for half a second; short requests that come then are late, but were not counted.

--- a/gateway-config.c
+++ b/gateway-config.c
@@ -187,3 +187,30 @@
     }
   return NULL;
 }
+
+static bool
+leads_to (const gateway_route_t *route, const char *service)
+{
+  for (size_t i = 0; i < route->target_count; i++)
+    if (route->targets[i].weight > 0
+        && strcmp (route->targets[i].service, service) == 0)
+      return true;
+  return false;
+}
+
+uint32_t
+gateway_config_shortest_gap_ms (const gateway_config_t *config,
+                                const char *service)
+{
+  uint32_t shortest_ms = 0;
+
+  for (size_t i = 0; i < config->route_count; i++)
+    {
+      const gateway_route_t *route = &config->routes[i];
+
+      if (route->gap_target_ms > 0 && leads_to (route, service)
+          && (shortest_ms == 0 || route->gap_target_ms < shortest_ms))
+        shortest_ms = route->gap_target_ms;
+    }
+  return shortest_ms;
+}
--- a/gateway-config.h
+++ b/gateway-config.h
@@ -99,6 +99,10 @@
 const gateway_service_t *gateway_config_service (const gateway_config_t *config,
                                                  const char *name);
 
+/** Shortest pause between events that a route to @a service aims at, or 0. */
+uint32_t gateway_config_shortest_gap_ms (const gateway_config_t *config,
+                                         const char *service);
+
 /** A service of the route, drawn by weight with @a random. */
 const gateway_service_t *gateway_config_draw (const gateway_config_t *config,
                                               const gateway_route_t *route,
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -58,6 +58,7 @@
   const char *service;
   engine_model_t *engine; /* NULL: a plain service */
   const char *customer;   /* or NULL */
+  uint32_t shortest_gap_ms; /* that any route of the service aims at */
   uint64_t config_number;
   uint64_t begun_ms;
   uint64_t deadline_ms;
--- a/gateway.c
+++ b/gateway.c
@@ -194,6 +194,7 @@
           .answer_tokens = request->terms.answer_tokens,
           .target_ms = request->route.target_ms,
           .gap_target_ms = request->route.gap_target_ms,
+          .shortest_gap_ms = request->shortest_gap_ms,
           .waited_ms = (uint32_t)(now_ms - request->begun_ms),
           .left_ms = gateway_left_ms (request),
           .avoid = request->avoid,
@@ -334,6 +335,8 @@
   if (service->engine != NULL)
     request->engine
         = talloc_memdup (request, service->engine, sizeof *service->engine);
+  request->shortest_gap_ms = gateway_config_shortest_gap_ms (
+      request->gateway->config, service->name);
   if (customer == NULL)
     return;
   request->customer = talloc_strdup (request, customer->name);
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -11,6 +11,8 @@
 /** The same for pauses between events. */
 #define PAUSE_FROM 0.75
 #define PAUSE_SURE 1.0
+/** Worth of a short request, see upstream_job_value(). */
+#define NEXT_VALUE 18000.0
 /** A request waits rather than cost others this share of its own worth, until
  * it has used that share of its target. */
 #define WAIT_DAMAGE 0.02
@@ -226,16 +228,31 @@
   return loss;
 }
 
+/** What the next short request that could go there would lose. */
+static double
+loss_of_next (const choice_request_t *request, double pause_ms)
+{
+  if (request->shortest_gap_ms == 0)
+    return 0;
+  return NEXT_VALUE * LATE_SHARE
+         * ramp (pause_ms, PAUSE_FROM * request->shortest_gap_ms,
+                 PAUSE_SURE * request->shortest_gap_ms);
+}
+
 /** What a part of the prompt, read in @a read_ms, does at that engine. */
 static void
-weigh_part (place_t *place, double read_ms, double pass_read_ms)
+weigh_part (const choice_request_t *request,
+            place_t *place,
+            double read_ms,
+            double pass_read_ms)
 {
   const engine_state_t *state = &place->state;
   double slowness = place->member->slowness;
   double pause_ms
       = (place->write_ms + state->pass_read_ms + pass_read_ms) * slowness;
 
-  place->damage = loss_of_others (place->member, pause_ms);
+  place->damage = loss_of_others (place->member, pause_ms)
+                  + loss_of_next (request, pause_ms);
   place->ready_ms = state->unread_ms + read_ms * slowness;
   if (state->writers + state->readers > 0)
     place->ready_ms
@@ -325,7 +342,7 @@
   uint32_t taken = 1;
 
   for (uint32_t i = 0; i < count; i++)
-    weigh_part (&places[i], read_ms, pass_read_ms);
+    weigh_part (request, &places[i], read_ms, pass_read_ms);
   sort_places (request, places, count, value);
   writer = find_writer (places, count, value);
   if (writer < 0)
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -42,7 +42,8 @@
   uint32_t answer_tokens;
   uint32_t target_ms; /**< of the first event, from the arrival */
   uint32_t gap_target_ms;
-  uint32_t waited_ms;    /**< since the arrival */
+  uint32_t shortest_gap_ms; /**< that any route of the service aims at, or 0 */
+  uint32_t waited_ms;       /**< since the arrival */
   uint32_t left_ms;      /**< until it is given up */
   const uint64_t *avoid; /**< upstreams tried before */
   size_t avoid_count;
