gateway: reserve memory for prompts beyond one engine's

Tickets at other engines hold what the writer cannot. Late requests wait behind those that can be in time.

--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -43,35 +43,18 @@
                                                            : PRIORITY_USUAL;
 }
 
-/** Addresses of those that help to read, or NULL. */
-static const char *
-helpers_of (void *parent, const choice_t *choice)
-{
-  char *list = NULL;
-
-  for (uint32_t i = 0; i < choice->helper_count; i++)
-    if (list == NULL)
-      list = talloc_strdup (parent, choice->helpers[i]->address);
-    else
-      list = talloc_asprintf_append_buffer (list, ",%s",
-                                            choice->helpers[i]->address);
-  return list;
-}
-
 /** The caller's fields as they are passed on, and our own. */
 static http_fields_t
-fields_for (void *parent,
-            gateway_request_t *request,
-            const choice_t *choice)
+fields_for (void *parent, const gateway_request_t *request)
 {
   const gateway_protocol_t *protocol = request->gateway->options.protocol;
   gateway_send_t send = { .left_ms = gateway_left_ms (request),
-                          .upstream_id = choice->member->id,
+                          .upstream_id = request->upstream_id,
                           .customer = request->customer,
                           .has_last_event = request->has_event,
                           .last_event = request->last_event,
                           .priority = priority_of (request),
-                          .helpers = helpers_of (parent, choice) };
+                          .helpers = gateway_helper_list (parent, request) };
   http_fields_t fields = { 0 };
 
   protocol->write_fields (parent, caller_request_fields (request->caller),
@@ -79,56 +62,6 @@
   return fields;
 }
 
-static void
-begin_job (gateway_t *gateway, upstream_job_t *job)
-{
-  job->id = load_share_next_id (gateway->share);
-  upstream_set_begin (gateway->set, job);
-  load_share_begin (gateway->share, job);
-}
-
-/** Notes what the request lays on its upstream and on those that help. */
-static void
-note_jobs (gateway_request_t *request, const choice_t *choice)
-{
-  uint32_t prompt = request->terms.prompt_tokens;
-  upstream_job_t job = { .upstream = choice->member->key,
-                         .prompt_tokens = prompt,
-                         .read_tokens = prompt / (choice->helper_count + 1),
-                         .answer_tokens = request->terms.answer_tokens,
-                         .kv_tokens = prompt + request->terms.answer_tokens,
-                         .gap_target_ms = request->route.gap_target_ms,
-                         .sent_ms = clock_mono_ms () };
-
-  job.value = upstream_job_value (prompt, job.answer_tokens);
-  begin_job (request->gateway, &job);
-  request->job_id = job.id;
-  job.is_part = true;
-  job.kv_tokens = job.answer_tokens = 0;
-  request->part_count = choice->helper_count;
-  for (uint32_t i = 0; i < choice->helper_count; i++)
-    {
-      job.upstream = choice->helpers[i]->key;
-      begin_job (request->gateway, &job);
-      request->part_ids[i] = job.id;
-    }
-}
-
-static void
-end_job (gateway_t *gateway, uint64_t id, upstream_job_end_t how)
-{
-  upstream_set_end (gateway->set, id, how, clock_mono_ms ());
-  load_share_end (gateway->share, id, how);
-}
-
-void
-gateway_parts_over (gateway_request_t *request)
-{
-  for (uint32_t i = 0; i < request->part_count; i++)
-    end_job (request->gateway, request->part_ids[i], UPSTREAM_JOB_NEUTRAL);
-  request->part_count = 0;
-}
-
 static uint64_t
 hangs_at_ms (const gateway_request_t *request)
 {
@@ -144,16 +77,49 @@
   return request->attempt_ms + (uint64_t)wait_ms;
 }
 
+static void
+replace_text (void *parent, char **text, const char *value)
+{
+  talloc_free (*text);
+  *text = talloc_strdup (parent, value);
+}
+
 void
 gateway_attempt (gateway_request_t *request, const choice_t *choice)
 {
-  gateway_t *gateway = request->gateway;
   const upstream_member_t *member = choice->member;
+
+  log_info ("Placed a request. request=%s upstream=%s address=%s try=%u "
+            "left_ms=%u predicted_ms=%.0f loss=%.0f damage=%.0f usable=%u "
+            "helpers=%u memory=%u after_event=%ju",
+            request->terms.id, member->id, member->address, request->tries + 1,
+            gateway_left_ms (request), choice->first_ms, choice->loss,
+            choice->damage, choice->usable, choice->helper_count,
+            choice->memory_count, (uintmax_t)request->last_event);
+  if (request->tries < GATEWAY_MAX_TRIES)
+    request->avoid[request->tries] = member->key;
+  request->tries++;
+  request->upstream_key = member->key;
+  replace_text (request, &request->upstream_id, member->id);
+  replace_text (request, &request->upstream_address, member->address);
+  request->predicted_ms = choice->first_ms;
+  request->has_head = false;
+  g_byte_array_set_size (request->body, 0);
+  gateway_note_jobs (request, choice);
+  if (choice->memory_count > 0)
+    gateway_ask_memory (request);
+  else
+    gateway_send (request);
+}
+
+void
+gateway_send (gateway_request_t *request)
+{
   void *scratch = talloc_new (request);
-  http_fields_t fields = fields_for (scratch, request, choice);
+  http_fields_t fields = fields_for (scratch, request);
   exchange_options_t options
-      = { .address = member->address,
-          .owner = member->key,
+      = { .address = request->upstream_address,
+          .owner = request->upstream_key,
           .method = caller_request_method (request->caller),
           .target = caller_request_target (request->caller),
           .fields = &fields,
@@ -164,25 +130,8 @@
   options.body = caller_request_body (request->caller, &options.body_bytes);
   options.has_length = strcmp (options.method, "GET") != 0
                        && strcmp (options.method, "HEAD") != 0;
-  log_info ("Sending a request. request=%s upstream=%s address=%s try=%u "
-            "left_ms=%u predicted_ms=%.0f loss=%.0f damage=%.0f usable=%u "
-            "helpers=%u after_event=%ju",
-            request->terms.id, member->id, member->address, request->tries + 1,
-            gateway_left_ms (request), choice->first_ms, choice->loss,
-            choice->damage, choice->usable, choice->helper_count,
-            (uintmax_t)request->last_event);
-  if (request->tries < GATEWAY_MAX_TRIES)
-    request->avoid[request->tries] = member->key;
-  request->tries++;
-  request->upstream_key = member->key;
-  talloc_free (request->upstream_id);
-  request->upstream_id = talloc_strdup (request, member->id);
   request->attempt_ms = clock_mono_ms ();
-  request->predicted_ms = choice->first_ms;
-  request->has_head = false;
-  g_byte_array_set_size (request->body, 0);
-  note_jobs (request, choice);
-  request->exchange = exchange_send (gateway->pool, &options);
+  request->exchange = exchange_send (request->gateway->pool, &options);
   request->attempt_due_ms = hangs_at_ms (request);
   gateway_set_timer (request);
   talloc_free (scratch);
@@ -191,7 +140,6 @@
 void
 gateway_attempt_over (gateway_request_t *request, upstream_job_end_t how)
 {
-  gateway_t *gateway = request->gateway;
   exchange_t *exchange = request->exchange;
 
   request->exchange = NULL;
@@ -199,12 +147,8 @@
   TALLOC_FREE (request->events);
   if (exchange != NULL)
     exchange_cancel (exchange);
-  if (request->job_id == 0)
-    return;
-  gateway_parts_over (request);
-  end_job (gateway, request->job_id, how);
-  request->job_id = 0;
-  gateway_wake (gateway);
+  gateway_end_jobs (request, how);
+  gateway_wake (request->gateway);
 }
 
 /** Whether the rules of its route let it be sent once more. */
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 
+#include "engine-memory.h"
 #include "error.h"
 #include "event-stream.h"
 #include "exchange.h"
@@ -38,6 +39,7 @@
   exchange_pool_t *pool;
   upstream_set_t *set;
   load_share_t *share;
+  engine_memory_t *memory;
   retry_t *retry;
   GPtrArray *open;    /* gateway_request_t */
   GPtrArray *waiting; /* gateway_request_t, in no order */
@@ -48,6 +50,16 @@
 
 typedef struct gateway_request gateway_request_t;
 
+/** An engine that reads a part of a prompt, and may keep memory for it. */
+typedef struct
+{
+  uint64_t job_id; /* 0 once it has ended */
+  uint64_t upstream_key;
+  char *address;
+  uint32_t memory_tokens;
+  engine_ticket_t *ticket; /* or NULL */
+} gateway_helper_t;
+
 /** One request of a caller, from its arrival to its end. */
 struct gateway_request
 {
@@ -74,10 +86,13 @@
   /* The present attempt. */
   exchange_t *exchange; /* NULL between attempts */
   uint64_t job_id;
-  uint64_t part_ids[CHOICE_MAX_HELPERS]; /* jobs of those that help to read */
-  uint32_t part_count;
   uint64_t upstream_key;
   char *upstream_id;
+  char *upstream_address;
+  gateway_helper_t helpers[CHOICE_MAX_HELPERS]; /* who read with it */
+  uint32_t helper_count;
+  uint32_t memory_count;    /* the first of them keep memory to the end */
+  uint32_t tickets_missing; /* not held yet */
   uint64_t attempt_ms; /* when it was sent */
   double predicted_ms;
   bool has_head;
@@ -115,8 +130,26 @@
 /** Ends the present attempt, whose exchange is over or is cancelled here. */
 void gateway_attempt_over (gateway_request_t *request, upstream_job_end_t how);
 
-/** The prompt is read: those that helped are free. */
-void gateway_parts_over (gateway_request_t *request);
+/** Hands the request to the upstream of the attempt. */
+void gateway_send (gateway_request_t *request);
+
+/** Notes the jobs of the attempt at its upstream and its helpers. */
+void gateway_note_jobs (gateway_request_t *request, const choice_t *choice);
+
+/** Asks the helpers for memory; the request is sent when all is held. */
+void gateway_ask_memory (gateway_request_t *request);
+
+/** The prompt is read: those that only helped are free. */
+void gateway_parts_read (gateway_request_t *request);
+
+/** Ends the jobs of the attempt and gives its memory back. */
+void gateway_end_jobs (gateway_request_t *request, upstream_job_end_t how);
+
+/** Who helps, as the upstream is told; NULL for nobody. */
+const char *gateway_helper_list (void *parent, const gateway_request_t *request);
+
+/** Lets it wait in the queue. */
+void gateway_wait (gateway_request_t *request);
 
 /** The attempt failed: sends again, passes on what came, or gives up. */
 void gateway_attempt_failed (gateway_request_t *request,
--- /dev/null
+++ b/gateway-parts.c
@@ -0,0 +1,168 @@
+#include <talloc.h>
+
+#include "base.h"
+#include "gateway-internal.h"
+#define LOG_PART "gateway"
+#include "logging.h"
+
+static void
+begin_job (gateway_t *gateway, upstream_job_t *job)
+{
+  job->id = load_share_next_id (gateway->share);
+  upstream_set_begin (gateway->set, job);
+  load_share_begin (gateway->share, job);
+}
+
+static void
+end_job (gateway_t *gateway, uint64_t *id, upstream_job_end_t how)
+{
+  if (*id == 0)
+    return;
+  upstream_set_end (gateway->set, *id, how, clock_mono_ms ());
+  load_share_end (gateway->share, *id, how);
+  *id = 0;
+}
+
+static void
+note_helper (gateway_request_t *request,
+             const upstream_job_t *main_job,
+             const choice_t *choice,
+             uint32_t index)
+{
+  gateway_helper_t *helper = &request->helpers[index];
+  upstream_job_t job = *main_job;
+
+  *helper = (gateway_helper_t){ 0 };
+  helper->upstream_key = job.upstream = choice->helpers[index]->key;
+  helper->address = talloc_strdup (request, choice->helpers[index]->address);
+  if (index < choice->memory_count)
+    helper->memory_tokens = choice->memory_tokens[index];
+  job.is_part = true;
+  job.answer_tokens = 0;
+  job.value = 0;
+  job.kv_tokens = helper->memory_tokens;
+  begin_job (request->gateway, &job);
+  helper->job_id = job.id;
+}
+
+void
+gateway_note_jobs (gateway_request_t *request, const choice_t *choice)
+{
+  uint32_t prompt = request->terms.prompt_tokens;
+  upstream_job_t job = { .upstream = choice->member->key,
+                         .prompt_tokens = prompt,
+                         .read_tokens = prompt / (choice->helper_count + 1),
+                         .answer_tokens = request->terms.answer_tokens,
+                         .kv_tokens = prompt + request->terms.answer_tokens,
+                         .gap_target_ms = request->route.gap_target_ms,
+                         .sent_ms = clock_mono_ms () };
+
+  for (uint32_t i = 0; i < choice->memory_count; i++)
+    job.kv_tokens -= MIN (choice->memory_tokens[i], job.kv_tokens);
+  job.value = upstream_job_value (prompt, job.answer_tokens);
+  begin_job (request->gateway, &job);
+  request->job_id = job.id;
+  request->helper_count = choice->helper_count;
+  request->memory_count = choice->memory_count;
+  for (uint32_t i = 0; i < choice->helper_count; i++)
+    note_helper (request, &job, choice, i);
+}
+
+/** One of the engines has no memory to give: the request waits for another. */
+static void
+on_memory_refused (gateway_request_t *request, gateway_helper_t *helper)
+{
+  gateway_t *gateway = request->gateway;
+
+  end_job (gateway, &helper->job_id, UPSTREAM_JOB_REFUSED);
+  gateway_end_jobs (request, UPSTREAM_JOB_NEUTRAL);
+  /* Nothing was sent: its upstream may be tried again. */
+  request->tries--;
+  gateway_wait (request);
+  gateway_wake (gateway);
+}
+
+static void
+on_ticket (engine_ticket_t *ticket, bool is_held, void *context)
+{
+  gateway_request_t *request = context;
+
+  for (uint32_t i = 0; i < request->memory_count; i++)
+    if (request->helpers[i].ticket == ticket && !is_held)
+      {
+        on_memory_refused (request, &request->helpers[i]);
+        return;
+      }
+  if (--request->tickets_missing == 0)
+    gateway_send (request);
+}
+
+void
+gateway_ask_memory (gateway_request_t *request)
+{
+  request->tickets_missing = request->memory_count;
+  for (uint32_t i = 0; i < request->memory_count; i++)
+    {
+      gateway_helper_t *helper = &request->helpers[i];
+      engine_ticket_options_t options = { .upstream = helper->upstream_key,
+                                          .address = helper->address,
+                                          .tokens = helper->memory_tokens,
+                                          .done = on_ticket,
+                                          .context = request };
+
+      helper->ticket = engine_memory_ask (request->gateway->memory, &options);
+    }
+}
+
+void
+gateway_parts_read (gateway_request_t *request)
+{
+  gateway_t *gateway = request->gateway;
+
+  for (uint32_t i = 0; i < request->helper_count; i++)
+    if (i >= request->memory_count)
+      end_job (gateway, &request->helpers[i].job_id, UPSTREAM_JOB_NEUTRAL);
+    else
+      {
+        upstream_set_progress (gateway->set, request->helpers[i].job_id,
+                               clock_mono_ms ());
+        load_share_answering (gateway->share, request->helpers[i].job_id);
+      }
+}
+
+void
+gateway_end_jobs (gateway_request_t *request, upstream_job_end_t how)
+{
+  for (uint32_t i = 0; i < request->helper_count; i++)
+    {
+      gateway_helper_t *helper = &request->helpers[i];
+
+      end_job (request->gateway, &helper->job_id, UPSTREAM_JOB_NEUTRAL);
+      if (helper->ticket != NULL)
+        engine_memory_give_back (helper->ticket);
+      TALLOC_FREE (helper->address);
+      helper->ticket = NULL;
+    }
+  request->helper_count = request->memory_count = 0;
+  end_job (request->gateway, &request->job_id, how);
+}
+
+const char *
+gateway_helper_list (void *parent, const gateway_request_t *request)
+{
+  char *list = NULL;
+
+  for (uint32_t i = 0; i < request->helper_count; i++)
+    {
+      const gateway_helper_t *helper = &request->helpers[i];
+
+      if (list == NULL)
+        list = talloc_strdup (parent, helper->address);
+      else
+        list = talloc_asprintf_append_buffer (list, ",%s", helper->address);
+      if (helper->ticket != NULL)
+        list = talloc_asprintf_append_buffer (
+            list, "/%s", engine_ticket_name (helper->ticket));
+    }
+  return list;
+}
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -67,7 +67,7 @@
   gateway_t *gateway = request->gateway;
 
   load_share_answering (gateway->share, request->job_id);
-  gateway_parts_over (request);
+  gateway_parts_read (request);
   if (request->engine != NULL && request->predicted_ms > 0)
     upstream_set_slowness (gateway->set, request->upstream_key,
                            (double)(now_ms - request->attempt_ms)
--- a/gateway.c
+++ b/gateway.c
@@ -17,12 +17,12 @@
 #define CONNECT_TIMEOUT_MS 600
 #define IDLE_TIMEOUT_MS    4000
 #define MAX_WAITING        512
+#define FIRST_EVENT_MS     100 /* from the send to a short request's first */
 /** Without a wish of the caller or a timeout of the route. */
 #define DEFAULT_DEADLINE_MS 30000
-/** Time after which a caller that was refused may find room: a spread, so that
- * those refused together do not return together. */
-#define RETRY_AFTER_MS        250
-#define RETRY_AFTER_SPREAD_MS 500
+/** Time after which a caller that was refused may find room. A spread is added,
+ * so that those refused together do not return together. */
+#define RETRY_AFTER_MS 300
 
 uint32_t
 gateway_left_ms (const gateway_request_t *request)
@@ -44,6 +44,7 @@
     g_ptr_array_remove_fast (gateway->waiting, request);
   if (request->exchange != NULL)
     exchange_cancel (request->exchange);
+  gateway_end_jobs (request, UPSTREAM_JOB_NEUTRAL);
   event_free (request->timer);
   g_byte_array_free (request->body, TRUE);
   return 0;
@@ -155,14 +156,15 @@
   caller_reply_end (caller);
 }
 
+/** @a retry_ms or up to half as much again. */
 static uint32_t
-spread_ms (void)
+spread_ms (uint32_t retry_ms)
 {
-  return RETRY_AFTER_MS + (uint32_t)(random_id () % RETRY_AFTER_SPREAD_MS);
+  return retry_ms + (uint32_t)(random_id () % (retry_ms / 2 + 1));
 }
 
-static void
-wait_in_queue (gateway_request_t *request)
+void
+gateway_wait (gateway_request_t *request)
 {
   gateway_t *gateway = request->gateway;
 
@@ -170,7 +172,7 @@
     return;
   if (gateway->waiting->len >= MAX_WAITING)
     {
-      gateway_refuse (request, ERROR_QUEUE_FULL, spread_ms ());
+      gateway_refuse (request, ERROR_QUEUE_FULL, spread_ms (RETRY_AFTER_MS));
       return;
     }
   request->is_waiting = true;
@@ -213,7 +215,7 @@
 
   if (choice.kind == CHOICE_WAIT)
     {
-      wait_in_queue (request);
+      gateway_wait (request);
       return;
     }
   if (request->is_waiting)
@@ -228,22 +230,38 @@
   else if (request->may_have_run)
     gateway_refuse (request, ERROR_UPSTREAM_FAILED, 0);
   else if (choice.kind == CHOICE_HOPELESS)
-    gateway_refuse (request, ERROR_DEADLINE_UNMEETABLE, spread_ms ());
+    gateway_refuse (request, ERROR_DEADLINE_UNMEETABLE,
+                    spread_ms (choice.retry_ms));
   else
-    gateway_refuse (request, ERROR_NO_UPSTREAM, spread_ms ());
+    gateway_refuse (request, ERROR_NO_UPSTREAM, spread_ms (choice.retry_ms));
+}
+
+/** Whether its first event may still come within its target. */
+static bool
+is_in_time (const gateway_request_t *request, uint64_t now_ms)
+{
+  return now_ms + FIRST_EVENT_MS < request->begun_ms + request->route.target_ms;
 }
 
-/** Earliest target first: who would be late soonest. */
+/**
+ * Who may still be in time goes first, the earliest target before others: under
+ * overload it would otherwise be late, too, behind those that are late anyway.
+ */
 static gint
-compare_waiting (gconstpointer a, gconstpointer b)
+compare_waiting (gconstpointer a, gconstpointer b, gpointer context)
 {
   const gateway_request_t *one = *(const gateway_request_t *const *)a;
   const gateway_request_t *other = *(const gateway_request_t *const *)b;
+  uint64_t now_ms = *(const uint64_t *)context;
   uint64_t one_ms = one->begun_ms + one->route.target_ms;
   uint64_t other_ms = other->begun_ms + other->route.target_ms;
+  bool one_in_time = is_in_time (one, now_ms);
+  bool other_in_time = is_in_time (other, now_ms);
 
   if (one->route.priority != other->route.priority)
     return one->route.priority < other->route.priority ? -1 : 1;
+  if (one_in_time != other_in_time)
+    return one_in_time ? -1 : 1;
   return (one_ms > other_ms) - (one_ms < other_ms);
 }
 
@@ -253,10 +271,11 @@
   gateway_t *gateway = context;
   struct timeval later = { .tv_usec = QUEUE_EVERY_MS * 1000 };
   GPtrArray *all = g_ptr_array_new ();
+  uint64_t now_ms = clock_mono_ms ();
 
   for (guint i = 0; i < gateway->waiting->len; i++)
     g_ptr_array_add (all, g_ptr_array_index (gateway->waiting, i));
-  g_ptr_array_sort (all, compare_waiting);
+  g_ptr_array_sort_with_data (all, compare_waiting, &now_ms);
   for (guint i = 0; i < all->len; i++)
     gateway_place (g_ptr_array_index (all, i));
   g_ptr_array_free (all, TRUE);
@@ -272,8 +291,7 @@
 
   if (now_ms >= request->deadline_ms)
     {
-      if (request->exchange != NULL)
-        gateway_attempt_over (request, UPSTREAM_JOB_NEUTRAL);
+      gateway_attempt_over (request, UPSTREAM_JOB_NEUTRAL);
       if (request->is_begun)
         gateway_break (request, "deadline_passed");
       else
@@ -318,7 +336,7 @@
             terms->id, error_name (kind), host != NULL ? host : "-",
             caller_request_target (caller),
             (uintmax_t)gateway_config_number (gateway));
-  reply_error (caller, kind, terms->id, may_return ? spread_ms () : 0);
+  reply_error (caller, kind, terms->id, may_return ? spread_ms (RETRY_AFTER_MS) : 0);
 }
 
 /** Copies what the request needs of the configuration. */
@@ -429,8 +447,7 @@
     return;
   metric_add (gateway->counters.gone, 1);
   log_end (request, "caller_gone", 0);
-  if (request->exchange != NULL)
-    gateway_attempt_over (request, UPSTREAM_JOB_NEUTRAL);
+  gateway_attempt_over (request, UPSTREAM_JOB_NEUTRAL);
   talloc_free (request);
 }
 
@@ -558,6 +575,9 @@
   exchange_pool_options_t pool = { .base = options->base,
                                    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                    .idle_timeout_ms = IDLE_TIMEOUT_MS };
+  engine_memory_options_t memory = { .base = options->base,
+                                     .protocol = options->protocol,
+                                     .metrics = options->metrics };
   struct timeval every = { .tv_usec = TICK_MS * 1000 };
 
   gateway->options = *options;
@@ -569,6 +589,8 @@
   event_add (gateway->tick, &every);
   gateway->set = upstream_set_new (gateway, &set);
   gateway->pool = exchange_pool_new (gateway, &pool);
+  memory.pool = gateway->pool;
+  gateway->memory = engine_memory_new (gateway, &memory);
   gateway->retry = retry_new (gateway, options->metrics);
   add_counters (gateway);
   metrics_gauge_read (options->metrics, "lwm_gateway_waiting",
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -9,32 +9,51 @@
 #define LATE_FROM 0.7
 #define LATE_SURE 1.1
 /** The same for pauses between events. */
-#define PAUSE_FROM 0.75
+#define PAUSE_FROM 0.85
 #define PAUSE_SURE 1.0
+/** Time an engine writes a short answer. */
+#define ANSWER_S 1.8
 /** Worth of a short request, see upstream_job_value(). */
 #define NEXT_VALUE 18000.0
-/** A request waits rather than cost others this share of its own worth, until
- * it has used that share of its target. */
+/** A request whose target leaves much room waits rather than cost others this
+ * share of its own worth, until it has used that share of its target. */
 #define WAIT_DAMAGE 0.02
 #define WAIT_UNTIL  0.6
+#define WAIT_SLACK  0.35
+/** For oversize prompts: what others may lose, as a share of its worth, the
+ * share of engines that may read long prompts then, and how long it waits for
+ * that, as a share of its target. */
+#define HEAVY_DAMAGE  0.05
+#define HEAVY_BLOCKED 0.4
+#define HEAVY_WAIT    0.12
+/** A job is never quite read before its first event is seen. */
+#define UNSEEN_SHARE  0.1
+#define PART_GRACE_MS 60.0
 /** Each engine that helps to read may fail, and is kept from others. */
 #define PART_COST       0.001
 #define MIN_PART_TOKENS 3000
+/** Tickets for less are not worth their order. */
+#define MIN_TICKET_TOKENS    2000.0
+#define TICKET_ROUND_TRIP_MS 12.0
 /** Small preferences, as shares of the request's own worth. */
 #define EMPTY_COST      0.02
 #define CROWDED_COST    0.05
 #define OTHER_ZONE_COST 0.01
 #define SILENT_COST     0.3
 /** Requests that one engine holds, as a share of its slots. */
-#define SLOTS_SHARE 0.9
+#define SLOTS_SHARE 1.0
 /** Memory left free, for answers that grow longer than expected. */
 #define KV_SHARE 0.96
+/** The same where memory is reserved. */
+#define TICKET_SHARE 0.9
 /** A plain call that nothing is known of yet. */
 #define DEFAULT_CALL_MS 50.0
 /** Requests a plain upstream takes for each slot before others wait here. */
 #define PLAIN_QUEUE_SHARE  2.0
 #define SILENT_CALL_FACTOR 4.0
-#define MIN_RETRY_MS       200
+#define MIN_RETRY_MS 250
+/** Engines empty themselves in so long when long prompts ebb. */
+#define HEAVY_RETRY_MS 3000
 
 /** What runs on one engine now. */
 typedef struct
@@ -43,7 +62,6 @@
   uint32_t writers;
   uint32_t readers;
   double context_tokens; /* of the writers */
-  double unread_tokens;
   double unread_ms;
   double pass_read_ms; /* reading that may fall into one pass */
   double kv_tokens;
@@ -91,19 +109,6 @@
              : 0;
 }
 
-/** Time the job at the head of an engine's reading still needs. */
-static double
-remaining_read_ms (const engine_model_t *model,
-                   const upstream_job_t *job,
-                   double since_ms,
-                   double slowness)
-{
-  double whole_ms = part_ms (model, job) * slowness;
-
-  /* It is never quite done before its first event is seen. */
-  return fmax (whole_ms - since_ms, whole_ms * 0.1);
-}
-
 /** The longest reading part of one pass, for a part of a prompt. */
 static double
 pass_part_ms (const engine_model_t *model, double prompt, double part)
@@ -117,42 +122,61 @@
   return whole_ms * engine_pass_tokens (model) / prompt;
 }
 
+/** Counts those being written to, and what they keep. */
 static engine_state_t
-look_at (const engine_model_t *model,
-         const upstream_member_t *member,
-         uint64_t now_ms)
+look_at_writers (const upstream_member_t *member, uint64_t *free_ms)
 {
   engine_state_t state = { 0 };
-  uint64_t free_ms = 0; /* when the last job before was read */
 
+  *free_ms = 0;
   for (guint i = 0; i < member->jobs->len; i++)
     {
       const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
 
-      if (job->first_ms > free_ms)
-        free_ms = job->first_ms;
+      state.held += !job->is_part;
+      state.kv_tokens += job->kv_tokens;
+      if (job->first_ms == 0)
+        continue;
+      state.writers++;
+      state.context_tokens += job->read_tokens;
+      *free_ms = MAX (*free_ms, job->first_ms);
     }
+  return state;
+}
+
+/** Follows the engine's reading in the order in which it was sent. */
+static engine_state_t
+look_at (const engine_model_t *model,
+         const upstream_member_t *member,
+         uint64_t now_ms)
+{
+  uint64_t free_ms;
+  engine_state_t state = look_at_writers (member, &free_ms);
+  double begin_ms = state.writers > 0
+                        ? engine_pass_ms (model, state.writers,
+                                          state.context_tokens)
+                              / 2
+                        : 0;
+  double busy_ms = (double)free_ms; /* until when it reads */
+  double now = (double)now_ms;
+
   for (guint i = 0; i < member->jobs->len; i++)
     {
       const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
-      double since_ms = 0;
+      double read_ms = part_ms (model, job) * member->slowness;
 
-      state.held += !job->is_part;
-      state.kv_tokens += job->kv_tokens;
       if (job->first_ms > 0)
-        {
-          state.writers++;
-          state.context_tokens += job->prompt_tokens;
-          continue;
-        }
-      if (state.readers++ == 0)
-        since_ms = (double)(now_ms - MAX (free_ms, job->sent_ms));
-      state.unread_ms
-          += remaining_read_ms (model, job, since_ms, member->slowness);
-      state.unread_tokens += job->read_tokens;
+        continue;
+      busy_ms = fmax (busy_ms, (double)job->sent_ms + begin_ms) + read_ms;
+      /* A part's end is not told: it waits for the other parts. */
+      if (job->is_part && busy_ms + PART_GRACE_MS < now)
+        continue;
+      busy_ms = fmax (busy_ms, now + read_ms * UNSEEN_SHARE);
+      state.readers++;
       state.pass_read_ms
           += pass_part_ms (model, job->prompt_tokens, job->read_tokens);
     }
+  state.unread_ms = fmax (busy_ms - now, 0);
   return state;
 }
 
@@ -161,6 +185,7 @@
 {
   const upstream_member_t *member;
   engine_state_t state;
+  bool has_slot;  /* it was not full just now */
   bool has_room;  /* for the whole request */
   double write_ms; /* of a pass without reading */
   double preference;
@@ -228,20 +253,57 @@
   return loss;
 }
 
-/** What the next short request that could go there would lose. */
+/** What the engines of a service have to do, taken together. */
+typedef struct
+{
+  double arrivals_s; /* requests an engine gets in a second, on average */
+  double blocked;    /* share of engines that make those they write to late */
+} press_t;
+
+/**
+ * What requests would lose that come while the engine reads: they have to go
+ * elsewhere, which costs them more the fewer other engines are free.
+ */
 static double
-loss_of_next (const choice_request_t *request, double pause_ms)
+loss_of_next (const choice_request_t *request,
+              const press_t *press,
+              double pause_ms,
+              double read_ms)
 {
   if (request->shortest_gap_ms == 0)
     return 0;
-  return NEXT_VALUE * LATE_SHARE
+  return NEXT_VALUE * LATE_SHARE * press->arrivals_s * read_ms / 1000.0
+         * press->blocked
          * ramp (pause_ms, PAUSE_FROM * request->shortest_gap_ms,
                  PAUSE_SURE * request->shortest_gap_ms);
 }
 
+static press_t
+press_of (const choice_request_t *request,
+          const place_t *places,
+          uint32_t count)
+{
+  press_t press = { 0 };
+  uint32_t held = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const place_t *place = &places[i];
+
+      held += place->state.held;
+      if (place->write_ms + place->state.pass_read_ms
+          > PAUSE_FROM * request->shortest_gap_ms)
+        press.blocked += 1;
+    }
+  press.arrivals_s = held / ANSWER_S / fmax (count, 1);
+  press.blocked = (press.blocked + 1) / fmax (count, 1);
+  return press;
+}
+
 /** What a part of the prompt, read in @a read_ms, does at that engine. */
 static void
 weigh_part (const choice_request_t *request,
+            const press_t *press,
             place_t *place,
             double read_ms,
             double pass_read_ms)
@@ -252,7 +314,7 @@
       = (place->write_ms + state->pass_read_ms + pass_read_ms) * slowness;
 
   place->damage = loss_of_others (place->member, pause_ms)
-                  + loss_of_next (request, pause_ms);
+                  + loss_of_next (request, press, pause_ms, read_ms);
   place->ready_ms = state->unread_ms + read_ms * slowness;
   if (state->writers + state->readers > 0)
     place->ready_ms
@@ -324,6 +386,7 @@
 /** Weighs reading the prompt in @a parts parts. */
 static void
 weigh_parts (const choice_request_t *request,
+             const press_t *press,
              place_t *places,
              uint32_t count,
              uint32_t parts,
@@ -342,7 +405,7 @@
   uint32_t taken = 1;
 
   for (uint32_t i = 0; i < count; i++)
-    weigh_part (request, &places[i], read_ms, pass_read_ms);
+    weigh_part (request, press, &places[i], read_ms, pass_read_ms);
   sort_places (request, places, count, value);
   writer = find_writer (places, count, value);
   if (writer < 0)
@@ -373,6 +436,134 @@
   best->first_ms = ready_ms;
 }
 
+static bool
+is_oversize (const choice_request_t *request)
+{
+  return (double)request->prompt_tokens + request->answer_tokens
+         > (double)request->model->kv_tokens * KV_SHARE;
+}
+
+/** Memory that is free there, with some left for what is not known of. */
+static double
+free_tokens (const choice_request_t *request, const place_t *place)
+{
+  double slots = place->member->slots > 0 ? place->member->slots
+                                          : request->model->slots;
+
+  if (place->state.held + 1 > slots || !place->has_slot)
+    return 0;
+  return fmax ((double)request->model->kv_tokens * TICKET_SHARE
+                   - place->state.kv_tokens,
+               0);
+}
+
+/** Puts the engines with the most free memory first. */
+static void
+sort_by_memory (const choice_request_t *request,
+                place_t *places,
+                uint32_t count)
+{
+  for (uint32_t i = 1; i < count; i++)
+    {
+      place_t place = places[i];
+      double tokens = free_tokens (request, &place);
+      uint32_t at = i;
+
+      while (at > 0 && free_tokens (request, &places[at - 1]) < tokens)
+        {
+          places[at] = places[at - 1];
+          at--;
+        }
+      places[at] = place;
+    }
+}
+
+/**
+ * Lays an oversize prompt over the engines with the most memory: the first
+ * writes, and the next ones keep what it cannot hold.
+ * @return whether there is memory enough in @a parts engines
+ */
+static bool
+lay_memory (const choice_request_t *request,
+            place_t *places,
+            uint32_t count,
+            uint32_t parts,
+            choice_t *choice)
+{
+  double missing
+      = (double)request->prompt_tokens + request->answer_tokens;
+
+  sort_by_memory (request, places, count);
+  missing -= free_tokens (request, &places[0]);
+  for (uint32_t i = 1;
+       i < parts && missing > 0 && choice->memory_count < CHOICE_MAX_TICKETS;
+       i++)
+    {
+      double taken = fmin (missing, free_tokens (request, &places[i]));
+
+      if (taken < MIN_TICKET_TOKENS)
+        taken = fmin (MIN_TICKET_TOKENS, free_tokens (request, &places[i]));
+      choice->memory_tokens[choice->memory_count++] = (uint32_t)ceil (taken);
+      missing -= taken;
+    }
+  return missing <= 0;
+}
+
+/** Weighs an oversize prompt in @a parts parts. */
+static void
+weigh_oversize (const choice_request_t *request,
+                const press_t *press,
+                place_t *places,
+                uint32_t count,
+                uint32_t parts,
+                choice_t *best)
+{
+  choice_t choice = { .kind = CHOICE_SEND, .usable = best->usable };
+  double tokens = request->prompt_tokens;
+  double value
+      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
+  double read_ms = engine_read_ms (request->model, tokens) / parts;
+  double pass_read_ms = pass_part_ms (request->model, tokens, tokens / parts);
+  uint32_t keepers;
+
+  if (!lay_memory (request, places, count, parts, &choice))
+    return;
+  for (uint32_t i = 0; i < count; i++)
+    weigh_part (request, press, &places[i], read_ms, pass_read_ms);
+  keepers = 1 + choice.memory_count;
+  sort_places (request, places + keepers, count - keepers, value);
+  for (uint32_t i = 0; i < parts; i++)
+    {
+      choice.damage += places[i].damage;
+      choice.first_ms = fmax (choice.first_ms, places[i].ready_ms);
+      if (i > 0)
+        choice.helpers[choice.helper_count++] = places[i].member;
+    }
+  choice.first_ms += places[0].write_ms + TICKET_ROUND_TRIP_MS;
+  choice.loss = choice.damage + PART_COST * (parts - 1) * value
+                + own_loss (request, choice.first_ms, value);
+  choice.member = places[0].member;
+  if (best->member == NULL || choice.loss < best->loss)
+    *best = choice;
+}
+
+/**
+ * An oversize prompt takes as much reading as a hundred short ones: only where
+ * that makes nobody late and leaves most engines to others.
+ */
+static bool
+is_too_heavy (const choice_request_t *request,
+              const press_t *press,
+              const choice_t *best)
+{
+  double value
+      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
+  double taken = (best->helper_count + 1.0) / fmax (best->usable, 1);
+
+  return best->damage > HEAVY_DAMAGE * value
+         || press->blocked + taken > HEAVY_BLOCKED;
+}
+
 /** Waiting a little costs nothing while the target is far off. */
 static bool
 should_wait (const choice_request_t *request, const choice_t *best)
@@ -381,6 +572,7 @@
       = upstream_job_value (request->prompt_tokens, request->answer_tokens);
 
   return best->damage > WAIT_DAMAGE * value
+         && best->first_ms < WAIT_SLACK * request->target_ms
          && best->first_ms + request->waited_ms
                 < WAIT_UNTIL * request->target_ms;
 }
@@ -394,6 +586,7 @@
   static const uint32_t parts[] = { 1, 2, 3, 4, 6, 8, 11, 16 };
   choice_t best = { .kind = CHOICE_NONE };
   place_t places[MAX_PLACES];
+  press_t press;
   size_t count;
   const upstream_member_t *const *members = upstream_set_members (set, &count);
 
@@ -407,6 +600,7 @@
         continue;
       place->member = member;
       place->state = look_at (request->model, member, now_ms);
+      place->has_slot = member->full_until_ms <= now_ms;
       place->has_room = has_room (request, member, &place->state, now_ms);
       place->preference = preference (request, member, &place->state);
       place->write_ms
@@ -414,6 +608,7 @@
                             place->state.context_tokens);
       best.usable++;
     }
+  press = press_of (request, places, best.usable);
   for (size_t i = 0; i < sizeof parts / sizeof *parts; i++)
     {
       uint32_t number = MIN (parts[i], best.usable);
@@ -422,9 +617,17 @@
           && (number <= parts[i - 1]
               || request->prompt_tokens / number < MIN_PART_TOKENS))
         break;
-      weigh_parts (request, places, best.usable, number, &best);
+      if (is_oversize (request))
+        weigh_oversize (request, &press, places, best.usable, number, &best);
+      else
+        weigh_parts (request, &press, places, best.usable, number, &best);
     }
-  if (best.member != NULL)
+  if (best.member != NULL && is_oversize (request)
+      && is_too_heavy (request, &press, &best))
+    best.kind = request->waited_ms < HEAVY_WAIT * request->target_ms
+                    ? CHOICE_WAIT
+                    : CHOICE_HOPELESS;
+  else if (best.member != NULL)
     best.kind = should_wait (request, &best) ? CHOICE_WAIT : CHOICE_SEND;
   else if (best.usable > 0)
     best.kind = CHOICE_WAIT;
@@ -528,7 +731,9 @@
       && engine_read_ms (request->model, request->prompt_tokens)
              > request->left_ms)
     choice.kind = CHOICE_HOPELESS;
-  choice.retry_ms = MIN_RETRY_MS;
+  choice.retry_ms = request->model != NULL && is_oversize (request)
+                        ? HEAVY_RETRY_MS
+                        : MIN_RETRY_MS;
   return choice;
 }
 
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -10,6 +10,8 @@
  * that writes the answer also keeps the prompt's memory. A request that would
  * make others late waits while its own target allows it.
  *
+ * A prompt that no engine can hold takes memory at some of its helpers, too.
+ *
  * Plain services take the least expected time, own availability zone first.
  */
 #ifndef UPSTREAM_CHOICE_H
@@ -23,6 +25,7 @@
 #include "upstream-set.h"
 
 #define CHOICE_MAX_HELPERS 15
+#define CHOICE_MAX_TICKETS 4
 
 typedef enum
 {
@@ -58,6 +61,9 @@
   /** Engines that read parts of the prompt with it. */
   const upstream_member_t *helpers[CHOICE_MAX_HELPERS];
   uint32_t helper_count;
+  /** Memory for the prompt at the first of the helpers, in tokens. */
+  uint32_t memory_tokens[CHOICE_MAX_TICKETS];
+  uint32_t memory_count;
   double first_ms;   /**< predicted time to the first event there */
   double damage;     /**< what others would lose */
   double loss;       /**< predicted, in upstream_job_value() units */
