control: come back quickly and without old revisions

After a power loss entry instances were ready 2.7 s after their start and went through every old revision on the way (one 404 seen). Cause: the control group waited a full election timeout at its start, connections were tried again up to a second apart, and each applied entry was pushed.

--- a/control-client.c
+++ b/control-client.c
@@ -17,7 +17,9 @@
 #define RESEND_MS        400 /* without an answer: ask another replica */
 #define NO_LEADER_MS     100 /* between tries while no leader is known */
 #define WATCH_EVERY_MS   1000
+#define WATCH_FIRST_MS   100 /* while no revision is known */
 #define WATCH_SILENCE_MS 2500
+#define FIRST_STALE_MS   2000
 #define BEHIND_MS        100 /* the home may push a revision a bit later */
 #define SILENT_MS        150 /* without an answer: others are asked first */
 #define SILENT_RETRY_MS  1000
@@ -77,6 +79,7 @@
   uint64_t last_id;
   struct event *tick;
   size_t home; /* peer that pushes revisions */
+  uint64_t started_ms;
   uint64_t home_heard_ms;
   uint64_t known;
   uint64_t behind_since_ms; /* another replica has a later revision; 0: none */
@@ -290,13 +293,24 @@
     client->options.on_directory (part, client->options.context);
 }
 
+/**
+ * Whether a revision may be used: the first one must not come from a replica
+ * that may be late, unless no other is found for a while.
+ */
+static bool
+may_take (const control_client_t *client, const Lwm__ControlAnswer *answer)
+{
+  return !answer->stale || client->known > 0
+         || client->started_ms + FIRST_STALE_MS < clock_mono_ms ();
+}
+
 /** The answer of a replica that is watched, or its push. */
 static void
 take_watch (control_client_t *client,
             peer_t *peer,
             const Lwm__ControlAnswer *answer)
 {
-  if (answer->revision != NULL)
+  if (answer->revision != NULL && may_take (client, answer))
     {
       take_revision (client, answer->revision);
       client->behind_since_ms = 0;
@@ -402,7 +416,8 @@
   size_t size_bytes;
   uint8_t *data;
 
-  peer->watch_due_ms = now_ms + WATCH_EVERY_MS;
+  peer->watch_due_ms
+      = now_ms + (client->known > 0 ? WATCH_EVERY_MS : WATCH_FIRST_MS);
   what.known = client->known;
   what.no_config = !is_home || client->options.on_revision == NULL;
   what.directory = client->options.on_directory != NULL;
@@ -532,7 +547,7 @@
     add_peer (client, options->peers[i]);
   if (client->peer_count > 0)
     client->next = client->home = random_id () % client->peer_count;
-  client->home_heard_ms = clock_mono_ms ();
+  client->home_heard_ms = client->started_ms = clock_mono_ms ();
   add_counters (client);
   client->tick = event_new (options->base, -1, EV_PERSIST, on_tick, client);
   event_add (client->tick, &every);
--- a/control-directory.c
+++ b/control-directory.c
@@ -1,9 +1,13 @@
 #include "control-directory.h"
 
+#include <errno.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "base.h"
 #include "control-internal.h"
+#include "file.h"
+#include "frame.h"
 #define LOG_PART "directory"
 #include "logging.h"
 
@@ -12,14 +16,87 @@
 #define SILENT_ANNOUNCEMENTS 4
 #define DEFAULT_ANNOUNCE_MS  1200
 
+/** The directory's file in the data folder: what it says is only a hint. */
+#define FILE_NAME     "directory"
+#define SAVE_EVERY_MS 500
+
 struct control_directory
 {
   control_server_t *server;
   directory_t *directory;
   uint64_t epoch;
   uint64_t due_ms;
+  uint64_t save_due_ms;
+  uint64_t saved_version;
 };
 
+static Lwm__ControlUpstream *copy_entry (const directory_entry_t *entry,
+                                         void *parent);
+
+/** Those that were there before the restart; silent until they announce. */
+static void
+recover (control_directory_t *directory)
+{
+  void *scratch = talloc_new (directory);
+  char *path = talloc_asprintf (scratch, "%s/%s",
+                                directory->server->options.folder, FILE_NAME);
+  size_t size_bytes = 0;
+  uint8_t *data = file_read (scratch, path, &size_bytes);
+  Lwm__ControlDirectoryFile *file = NULL;
+  frame_t frame;
+
+  if (data != NULL && frame_decode (data, size_bytes, &frame) == FRAME_OK)
+    file = lwm__control_directory_file__unpack (NULL, frame.payload_bytes,
+                                                frame.payload);
+  if (file != NULL)
+    {
+      for (size_t i = 0; i < file->n_upstreams; i++)
+        {
+          directory_statement_t statement
+              = control_directory_statement (file->upstreams[i]);
+
+          if (statement.state == DIRECTORY_READY)
+            statement.state = DIRECTORY_SILENT;
+          directory_put (directory->directory, &statement, clock_mono_ms ());
+        }
+      log_info ("Recovered the directory. upstreams=%zu", file->n_upstreams);
+      lwm__control_directory_file__free_unpacked (file, NULL);
+    }
+  talloc_free (scratch);
+}
+
+static void
+save (control_directory_t *directory, uint64_t now_ms)
+{
+  Lwm__ControlDirectoryFile file = LWM__CONTROL_DIRECTORY_FILE__INIT;
+  uint64_t version = directory_version (directory->directory);
+  void *scratch;
+  const directory_entry_t *const *entries;
+  size_t size_bytes;
+  size_t count;
+  uint8_t *data;
+
+  if (version == directory->saved_version || now_ms < directory->save_due_ms)
+    return;
+  scratch = talloc_new (directory);
+  directory->save_due_ms = now_ms + SAVE_EVERY_MS;
+  directory->saved_version = version;
+  entries = directory_entries (directory->directory, &count);
+  file.upstreams
+      = talloc_array (scratch, Lwm__ControlUpstream *, (unsigned)count + 1);
+  for (size_t i = 0; i < count; i++)
+    if (entries[i]->said.state != DIRECTORY_GONE)
+      file.upstreams[file.n_upstreams++] = copy_entry (entries[i], scratch);
+  size_bytes = lwm__control_directory_file__get_packed_size (&file);
+  data = talloc_size (scratch, size_bytes + 1);
+  lwm__control_directory_file__pack (&file, data);
+  data = frame_encode (scratch, version, data, size_bytes, &size_bytes);
+  if (!file_try_replace (directory->server->options.folder, FILE_NAME, data,
+                         size_bytes))
+    log_warn ("Cannot keep the directory on disk. error=%s", strerror (errno));
+  talloc_free (scratch);
+}
+
 control_directory_t *
 control_directory_new (control_server_t *server)
 {
@@ -28,6 +105,7 @@
   directory->server = server;
   directory->directory = directory_new (directory);
   directory->epoch = random_id ();
+  recover (directory);
   return directory;
 }
 
@@ -140,6 +218,7 @@
   uint64_t version = control_directory_version (directory);
   uint32_t announce_ms = directory->server->options.announce_ms;
 
+  save (directory, now_ms);
   if (now_ms < directory->due_ms)
     return;
   directory->due_ms = now_ms + TICK_MS;
--- a/control-requests.c
+++ b/control-requests.c
@@ -175,11 +175,13 @@
     wait_for (requests, from, index);
 }
 
-/** Whether the replica has lost its leader, or leads without a quorum. */
+/** Whether the replica has lost its leader, leads without a quorum, or has not
+ * applied yet what it knows to be committed. */
 static bool
 is_stale (const control_server_t *server)
 {
-  return !raft_in_touch (server->raft, clock_mono_ms ());
+  return !raft_in_touch (server->raft, clock_mono_ms ())
+         || server->applied < raft_status (server->raft).commit;
 }
 
 static void
--- a/control-server.c
+++ b/control-server.c
@@ -225,7 +225,6 @@
   Lwm__ControlCommand *command
       = lwm__control_command__unpack (NULL, entry->data.len, entry->data.data);
   Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
-  uint64_t before = statemachine_revision (server->machine)->number;
 
   if (command == NULL)
     die ("log entry %ju is malformed", (uintmax_t)entry->index);
@@ -234,8 +233,6 @@
   control_requests_applied (server->requests, entry->index, entry->term,
                             &answer);
   lwm__control_command__free_unpacked (command, NULL);
-  if (statemachine_revision (server->machine)->number != before)
-    control_requests_push (server->requests);
 }
 
 static void
@@ -243,6 +240,7 @@
 {
   const Lwm__ControlEntry *entry;
   Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
+  uint64_t before = statemachine_revision (server->machine)->number;
 
   while ((entry = raft_next_committed (server->raft)) != NULL)
     {
@@ -253,6 +251,9 @@
         control_requests_applied (server->requests, entry->index, entry->term,
                                   &answer);
     }
+  /* The last only: a restart applies what has long been overtaken. */
+  if (statemachine_revision (server->machine)->number != before)
+    control_requests_push (server->requests);
 }
 
 static void
--- a/file.c
+++ b/file.c
@@ -95,6 +95,27 @@
   talloc_free (path);
 }
 
+bool
+file_try_replace (const char *folder,
+                  const char *name,
+                  const uint8_t *data,
+                  size_t size_bytes)
+{
+  char *path = talloc_asprintf (NULL, "%s/%s", folder, name);
+  char *temporary = talloc_asprintf (path, "%s.tmp", path);
+  int fd
+      = open (temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+  bool good = fd >= 0
+              && write (fd, data, size_bytes) == (ssize_t)size_bytes
+              && fdatasync (fd) == 0;
+
+  if (fd >= 0)
+    close (fd);
+  good = good && rename (temporary, path) == 0;
+  talloc_free (path);
+  return good;
+}
+
 uint8_t *
 file_read (void *parent, const char *path, size_t *size_bytes)
 {
--- a/file.h
+++ b/file.h
@@ -8,6 +8,7 @@
 #ifndef FILE_H
 #define FILE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -33,6 +34,15 @@
                    size_t size_bytes,
                    const char *prefix);
 
+/**
+ * The same for what may be lost: a failure changes nothing and ends nothing.
+ * @return false with errno set when the disk refused
+ */
+bool file_try_replace (const char *folder,
+                       const char *name,
+                       const uint8_t *data,
+                       size_t size_bytes);
+
 /**
  * Reads a whole file.
  * @return freed with @a parent (talloc); NULL when there is none. Other errors
--- a/mq.c
+++ b/mq.c
@@ -11,6 +11,11 @@
 
 #define MAX_FRAMES             8
 #define DEFAULT_QUEUE_MESSAGES 1000
+#define RECONNECT_MS           100
+#define RECONNECT_MAX_MS       300
+#define CONNECT_TIMEOUT_MS     500
+#define HEARTBEAT_MS           700
+#define SILENCE_MS             1400
 #define DRAIN_LIMIT            256 /* messages handled before other events get a turn */
 
 struct mq
@@ -115,14 +120,28 @@
   int queue = options->queue_messages > 0 ? (int)options->queue_messages
                                           : DEFAULT_QUEUE_MESSAGES;
   int on = 1;
-  int reconnect_max_ms = 1000;
+  int reconnect_ms = RECONNECT_MS;
+  int reconnect_max_ms = RECONNECT_MAX_MS;
+  int connect_timeout_ms = CONNECT_TIMEOUT_MS;
+  int silence_ms = SILENCE_MS;
+  int heartbeat_ms = HEARTBEAT_MS;
   char endpoint[96];
 
   zmq_setsockopt (mq->socket, ZMQ_LINGER, &linger_ms, sizeof linger_ms);
   zmq_setsockopt (mq->socket, ZMQ_SNDHWM, &queue, sizeof queue);
   zmq_setsockopt (mq->socket, ZMQ_RCVHWM, &queue, sizeof queue);
+  zmq_setsockopt (mq->socket, ZMQ_RECONNECT_IVL, &reconnect_ms,
+                  sizeof reconnect_ms);
   zmq_setsockopt (mq->socket, ZMQ_RECONNECT_IVL_MAX, &reconnect_max_ms,
                   sizeof reconnect_max_ms);
+  zmq_setsockopt (mq->socket, ZMQ_CONNECT_TIMEOUT, &connect_timeout_ms,
+                  sizeof connect_timeout_ms);
+  /* A connection may fall silent for good without being reset. */
+  zmq_setsockopt (mq->socket, ZMQ_TCP_MAXRT, &silence_ms, sizeof silence_ms);
+  zmq_setsockopt (mq->socket, ZMQ_HEARTBEAT_IVL, &heartbeat_ms,
+                  sizeof heartbeat_ms);
+  zmq_setsockopt (mq->socket, ZMQ_HEARTBEAT_TIMEOUT, &silence_ms,
+                  sizeof silence_ms);
   if (options->type == ZMQ_ROUTER)
     {
       zmq_setsockopt (mq->socket, ZMQ_ROUTER_MANDATORY, &on, sizeof on);
--- a/raft.c
+++ b/raft.c
@@ -266,7 +266,9 @@
   if (raft->role == RAFT_LEADER)
     raft_leader_tick (raft);
   else if (raft->deadline_ms == 0)
-    raft_internal_wait (raft);
+    /* Just started: a leader that is there is heard within a heartbeat, and
+     * those that hear it refuse the pre-vote. */
+    wait_between (raft, raft->options.heartbeat_ms, raft->options.heartbeat_ms);
   else if (raft->deadline_ms <= now_ms && raft_internal_is_voter (raft))
     pre_campaign (raft);
 }
