--- a/caller-server.c
+++ b/caller-server.c
@@ -309,6 +309,14 @@
   server->is_draining = true;
 }
 
+void
+caller_server_close_listener (caller_server_t *server)
+{
+  if (server->listener != NULL)
+    evconnlistener_free (server->listener);
+  server->listener = NULL;
+}
+
 void
 caller_server_close_idle (caller_server_t *server)
 {
--- a/caller-server.h
+++ b/caller-server.h
@@ -58,6 +58,9 @@
 /** Tells callers on each answer that the connection ends with it. */
 void caller_server_drain (caller_server_t *server);
 
+/** Refuses new connections: callers try elsewhere at once. */
+void caller_server_close_listener (caller_server_t *server);
+
 /** Closes connections on which nothing is asked. */
 void caller_server_close_idle (caller_server_t *server);
 
--- a/gateway.c
+++ b/gateway.c
@@ -649,8 +649,9 @@
 }
 
 void
-gateway_close_idle (gateway_t *gateway)
+gateway_close (gateway_t *gateway)
 {
+  caller_server_close_listener (gateway->callers);
   caller_server_close_idle (gateway->callers);
 }
 
--- a/gateway.h
+++ b/gateway.h
@@ -106,9 +106,11 @@
 
 load_share_t *gateway_share (gateway_t *gateway);
 
-/** Answers say that their connection ends; idle ones are closed on demand. */
+/** Begins to stop: answers say that their connection ends. */
 void gateway_drain (gateway_t *gateway);
-void gateway_close_idle (gateway_t *gateway);
+
+/** Takes no new connection, and closes those on which nothing is asked. */
+void gateway_close (gateway_t *gateway);
 
 /** Requests that are open. */
 uint32_t gateway_open_requests (const gateway_t *gateway);
--- a/node-entry.c
+++ b/node-entry.c
@@ -121,6 +121,7 @@
   if (entry->stop_ms > 0)
     return;
   entry->stop_ms = clock_mono_ms ();
+  gateway_drain (entry->gateway);
   log_info ("Stopping. open_requests=%u",
             gateway_open_requests (entry->gateway));
 }
@@ -156,8 +157,7 @@
 
   if (passed_ms < DRAIN_MS)
     return;
-  gateway_drain (entry->gateway);
-  gateway_close_idle (entry->gateway);
+  gateway_close (entry->gateway);
   if (gateway_open_requests (entry->gateway) > 0
       && passed_ms + STOP_MARGIN_MS < limit_ms)
     return;
