--- a/engine-memory.c
+++ b/engine-memory.c
@@ -13,11 +13,11 @@
 /** A ticket nobody uses runs out before engines count it as forgotten. */
 #define HOLD_MS 7000
 /** One that is in use is renewed in time. */
-#define RENEW_MS        4500
-#define ANSWER_MS       500
+#define RENEW_MS         4500
+#define ANSWER_MS        500
 #define RELEASE_AGAIN_MS 250
-#define RELEASE_TRIES   20
-#define STATUS_OK       200
+#define RELEASE_TRIES    20
+#define STATUS_OK        200
 
 typedef enum
 {
@@ -71,9 +71,8 @@
   memory->instance = random_id ();
   memory->asked = metrics_counter (metrics, "lwm_engine_memory_asked_total",
                                    "Orders that reserve engine memory.", NULL);
-  memory->refused
-      = metrics_counter (metrics, "lwm_engine_memory_refused_total",
-                         "Reservations not granted.", NULL);
+  memory->refused = metrics_counter (metrics, "lwm_engine_memory_refused_total",
+                                     "Reservations not granted.", NULL);
   memory->released
       = metrics_counter (metrics, "lwm_engine_memory_released_total",
                          "Reservations given back.", NULL);
@@ -96,8 +95,8 @@
 static void
 set_timer (engine_ticket_t *ticket, uint32_t wait_ms)
 {
-  struct timeval wait = { .tv_sec = wait_ms / 1000,
-                          .tv_usec = (wait_ms % 1000) * 1000 };
+  struct timeval wait
+      = { .tv_sec = wait_ms / 1000, .tv_usec = (wait_ms % 1000) * 1000 };
 
   event_add (ticket->timer, &wait);
 }
@@ -223,8 +222,8 @@
 static void
 release (engine_ticket_t *ticket)
 {
-  send_order (ticket, ticket->memory->options.protocol->write_release (
-                          ticket->name));
+  send_order (ticket,
+              ticket->memory->options.protocol->write_release (ticket->name));
 }
 
 static void
@@ -259,8 +258,7 @@
   ticket->tokens = options->tokens;
   ticket->done = options->done;
   ticket->context = options->context;
-  ticket->timer
-      = event_new (memory->options.base, -1, 0, on_timer, ticket);
+  ticket->timer = event_new (memory->options.base, -1, 0, on_timer, ticket);
   memory->open++;
   talloc_set_destructor (ticket, free_ticket);
   metric_add (memory->asked, 1);
--- a/file.c
+++ b/file.c
@@ -105,8 +105,7 @@
   char *temporary = talloc_asprintf (path, "%s.tmp", path);
   int fd
       = open (temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
-  bool good = fd >= 0
-              && write (fd, data, size_bytes) == (ssize_t)size_bytes
+  bool good = fd >= 0 && write (fd, data, size_bytes) == (ssize_t)size_bytes
               && fdatasync (fd) == 0;
 
   if (fd >= 0)
--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -16,7 +16,7 @@
 /** Pauses between events, in times of what the caller accepts. */
 #define GAP_HANGS_FACTOR 4.0
 #define GAP_HANGS_MIN_MS 1200
-#define LOOK_AGAIN_MS      500
+#define LOOK_AGAIN_MS    500
 /** Predictions of an engine's silence are this rough. */
 #define SILENCE_FACTOR 2.0
 /** Requests that may be read while a shorter one waits are less urgent. */
@@ -219,9 +219,8 @@
 
   if (request->engine == NULL)
     return false;
-  expected_ms = upstream_choice_silence_ms (request->gateway->set,
-                                            request->upstream_key,
-                                            request->engine, now_ms);
+  expected_ms = upstream_choice_silence_ms (
+      request->gateway->set, request->upstream_key, request->engine, now_ms);
   return (double)(now_ms - last_ms) < expected_ms * SILENCE_FACTOR;
 }
 
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -68,8 +68,8 @@
   gateway_terms_t terms;
   gateway_route_t route; /* copied: a new configuration may come */
   const char *service;
-  engine_model_t *engine; /* NULL: a plain service */
-  const char *customer;   /* or NULL */
+  engine_model_t *engine;   /* NULL: a plain service */
+  const char *customer;     /* or NULL */
   uint32_t shortest_gap_ms; /* that any route of the service aims at */
   uint64_t config_number;
   uint64_t begun_ms;
@@ -93,7 +93,7 @@
   uint32_t helper_count;
   uint32_t memory_count;    /* the first of them keep memory to the end */
   uint32_t tickets_missing; /* not held yet */
-  uint64_t attempt_ms; /* when it was sent */
+  uint64_t attempt_ms;      /* when it was sent */
   double predicted_ms;
   bool has_head;
   bool is_foreign; /* the answer is not this request's */
@@ -146,7 +146,8 @@
 void gateway_end_jobs (gateway_request_t *request, upstream_job_end_t how);
 
 /** Who helps, as the upstream is told; NULL for nobody. */
-const char *gateway_helper_list (void *parent, const gateway_request_t *request);
+const char *gateway_helper_list (void *parent,
+                                 const gateway_request_t *request);
 
 /** Lets it wait in the queue. */
 void gateway_wait (gateway_request_t *request);
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -112,9 +112,8 @@
     begin_stream (request);
   caller_reply_data (request->caller, event->data, event->size_bytes);
   if (request->last_event_ms > 0)
-    request->longest_gap_ms
-        = MAX (request->longest_gap_ms,
-               (uint32_t)(now_ms - request->last_event_ms));
+    request->longest_gap_ms = MAX (request->longest_gap_ms,
+                                   (uint32_t)(now_ms - request->last_event_ms));
   request->event_count++;
   request->last_event_ms = now_ms;
   return true;
--- a/gateway.c
+++ b/gateway.c
@@ -336,7 +336,8 @@
             terms->id, error_name (kind), host != NULL ? host : "-",
             caller_request_target (caller),
             (uintmax_t)gateway_config_number (gateway));
-  reply_error (caller, kind, terms->id, may_return ? spread_ms (RETRY_AFTER_MS) : 0);
+  reply_error (caller, kind, terms->id,
+               may_return ? spread_ms (RETRY_AFTER_MS) : 0);
 }
 
 /** Copies what the request needs of the configuration. */
--- /dev/null
+++ b/t/t8000-http-reader.c
@@ -0,0 +1,235 @@
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "http-reader.h"
+
+/** What a reader handed on. */
+typedef struct
+{
+  http_reader_t *reader;
+  GString *body;
+  uint32_t heads;
+} fixture_t;
+
+static void
+on_head (void *context)
+{
+  ((fixture_t *)context)->heads++;
+}
+
+static void
+on_body (const uint8_t *data, size_t size_bytes, void *context)
+{
+  g_string_append_len (((fixture_t *)context)->body, (const char *)data,
+                       (gssize)size_bytes);
+}
+
+static fixture_t *
+fixture_new (http_reader_kind_t kind)
+{
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+  http_reader_options_t options = { .kind = kind,
+                                    .max_head_bytes = 1000,
+                                    .on_head = on_head,
+                                    .on_body = on_body,
+                                    .context = fixture };
+
+  fixture->body = g_string_new (NULL);
+  fixture->reader = http_reader_new (NULL, &options);
+  return fixture;
+}
+
+static void
+fixture_free (fixture_t *fixture)
+{
+  talloc_free (fixture->reader);
+  g_string_free (fixture->body, TRUE);
+  g_free (fixture);
+}
+
+static http_reader_result_t
+feed (fixture_t *fixture, const char *text, size_t *used)
+{
+  return http_reader_feed (fixture->reader, (const uint8_t *)text,
+                           strlen (text), used);
+}
+
+/** Feeds one byte at a time, as a slow network does. */
+static http_reader_result_t
+feed_slowly (fixture_t *fixture, const char *text)
+{
+  http_reader_result_t result = HTTP_READER_MORE;
+
+  for (; *text != '\0' && result == HTTP_READER_MORE; text++)
+    {
+      size_t used;
+
+      result
+          = http_reader_feed (fixture->reader, (const uint8_t *)text, 1, &used);
+    }
+  return result;
+}
+
+static void
+test_request (void)
+{
+  fixture_t *fixture = fixture_new (HTTP_READER_REQUEST);
+  const http_fields_t *fields;
+
+  g_assert_cmpint (feed_slowly (fixture, "POST /a/b?c=d HTTP/1.1\r\n"
+                                         "Host: h\r\nX-Long:  value \r\n"
+                                         "Content-Length: 3\r\n\r\nabc"),
+                   ==, HTTP_READER_END);
+  fields = http_reader_fields (fixture->reader);
+  g_assert_cmpstr (http_reader_method (fixture->reader), ==, "POST");
+  g_assert_cmpstr (http_reader_target (fixture->reader), ==, "/a/b?c=d");
+  g_assert_cmpstr (http_fields_find (fields, "host"), ==, "h");
+  g_assert_cmpstr (fixture->body->str, ==, "abc");
+  g_assert_true (http_reader_keeps_alive (fixture->reader));
+  fixture_free (fixture);
+}
+
+/** Bytes after a message belong to nobody: they are not taken. */
+static void
+test_bytes_after_answer (void)
+{
+  fixture_t *fixture = fixture_new (HTTP_READER_RESPONSE);
+  const char *answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  char *text = g_strconcat (answer, "HTTP/1.1 200 OK\r\n", NULL);
+  size_t used;
+
+  g_assert_cmpint (feed (fixture, text, &used), ==, HTTP_READER_END);
+  g_assert_cmpuint (used, ==, strlen (answer));
+  g_assert_cmpstr (fixture->body->str, ==, "ok");
+  g_free (text);
+  fixture_free (fixture);
+}
+
+static void
+test_chunks (void)
+{
+  fixture_t *fixture = fixture_new (HTTP_READER_RESPONSE);
+
+  g_assert_cmpint (feed_slowly (fixture, "HTTP/1.1 200 OK\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n"
+                                         "2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n"),
+                   ==, HTTP_READER_END);
+  g_assert_cmpstr (fixture->body->str, ==, "abcde");
+  fixture_free (fixture);
+}
+
+/** Only an answer without length may end with its connection. */
+static void
+test_close (void)
+{
+  static const struct
+  {
+    const char *text;
+    http_reader_result_t result;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\n\r\nabc", HTTP_READER_END },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", HTTP_READER_ERROR },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      HTTP_READER_ERROR },
+    { "HTTP/1.1 200 OK\r\nContent-Le", HTTP_READER_ERROR },
+    { "", HTTP_READER_ERROR },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t *fixture = fixture_new (HTTP_READER_RESPONSE);
+      size_t used;
+
+      g_assert_cmpint (feed (fixture, cases[i].text, &used), ==,
+                       HTTP_READER_MORE);
+      g_assert_cmpint (http_reader_close (fixture->reader), ==,
+                       cases[i].result);
+      fixture_free (fixture);
+    }
+}
+
+static void
+test_interim (void)
+{
+  fixture_t *fixture = fixture_new (HTTP_READER_RESPONSE);
+  size_t used;
+
+  g_assert_cmpint (feed (fixture,
+                         "HTTP/1.1 100 Continue\r\n\r\n"
+                         "HTTP/1.1 204 No Content\r\n\r\n",
+                         &used),
+                   ==, HTTP_READER_END);
+  g_assert_cmpuint (http_reader_status (fixture->reader), ==, 204);
+  g_assert_cmpuint (fixture->heads, ==, 1);
+  fixture_free (fixture);
+}
+
+static void
+test_no_body (void)
+{
+  fixture_t *fixture = fixture_new (HTTP_READER_RESPONSE);
+  size_t used;
+
+  http_reader_expect_no_body (fixture->reader);
+  g_assert_cmpint (
+      feed (fixture, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", &used), ==,
+      HTTP_READER_END);
+  fixture_free (fixture);
+}
+
+static void
+test_malformed (void)
+{
+  char *long_head = g_strnfill (2000, 'a');
+  char *too_long
+      = g_strdup_printf ("GET / HTTP/1.1\r\nX: %s\r\n\r\n", long_head);
+  const char *texts[] = { "not http at all\r\n\r\n",
+                          "GET / HTTP/1.1\r\nContent-Length: 1\r\n"
+                          "Content-Length: 2\r\n\r\nab",
+                          "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                          "GET / HTTP/1.1\r\nContent-Length: 3\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                          too_long };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      fixture_t *fixture = fixture_new (HTTP_READER_REQUEST);
+      size_t used;
+
+      g_assert_cmpint (feed (fixture, texts[i], &used), ==, HTTP_READER_ERROR);
+      fixture_free (fixture);
+    }
+  g_free (too_long);
+  g_free (long_head);
+}
+
+static void
+test_hop_fields (void)
+{
+  http_field_t items[] = { { "Connection", "close, X-Mine" },
+                           { "X-Mine", "1" },
+                           { "X-Other", "2" } };
+  http_fields_t fields = { .items = items, .count = G_N_ELEMENTS (items) };
+
+  g_assert_true (http_field_is_hop (&fields, "connection"));
+  g_assert_true (http_field_is_hop (&fields, "x-mine"));
+  g_assert_true (http_field_is_hop (&fields, "Transfer-Encoding"));
+  g_assert_false (http_field_is_hop (&fields, "X-Other"));
+  g_assert_false (http_field_is_hop (&fields, "X-Min"));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/http-reader/request", test_request);
+  g_test_add_func ("/http-reader/bytes-after-answer", test_bytes_after_answer);
+  g_test_add_func ("/http-reader/chunks", test_chunks);
+  g_test_add_func ("/http-reader/close", test_close);
+  g_test_add_func ("/http-reader/interim", test_interim);
+  g_test_add_func ("/http-reader/no-body", test_no_body);
+  g_test_add_func ("/http-reader/malformed", test_malformed);
+  g_test_add_func ("/http-reader/hop-fields", test_hop_fields);
+  return g_test_run ();
+}
--- /dev/null
+++ b/t/t8020-directory.c
@@ -0,0 +1,144 @@
+#include <glib.h>
+#include <talloc.h>
+
+#include "directory.h"
+
+static directory_statement_t
+statement (const char *id, uint64_t born_ms, uint64_t sequence)
+{
+  return (directory_statement_t){ .id = id,
+                                  .address = "10.0.0.1:80",
+                                  .zone = "a",
+                                  .service = "s",
+                                  .born_ms = born_ms,
+                                  .sequence = sequence,
+                                  .state = DIRECTORY_READY,
+                                  .slots = 4 };
+}
+
+static const directory_entry_t *
+entry_of (const directory_t *directory, const char *id, uint64_t born_ms)
+{
+  size_t count;
+  const directory_entry_t *const *entries
+      = directory_entries (directory, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if (g_str_equal (entries[i]->said.id, id)
+        && entries[i]->said.born_ms == born_ms)
+      return entries[i];
+  return NULL;
+}
+
+static void
+test_order (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t said = statement ("u", 100, 5);
+
+  g_assert_cmpint (directory_put (directory, &said, 1), ==, DIRECTORY_CHANGED);
+  said.sequence = 6;
+  g_assert_cmpint (directory_put (directory, &said, 2), ==, DIRECTORY_SAME);
+  said.sequence = 4;
+  said.state = DIRECTORY_LEAVING;
+  g_assert_cmpint (directory_put (directory, &said, 3), ==, DIRECTORY_STALE);
+  g_assert_cmpint (entry_of (directory, "u", 100)->said.state, ==,
+                   DIRECTORY_READY);
+  talloc_free (directory);
+}
+
+/** One that leaves or has left stays so, whatever a late word says. */
+static void
+test_leaving_stays (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t said = statement ("u", 100, 5);
+
+  said.state = DIRECTORY_LEAVING;
+  directory_put (directory, &said, 1);
+  said.sequence = 6;
+  said.state = DIRECTORY_READY;
+  g_assert_cmpint (directory_put (directory, &said, 2), ==, DIRECTORY_SAME);
+  g_assert_cmpint (entry_of (directory, "u", 100)->said.state, ==,
+                   DIRECTORY_LEAVING);
+  g_assert_true (directory_leave (directory, "u", 0, 3));
+  said.sequence = 9;
+  directory_put (directory, &said, 4);
+  g_assert_cmpint (entry_of (directory, "u", 100)->said.state, ==,
+                   DIRECTORY_GONE);
+  g_assert_false (directory_leave (directory, "nobody", 0, 5));
+  talloc_free (directory);
+}
+
+/** A restart keeps its id and forgets its sequence: the birth tells them. */
+static void
+test_restart (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t said = statement ("u", 100, 50);
+
+  directory_put (directory, &said, 1);
+  said = statement ("u", 200, 1);
+  g_assert_cmpint (directory_put (directory, &said, 2), ==, DIRECTORY_CHANGED);
+  g_assert_true (
+      directory_is_replaced (directory, entry_of (directory, "u", 100)));
+  g_assert_false (
+      directory_is_replaced (directory, entry_of (directory, "u", 200)));
+  g_assert_true (directory_leave (directory, "u", 100, 3));
+  g_assert_cmpint (entry_of (directory, "u", 200)->said.state, ==,
+                   DIRECTORY_READY);
+  talloc_free (directory);
+}
+
+/** A late word of one whose address another has by now. */
+static void
+test_address_used_again (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t later = statement ("new", 200, 1);
+  directory_statement_t late = statement ("old", 100, 77);
+
+  directory_put (directory, &later, 1);
+  directory_put (directory, &late, 2);
+  g_assert_true (
+      directory_is_replaced (directory, entry_of (directory, "old", 100)));
+  g_assert_false (
+      directory_is_replaced (directory, entry_of (directory, "new", 200)));
+  talloc_free (directory);
+}
+
+static void
+test_silence (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t said = statement ("u", 100, 1);
+  uint64_t version;
+
+  directory_put (directory, &said, 1000);
+  version = directory_version (directory);
+  directory_expire (directory, 500, 1400);
+  g_assert_cmpuint (directory_version (directory), ==, version);
+  directory_expire (directory, 500, 1600);
+  g_assert_cmpint (entry_of (directory, "u", 100)->said.state, ==,
+                   DIRECTORY_SILENT);
+  said.sequence = 2;
+  g_assert_cmpint (directory_put (directory, &said, 1700), ==,
+                   DIRECTORY_CHANGED);
+  g_assert_cmpint (entry_of (directory, "u", 100)->said.state, ==,
+                   DIRECTORY_READY);
+  directory_expire (directory, 500, 1700 + 3600 * 1000);
+  g_assert_null (entry_of (directory, "u", 100));
+  talloc_free (directory);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/directory/order", test_order);
+  g_test_add_func ("/directory/leaving-stays", test_leaving_stays);
+  g_test_add_func ("/directory/restart", test_restart);
+  g_test_add_func ("/directory/address-used-again", test_address_used_again);
+  g_test_add_func ("/directory/silence", test_silence);
+  return g_test_run ();
+}
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -51,7 +51,7 @@
 /** Requests a plain upstream takes for each slot before others wait here. */
 #define PLAIN_QUEUE_SHARE  2.0
 #define SILENT_CALL_FACTOR 4.0
-#define MIN_RETRY_MS 250
+#define MIN_RETRY_MS       250
 /** Engines empty themselves in so long when long prompts ebb. */
 #define HEAVY_RETRY_MS 3000
 
@@ -152,11 +152,10 @@
 {
   uint64_t free_ms;
   engine_state_t state = look_at_writers (member, &free_ms);
-  double begin_ms = state.writers > 0
-                        ? engine_pass_ms (model, state.writers,
-                                          state.context_tokens)
-                              / 2
-                        : 0;
+  double begin_ms
+      = state.writers > 0
+            ? engine_pass_ms (model, state.writers, state.context_tokens) / 2
+            : 0;
   double busy_ms = (double)free_ms; /* until when it reads */
   double now = (double)now_ms;
 
@@ -185,8 +184,8 @@
 {
   const upstream_member_t *member;
   engine_state_t state;
-  bool has_slot;  /* it was not full just now */
-  bool has_room;  /* for the whole request */
+  bool has_slot;   /* it was not full just now */
+  bool has_room;   /* for the whole request */
   double write_ms; /* of a pass without reading */
   double preference;
   /* For the number of parts being weighed. */
@@ -317,8 +316,7 @@
                   + loss_of_next (request, press, pause_ms, read_ms);
   place->ready_ms = state->unread_ms + read_ms * slowness;
   if (state->writers + state->readers > 0)
-    place->ready_ms
-        += (place->write_ms + state->pass_read_ms) / 2 * slowness;
+    place->ready_ms += (place->write_ms + state->pass_read_ms) / 2 * slowness;
 }
 
 static double
@@ -447,8 +445,8 @@
 static double
 free_tokens (const choice_request_t *request, const place_t *place)
 {
-  double slots = place->member->slots > 0 ? place->member->slots
-                                          : request->model->slots;
+  double slots
+      = place->member->slots > 0 ? place->member->slots : request->model->slots;
 
   if (place->state.held + 1 > slots || !place->has_slot)
     return 0;
@@ -490,8 +488,7 @@
             uint32_t parts,
             choice_t *choice)
 {
-  double missing
-      = (double)request->prompt_tokens + request->answer_tokens;
+  double missing = (double)request->prompt_tokens + request->answer_tokens;
 
   sort_by_memory (request, places, count);
   missing -= free_tokens (request, &places[0]);
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -47,8 +47,8 @@
   uint32_t gap_target_ms;
   uint32_t shortest_gap_ms; /**< that any route of the service aims at, or 0 */
   uint32_t waited_ms;       /**< since the arrival */
-  uint32_t left_ms;      /**< until it is given up */
-  const uint64_t *avoid; /**< upstreams tried before */
+  uint32_t left_ms;         /**< until it is given up */
+  const uint64_t *avoid;    /**< upstreams tried before */
   size_t avoid_count;
   uint32_t zone_cost_ms; /**< of a round trip to another zone */
   uint32_t random;
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -35,7 +35,7 @@
   uint64_t first_ms; /**< when its answer began, 0 before */
   uint64_t last_ms;  /**< of its last event */
   bool is_late;      /**< a pause was too long already */
-  bool is_part; /**< reads a part of a prompt that another writes for */
+  bool is_part;      /**< reads a part of a prompt that another writes for */
 } upstream_job_t;
 
 /** How a job ended, as far as it tells of the upstream. */
