--- a/gateway-parts.c
+++ b/gateway-parts.c
@@ -55,6 +55,8 @@
                          .answer_tokens = request->terms.answer_tokens,
                          .kv_tokens = prompt + request->terms.answer_tokens,
                          .gap_target_ms = request->route.gap_target_ms,
+                         .begun_ms = request->begun_ms,
+                         .due_ms = request->begun_ms + request->route.target_ms,
                          .sent_ms = clock_mono_ms () };
 
   for (uint32_t i = 0; i < choice->memory_count; i++)
--- a/load-share.c
+++ b/load-share.c
@@ -75,6 +75,8 @@
   message->kv_tokens = job->kv_tokens;
   message->gap_target_ms = job->gap_target_ms;
   message->is_part = job->is_part;
+  message->begun_ago_ms = (uint32_t)(now_ms - job->begun_ms);
+  message->target_ms = (uint32_t)(job->due_ms - job->begun_ms);
   message->sent_ago_ms = (uint32_t)(now_ms - job->sent_ms);
   if (job->first_ms > 0)
     message->first_ago_ms = (uint32_t)(now_ms - job->first_ms) + 1;
@@ -206,6 +208,8 @@
 
   job.value = upstream_job_value (job.prompt_tokens, job.answer_tokens);
   job.sent_ms = now_ms - message->sent_ago_ms;
+  job.begun_ms = now_ms - message->begun_ago_ms;
+  job.due_ms = job.begun_ms + message->target_ms;
   if (message->first_ago_ms > 0)
     job.first_ms = job.last_ms = now_ms - message->first_ago_ms + 1;
   upstream_set_begin (share->options.set, &job);
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -3,14 +3,13 @@
 #include <math.h>
 #include <string.h>
 
-/** Share of a request's worth that is lost when it is late. */
-#define LATE_SHARE 0.75
+#include "engine-load.h"
+
 /** Where being late begins and is sure, as shares of the target. */
 #define LATE_FROM 0.7
 #define LATE_SURE 1.1
-/** The same for pauses between events. */
-#define PAUSE_FROM 0.85
-#define PAUSE_SURE 1.0
+/** An engine is blocked whose passes take this share of the shortest gap. */
+#define BLOCKED_SHARE 0.85
 /** Time an engine writes a short answer. */
 #define ANSWER_S 1.8
 /** Worth of a short request, see upstream_job_value(). */
@@ -26,9 +25,6 @@
 #define HEAVY_DAMAGE  0.05
 #define HEAVY_BLOCKED 0.4
 #define HEAVY_WAIT    0.12
-/** A job is never quite read before its first event is seen. */
-#define UNSEEN_SHARE  0.1
-#define PART_GRACE_MS 60.0
 /** Each engine that helps to read may fail, and is kept from others. */
 #define PART_COST       0.001
 #define MIN_PART_TOKENS 3000
@@ -55,26 +51,6 @@
 /** Engines empty themselves in so long when long prompts ebb. */
 #define HEAVY_RETRY_MS 3000
 
-/** What runs on one engine now. */
-typedef struct
-{
-  uint32_t held; /* requests it works on, without parts for others */
-  uint32_t writers;
-  uint32_t readers;
-  double context_tokens; /* of the writers */
-  double unread_ms;
-  double pass_read_ms; /* reading that may fall into one pass */
-  double kv_tokens;
-} engine_state_t;
-
-static double
-ramp (double value, double from, double to)
-{
-  if (value <= from)
-    return 0;
-  return value >= to ? 1 : (value - from) / (to - from);
-}
-
 static bool
 is_avoided (const choice_request_t *request, uint64_t key)
 {
@@ -98,92 +74,11 @@
          || (member->trust == UPSTREAM_ON_TRIAL && member->jobs->len == 0);
 }
 
-/** Time an engine needs for its part of a job's prompt. */
-static double
-part_ms (const engine_model_t *model, const upstream_job_t *job)
-{
-  double whole_ms = engine_read_ms (model, job->prompt_tokens);
-
-  return job->prompt_tokens > 0
-             ? whole_ms * job->read_tokens / job->prompt_tokens
-             : 0;
-}
-
-/** The longest reading part of one pass, for a part of a prompt. */
-static double
-pass_part_ms (const engine_model_t *model, double prompt, double part)
-{
-  double whole_ms = engine_read_ms (model, prompt);
-
-  if (part >= prompt)
-    return engine_pass_read_ms (model, prompt);
-  if (part <= engine_pass_tokens (model))
-    return whole_ms * part / prompt;
-  return whole_ms * engine_pass_tokens (model) / prompt;
-}
-
-/** Counts those being written to, and what they keep. */
-static engine_state_t
-look_at_writers (const upstream_member_t *member, uint64_t *free_ms)
-{
-  engine_state_t state = { 0 };
-
-  *free_ms = 0;
-  for (guint i = 0; i < member->jobs->len; i++)
-    {
-      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
-
-      state.held += !job->is_part;
-      state.kv_tokens += job->kv_tokens;
-      if (job->first_ms == 0)
-        continue;
-      state.writers++;
-      state.context_tokens += job->read_tokens;
-      *free_ms = MAX (*free_ms, job->first_ms);
-    }
-  return state;
-}
-
-/** Follows the engine's reading in the order in which it was sent. */
-static engine_state_t
-look_at (const engine_model_t *model,
-         const upstream_member_t *member,
-         uint64_t now_ms)
-{
-  uint64_t free_ms;
-  engine_state_t state = look_at_writers (member, &free_ms);
-  double begin_ms
-      = state.writers > 0
-            ? engine_pass_ms (model, state.writers, state.context_tokens) / 2
-            : 0;
-  double busy_ms = (double)free_ms; /* until when it reads */
-  double now = (double)now_ms;
-
-  for (guint i = 0; i < member->jobs->len; i++)
-    {
-      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
-      double read_ms = part_ms (model, job) * member->slowness;
-
-      if (job->first_ms > 0)
-        continue;
-      busy_ms = fmax (busy_ms, (double)job->sent_ms + begin_ms) + read_ms;
-      /* A part's end is not told: it waits for the other parts. */
-      if (job->is_part && busy_ms + PART_GRACE_MS < now)
-        continue;
-      busy_ms = fmax (busy_ms, now + read_ms * UNSEEN_SHARE);
-      state.readers++;
-      state.pass_read_ms
-          += pass_part_ms (model, job->prompt_tokens, job->read_tokens);
-    }
-  state.unread_ms = fmax (busy_ms - now, 0);
-  return state;
-}
-
 /** One engine as a place for a request, or for a part of its prompt. */
 typedef struct
 {
   const upstream_member_t *member;
-  engine_state_t state;
+  engine_load_t state;
   bool has_slot;   /* it was not full just now */
   bool has_room;   /* for the whole request */
   double write_ms; /* of a pass without reading */
@@ -198,7 +93,7 @@
 static bool
 has_room (const choice_request_t *request,
           const upstream_member_t *member,
-          const engine_state_t *state,
+          const engine_load_t *state,
           uint64_t now_ms)
 {
   const engine_model_t *model = request->model;
@@ -218,7 +113,7 @@
 static double
 preference (const choice_request_t *request,
             const upstream_member_t *member,
-            const engine_state_t *state)
+            const engine_load_t *state)
 {
   double cost = 0;
 
@@ -233,25 +128,6 @@
   return cost;
 }
 
-/** What those being written to on that engine would lose. */
-static double
-loss_of_others (const upstream_member_t *member, double pause_ms)
-{
-  double loss = 0;
-
-  for (guint i = 0; i < member->jobs->len; i++)
-    {
-      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
-
-      if (job->first_ms == 0 || job->is_late || job->gap_target_ms == 0)
-        continue;
-      loss += job->value * LATE_SHARE
-              * ramp (pause_ms, PAUSE_FROM * job->gap_target_ms,
-                      PAUSE_SURE * job->gap_target_ms);
-    }
-  return loss;
-}
-
 /** What the engines of a service have to do, taken together. */
 typedef struct
 {
@@ -271,10 +147,8 @@
 {
   if (request->shortest_gap_ms == 0)
     return 0;
-  return NEXT_VALUE * LATE_SHARE * press->arrivals_s * read_ms / 1000.0
-         * press->blocked
-         * ramp (pause_ms, PAUSE_FROM * request->shortest_gap_ms,
-                 PAUSE_SURE * request->shortest_gap_ms);
+  return NEXT_VALUE * press->arrivals_s * read_ms / 1000.0 * press->blocked
+         * engine_load_pause_loss (pause_ms, request->shortest_gap_ms);
 }
 
 static press_t
@@ -291,7 +165,7 @@
 
       held += place->state.held;
       if (place->write_ms + place->state.pass_read_ms
-          > PAUSE_FROM * request->shortest_gap_ms)
+          > BLOCKED_SHARE * request->shortest_gap_ms)
         press.blocked += 1;
     }
   press.arrivals_s = held / ANSWER_S / fmax (count, 1);
@@ -305,16 +179,22 @@
             const press_t *press,
             place_t *place,
             double read_ms,
-            double pass_read_ms)
+            double pass_read_ms,
+            uint32_t parts,
+            uint64_t now_ms)
 {
-  const engine_state_t *state = &place->state;
+  const engine_load_t *state = &place->state;
   double slowness = place->member->slowness;
   double pause_ms
       = (place->write_ms + state->pass_read_ms + pass_read_ms) * slowness;
 
-  place->damage = loss_of_others (place->member, pause_ms)
+  place->damage = engine_load_loss_of_writers (place->member, pause_ms)
                   + loss_of_next (request, press, pause_ms, read_ms);
-  place->ready_ms = state->unread_ms + read_ms * slowness;
+  if (parts > 1)
+    place->damage += engine_load_loss_of_readers (request->model, place->member,
+                                                  read_ms * slowness, now_ms);
+  place->ready_ms
+      = (parts > 1 ? state->parts_ms : state->unread_ms) + read_ms * slowness;
   if (state->writers + state->readers > 0)
     place->ready_ms += (place->write_ms + state->pass_read_ms) / 2 * slowness;
 }
@@ -370,13 +250,14 @@
 static double
 own_loss (const choice_request_t *request, double first_ms, double value)
 {
-  double loss
-      = value * LATE_SHARE
-        * ramp (first_ms + request->waited_ms, LATE_FROM * request->target_ms,
-                LATE_SURE * request->target_ms);
+  double loss = value * ENGINE_LATE_SHARE
+                * engine_load_ramp (first_ms + request->waited_ms,
+                                    LATE_FROM * request->target_ms,
+                                    LATE_SURE * request->target_ms);
 
-  loss += value * (1 - LATE_SHARE)
-          * ramp (first_ms, 0.6 * request->left_ms, request->left_ms);
+  loss += value * (1 - ENGINE_LATE_SHARE)
+          * engine_load_ramp (first_ms, 0.6 * request->left_ms,
+                              request->left_ms);
   /* Also when it is late anyway, sooner is better. */
   return loss + value * 0.1 * first_ms / fmax (request->left_ms, 1);
 }
@@ -388,6 +269,7 @@
              place_t *places,
              uint32_t count,
              uint32_t parts,
+             uint64_t now_ms,
              choice_t *best)
 {
   const engine_model_t *model = request->model;
@@ -395,7 +277,8 @@
       = upstream_job_value (request->prompt_tokens, request->answer_tokens);
   double tokens = request->prompt_tokens;
   double read_ms = engine_read_ms (model, tokens) / parts;
-  double pass_read_ms = pass_part_ms (model, tokens, tokens / parts);
+  double pass_read_ms
+      = engine_load_part_pass_ms (model, tokens, tokens / parts);
   double loss = PART_COST * (parts - 1) * value;
   double damage = 0;
   double ready_ms = 0;
@@ -403,7 +286,8 @@
   uint32_t taken = 1;
 
   for (uint32_t i = 0; i < count; i++)
-    weigh_part (request, press, &places[i], read_ms, pass_read_ms);
+    weigh_part (request, press, &places[i], read_ms, pass_read_ms, parts,
+                now_ms);
   sort_places (request, places, count, value);
   writer = find_writer (places, count, value);
   if (writer < 0)
@@ -513,6 +397,7 @@
                 place_t *places,
                 uint32_t count,
                 uint32_t parts,
+                uint64_t now_ms,
                 choice_t *best)
 {
   choice_t choice = { .kind = CHOICE_SEND, .usable = best->usable };
@@ -520,13 +405,15 @@
   double value
       = upstream_job_value (request->prompt_tokens, request->answer_tokens);
   double read_ms = engine_read_ms (request->model, tokens) / parts;
-  double pass_read_ms = pass_part_ms (request->model, tokens, tokens / parts);
+  double pass_read_ms
+      = engine_load_part_pass_ms (request->model, tokens, tokens / parts);
   uint32_t keepers;
 
   if (!lay_memory (request, places, count, parts, &choice))
     return;
   for (uint32_t i = 0; i < count; i++)
-    weigh_part (request, press, &places[i], read_ms, pass_read_ms);
+    weigh_part (request, press, &places[i], read_ms, pass_read_ms, parts,
+                now_ms);
   keepers = 1 + choice.memory_count;
   sort_places (request, places + keepers, count - keepers, value);
   for (uint32_t i = 0; i < parts; i++)
@@ -596,7 +483,7 @@
       if (!is_candidate (request, member, desperate))
         continue;
       place->member = member;
-      place->state = look_at (request->model, member, now_ms);
+      place->state = engine_load_of (request->model, member, now_ms);
       place->has_slot = member->full_until_ms <= now_ms;
       place->has_room = has_room (request, member, &place->state, now_ms);
       place->preference = preference (request, member, &place->state);
@@ -615,9 +502,11 @@
               || request->prompt_tokens / number < MIN_PART_TOKENS))
         break;
       if (is_oversize (request))
-        weigh_oversize (request, &press, places, best.usable, number, &best);
+        weigh_oversize (request, &press, places, best.usable, number, now_ms,
+                        &best);
       else
-        weigh_parts (request, &press, places, best.usable, number, &best);
+        weigh_parts (request, &press, places, best.usable, number, now_ms,
+                     &best);
     }
   if (best.member != NULL && is_oversize (request)
       && is_too_heavy (request, &press, &best))
@@ -741,11 +630,11 @@
                             uint64_t now_ms)
 {
   const upstream_member_t *member = upstream_set_find (set, key);
-  engine_state_t state;
+  engine_load_t state;
 
   if (member == NULL)
     return 0;
-  state = look_at (model, member, now_ms);
+  state = engine_load_of (model, member, now_ms);
   return (engine_pass_ms (model, state.writers, state.context_tokens)
           + state.unread_ms)
          * member->slowness;
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -31,6 +31,8 @@
   uint32_t kv_tokens;     /**< memory it takes here */
   uint32_t gap_target_ms; /**< pause between events its caller accepts */
   double value;           /**< see upstream_job_value() */
+  uint64_t begun_ms;      /**< when its caller asked */
+  uint64_t due_ms;        /**< when its first event is due, 0 for not known */
   uint64_t sent_ms;
   uint64_t first_ms; /**< when its answer began, 0 before */
   uint64_t last_ms;  /**< of its last event */
