--- a/engine-load.c
+++ b/engine-load.c
@@ -6,10 +6,12 @@
 #define UNSEEN_SHARE 0.1
 /** A part's end is not told: it waits for the other parts. */
 #define PART_GRACE_MS 60.0
+/** A prompt is surely being read so long after its pass should have begun. */
+#define PASS_BEGUN_MS 30.0
 /** Where a pause begins to be too long and surely is, as shares of the target:
  * others may lay a prompt on the engine at the same moment. */
-#define PAUSE_FROM 0.6
-#define PAUSE_SURE 1.0
+#define PAUSE_FROM 0.85
+#define PAUSE_SURE 1.05
 /** The same for first events. */
 #define FIRST_FROM 0.8
 #define FIRST_SURE 1.05
@@ -25,10 +27,9 @@
 double
 engine_load_pause_loss (double pause_ms, double gap_target_ms)
 {
-  double share = engine_load_ramp (pause_ms, PAUSE_FROM * gap_target_ms,
-                                   PAUSE_SURE * gap_target_ms);
-
-  return ENGINE_LATE_SHARE * share * share;
+  return ENGINE_LATE_SHARE
+         * engine_load_ramp (pause_ms, PAUSE_FROM * gap_target_ms,
+                             PAUSE_SURE * gap_target_ms);
 }
 
 double
@@ -88,8 +89,9 @@
   const engine_model_t *model;
   const upstream_member_t *member;
   double now_ms;
-  double begin_ms; /* from a send to the next pass */
-  double busy_ms;  /* until when it reads */
+  double begin_ms;         /* from a send to the next pass */
+  double busy_ms;          /* until when it reads */
+  double reading_since_ms; /* the job last gone past */
 } walk_t;
 
 /** Goes past one job; false when it must have been read. */
@@ -100,14 +102,23 @@
 
   if (job->first_ms > 0)
     return false;
-  walk->busy_ms
-      = fmax (walk->busy_ms, (double)job->sent_ms + walk->begin_ms) + read_ms;
+  walk->reading_since_ms
+      = fmax (walk->busy_ms, (double)job->sent_ms + walk->begin_ms);
+  walk->busy_ms = walk->reading_since_ms + read_ms;
   if (job->is_part && walk->busy_ms + PART_GRACE_MS < walk->now_ms)
     return false;
   walk->busy_ms = fmax (walk->busy_ms, walk->now_ms + read_ms * UNSEEN_SHARE);
   return true;
 }
 
+/** Whether it is read in the pass that runs, and so not in the next. */
+static bool
+is_in_present_pass (const walk_t *walk, const upstream_job_t *job)
+{
+  return job->read_tokens <= engine_pass_tokens (walk->model)
+         && walk->reading_since_ms + PASS_BEGUN_MS < walk->now_ms;
+}
+
 engine_load_t
 engine_load_of (const engine_model_t *model,
                 const upstream_member_t *member,
@@ -132,13 +143,12 @@
           if (is_shared (job) == (whole == 1) || !walk_past (&walk, job))
             continue;
           load.readers++;
-          load.pass_read_ms += engine_load_part_pass_ms (
-              model, job->prompt_tokens, job->read_tokens);
+          if (!is_in_present_pass (&walk, job))
+            load.pass_read_ms += engine_load_part_pass_ms (
+                model, job->prompt_tokens, job->read_tokens);
         }
-      load.unread_ms = fmax (walk.busy_ms - walk.now_ms, 0);
-      if (whole == 0)
-        load.parts_ms = load.unread_ms;
     }
+  load.unread_ms = fmax (walk.busy_ms - walk.now_ms, 0);
   return load;
 }
 
@@ -171,26 +181,22 @@
 }
 
 double
-engine_load_loss_of_readers (const engine_model_t *model,
-                             const upstream_member_t *member,
+engine_load_loss_of_readers (const upstream_member_t *member,
+                             const engine_load_t *load,
                              double part_ms,
                              uint64_t now_ms)
 {
-  walk_t walk = { .model = model,
-                  .member = member,
-                  .now_ms = (double)now_ms,
-                  .busy_ms = (double)now_ms };
+  double done_ms = (double)now_ms + load->unread_ms;
   double loss = 0;
 
   for (guint i = 0; i < member->jobs->len; i++)
     {
       const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
 
-      if (is_shared (job) || !walk_past (&walk, job) || job->due_ms == 0)
-        continue;
-      loss += job->value
-              * (first_loss (job, walk.busy_ms + part_ms)
-                 - first_loss (job, walk.busy_ms));
+      if (job->first_ms == 0 && job->due_ms > 0)
+        loss += job->value
+                * (first_loss (job, done_ms + part_ms)
+                   - first_loss (job, done_ms));
     }
   return loss;
 }
--- a/engine-load.h
+++ b/engine-load.h
@@ -3,8 +3,8 @@
  * What one engine has to do now, as far as its known jobs tell, and what those
  * jobs would lose if more were laid on it. No I/O; time is an argument.
  *
- * Parts of prompts that several engines read are read before whole prompts;
- * whole prompts are read in the order in which they were sent.
+ * Parts of prompts that several engines read are read before whole prompts, the
+ * newest part first; whole prompts in the order in which they were sent.
  */
 #ifndef ENGINE_LOAD_H
 #define ENGINE_LOAD_H
@@ -24,7 +24,6 @@
   uint32_t readers;
   double context_tokens; /**< of the writers */
   double kv_tokens;
-  double parts_ms;     /**< until the parts that wait there are read */
   double unread_ms;    /**< until all that waits there is read */
   double pass_read_ms; /**< reading that may fall into one pass */
 } engine_load_t;
@@ -42,9 +41,9 @@
 double engine_load_loss_of_writers (const upstream_member_t *member,
                                     double pause_ms);
 
-/** What whole prompts that wait there lose if a part takes @a part_ms. */
-double engine_load_loss_of_readers (const engine_model_t *model,
-                                    const upstream_member_t *member,
+/** What all that wait there to be read lose if a part takes @a part_ms. */
+double engine_load_loss_of_readers (const upstream_member_t *member,
+                                    const engine_load_t *load,
                                     double part_ms,
                                     uint64_t now_ms);
 
--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -84,6 +84,19 @@
   *text = talloc_strdup (parent, value);
 }
 
+static void
+log_helpers (const gateway_request_t *request)
+{
+  void *scratch;
+
+  if (request->helper_count == 0)
+    return;
+  scratch = talloc_new (NULL);
+  log_info ("Others help to read. request=%s helpers=%s", request->terms.id,
+            gateway_helper_list (scratch, request));
+  talloc_free (scratch);
+}
+
 void
 gateway_attempt (gateway_request_t *request, const choice_t *choice)
 {
@@ -106,6 +119,7 @@
   request->has_head = false;
   g_byte_array_set_size (request->body, 0);
   gateway_note_jobs (request, choice);
+  log_helpers (request);
   if (choice->memory_count > 0)
     gateway_ask_memory (request);
   else
--- a/gateway-parts.c
+++ b/gateway-parts.c
@@ -39,7 +39,6 @@
     helper->memory_tokens = choice->memory_tokens[index];
   job.is_part = true;
   job.answer_tokens = 0;
-  job.value = 0;
   job.kv_tokens = helper->memory_tokens;
   begin_job (request->gateway, &job);
   helper->job_id = job.id;
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -191,10 +191,10 @@
   place->damage = engine_load_loss_of_writers (place->member, pause_ms)
                   + loss_of_next (request, press, pause_ms, read_ms);
   if (parts > 1)
-    place->damage += engine_load_loss_of_readers (request->model, place->member,
+    place->damage += engine_load_loss_of_readers (place->member, state,
                                                   read_ms * slowness, now_ms);
-  place->ready_ms
-      = (parts > 1 ? state->parts_ms : state->unread_ms) + read_ms * slowness;
+  /* A part goes ahead of all that waits there. */
+  place->ready_ms = (parts > 1 ? 0 : state->unread_ms) + read_ms * slowness;
   if (state->writers + state->readers > 0)
     place->ready_ms += (place->write_ms + state->pass_read_ms) / 2 * slowness;
 }
