--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -13,6 +13,8 @@
 /** A stream's first event: predictions of busy engines are rough. */
 #define FIRST_HANGS_FACTOR 3.0
 #define FIRST_HANGS_MIN_MS 1000
+/** Newer prompts are read before a long one; dead engines are found sooner. */
+#define FIRST_HANGS_LONG_MS 2500
 /** Pauses between events, in times of what the caller accepts. */
 #define GAP_HANGS_FACTOR 4.0
 #define GAP_HANGS_MIN_MS 1200
@@ -70,7 +72,10 @@
   if (request->route.kind == ROUTE_UNSAFE)
     return 0;
   if (request->engine != NULL)
-    wait_ms = request->predicted_ms * FIRST_HANGS_FACTOR + FIRST_HANGS_MIN_MS;
+    wait_ms = request->predicted_ms * FIRST_HANGS_FACTOR
+              + (request->terms.prompt_tokens > URGENT_PROMPT_TOKENS
+                     ? FIRST_HANGS_LONG_MS
+                     : FIRST_HANGS_MIN_MS);
   else
     wait_ms
         = MAX (request->predicted_ms * CALL_HANGS_FACTOR, CALL_HANGS_MIN_MS);
@@ -223,7 +228,16 @@
   gateway_set_timer (request);
 }
 
-/** Whether its engine is known to be reading for that long. */
+static double
+silence_ms (const gateway_request_t *request,
+            uint64_t upstream_key,
+            uint64_t now_ms)
+{
+  return upstream_choice_silence_ms (request->gateway->set, upstream_key,
+                                     request->engine, now_ms);
+}
+
+/** Whether its engines are known to be reading for that long. */
 static bool
 is_silence_expected (const gateway_request_t *request)
 {
@@ -233,8 +247,11 @@
 
   if (request->engine == NULL)
     return false;
-  expected_ms = upstream_choice_silence_ms (
-      request->gateway->set, request->upstream_key, request->engine, now_ms);
+  expected_ms = silence_ms (request, request->upstream_key, now_ms);
+  for (uint32_t i = 0; i < request->helper_count; i++)
+    expected_ms
+        = MAX (expected_ms,
+               silence_ms (request, request->helpers[i].upstream_key, now_ms));
   return (double)(now_ms - last_ms) < expected_ms * SILENCE_FACTOR;
 }
 
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -18,7 +18,7 @@
  * share of its own worth, until it has used that share of its target. */
 #define WAIT_DAMAGE 0.02
 #define WAIT_UNTIL  0.6
-#define WAIT_SLACK  0.35
+#define WAIT_SLACK  0.5
 /** For oversize prompts: what others may lose, as a share of its worth, the
  * share of engines that may read long prompts then, and how long it waits for
  * that, as a share of its target. */
