gateway: leave out engines found gone by others

The one at fault is named in the answer: it is ejected here and at the other instances, and only trusted engines that announce themselves help.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -142,6 +142,9 @@
 /** The prompt is read: those that only helped are free. */
 void gateway_parts_read (gateway_request_t *request);
 
+/** Tells of the helper that the upstream found gone, by id or address. */
+void gateway_blame (gateway_request_t *request, const char *at_fault);
+
 /** Ends the jobs of the attempt and gives its memory back. */
 void gateway_end_jobs (gateway_request_t *request, upstream_job_end_t how);
 
--- a/gateway-parts.c
+++ b/gateway-parts.c
@@ -1,3 +1,4 @@
+#include <string.h>
 #include <talloc.h>
 
 #include "base.h"
@@ -131,6 +132,26 @@
       }
 }
 
+void
+gateway_blame (gateway_request_t *request, const char *at_fault)
+{
+  gateway_t *gateway = request->gateway;
+
+  for (uint32_t i = 0; i < request->helper_count; i++)
+    {
+      gateway_helper_t *helper = &request->helpers[i];
+      const upstream_member_t *member
+          = upstream_set_find (gateway->set, helper->upstream_key);
+
+      if (strcmp (helper->address, at_fault) != 0
+          && (member == NULL || strcmp (member->id, at_fault) != 0))
+        continue;
+      log_info ("A helper is gone. request=%s helper=%s upstream=%s",
+                request->terms.id, helper->address, request->upstream_id);
+      end_job (gateway, &helper->job_id, UPSTREAM_JOB_DEAD);
+    }
+}
+
 void
 gateway_end_jobs (gateway_request_t *request, upstream_job_end_t how)
 {
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -131,7 +131,10 @@
   request->gateway->options.protocol->read_answer (
       request->status, exchange_fields (exchange), &request->answer);
   request->is_foreign = is_foreign (request);
-  request->answer.request_id = NULL; /* the exchange's, and not needed now */
+  if (request->answer.at_fault != NULL)
+    gateway_blame (request, request->answer.at_fault);
+  /* These are the exchange's, and not needed any more. */
+  request->answer.request_id = request->answer.at_fault = NULL;
   if (request->is_foreign)
     return;
   keep_head (request);
--- a/gateway.c
+++ b/gateway.c
@@ -23,6 +23,8 @@
 /** Time after which a caller that was refused may find room. A spread is added,
  * so that those refused together do not return together. */
 #define RETRY_AFTER_MS 300
+/** An instance that has just started is configured in about that time. */
+#define CONFIGURED_AFTER_MS 900
 
 uint32_t
 gateway_left_ms (const gateway_request_t *request)
@@ -337,7 +339,7 @@
             caller_request_target (caller),
             (uintmax_t)gateway_config_number (gateway));
   reply_error (caller, kind, terms->id,
-               may_return ? spread_ms (RETRY_AFTER_MS) : 0);
+               may_return ? spread_ms (CONFIGURED_AFTER_MS) : 0);
 }
 
 /** Copies what the request needs of the configuration. */
--- a/gateway.h
+++ b/gateway.h
@@ -53,6 +53,7 @@
   bool has_not_run;       /**< the upstream did not run the request */
   bool is_misdirected;    /**< it was meant for another upstream */
   const char *request_id; /**< that it answers, or NULL */
+  const char *at_fault;   /**< id or address of who made it fail, or NULL */
 } gateway_answer_t;
 
 /** Reads and writes the fields that callers and upstreams use. */
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -16,9 +16,9 @@
 #define NEXT_VALUE 18000.0
 /** A request whose target leaves much room waits rather than cost others this
  * share of its own worth, until it has used that share of its target. */
-#define WAIT_DAMAGE 0.02
+#define WAIT_DAMAGE 0.15
 #define WAIT_UNTIL  0.6
-#define WAIT_SLACK  0.5
+#define WAIT_SLACK  0.35
 /** For oversize prompts: what others may lose, as a share of its worth, the
  * share of engines that may read long prompts then, and how long it waits for
  * that, as a share of its target. */
@@ -38,6 +38,8 @@
 #define SILENT_COST     0.3
 /** Requests that one engine holds, as a share of its slots. */
 #define SLOTS_SHARE 1.0
+/** An answer this long ago still shows that a silent upstream lives. */
+#define HEARD_MS 5000
 /** Memory left free, for answers that grow longer than expected. */
 #define KV_SHARE 0.96
 /** The same where memory is reserved. */
@@ -63,13 +65,17 @@
 static bool
 is_candidate (const choice_request_t *request,
               const upstream_member_t *member,
-              bool desperate)
+              bool desperate,
+              uint64_t now_ms)
 {
   if (!member->is_usable || strcmp (member->service, request->service) != 0
       || is_avoided (request, member->key))
     return false;
   if (desperate)
     return true;
+  /* Nobody has heard of it lately: it may be gone. */
+  if (member->is_silent && member->heard_ms + HEARD_MS < now_ms)
+    return false;
   return member->trust == UPSTREAM_TRUSTED
          || (member->trust == UPSTREAM_ON_TRIAL && member->jobs->len == 0);
 }
@@ -288,7 +294,8 @@
   for (uint32_t i = 0; i < count; i++)
     weigh_part (request, press, &places[i], read_ms, pass_read_ms, parts,
                 now_ms);
-  sort_places (request, places, count, value);
+  if (parts > 1)
+    sort_places (request, places, count, value);
   writer = find_writer (places, count, value);
   if (writer < 0)
     return;
@@ -461,53 +468,106 @@
                 < WAIT_UNTIL * request->target_ms;
 }
 
-static choice_t
-choose_engine (const upstream_set_t *set,
-               const choice_request_t *request,
-               bool desperate,
-               uint64_t now_ms)
+/** Describes the engine in the next place. */
+static void
+add_place (const choice_request_t *request,
+           const upstream_member_t *member,
+           uint64_t now_ms,
+           place_t *place)
 {
-  static const uint32_t parts[] = { 1, 2, 3, 4, 6, 8, 11, 16 };
-  choice_t best = { .kind = CHOICE_NONE };
-  place_t places[MAX_PLACES];
-  press_t press;
-  size_t count;
-  const upstream_member_t *const *members = upstream_set_members (set, &count);
+  place->member = member;
+  place->state = engine_load_of (request->model, member, now_ms);
+  place->has_slot = member->full_until_ms <= now_ms;
+  place->has_room = has_room (request, member, &place->state, now_ms);
+  place->preference = preference (request, member, &place->state);
+  place->write_ms = engine_pass_ms (request->model, place->state.writers + 1,
+                                    place->state.context_tokens);
+}
 
-  for (size_t i = 0; i < count && best.usable < MAX_PLACES; i++)
+/** One that fails to read its part fails the whole request. */
+static bool
+may_help (const upstream_member_t *member)
+{
+  return member->trust == UPSTREAM_TRUSTED && !member->is_silent;
+}
+
+/** Fills in the places, those that may help first. */
+static uint32_t
+find_places (const upstream_set_t *set,
+             const choice_request_t *request,
+             bool desperate,
+             uint64_t now_ms,
+             place_t places[MAX_PLACES],
+             uint32_t *helpers)
+{
+  size_t members_count;
+  const upstream_member_t *const *members
+      = upstream_set_members (set, &members_count);
+  uint32_t count = 0;
+
+  *helpers = 0;
+  for (int others = 0; others <= 1; others++)
     {
-      /* Begins anywhere, so that instances do not all prefer the same. */
-      const upstream_member_t *member = members[(i + request->random) % count];
-      place_t *place = &places[best.usable];
+      for (size_t i = 0; i < members_count && count < MAX_PLACES; i++)
+        {
+          /* Begins anywhere, so that instances do not all prefer the same. */
+          const upstream_member_t *member
+              = members[(i + request->random) % members_count];
 
-      if (!is_candidate (request, member, desperate))
-        continue;
-      place->member = member;
-      place->state = engine_load_of (request->model, member, now_ms);
-      place->has_slot = member->full_until_ms <= now_ms;
-      place->has_room = has_room (request, member, &place->state, now_ms);
-      place->preference = preference (request, member, &place->state);
-      place->write_ms
-          = engine_pass_ms (request->model, place->state.writers + 1,
-                            place->state.context_tokens);
-      best.usable++;
+          if (may_help (member) == (others == 0)
+              && is_candidate (request, member, desperate, now_ms))
+            add_place (request, member, now_ms, &places[count++]);
+        }
+      if (others == 0)
+        *helpers = count;
     }
-  press = press_of (request, places, best.usable);
+  return count;
+}
+
+/** Weighs reading in one part, and in as many as there are helpers for. */
+static void
+weigh_all (const choice_request_t *request,
+           const press_t *press,
+           place_t *places,
+           uint32_t helpers,
+           uint64_t now_ms,
+           choice_t *best)
+{
+  static const uint32_t parts[] = { 1, 2, 3, 4, 6, 8, 11, 16 };
+  bool oversize = is_oversize (request);
+
   for (size_t i = 0; i < sizeof parts / sizeof *parts; i++)
     {
-      uint32_t number = MIN (parts[i], best.usable);
+      uint32_t number = MIN (parts[i], helpers);
 
-      if (i > 0
-          && (number <= parts[i - 1]
-              || request->prompt_tokens / number < MIN_PART_TOKENS))
+      if (i == 0 && !oversize)
+        weigh_parts (request, press, places, best->usable, 1, now_ms, best);
+      if (i == 0)
+        continue;
+      if (number <= parts[i - 1]
+          || request->prompt_tokens / number < MIN_PART_TOKENS)
         break;
-      if (is_oversize (request))
-        weigh_oversize (request, &press, places, best.usable, number, now_ms,
-                        &best);
+      if (oversize)
+        weigh_oversize (request, press, places, helpers, number, now_ms, best);
       else
-        weigh_parts (request, &press, places, best.usable, number, now_ms,
-                     &best);
+        weigh_parts (request, press, places, helpers, number, now_ms, best);
     }
+}
+
+static choice_t
+choose_engine (const upstream_set_t *set,
+               const choice_request_t *request,
+               bool desperate,
+               uint64_t now_ms)
+{
+  choice_t best = { .kind = CHOICE_NONE };
+  place_t places[MAX_PLACES];
+  uint32_t helpers;
+  press_t press;
+
+  best.usable = find_places (set, request, desperate, now_ms, places, &helpers);
+  press = press_of (request, places, best.usable);
+  weigh_all (request, &press, places, helpers, now_ms, &best);
   if (best.member != NULL && is_oversize (request)
       && is_too_heavy (request, &press, &best))
     best.kind = request->waited_ms < HEAVY_WAIT * request->target_ms
@@ -581,7 +641,7 @@
       /* Begins anywhere, so that instances do not all prefer the same. */
       const upstream_member_t *member = members[(i + request->random) % count];
 
-      if (!is_candidate (request, member, desperate))
+      if (!is_candidate (request, member, desperate, now_ms))
         continue;
       best.usable++;
       weigh_plain (request, member, usual_ms, now_ms, &best);
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -232,6 +232,8 @@
 {
   if (how == UPSTREAM_JOB_REFUSED)
     member->full_until_ms = now_ms + FULL_MS;
+  if (how == UPSTREAM_JOB_DEAD && member->trust != UPSTREAM_EJECTED)
+    eject (member, now_ms);
   if (how != UPSTREAM_JOB_GOOD && how != UPSTREAM_JOB_FAILED)
     return;
   member->failure_share
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -46,6 +46,7 @@
   UPSTREAM_JOB_GOOD,
   UPSTREAM_JOB_FAILED,  /**< by the upstream's fault */
   UPSTREAM_JOB_REFUSED, /**< it was full */
+  UPSTREAM_JOB_DEAD,    /**< another upstream found it gone */
   UPSTREAM_JOB_NEUTRAL, /**< cancelled, or a failure of another's */
 } upstream_job_end_t;
 
