--- a/gateway.c
+++ b/gateway.c
@@ -245,9 +245,16 @@
   return now_ms + FIRST_EVENT_MS < request->begun_ms + request->route.target_ms;
 }
 
+static gint
+compare_numbers (uint64_t a, uint64_t b)
+{
+  return (a > b) - (a < b);
+}
+
 /**
- * Who may still be in time goes first, the earliest target before others: under
- * overload it would otherwise be late, too, behind those that are late anyway.
+ * Who may still be in time goes first, the newest before others: under overload
+ * the oldest of them would take the place of one that can be in time, and be
+ * late itself. Those that are late anyway follow by age.
  */
 static gint
 compare_waiting (gconstpointer a, gconstpointer b, gpointer context)
@@ -255,16 +262,18 @@
   const gateway_request_t *one = *(const gateway_request_t *const *)a;
   const gateway_request_t *other = *(const gateway_request_t *const *)b;
   uint64_t now_ms = *(const uint64_t *)context;
-  uint64_t one_ms = one->begun_ms + one->route.target_ms;
-  uint64_t other_ms = other->begun_ms + other->route.target_ms;
   bool one_in_time = is_in_time (one, now_ms);
   bool other_in_time = is_in_time (other, now_ms);
 
   if (one->route.priority != other->route.priority)
-    return one->route.priority < other->route.priority ? -1 : 1;
+    return compare_numbers (one->route.priority, other->route.priority);
   if (one_in_time != other_in_time)
     return one_in_time ? -1 : 1;
-  return (one_ms > other_ms) - (one_ms < other_ms);
+  if (one->route.target_ms != other->route.target_ms)
+    return compare_numbers (one->route.target_ms, other->route.target_ms);
+  if (one_in_time)
+    return compare_numbers (other->begun_ms, one->begun_ms);
+  return compare_numbers (one->begun_ms, other->begun_ms);
 }
 
 static void
