--- a/engine-memory.c
+++ b/engine-memory.c
@@ -10,10 +10,16 @@
 #define LOG_PART "engine-memory"
 #include "logging.h"
 
-/** A ticket nobody uses runs out before engines count it as forgotten. */
-#define HOLD_MS 7000
-/** One that is in use is renewed in time. */
-#define RENEW_MS         4500
+/**
+ * Long enough for nearly every request: an order that is carried out late,
+ * after its ticket was given back, would set memory aside again. A ticket that
+ * nobody uses still runs out before the engine counts it as forgotten.
+ */
+#define HOLD_MS 8500
+/** A request that lasts longer renews in time, for a shorter while. */
+#define RENEW_MS         7000
+#define RENEWED_HOLD_MS  3500
+#define RENEW_AGAIN_MS   2500
 #define ANSWER_MS        500
 #define RELEASE_AGAIN_MS 250
 #define RELEASE_TRIES    20
@@ -132,7 +138,8 @@
     }
   if (ticket->state == TICKET_HELD)
     {
-      set_timer (ticket, status == STATUS_OK ? RENEW_MS : RELEASE_AGAIN_MS);
+      set_timer (ticket,
+                 status == STATUS_OK ? RENEW_AGAIN_MS : RELEASE_AGAIN_MS);
       return;
     }
   if (status == STATUS_OK)
@@ -215,8 +222,10 @@
 static void
 reserve (engine_ticket_t *ticket)
 {
-  send_order (ticket, ticket->memory->options.protocol->write_reserve (
-                          ticket->name, ticket->tokens, HOLD_MS));
+  send_order (ticket,
+              ticket->memory->options.protocol->write_reserve (
+                  ticket->name, ticket->tokens,
+                  ticket->state == TICKET_HELD ? RENEWED_HOLD_MS : HOLD_MS));
 }
 
 static void
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -22,8 +22,8 @@
 /** For oversize prompts: what others may lose, as a share of its worth, the
  * share of engines that may read long prompts then, and how long it waits for
  * that, as a share of its target. */
-#define HEAVY_DAMAGE  0.05
-#define HEAVY_BLOCKED 0.4
+#define HEAVY_DAMAGE  0.25
+#define HEAVY_BLOCKED 0.5
 #define HEAVY_WAIT    0.12
 /** Each engine that helps to read may fail, and is kept from others. */
 #define PART_COST       0.001
