upstream-choice: choose the writer by its own time, too

Found by a test (short-beside-long): a whole prompt went to the engine with least harm to others, however long it reads; 2.7 s to a short one's first event with an idle engine beside. A long prompt also waits where only its reading at all engines is early, and oversize ones take idle engines.

--- /dev/null
+++ b/t/t8040-upstream-choice.c
@@ -0,0 +1,545 @@
+/*
+ * Which engine takes which prompt, under the loads that a day brings. The
+ * engines here have the figures of a service on two sites: 16 slots, memory for
+ * 232,000 tokens, 206 prompt tokens read in a millisecond.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "engine-load.h"
+#include "upstream-choice.h"
+
+#define ENGINES      14
+#define SHORT_TOKENS 4960
+#define LONG_TOKENS  133000
+#define HUGE_TOKENS  300000
+#define SHORT_ANSWER 1376
+#define LONG_ANSWER  688
+#define NOW_MS       100000
+
+static const engine_model_t model = { .slots = 16,
+                                      .kv_tokens = 232000,
+                                      .steps_per_pass = 43,
+                                      .read_step_tokens = 2048,
+                                      .step_ms = 1.02,
+                                      .step_stream_ms = 0.00226,
+                                      .step_context_ms = 0.00431,
+                                      .read_tokens_s = 206000,
+                                      .read_pairs_ms = 0.138 };
+
+typedef struct
+{
+  directory_t *directory;
+  upstream_set_t *set;
+  uint64_t keys[ENGINES];
+  uint64_t last_job;
+} fixture_t;
+
+static fixture_t *
+fixture_new (void)
+{
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+  upstream_set_options_t options = { 0 };
+
+  fixture->directory = directory_new (NULL);
+  fixture->set = upstream_set_new (NULL, &options);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      char id[16];
+      char address[32];
+      directory_statement_t said = { .id = id,
+                                     .address = address,
+                                     .zone = i % 2 == 0 ? "a" : "b",
+                                     .service = "engines",
+                                     .born_ms = 1,
+                                     .sequence = 1,
+                                     .slots = 16 };
+
+      snprintf (id, sizeof id, "engine-%u", i);
+      snprintf (address, sizeof address, "10.0.0.%u:80", i + 1);
+      directory_put (fixture->directory, &said, NOW_MS);
+    }
+  upstream_set_follow (fixture->set, fixture->directory, NOW_MS);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      size_t count;
+
+      fixture->keys[i] = upstream_set_members (fixture->set, &count)[i]->key;
+    }
+  return fixture;
+}
+
+static void
+fixture_free (fixture_t *fixture)
+{
+  talloc_free (fixture->set);
+  talloc_free (fixture->directory);
+  g_free (fixture);
+}
+
+static choice_request_t
+short_request (void)
+{
+  return (choice_request_t){ .service = "engines",
+                             .model = &model,
+                             .zone = "a",
+                             .prompt_tokens = SHORT_TOKENS,
+                             .answer_tokens = SHORT_ANSWER,
+                             .target_ms = 300,
+                             .gap_target_ms = 250,
+                             .shortest_gap_ms = 250,
+                             .left_ms = 10000,
+                             .zone_cost_ms = 12 };
+}
+
+static choice_request_t
+long_request (uint32_t prompt_tokens)
+{
+  choice_request_t request = short_request ();
+
+  request.prompt_tokens = prompt_tokens;
+  request.answer_tokens = LONG_ANSWER;
+  request.target_ms = 3000;
+  request.gap_target_ms = 1000;
+  request.left_ms = 15000;
+  return request;
+}
+
+/** Puts a request on an engine; @a writes says that its answer has begun. */
+static uint64_t
+lay (fixture_t *fixture,
+     uint64_t key,
+     const choice_request_t *request,
+     uint32_t parts,
+     bool is_part,
+     bool writes)
+{
+  upstream_job_t job
+      = { .id = ++fixture->last_job,
+          .upstream = key,
+          .prompt_tokens = request->prompt_tokens,
+          .read_tokens = request->prompt_tokens / parts,
+          .answer_tokens = request->answer_tokens,
+          .kv_tokens
+          = is_part ? 0 : request->prompt_tokens + request->answer_tokens,
+          .gap_target_ms = request->gap_target_ms,
+          .value
+          = upstream_job_value (request->prompt_tokens, request->answer_tokens),
+          .begun_ms = NOW_MS,
+          .due_ms = NOW_MS + request->target_ms,
+          .sent_ms = NOW_MS,
+          .first_ms = writes ? NOW_MS : 0,
+          .last_ms = NOW_MS,
+          .is_part = is_part };
+
+  upstream_set_begin (fixture->set, &job);
+  return job.id;
+}
+
+static void
+lay_choice (fixture_t *fixture,
+            const choice_request_t *request,
+            const choice_t *choice)
+{
+  uint32_t parts = choice->helper_count + 1;
+
+  lay (fixture, choice->member->key, request, parts, false, false);
+  for (uint32_t i = 0; i < choice->helper_count; i++)
+    lay (fixture, choice->helpers[i]->key, request, parts, true, false);
+}
+
+/** The longest pass that a choice makes on any of its engines. */
+static double
+longest_pass_ms (const choice_request_t *request, const choice_t *choice)
+{
+  return engine_pass_ms (&model, 2, 2 * SHORT_TOKENS)
+         + engine_load_part_pass_ms (&model, request->prompt_tokens,
+                                     request->prompt_tokens
+                                         / (choice->helper_count + 1.0));
+}
+
+/** Long prompts rise: each is read thin, so that short answers go on. */
+static void
+test_long_beside_short (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t brief = short_request ();
+  choice_request_t request = long_request (LONG_TOKENS);
+  choice_t choice;
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    for (int j = 0; j < 3; j++)
+      lay (fixture, fixture->keys[i], &brief, 1, false, true);
+  choice = upstream_choose (fixture->set, &request, NOW_MS);
+  g_assert_cmpint (choice.kind, ==, CHOICE_SEND);
+  g_assert_cmpuint (choice.helper_count, ==, ENGINES - 1);
+  g_assert_cmpfloat (longest_pass_ms (&request, &choice), <,
+                     brief.gap_target_ms);
+  /* One engine alone would make those it writes to late. */
+  g_assert_cmpfloat (engine_pass_read_ms (&model, LONG_TOKENS), >,
+                     brief.gap_target_ms);
+  fixture_free (fixture);
+}
+
+/** Several long ones at once do not pile up on each other's engines. */
+static void
+test_long_after_long (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t brief = short_request ();
+  choice_request_t request = long_request (LONG_TOKENS);
+  choice_t first;
+  choice_t second;
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    for (int j = 0; j < 3; j++)
+      lay (fixture, fixture->keys[i], &brief, 1, false, true);
+  first = upstream_choose (fixture->set, &request, NOW_MS);
+  lay_choice (fixture, &request, &first);
+  second = upstream_choose (fixture->set, &request, NOW_MS + 5);
+  g_test_message ("second: helpers %u damage %.0f first %.0f loss %.0f",
+                  second.helper_count, second.damage, second.first_ms,
+                  second.loss);
+  g_assert_cmpint (second.kind, ==, CHOICE_WAIT);
+  /* With its target near it goes all the same. */
+  request.waited_ms = 2500;
+  second = upstream_choose (fixture->set, &request, NOW_MS + 5);
+  g_assert_cmpint (second.kind, ==, CHOICE_SEND);
+  fixture_free (fixture);
+}
+
+/** A short one keeps away from an engine that reads a long prompt. */
+static void
+test_short_beside_long (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t whole = long_request (LONG_TOKENS);
+  choice_request_t request = short_request ();
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    if (i != 5)
+      lay (fixture, fixture->keys[i], &whole, 1, false, false);
+  for (request.random = 0; request.random < 50; request.random++)
+    {
+      choice_t choice = upstream_choose (fixture->set, &request, NOW_MS);
+
+      g_assert_cmpint (choice.kind, ==, CHOICE_SEND);
+      g_test_message (
+          "first %.0f damage %.0f loss %.0f helpers %u jobs %u zone %s",
+          choice.first_ms, choice.damage, choice.loss, choice.helper_count,
+          choice.member->jobs->len, choice.member->zone);
+      g_assert_true (choice.member->key == fixture->keys[5]);
+    }
+  fixture_free (fixture);
+}
+
+/** Many users at once: no engine gets more than its slots. */
+static void
+test_short_burst (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t request = short_request ();
+  uint32_t sent = 0;
+  size_t count;
+
+  for (; sent < 1000; sent++)
+    {
+      choice_t choice;
+
+      request.random = sent;
+      choice = upstream_choose (fixture->set, &request, NOW_MS);
+      if (choice.kind != CHOICE_SEND)
+        break;
+      lay (fixture, choice.member->key, &request, 1, false, true);
+    }
+  g_assert_cmpuint (sent, ==, ENGINES * 16);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    g_assert_cmpuint (upstream_set_members (fixture->set, &count)[i]->jobs->len,
+                      ==, 16);
+  fixture_free (fixture);
+}
+
+/**
+ * The same arrivals, a wave of long prompts over short answers, placed by the
+ * product, by chance, and by the fewest requests: how many short answers get a
+ * pause over their target.
+ */
+static uint32_t
+late_by (uint32_t (*pick) (fixture_t *, const choice_request_t *, uint32_t),
+         uint32_t arrivals)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t brief = short_request ();
+  uint32_t late = 0;
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    for (int j = 0; j < 4; j++)
+      lay (fixture, fixture->keys[i], &brief, 1, false, true);
+  for (uint32_t n = 0; n < arrivals; n++)
+    {
+      choice_request_t request = long_request (60000 + 15000 * n);
+
+      late += pick (fixture, &request, n);
+    }
+  fixture_free (fixture);
+  return late;
+}
+
+/** Short answers at an engine whose pass gets too long. */
+static uint32_t
+late_at (fixture_t *fixture, uint64_t key, double pass_read_ms)
+{
+  const upstream_member_t *member = upstream_set_find (fixture->set, key);
+  double pass_ms = engine_pass_ms (&model, 4, 4 * SHORT_TOKENS) + pass_read_ms;
+  uint32_t late = 0;
+
+  for (guint i = 0; i < member->jobs->len; i++)
+    {
+      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
+
+      late += job->first_ms > 0 && pass_ms > job->gap_target_ms;
+    }
+  return late;
+}
+
+static uint32_t
+pick_product (fixture_t *fixture, const choice_request_t *request, uint32_t n)
+{
+  choice_t choice = upstream_choose (fixture->set, request, NOW_MS);
+  double read_ms;
+  uint32_t late;
+
+  g_assert_nonnull (choice.member);
+  read_ms = engine_load_part_pass_ms (&model, request->prompt_tokens,
+                                      request->prompt_tokens
+                                          / (choice.helper_count + 1.0));
+  late = late_at (fixture, choice.member->key, read_ms);
+  for (uint32_t i = 0; i < choice.helper_count; i++)
+    late += late_at (fixture, choice.helpers[i]->key, read_ms);
+  return late;
+}
+
+static uint32_t
+pick_random (fixture_t *fixture, const choice_request_t *request, uint32_t n)
+{
+  uint64_t key = fixture->keys[(n * 7 + 3) % ENGINES];
+
+  return late_at (fixture, key,
+                  engine_pass_read_ms (&model, request->prompt_tokens));
+}
+
+static uint32_t
+pick_least (fixture_t *fixture, const choice_request_t *request, uint32_t n)
+{
+  size_t count;
+  const upstream_member_t *const *members
+      = upstream_set_members (fixture->set, &count);
+  const upstream_member_t *least = members[0];
+
+  for (size_t i = 1; i < count; i++)
+    if (members[i]->jobs->len < least->jobs->len)
+      least = members[i];
+  return late_at (fixture, least->key,
+                  engine_pass_read_ms (&model, request->prompt_tokens));
+}
+
+static void
+test_against_baselines (void)
+{
+  uint32_t product = late_by (pick_product, 6);
+  uint32_t chance = late_by (pick_random, 6);
+  uint32_t least = late_by (pick_least, 6);
+
+  g_test_message ("late short answers: product %u, random %u, least "
+                  "outstanding %u",
+                  product, chance, least);
+  g_assert_cmpuint (product, ==, 0);
+  g_assert_cmpuint (chance, >=, 20);
+  g_assert_cmpuint (least, >=, 20);
+}
+
+/** Nearly as large as an engine's memory: no other prompt is put beside it. */
+static void
+test_memory (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t request = long_request (200000);
+  choice_t choice;
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    if (i != 3)
+      lay (fixture, fixture->keys[i], &request, 1, false, true);
+  choice = upstream_choose (fixture->set, &request, NOW_MS);
+  g_assert_nonnull (choice.member);
+  g_assert_true (choice.member->key == fixture->keys[3]);
+  lay (fixture, fixture->keys[3], &request, 1, false, true);
+  choice = upstream_choose (fixture->set, &request, NOW_MS);
+  g_assert_cmpint (choice.kind, ==, CHOICE_WAIT);
+  g_assert_null (choice.member);
+  fixture_free (fixture);
+}
+
+/** Larger than any engine's memory: tickets hold what the writer cannot. */
+static void
+test_oversize (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t request = long_request (HUGE_TOKENS);
+  choice_t choice = upstream_choose (fixture->set, &request, NOW_MS);
+  uint64_t reserved = 0;
+
+  g_assert_cmpint (choice.kind, ==, CHOICE_SEND);
+  g_assert_cmpuint (choice.memory_count, >=, 1);
+  g_assert_cmpuint (choice.memory_count, <=, choice.helper_count);
+  for (uint32_t i = 0; i < choice.memory_count; i++)
+    reserved += choice.memory_tokens[i];
+  g_assert_cmpuint (reserved + model.kv_tokens, >=, HUGE_TOKENS + LONG_ANSWER);
+  fixture_free (fixture);
+}
+
+/** At the crest it waits a little and is refused, rather than make many late.
+ */
+static void
+test_oversize_at_crest (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t brief = short_request ();
+  choice_request_t request = long_request (HUGE_TOKENS);
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    for (int j = 0; j < 12; j++)
+      lay (fixture, fixture->keys[i], &brief, 1, false, true);
+  g_assert_cmpint (upstream_choose (fixture->set, &request, NOW_MS).kind, ==,
+                   CHOICE_WAIT);
+  request.waited_ms = 500;
+  g_assert_cmpint (upstream_choose (fixture->set, &request, NOW_MS).kind, ==,
+                   CHOICE_HOPELESS);
+  fixture_free (fixture);
+}
+
+/** Failing ones are found within a few requests, and tried again with care. */
+static void
+test_failing (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t request = short_request ();
+  uint64_t bad = fixture->keys[2];
+  const upstream_member_t *member = upstream_set_find (fixture->set, bad);
+  uint64_t id;
+
+  for (int i = 0; i < 2; i++)
+    {
+      id = lay (fixture, bad, &request, 1, false, false);
+      upstream_set_end (fixture->set, id, UPSTREAM_JOB_FAILED, NOW_MS);
+    }
+  g_assert_cmpint (member->trust, ==, UPSTREAM_EJECTED);
+  for (request.random = 0; request.random < 50; request.random++)
+    g_assert_true (upstream_choose (fixture->set, &request, NOW_MS).member->key
+                   != bad);
+  upstream_set_tick (fixture->set, member->ejected_until_ms);
+  g_assert_cmpint (member->trust, ==, UPSTREAM_ON_TRIAL);
+  id = lay (fixture, bad, &request, 1, false, false);
+  for (request.random = 0; request.random < 50; request.random++)
+    g_assert_true (upstream_choose (fixture->set, &request, NOW_MS).member->key
+                   != bad);
+  upstream_set_end (fixture->set, id, UPSTREAM_JOB_GOOD, NOW_MS);
+  g_assert_cmpint (member->trust, ==, UPSTREAM_TRUSTED);
+  fixture_free (fixture);
+}
+
+/** One that a writer found gone is no helper any more, at once. */
+static void
+test_dead_helper (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t request = long_request (LONG_TOKENS);
+  uint64_t dead = fixture->keys[4];
+  uint64_t id = lay (fixture, dead, &request, ENGINES, true, false);
+  choice_t choice;
+
+  upstream_set_end (fixture->set, id, UPSTREAM_JOB_DEAD, NOW_MS);
+  choice = upstream_choose (fixture->set, &request, NOW_MS);
+  g_assert_cmpint (choice.kind, ==, CHOICE_SEND);
+  g_assert_true (choice.member->key != dead);
+  for (uint32_t i = 0; i < choice.helper_count; i++)
+    g_assert_true (choice.helpers[i]->key != dead);
+  fixture_free (fixture);
+}
+
+/** All of them fail: better one of those than nobody. */
+static void
+test_all_failing (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t request = short_request ();
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    upstream_set_end (fixture->set,
+                      lay (fixture, fixture->keys[i], &request, 1, true, false),
+                      UPSTREAM_JOB_DEAD, NOW_MS);
+  g_assert_cmpint (upstream_choose (fixture->set, &request, NOW_MS).kind, ==,
+                   CHOICE_SEND);
+  request.service = "nobody";
+  g_assert_cmpint (upstream_choose (fixture->set, &request, NOW_MS).kind, ==,
+                   CHOICE_NONE);
+  fixture_free (fixture);
+}
+
+/** A plain call goes to the own zone, unless that is slow or full. */
+static void
+test_plain (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t request = short_request ();
+  choice_t choice;
+
+  request.model = NULL;
+  choice = upstream_choose (fixture->set, &request, NOW_MS);
+  g_assert_cmpstr (choice.member->zone, ==, "a");
+  for (uint32_t i = 0; i < ENGINES; i++)
+    upstream_set_took (fixture->set, fixture->keys[i], i % 2 == 0 ? 400 : 50);
+  choice = upstream_choose (fixture->set, &request, NOW_MS);
+  g_assert_cmpstr (choice.member->zone, ==, "b");
+  fixture_free (fixture);
+}
+
+/** Jobs of an instance that fell silent are forgotten. */
+static void
+test_lost_instance (void)
+{
+  fixture_t *fixture = fixture_new ();
+  upstream_job_t job = {
+    .id = 77, .owner = 5, .upstream = fixture->keys[0], .sent_ms = NOW_MS
+  };
+
+  upstream_set_begin (fixture->set, &job);
+  g_assert_nonnull (upstream_set_job (fixture->set, 77));
+  upstream_set_drop_owner (fixture->set, 6);
+  g_assert_nonnull (upstream_set_job (fixture->set, 77));
+  upstream_set_drop_owner (fixture->set, 5);
+  g_assert_null (upstream_set_job (fixture->set, 77));
+  upstream_set_end (fixture->set, 77, UPSTREAM_JOB_GOOD, NOW_MS);
+  fixture_free (fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/choice/long-beside-short", test_long_beside_short);
+  g_test_add_func ("/choice/long-after-long", test_long_after_long);
+  g_test_add_func ("/choice/short-beside-long", test_short_beside_long);
+  g_test_add_func ("/choice/short-burst", test_short_burst);
+  g_test_add_func ("/choice/against-baselines", test_against_baselines);
+  g_test_add_func ("/choice/memory", test_memory);
+  g_test_add_func ("/choice/oversize", test_oversize);
+  g_test_add_func ("/choice/oversize-at-crest", test_oversize_at_crest);
+  g_test_add_func ("/choice/failing", test_failing);
+  g_test_add_func ("/choice/dead-helper", test_dead_helper);
+  g_test_add_func ("/choice/all-failing", test_all_failing);
+  g_test_add_func ("/choice/plain", test_plain);
+  g_test_add_func ("/choice/lost-instance", test_lost_instance);
+  return g_test_run ();
+}
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -22,9 +22,10 @@
 /** For oversize prompts: what others may lose, as a share of its worth, the
  * share of engines that may read long prompts then, and how long it waits for
  * that, as a share of its target. */
-#define HEAVY_DAMAGE  0.25
-#define HEAVY_BLOCKED 0.5
-#define HEAVY_WAIT    0.12
+#define HEAVY_DAMAGE    0.25
+#define HEAVY_BLOCKED   0.5
+#define IDLE_ARRIVALS_S 0.3 /* at each engine: there is nobody to make late */
+#define HEAVY_WAIT      0.12
 /** Each engine that helps to read may fail, and is kept from others. */
 #define PART_COST       0.001
 #define MIN_PART_TOKENS 3000
@@ -234,18 +235,39 @@
     }
 }
 
+static double
+own_loss (const choice_request_t *request, double first_ms, double value)
+{
+  double loss = value * ENGINE_LATE_SHARE
+                * engine_load_ramp (first_ms + request->waited_ms,
+                                    LATE_FROM * request->target_ms,
+                                    LATE_SURE * request->target_ms);
+
+  loss += value * (1 - ENGINE_LATE_SHARE)
+          * engine_load_ramp (first_ms, 0.6 * request->left_ms,
+                              request->left_ms);
+  /* Also when it is late anyway, sooner is better. */
+  return loss + value * 0.1 * first_ms / fmax (request->left_ms, 1);
+}
+
 /** The engine that writes: the best of those with room. */
 static int
-find_writer (const place_t *places, uint32_t count, double value)
+find_writer (const choice_request_t *request,
+             const place_t *places,
+             uint32_t count,
+             double value)
 {
   int best = -1;
   double least = 0;
 
   for (uint32_t i = 0; i < count; i++)
     {
-      double cost = places[i].damage + value * places[i].preference;
+      const place_t *place = &places[i];
+      double cost
+          = place->damage + value * place->preference
+            + own_loss (request, place->ready_ms + place->write_ms, value);
 
-      if (!places[i].has_room || (best >= 0 && cost >= least))
+      if (!place->has_room || (best >= 0 && cost >= least))
         continue;
       best = (int)i;
       least = cost;
@@ -253,21 +275,6 @@
   return best;
 }
 
-static double
-own_loss (const choice_request_t *request, double first_ms, double value)
-{
-  double loss = value * ENGINE_LATE_SHARE
-                * engine_load_ramp (first_ms + request->waited_ms,
-                                    LATE_FROM * request->target_ms,
-                                    LATE_SURE * request->target_ms);
-
-  loss += value * (1 - ENGINE_LATE_SHARE)
-          * engine_load_ramp (first_ms, 0.6 * request->left_ms,
-                              request->left_ms);
-  /* Also when it is late anyway, sooner is better. */
-  return loss + value * 0.1 * first_ms / fmax (request->left_ms, 1);
-}
-
 /** Weighs reading the prompt in @a parts parts. */
 static void
 weigh_parts (const choice_request_t *request,
@@ -296,7 +303,7 @@
                 now_ms);
   if (parts > 1)
     sort_places (request, places, count, value);
-  writer = find_writer (places, count, value);
+  writer = find_writer (request, places, count, value);
   if (writer < 0)
     return;
   damage = places[writer].damage;
@@ -452,20 +459,29 @@
   double taken = (best->helper_count + 1.0) / fmax (best->usable, 1);
 
   return best->damage > HEAVY_DAMAGE * value
-         || press->blocked + taken > HEAVY_BLOCKED;
+         || (press->arrivals_s > IDLE_ARRIVALS_S
+             && press->blocked + taken > HEAVY_BLOCKED);
 }
 
-/** Waiting a little costs nothing while the target is far off. */
+/**
+ * Waiting a little costs nothing while the target is far off: the prompt could
+ * be read by all helpers once they are free.
+ */
 static bool
-should_wait (const choice_request_t *request, const choice_t *best)
+should_wait (const choice_request_t *request,
+             uint32_t helpers,
+             const choice_t *best)
 {
   double value
       = upstream_job_value (request->prompt_tokens, request->answer_tokens);
+  double first_ms
+      = engine_read_ms (request->model, request->prompt_tokens)
+            / fmax (helpers, 1)
+        + engine_pass_ms (request->model, 1, request->prompt_tokens);
 
   return best->damage > WAIT_DAMAGE * value
-         && best->first_ms < WAIT_SLACK * request->target_ms
-         && best->first_ms + request->waited_ms
-                < WAIT_UNTIL * request->target_ms;
+         && first_ms < WAIT_SLACK * request->target_ms
+         && first_ms + request->waited_ms < WAIT_UNTIL * request->target_ms;
 }
 
 /** Describes the engine in the next place. */
@@ -574,7 +590,8 @@
                     ? CHOICE_WAIT
                     : CHOICE_HOPELESS;
   else if (best.member != NULL)
-    best.kind = should_wait (request, &best) ? CHOICE_WAIT : CHOICE_SEND;
+    best.kind
+        = should_wait (request, helpers, &best) ? CHOICE_WAIT : CHOICE_SEND;
   else if (best.usable > 0)
     best.kind = CHOICE_WAIT;
   return best;
