--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,8 @@
 # A corpus test replays the fuzz target of its area.
 $(BUILD)/t/t5010-control-corpus: $(BUILD)/fuzz/fuzz-control.o
 
+$(BUILD)/t/t8100-platform: $(PLATFORM_OBJ)
+
 $(BUILD)/t/%: $(BUILD)/t/%.o $(TEST_LIB) $(BUILD)/liblwm.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(PKG_LIBS)
 
--- /dev/null
+++ b/t/t8060-gateway.c
@@ -0,0 +1,743 @@
+/*
+ * The gateway between callers and scripted upstreams, all on one loop: what is
+ * passed on, sent again, resumed, broken off or never repeated.
+ */
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+#include "base.h"
+#include "gateway.h"
+#include "logging.h"
+
+#define PATIENCE_MS 20000
+#define UPSTREAMS   2
+
+/** What a scripted upstream does with its next requests. */
+typedef enum
+{
+  ACT_ANSWER,     /* 200 and a body */
+  ACT_CLOSE,      /* reads the request and closes */
+  ACT_NOT_RUN,    /* 503, has not run */
+  ACT_FAIL,       /* 500 */
+  ACT_FOREIGN,    /* the answer of another request */
+  ACT_EXTRA,      /* an answer, and bytes after it */
+  ACT_STREAM,     /* three events, then the end */
+  ACT_STREAM_CUT, /* an event and a half, then a close */
+  ACT_SILENT,     /* nothing */
+} act_t;
+
+typedef struct
+{
+  struct evconnlistener *listener;
+  char address[32];
+  act_t act;
+  uint32_t requests;
+  uint32_t closed; /* by the gateway, without an answer */
+  GString *last;   /* request */
+} upstream_t;
+
+typedef struct
+{
+  upstream_t *upstream;
+  bool answered;
+} upstream_call_t;
+
+typedef struct
+{
+  struct event_base *base;
+  gateway_t *gateway;
+  metrics_t *metrics;
+  directory_t *directory;
+  upstream_t upstreams[UPSTREAMS];
+  char listen[32];
+  /* The present caller. */
+  struct bufferevent *caller;
+  GString *answer;
+  bool caller_closed;
+} fixture_t;
+
+static void
+read_terms (const http_fields_t *fields, gateway_terms_t *terms)
+{
+  const char *id = http_fields_find (fields, "X-Id");
+  const char *last = http_fields_find (fields, "Last-Event-Id");
+
+  terms->id = id != NULL ? id : "";
+  terms->key = http_fields_find (fields, "X-Key");
+  terms->has_deadline = true;
+  terms->deadline_ms = 8000;
+  terms->has_last_event = last != NULL;
+  terms->last_event = last != NULL ? strtoull (last, NULL, 10) : 0;
+}
+
+static void
+write_fields (void *parent,
+              const http_fields_t *caller,
+              const gateway_send_t *send,
+              http_fields_t *out)
+{
+  char number[24];
+
+  for (size_t i = 0; i < caller->count; i++)
+    if (!http_field_is_hop (caller, caller->items[i].name)
+        && strcmp (caller->items[i].name, "X-Key") != 0)
+      http_fields_add (parent, out, caller->items[i].name,
+                       caller->items[i].value);
+  http_fields_add (parent, out, "X-Upstream", send->upstream_id);
+  if (send->customer != NULL)
+    http_fields_add (parent, out, "X-Customer", send->customer);
+  if (!send->has_last_event)
+    return;
+  snprintf (number, sizeof number, "%ju", (uintmax_t)send->last_event);
+  http_fields_add (parent, out, "X-After", number);
+}
+
+static void
+read_answer (uint32_t status,
+             const http_fields_t *fields,
+             gateway_answer_t *answer)
+{
+  answer->is_signed = http_fields_find (fields, "X-Signed") != NULL;
+  answer->has_not_run = http_fields_find (fields, "X-Not-Run") != NULL;
+  answer->request_id = http_fields_find (fields, "X-Id");
+}
+
+static const gateway_protocol_t protocol = { .read_terms = read_terms,
+                                             .write_fields = write_fields,
+                                             .read_answer = read_answer };
+
+static void
+say (struct bufferevent *stream, const char *text)
+{
+  bufferevent_write (stream, text, strlen (text));
+}
+
+static void
+say_events (struct bufferevent *stream, const char *request)
+{
+  const char *after = strstr (request, "X-After: ");
+  int first = after != NULL ? atoi (after + strlen ("X-After: ")) + 1 : 1;
+
+  for (int id = first; id <= 3; id++)
+    {
+      char event[32];
+      char chunk[64];
+
+      snprintf (event, sizeof event, "id: %d\ndata: x\n\n", id);
+      snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (event), event);
+      say (stream, chunk);
+    }
+  say (stream, "0\r\n\r\n");
+}
+
+static void
+act (upstream_call_t *call, struct bufferevent *stream, const char *request)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\nX-Signed: 1\r\n";
+
+  call->answered = call->upstream->act != ACT_SILENT;
+  switch (call->upstream->act)
+    {
+    case ACT_ANSWER:
+      say (stream, head);
+      say (stream, "Content-Length: 4\r\nX-Kept: v\r\n\r\nbody");
+      break;
+    case ACT_CLOSE:
+      bufferevent_free (stream);
+      g_free (call);
+      break;
+    case ACT_NOT_RUN:
+      say (stream, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n"
+                   "Content-Length: 0\r\n\r\n");
+      break;
+    case ACT_FAIL:
+      say (stream, "HTTP/1.1 500 Sorry\r\nX-Signed: 1\r\n"
+                   "Content-Length: 3\r\n\r\nbad");
+      break;
+    case ACT_FOREIGN:
+      say (stream, head);
+      say (stream, "X-Id: another\r\nContent-Length: 4\r\n\r\nelse");
+      break;
+    case ACT_EXTRA:
+      say (stream, head);
+      say (stream, "Content-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n"
+                   "X-Signed: 1\r\nContent-Length: 5\r\n\r\nextra");
+      break;
+    case ACT_STREAM:
+      say (stream, head);
+      say (stream, "Transfer-Encoding: chunked\r\n\r\n");
+      say_events (stream, request);
+      break;
+    case ACT_STREAM_CUT:
+      say (stream, head);
+      say (stream, "\r\nid: 1\ndata: x\n\nid: 2\nda");
+      /* Reset: the end of an answer without length would be a close. */
+      setsockopt (bufferevent_getfd (stream), SOL_SOCKET, SO_LINGER,
+                  &(struct linger){ .l_onoff = 1 }, sizeof (struct linger));
+      bufferevent_flush (stream, EV_WRITE, BEV_FLUSH);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_cut_written (struct bufferevent *stream, void *context)
+{
+  upstream_call_t *call = context;
+
+  if (call->upstream->act != ACT_STREAM_CUT || !call->answered)
+    return;
+  bufferevent_free (stream);
+  g_free (call);
+}
+
+static void
+on_request_bytes (struct bufferevent *stream, void *context)
+{
+  upstream_call_t *call = context;
+  struct evbuffer *in = bufferevent_get_input (stream);
+  size_t length = evbuffer_get_length (in);
+  char *text = g_strndup ((char *)evbuffer_pullup (in, -1), length);
+  const char *end = strstr (text, "\r\n\r\n");
+  const char *has_length = strstr (text, "Content-Length: ");
+  size_t body
+      = has_length != NULL
+            ? strtoul (has_length + strlen ("Content-Length: "), NULL, 10)
+            : 0;
+
+  if (end != NULL && length >= (size_t)(end - text) + 4 + body)
+    {
+      evbuffer_drain (in, length);
+      call->upstream->requests++;
+      g_string_assign (call->upstream->last, text);
+      act (call, stream, text);
+    }
+  g_free (text);
+}
+
+static void
+on_upstream_event (struct bufferevent *stream, short what, void *context)
+{
+  upstream_call_t *call = context;
+
+  call->upstream->closed += !call->answered;
+  bufferevent_free (stream);
+  g_free (call);
+}
+
+static void
+on_upstream_accept (struct evconnlistener *listener,
+                    evutil_socket_t fd,
+                    struct sockaddr *address,
+                    int address_bytes,
+                    void *context)
+{
+  upstream_call_t *call = g_new0 (upstream_call_t, 1);
+  struct bufferevent *stream = bufferevent_socket_new (
+      evconnlistener_get_base (listener), fd, BEV_OPT_CLOSE_ON_FREE);
+
+  call->upstream = context;
+  bufferevent_setcb (stream, on_request_bytes, on_cut_written,
+                     on_upstream_event, call);
+  bufferevent_enable (stream, EV_READ | EV_WRITE);
+}
+
+/** A loopback address with a port that is free now. */
+static struct evconnlistener *
+listen_free (struct event_base *base,
+             evconnlistener_cb on_accept,
+             void *context,
+             char text[32])
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  struct evconnlistener *listener;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listener = evconnlistener_new_bind (
+      base, on_accept, context, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+      (struct sockaddr *)&address, sizeof address);
+  g_assert_nonnull (listener);
+  getsockname (evconnlistener_get_fd (listener), (struct sockaddr *)&address,
+               &size);
+  snprintf (text, 32, "127.0.0.1:%u", ntohs (address.sin_port));
+  return listener;
+}
+
+static gateway_route_t
+route (const char *prefix, route_kind_t kind, bool resumable)
+{
+  static route_target_t target = { "s", 1 };
+
+  return (gateway_route_t){ .name = prefix,
+                            .host = "h",
+                            .path_prefix = prefix,
+                            .kind = kind,
+                            .is_resumable = resumable,
+                            .is_public = strcmp (prefix, "/keyed/") != 0,
+                            .timeout_ms = 8000,
+                            .target_ms = 500,
+                            .gap_target_ms = 200,
+                            .attempts = 2,
+                            .targets = &target,
+                            .target_count = 1 };
+}
+
+static void
+configure (fixture_t *fixture)
+{
+  static const char *keys[] = { "secret" };
+  gateway_config_t *config = gateway_config_new (NULL);
+  gateway_route_t routes[] = { route ("/safe/", ROUTE_SAFE, false),
+                               route ("/unsafe/", ROUTE_UNSAFE, false),
+                               route ("/stream/", ROUTE_STREAM, true),
+                               route ("/once/", ROUTE_STREAM, false),
+                               route ("/keyed/", ROUTE_SAFE, false) };
+
+  config->number = 1;
+  config->routes = talloc_memdup (config, routes, sizeof routes);
+  config->route_count = G_N_ELEMENTS (routes);
+  config->services = talloc_zero (config, gateway_service_t);
+  config->services[0].name = "s";
+  config->service_count = 1;
+  config->customers = talloc_zero (config, gateway_customer_t);
+  config->customers[0]
+      = (gateway_customer_t){ .name = "one", .keys = keys, .key_count = 1 };
+  config->customer_count = 1;
+  config->has_customers = true;
+  g_assert_null (gateway_config_seal (config));
+  gateway_set_config (fixture->gateway, config);
+}
+
+static void
+announce (fixture_t *fixture)
+{
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      directory_statement_t said = { .id = i == 0 ? "u0" : "u1",
+                                     .address = fixture->upstreams[i].address,
+                                     /* Calls go to the own zone first. */
+                                     .zone = i == 0 ? "z" : "y",
+                                     .service = "s",
+                                     .sequence = 1,
+                                     .slots = 4 };
+
+      directory_put (fixture->directory, &said, clock_mono_ms ());
+    }
+  gateway_follow (fixture->gateway, fixture->directory);
+}
+
+/** Gives back an address that was free a moment ago. */
+static void
+free_address (struct event_base *base, char text[32])
+{
+  evconnlistener_free (listen_free (base, NULL, NULL, text));
+}
+
+static fixture_t *
+fixture_new (void)
+{
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+  char share[32];
+  gateway_options_t options = { .listen = fixture->listen,
+                                .zone = "z",
+                                .share_listen = share,
+                                .protocol = &protocol,
+                                .retry_percent = 20,
+                                .zone_cost_ms = 10 };
+
+  fixture->base = options.base = event_base_new ();
+  fixture->metrics = options.metrics = metrics_new (NULL);
+  fixture->directory = directory_new (NULL);
+  free_address (fixture->base, fixture->listen);
+  free_address (fixture->base, share);
+  fixture->gateway = gateway_new (NULL, &options);
+  g_assert_nonnull (fixture->gateway);
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      upstream_t *upstream = &fixture->upstreams[i];
+
+      upstream->last = g_string_new (NULL);
+      upstream->listener = listen_free (fixture->base, on_upstream_accept,
+                                        upstream, upstream->address);
+    }
+  fixture->answer = g_string_new (NULL);
+  return fixture;
+}
+
+static void
+fixture_free (fixture_t *fixture)
+{
+  if (fixture->caller != NULL)
+    bufferevent_free (fixture->caller);
+  talloc_free (fixture->gateway);
+  talloc_free (fixture->metrics);
+  talloc_free (fixture->directory);
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      evconnlistener_free (fixture->upstreams[i].listener);
+      g_string_free (fixture->upstreams[i].last, TRUE);
+    }
+  /* Connections of upstreams end with those of the gateway. */
+  event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+  event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+  g_string_free (fixture->answer, TRUE);
+  event_base_free (fixture->base);
+  g_free (fixture);
+}
+
+static void
+on_answer_bytes (struct bufferevent *stream, void *context)
+{
+  fixture_t *fixture = context;
+  struct evbuffer *in = bufferevent_get_input (stream);
+  size_t length = evbuffer_get_length (in);
+
+  g_string_append_len (fixture->answer, (char *)evbuffer_pullup (in, -1),
+                       (gssize)length);
+  evbuffer_drain (in, length);
+}
+
+static void
+on_caller_event (struct bufferevent *stream, short what, void *context)
+{
+  if ((what & BEV_EVENT_CONNECTED) == 0)
+    ((fixture_t *)context)->caller_closed = true;
+}
+
+static void
+ask (fixture_t *fixture, const char *request)
+{
+  struct sockaddr_in address;
+  int size = sizeof address;
+
+  g_string_truncate (fixture->answer, 0);
+  if (fixture->caller == NULL || fixture->caller_closed)
+    {
+      if (fixture->caller != NULL)
+        bufferevent_free (fixture->caller);
+      fixture->caller_closed = false;
+      evutil_parse_sockaddr_port (fixture->listen, (struct sockaddr *)&address,
+                                  &size);
+      fixture->caller
+          = bufferevent_socket_new (fixture->base, -1, BEV_OPT_CLOSE_ON_FREE);
+      bufferevent_setcb (fixture->caller, on_answer_bytes, NULL,
+                         on_caller_event, fixture);
+      bufferevent_enable (fixture->caller, EV_READ | EV_WRITE);
+      bufferevent_socket_connect (fixture->caller, (struct sockaddr *)&address,
+                                  size);
+    }
+  say (fixture->caller, request);
+}
+
+#define WAIT(condition)                                                        \
+  do                                                                           \
+    {                                                                          \
+      uint64_t end_ms = clock_mono_ms () + PATIENCE_MS;                        \
+      while (!(condition) && clock_mono_ms () < end_ms)                        \
+        {                                                                      \
+          event_base_loop (fixture->base, EVLOOP_NONBLOCK);                    \
+          g_usleep (500);                                                      \
+        }                                                                      \
+      g_assert_true (condition);                                               \
+    }                                                                          \
+  while (0)
+
+static bool
+has (const fixture_t *fixture, const char *part)
+{
+  return strstr (fixture->answer->str, part) != NULL;
+}
+
+static uint32_t
+requests (const fixture_t *fixture)
+{
+  return fixture->upstreams[0].requests + fixture->upstreams[1].requests;
+}
+
+static fixture_t *
+fixture_ready (act_t first, act_t second)
+{
+  fixture_t *fixture = fixture_new ();
+
+  configure (fixture);
+  announce (fixture);
+  fixture->upstreams[0].act = first;
+  fixture->upstreams[1].act = second;
+  return fixture;
+}
+
+#define POST(path)                                                             \
+  "POST " path " HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Own: kept\r\n"           \
+  "Content-Length: 5\r\n\r\nhello"
+#define GET(path) "GET " path " HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n\r\n"
+
+static void
+test_relay (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_ANSWER, ACT_ANSWER);
+  const char *sent;
+
+  ask (fixture, POST ("/unsafe/a?b=c"));
+  WAIT (has (fixture, "body"));
+  sent = fixture->upstreams[0].last->str;
+  g_assert_true (g_str_has_prefix (sent, "POST /unsafe/a?b=c HTTP/1.1\r\n"));
+  g_assert_nonnull (strstr (sent, "X-Own: kept\r\n"));
+  g_assert_nonnull (strstr (sent, "X-Upstream: u0\r\n"));
+  g_assert_true (g_str_has_suffix (sent, "\r\n\r\nhello"));
+  g_assert_true (has (fixture, "HTTP/1.1 200 OK\r\n"));
+  g_assert_true (has (fixture, "X-Kept: v\r\n"));
+  g_assert_true (has (fixture, "Content-Length: 4\r\n"));
+  /* The same connection serves the next request. */
+  ask (fixture, GET ("/safe/"));
+  WAIT (has (fixture, "body"));
+  g_assert_false (fixture->caller_closed);
+  fixture_free (fixture);
+}
+
+static void
+test_refusals (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  ask (fixture, GET ("/safe/"));
+  WAIT (has (fixture, "\r\n\r\n"));
+  g_assert_true (has (fixture, "HTTP/1.1 503"));
+  g_assert_true (has (fixture, "Retry-After:"));
+  configure (fixture);
+  ask (fixture, GET ("/safe/"));
+  WAIT (has (fixture, "HTTP/1.1 503"));
+  announce (fixture);
+  ask (fixture, GET ("/nowhere/"));
+  WAIT (has (fixture, "HTTP/1.1 404"));
+  ask (fixture, GET ("/keyed/"));
+  WAIT (has (fixture, "HTTP/1.1 401"));
+  g_assert_cmpuint (requests (fixture), ==, 0);
+  ask (fixture, "GET /keyed/ HTTP/1.1\r\nHost: h\r\nX-Key: secret\r\n"
+                "X-Id: r1\r\n\r\n");
+  WAIT (has (fixture, "body"));
+  g_assert_nonnull (
+      strstr (fixture->upstreams[0].last->str, "X-Customer: one\r\n"));
+  g_assert_null (strstr (fixture->upstreams[0].last->str, "secret"));
+  fixture_free (fixture);
+}
+
+/** What may be repeated goes to another upstream, whatever went wrong. */
+static void
+test_safe_again (void)
+{
+  static const act_t acts[]
+      = { ACT_CLOSE, ACT_NOT_RUN, ACT_FAIL, ACT_FOREIGN, ACT_SILENT };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (acts); i++)
+    {
+      fixture_t *fixture = fixture_ready (acts[i], ACT_ANSWER);
+
+      ask (fixture, GET ("/safe/"));
+      WAIT (has (fixture, "body"));
+      g_assert_true (has (fixture, "HTTP/1.1 200"));
+      g_assert_cmpuint (fixture->upstreams[0].requests, ==, 1);
+      g_assert_cmpuint (fixture->upstreams[1].requests, ==, 1);
+      fixture_free (fixture);
+    }
+}
+
+/** What may run once is never sent again once it may have run. */
+static void
+test_unsafe_once (void)
+{
+  static const struct
+  {
+    act_t act;
+    const char *status;
+    uint32_t requests;
+  } cases[] = { { ACT_CLOSE, "HTTP/1.1 502", 1 },
+                { ACT_FAIL, "HTTP/1.1 500 Sorry", 1 },
+                { ACT_FOREIGN, "HTTP/1.1 502", 1 },
+                { ACT_NOT_RUN, "HTTP/1.1 200", 2 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t *fixture = fixture_ready (cases[i].act, ACT_ANSWER);
+
+      ask (fixture, POST ("/unsafe/"));
+      WAIT (has (fixture, "\r\n\r\n"));
+      g_assert_true (has (fixture, cases[i].status));
+      g_assert_cmpuint (requests (fixture), ==, cases[i].requests);
+      fixture_free (fixture);
+    }
+}
+
+/** 503 promises that it has not run; 502 promises nothing. */
+static void
+test_promise (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_NOT_RUN, ACT_NOT_RUN);
+
+  ask (fixture, POST ("/unsafe/"));
+  WAIT (has (fixture, "\r\n\r\n"));
+  g_assert_true (has (fixture, "HTTP/1.1 503"));
+  fixture_free (fixture);
+  fixture = fixture_ready (ACT_CLOSE, ACT_NOT_RUN);
+  ask (fixture, GET ("/safe/"));
+  WAIT (has (fixture, "\r\n\r\n"));
+  g_assert_true (has (fixture, "HTTP/1.1 502"));
+  fixture_free (fixture);
+}
+
+/** Bytes after an answer belong to nobody. */
+static void
+test_extra_bytes (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_EXTRA, ACT_ANSWER);
+
+  ask (fixture, GET ("/safe/"));
+  WAIT (has (fixture, "body"));
+  fixture->upstreams[0].act = ACT_ANSWER;
+  ask (fixture, GET ("/safe/"));
+  WAIT (has (fixture, "body"));
+  g_assert_false (has (fixture, "extra"));
+  fixture_free (fixture);
+}
+
+static void
+test_stream (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_STREAM, ACT_STREAM);
+
+  ask (fixture, POST ("/stream/"));
+  WAIT (has (fixture, "0\r\n\r\n"));
+  g_assert_true (has (fixture, "id: 1\ndata: x\n\n"));
+  g_assert_true (has (fixture, "id: 3\ndata: x\n\n"));
+  fixture_free (fixture);
+}
+
+/** A stream that broke goes on elsewhere after its last whole event. */
+static void
+test_stream_resumed (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_STREAM_CUT, ACT_STREAM);
+  char *rest;
+
+  ask (fixture, POST ("/stream/"));
+  WAIT (has (fixture, "0\r\n\r\n"));
+  g_assert_nonnull (strstr (fixture->upstreams[1].last->str, "X-After: 1\r\n"));
+  rest = strstr (fixture->answer->str, "id: 1\n");
+  g_assert_nonnull (rest);
+  g_assert_null (strstr (rest + 1, "id: 1\n"));
+  rest = strstr (rest, "id: 2\ndata: x\n\n");
+  g_assert_nonnull (rest);
+  g_assert_nonnull (strstr (rest, "id: 3\ndata: x\n\n"));
+  fixture_free (fixture);
+}
+
+/** One that may not be resumed must not look complete. */
+static void
+test_stream_cut (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_STREAM_CUT, ACT_STREAM);
+
+  ask (fixture, POST ("/once/"));
+  WAIT (fixture->caller_closed);
+  g_assert_false (has (fixture, "0\r\n\r\n"));
+  g_assert_false (has (fixture, "id: 2\n"));
+  g_assert_cmpuint (requests (fixture), ==, 1);
+  fixture_free (fixture);
+}
+
+/** Silence alone ends nothing that cannot go on elsewhere. */
+static void
+test_silence_waits (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_SILENT, ACT_SILENT);
+  uint64_t begun_ms = clock_mono_ms ();
+
+  ask (fixture, POST ("/unsafe/"));
+  WAIT (fixture->upstreams[0].requests == 1);
+  WAIT (clock_mono_ms () > begun_ms + 1500);
+  g_assert_cmpuint (requests (fixture), ==, 1);
+  g_assert_cmpuint (fixture->answer->len, ==, 0);
+  g_assert_cmpuint (fixture->upstreams[0].closed, ==, 0);
+  fixture_free (fixture);
+}
+
+/** A caller that closes ends the work for it. */
+static void
+test_caller_gone (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_SILENT, ACT_SILENT);
+
+  ask (fixture, POST ("/unsafe/"));
+  WAIT (fixture->upstreams[0].requests == 1);
+  bufferevent_free (fixture->caller);
+  fixture->caller = NULL;
+  WAIT (fixture->upstreams[0].closed == 1);
+  g_assert_cmpuint (gateway_open_requests (fixture->gateway), ==, 0);
+  fixture_free (fixture);
+}
+
+/** A stop answers what is open, on connections that then end. */
+static void
+test_drain (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_ANSWER, ACT_ANSWER);
+
+  gateway_drain (fixture->gateway);
+  ask (fixture, GET ("/safe/"));
+  WAIT (fixture->caller_closed);
+  g_assert_true (has (fixture, "body"));
+  g_assert_true (has (fixture, "Connection: close\r\n"));
+  gateway_close (fixture->gateway);
+  ask (fixture, GET ("/safe/"));
+  WAIT (fixture->caller_closed);
+  g_assert_cmpuint (fixture->answer->len, ==, 0);
+  g_assert_cmpuint (requests (fixture), ==, 1);
+  fixture_free (fixture);
+}
+
+/** A configuration only goes forward. */
+static void
+test_config_forward (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_ANSWER, ACT_ANSWER);
+  gateway_config_t *older = gateway_config_new (NULL);
+
+  older->number = 1;
+  g_assert_null (gateway_config_seal (older));
+  gateway_set_config (fixture->gateway, older);
+  ask (fixture, GET ("/safe/"));
+  WAIT (has (fixture, "body"));
+  fixture_free (fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  base_init ("t8060-gateway");
+  logging_init (LOGGING_ERROR);
+  g_test_add_func ("/gateway/relay", test_relay);
+  g_test_add_func ("/gateway/refusals", test_refusals);
+  g_test_add_func ("/gateway/safe-again", test_safe_again);
+  g_test_add_func ("/gateway/unsafe-once", test_unsafe_once);
+  g_test_add_func ("/gateway/promise", test_promise);
+  g_test_add_func ("/gateway/extra-bytes", test_extra_bytes);
+  g_test_add_func ("/gateway/stream", test_stream);
+  g_test_add_func ("/gateway/stream-resumed", test_stream_resumed);
+  g_test_add_func ("/gateway/stream-cut", test_stream_cut);
+  g_test_add_func ("/gateway/silence-waits", test_silence_waits);
+  g_test_add_func ("/gateway/caller-gone", test_caller_gone);
+  g_test_add_func ("/gateway/drain", test_drain);
+  g_test_add_func ("/gateway/config-forward", test_config_forward);
+  return g_test_run ();
+}
--- /dev/null
+++ b/t/t8100-platform.c
@@ -0,0 +1,286 @@
+/* What platform/ decodes, and what it must refuse. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "platform/announcement.h"
+#include "platform/config.h"
+#include "platform/fields.h"
+
+static const char good_config[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"r\",\"host\":\"h\",\"path-prefix\":\"/a/\","
+      "\"kind\":\"stream\",\"timeout-ms\":10000,\"goal-ms\":300,"
+      "\"priority\":1,\"backends\":[{\"service\":\"s\",\"weight\":90},"
+      "{\"service\":\"t\",\"weight\":10}],\"attempts\":2,\"public\":false,"
+      "\"sticky\":true,\"resumable\":true,\"gap-target-ms\":250},"
+      "{\"name\":\"q\",\"host\":\"h\",\"path-prefix\":\"/b/\","
+      "\"kind\":\"unsafe\",\"timeout-ms\":1000,\"service\":\"t\"}],"
+      "\"services\":[{\"name\":\"s\",\"health-path\":\"/health\","
+      "\"max-conns\":9,\"engine\":{\"slots\":16,\"kv-capacity\":232000,"
+      "\"stride\":43,\"step_ms\":1.02,\"per_seq_ms\":0.002,"
+      "\"context_per_k\":0.004,\"read_per_s\":206000.0,\"pairs_per_m\":0.138,"
+      "\"chunk\":2048,\"usual\":{\"prompt\":12328,\"answer\":1303}}},"
+      "{\"name\":\"t\"}],"
+      "\"limits\":{\"idle-timeout-ms\":15000},"
+      "\"tenants\":[{\"name\":\"c\",\"api-keys\":[\"k1\",\"k2\"],"
+      "\"priority\":0}]}";
+
+static gateway_config_t *
+read_config (void *parent, const char *text)
+{
+  char *why = NULL;
+
+  return platform_config_read (parent, (const uint8_t *)text, strlen (text),
+                               &why);
+}
+
+static void
+test_config (void)
+{
+  void *parent = talloc_new (NULL);
+  gateway_config_t *config = read_config (parent, good_config);
+  const gateway_route_t *route;
+
+  g_assert_nonnull (config);
+  g_assert_cmpuint (config->number, ==, 7);
+  route = gateway_config_route (config, "h", "/a/b");
+  g_assert_cmpint (route->kind, ==, ROUTE_STREAM);
+  g_assert_true (route->is_resumable);
+  g_assert_cmpuint (route->target_ms, ==, 300);
+  g_assert_cmpuint (route->gap_target_ms, ==, 250);
+  g_assert_cmpuint (route->target_count, ==, 2);
+  g_assert_cmpint (gateway_config_route (config, "h", "/b/")->kind, ==,
+                   ROUTE_UNSAFE);
+  g_assert_cmpuint (config->services[0].engine->kv_tokens, ==, 232000);
+  g_assert_cmpuint (config->services[0].engine->read_step_tokens, ==, 2048);
+  g_assert_null (config->services[1].engine);
+  g_assert_cmpstr (gateway_config_customer (config, "k2")->name, ==, "c");
+  g_assert_cmpuint (config->limits.idle_timeout_ms, ==, 15000);
+  talloc_free (parent);
+}
+
+/** Replaces one part of the good configuration. */
+static char *
+with (const char *part, const char *other)
+{
+  char **pieces = g_strsplit (good_config, part, 2);
+  char *text;
+
+  g_assert_nonnull (pieces[1]);
+  text = g_strjoinv (other, pieces);
+  g_strfreev (pieces);
+  return text;
+}
+
+static void
+test_config_refused (void)
+{
+  static const struct
+  {
+    const char *part;
+    const char *other;
+  } cases[] = {
+    { "\"version\":7", "\"version\":\"7\"" },
+    { "\"version\":7", "\"version\":7.5" },
+    { "\"version\":7", "\"version\":0" },
+    { "\"version\":7", "\"version\":1e300" },
+    { "\"version\":7,", "" },
+    { "\"kind\":\"stream\"", "\"kind\":\"river\"" },
+    { "\"timeout-ms\":10000", "\"timeout-ms\":0" },
+    { "\"timeout-ms\":10000", "\"timeout-ms\":-5" },
+    { "\"service\":\"s\",\"weight\":90", "\"service\":\"x\",\"weight\":90" },
+    { "\"weight\":90},{\"service\":\"t\",\"weight\":10", "\"weight\":0" },
+    { "\"path-prefix\":\"/b/\"", "\"path-prefix\":\"/a/\"" },
+    { "\"api-keys\":[\"k1\",\"k2\"]", "\"api-keys\":[1]" },
+    { "\"priority\":0}]", "\"priority\":0},{\"name\":\"d\",\"api-keys\":"
+                          "[\"k2\"]}]" },
+    { "\"routes\":[", "\"routes\":[5," },
+    { "\"tenants\":[", "\"tenants\":{\"a\":[" },
+    { "\"public\":false", "\"public\":\"no\"" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      void *parent = talloc_new (NULL);
+      char *text = with (cases[i].part, cases[i].other);
+
+      g_test_message ("%s -> %s", cases[i].part, cases[i].other);
+      g_assert_null (read_config (parent, text));
+      g_free (text);
+      talloc_free (parent);
+    }
+}
+
+/** Every text that is cut short is refused, and harms nothing. */
+static void
+test_config_torn (void)
+{
+  for (size_t length = 0; length < strlen (good_config); length++)
+    {
+      void *parent = talloc_new (NULL);
+      char *text = g_strndup (good_config, length);
+
+      g_assert_null (read_config (parent, text));
+      g_free (text);
+      talloc_free (parent);
+    }
+}
+
+/** As many routes as a large configuration has. */
+static void
+test_config_large (void)
+{
+  void *parent = talloc_new (NULL);
+  GString *text
+      = g_string_new ("{\"version\":1,\"services\":[{\"name\":\"t\"}],"
+                      "\"routes\":[");
+  gateway_config_t *config;
+
+  for (int i = 0; i < 20000; i++)
+    g_string_append_printf (text,
+                            "%s{\"name\":\"r%d\",\"host\":\"h\","
+                            "\"path-prefix\":\"/x%d/\",\"kind\":\"safe\","
+                            "\"timeout-ms\":1000,\"service\":\"t\"}",
+                            i > 0 ? "," : "", i, i);
+  g_string_append (text, "]}");
+  config = read_config (parent, text->str);
+  g_assert_nonnull (config);
+  g_assert_cmpstr (gateway_config_route (config, "h", "/x19999/y")->name, ==,
+                   "r19999");
+  g_string_free (text, TRUE);
+  talloc_free (parent);
+}
+
+static bool
+read_announcement (const char *text, directory_statement_t *statement)
+{
+  void *parent = talloc_new (NULL);
+  bool good = platform_announcement_read (parent, "i", (const uint8_t *)text,
+                                          strlen (text), statement);
+
+  /* The texts go with their parent. */
+  statement->address = statement->zone = statement->service = NULL;
+  talloc_free (parent);
+  return good;
+}
+
+#define ANNOUNCEMENT(members)                                                  \
+  "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"a\"," members "}"
+
+static void
+test_announcement (void)
+{
+  static const char *const refused[]
+      = { "",
+          "{",
+          "[]",
+          "7",
+          ANNOUNCEMENT ("\"slots\":16,\"state\":\"ready\""),
+          ANNOUNCEMENT ("\"slots\":16,\"state\":\"asleep\",\"seq\":4"),
+          ANNOUNCEMENT ("\"slots\":\"16\",\"state\":\"ready\",\"seq\":4"),
+          ANNOUNCEMENT ("\"slots\":16,\"state\":\"ready\",\"seq\":-4"),
+          ANNOUNCEMENT ("\"slots\":16,\"state\":\"ready\",\"seq\":4,"
+                        "\"born\":1.5"),
+          ANNOUNCEMENT ("\"slots\":16,\"state\":5,\"seq\":4"),
+          "{\"service\":\"s\",\"addr\":\"host:80\",\"zone\":\"a\","
+          "\"slots\":1,\"state\":\"ready\",\"seq\":1}",
+          "{\"service\":[],\"addr\":\"10.0.0.9:1\",\"zone\":\"a\","
+          "\"slots\":1,\"state\":\"ready\",\"seq\":1}" };
+  directory_statement_t said;
+
+  g_assert_true (read_announcement (
+      ANNOUNCEMENT ("\"slots\":16,\"state\":\"ready\",\"seq\":4,"
+                    "\"born\":1700000000000,\"more\":{}"),
+      &said));
+  g_assert_cmpint (said.state, ==, DIRECTORY_READY);
+  g_assert_cmpuint (said.sequence, ==, 4);
+  g_assert_cmpuint (said.born_ms, ==, 1700000000000);
+  g_assert_true (read_announcement (
+      ANNOUNCEMENT ("\"slots\":16,\"state\":\"draining\",\"seq\":5"), &said));
+  g_assert_cmpint (said.state, ==, DIRECTORY_LEAVING);
+  for (size_t i = 0; i < G_N_ELEMENTS (refused); i++)
+    {
+      g_test_message ("%s", refused[i]);
+      g_assert_false (read_announcement (refused[i], &said));
+    }
+}
+
+static void
+test_leave (void)
+{
+  const char *text = "{\"born\":12}";
+
+  g_assert_cmpuint (
+      platform_leave_born_ms ((const uint8_t *)text, strlen (text)), ==, 12);
+  g_assert_cmpuint (platform_leave_born_ms ((const uint8_t *)"{", 1), ==, 0);
+  g_assert_cmpuint (platform_leave_born_ms (NULL, 0), ==, 0);
+}
+
+static void
+test_terms (void)
+{
+  http_field_t items[] = { { "Request-Id", "9c41" },
+                           { "Deadline-Ms", "1500" },
+                           { "Token-Count", "1460,80" },
+                           { "Key", "k" },
+                           { "Last-Event-Id", "12" } };
+  http_fields_t fields = { .items = items, .count = G_N_ELEMENTS (items) };
+  gateway_terms_t terms = { 0 };
+
+  platform_protocol.read_terms (&fields, &terms);
+  g_assert_cmpstr (terms.id, ==, "9c41");
+  g_assert_cmpuint (terms.deadline_ms, ==, 1500);
+  g_assert_cmpuint (terms.prompt_tokens, ==, 1460);
+  g_assert_cmpuint (terms.answer_tokens, ==, 80);
+  g_assert_cmpuint (terms.last_event, ==, 12);
+  items[1].value = "soon";
+  items[2].value = "99999999999999999999,x";
+  terms = (gateway_terms_t){ 0 };
+  platform_protocol.read_terms (&fields, &terms);
+  g_assert_false (terms.has_deadline);
+  g_assert_cmpuint (terms.prompt_tokens, ==, UINT32_MAX);
+  g_assert_cmpuint (terms.answer_tokens, ==, 0);
+}
+
+/** What a caller must not say for itself is replaced. */
+static void
+test_fields (void)
+{
+  http_field_t items[]
+      = { { "Host", "h" },           { "Request-Id", "9c41" },
+          { "Key", "secret" },       { "Tenant", "forged" },
+          { "Connection", "close" }, { "Prefix-Hash", "5c:800" } };
+  http_fields_t caller = { .items = items, .count = G_N_ELEMENTS (items) };
+  http_fields_t out = { 0 };
+  gateway_send_t send = {
+    .left_ms = 900, .upstream_id = "i-1", .customer = "c", .priority = 3
+  };
+  void *parent = talloc_new (NULL);
+
+  platform_protocol.write_fields (parent, &caller, &send, &out);
+  g_assert_cmpstr (http_fields_find (&out, "Host"), ==, "h");
+  g_assert_cmpstr (http_fields_find (&out, "Prefix-Hash"), ==, "5c:800");
+  g_assert_cmpstr (http_fields_find (&out, "Tenant"), ==, "c");
+  g_assert_cmpstr (http_fields_find (&out, "Deadline-Ms"), ==, "900");
+  g_assert_cmpstr (http_fields_find (&out, "Expect-Instance"), ==, "i-1");
+  g_assert_null (http_fields_find (&out, "Key"));
+  g_assert_null (http_fields_find (&out, "Connection"));
+  talloc_free (parent);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/config", test_config);
+  g_test_add_func ("/platform/config-refused", test_config_refused);
+  g_test_add_func ("/platform/config-torn", test_config_torn);
+  g_test_add_func ("/platform/config-large", test_config_large);
+  g_test_add_func ("/platform/announcement", test_announcement);
+  g_test_add_func ("/platform/leave", test_leave);
+  g_test_add_func ("/platform/terms", test_terms);
+  g_test_add_func ("/platform/fields", test_fields);
+  return g_test_run ();
+}
--- /dev/null
+++ b/t/t8200-node.c
@@ -0,0 +1,279 @@
+/*
+ * The two programs of the platform as real processes: a control group of three
+ * finds itself, takes a configuration and announcements, and an entry instance
+ * serves by them, through restarts and lost disks.
+ */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+
+#include "lib-cluster.h"
+
+#define CONTROLS 3
+
+typedef struct
+{
+  cluster_t *cluster;
+  char *ip[CONTROLS + 1]; /* the last is the entry instance's */
+  process_t *control[CONTROLS];
+  process_t *entry;
+  int port;
+} fixture_t;
+
+static const char config[]
+    = "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+      "\"path-prefix\":\"/a/\",\"kind\":\"safe\",\"timeout-ms\":3000,"
+      "\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}]}";
+
+/** Each process has an address of its own: ports are the same on all. */
+static void
+choose_addresses (fixture_t *fixture)
+{
+  const char *free = cluster_address (fixture->cluster);
+  int a;
+  int b;
+  int c;
+  int d;
+
+  g_assert_cmpint (
+      sscanf (free, "%d.%d.%d.%d:%d", &a, &b, &c, &d, &fixture->port), ==, 5);
+  for (int i = 0; i <= CONTROLS; i++)
+    fixture->ip[i] = g_strdup_printf ("%d.%d.%d.%d", a, b, c, d + i);
+}
+
+static char *
+write_settings (fixture_t *fixture, int index, bool found)
+{
+  GString *text = g_string_new (NULL);
+  char *name = g_strdup_printf ("node-%d", index);
+  char *file = g_strdup_printf ("%s.yaml", name);
+  char *path;
+
+  g_string_append_printf (
+      text,
+      "instance: %s\nzone: z\naddress: %s\nfirst_port: %d\nlast_port: %d\n"
+      "callers: \"%s:%d\"\nstatus: \"%s:%d\"\ncontrol: \"%s:%d\"\n"
+      "found: %s\n"
+      "announce_ms: 1000\nstop_timeout_s: 4\nlost_machines: 1\n"
+      "retry_share: 0.2\nkeeps_state: %s\nseeds: [",
+      name, fixture->ip[index], fixture->port + 1, fixture->port + 9,
+      fixture->ip[index], fixture->port + 3, fixture->ip[index],
+      fixture->port + 2, fixture->ip[index], fixture->port,
+      found ? "true" : "false", index < CONTROLS ? "true" : "false");
+  for (int i = 0; i < CONTROLS; i++)
+    g_string_append_printf (text, "%s\"%s:%d\"", i > 0 ? ", " : "",
+                            fixture->ip[i], fixture->port);
+  g_string_append (text, "]\n");
+  if (index < CONTROLS)
+    g_string_append_printf (text, "data_folder: \"%s\"\n",
+                            cluster_subfolder (fixture->cluster, name));
+  cluster_write (fixture->cluster, file, text->str);
+  path = g_strdup_printf ("%s/%s", cluster_folder (fixture->cluster), file);
+  g_string_free (text, TRUE);
+  g_free (name);
+  g_free (file);
+  return path;
+}
+
+static process_t *
+start (fixture_t *fixture, int index, bool found)
+{
+  char *path = write_settings (fixture, index, found);
+  process_t *process;
+
+  g_setenv ("LACEWINGMAST_NODE_FILE", path, TRUE);
+  process = cluster_start (
+      fixture->cluster,
+      index < CONTROLS ? "lwm-platform-control" : "lwm-platform-entry", NULL);
+  g_unsetenv ("LACEWINGMAST_NODE_FILE");
+  g_assert_nonnull (process);
+  g_free (path);
+  return process;
+}
+
+static char *
+at (const fixture_t *fixture, int index, int offset)
+{
+  return g_strdup_printf ("%s:%d", fixture->ip[index], fixture->port + offset);
+}
+
+static int
+call (const fixture_t *fixture,
+      int index,
+      int offset,
+      const char *method,
+      const char *path,
+      const char *body)
+{
+  char *address = at (fixture, index, offset);
+  answer_t answer = cluster_call (address, method, path, body);
+  int status = answer.status;
+
+  cluster_answer_free (&answer);
+  g_free (address);
+  return status;
+}
+
+static int
+put (const fixture_t *fixture, int index, int version)
+{
+  char *body = g_strdup_printf (config, version);
+  int status = call (fixture, index, 0, "POST", "/config/put", body);
+
+  g_free (body);
+  return status;
+}
+
+/** Number of the configuration that an instance reads, 0 for none. */
+static int64_t
+read_version (const fixture_t *fixture, int index)
+{
+  char *address = at (fixture, index, 0);
+  answer_t answer = cluster_call (address, "GET", "/config/get", NULL);
+  int64_t version = answer.status == 200 && answer.json != NULL
+                        ? json_object_get_int_member (answer.json, "version")
+                        : 0;
+
+  cluster_answer_free (&answer);
+  g_free (address);
+  return version;
+}
+
+static fixture_t *
+fixture_new (void)
+{
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+
+  fixture->cluster = cluster_new ();
+  choose_addresses (fixture);
+  for (int i = 0; i < CONTROLS; i++)
+    fixture->control[i] = start (fixture, i, true);
+  fixture->entry = start (fixture, CONTROLS, true);
+  CLUSTER_WAIT (put (fixture, 0, 5) == 200);
+  return fixture;
+}
+
+static void
+fixture_free (fixture_t *fixture)
+{
+  cluster_free (fixture->cluster);
+  for (int i = 0; i <= CONTROLS; i++)
+    g_free (fixture->ip[i]);
+  g_free (fixture);
+}
+
+static void
+announce (const fixture_t *fixture, int index, const char *state, int sequence)
+{
+  char *body = g_strdup_printf (
+      "{\"service\":\"s\",\"addr\":\"%s:%d\",\"zone\":\"z\",\"slots\":4,"
+      "\"state\":\"%s\",\"seq\":%d,\"born\":1000}",
+      fixture->ip[0], fixture->port, state, sequence);
+
+  g_assert_cmpint (
+      call (fixture, index, 0, "POST", "/instances/i-1/heartbeat", body), ==,
+      200);
+  g_free (body);
+}
+
+/** Announced at one control instance, an upstream is used; leaving, it is not.
+ * The control instance's own address stands in for it: it answers 404. */
+static void
+test_path (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  announce (fixture, 1, "ready", 1);
+  CLUSTER_WAIT (call (fixture, CONTROLS, 2, "GET", "/ready", NULL) == 200);
+  /* The answer bears no signature: it is nobody's. */
+  CLUSTER_WAIT (call (fixture, CONTROLS, 3, "GET", "/b/", NULL) == 404);
+  announce (fixture, 2, "draining", 2);
+  announce (fixture, 1, "ready", 1);
+  g_assert_cmpint (
+      call (fixture, 1, 0, "POST", "/instances/i-1/heartbeat", "{\"service\":"),
+      ==, 400);
+  process_signal (fixture->entry, SIGTERM);
+  g_assert_cmpint (process_wait (fixture->entry), ==, 0);
+  fixture_free (fixture);
+}
+
+static void
+test_configurations (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  g_assert_cmpint (put (fixture, 1, 7), ==, 200);
+  g_assert_cmpint (put (fixture, 2, 7), ==, 200);
+  g_assert_cmpint (put (fixture, 0, 6), ==, 200);
+  g_assert_cmpint (call (fixture, 0, 0, "POST", "/config/put",
+                         "{\"version\":7,\"routes\":[],\"services\":[]}"),
+                   ==, 409);
+  g_assert_cmpint (call (fixture, 0, 0, "POST", "/config/put",
+                         "{\"version\":8,\"routes\":["),
+                   ==, 400);
+  for (int i = 0; i < CONTROLS; i++)
+    CLUSTER_WAIT (read_version (fixture, i) == 7);
+  fixture_free (fixture);
+}
+
+static void
+empty_folder (const char *folder)
+{
+  GDir *dir = g_dir_open (folder, 0, NULL);
+  const char *name;
+
+  while ((name = g_dir_read_name (dir)) != NULL)
+    {
+      char *path = g_build_filename (folder, name, NULL);
+
+      g_unlink (path);
+      g_free (path);
+    }
+  g_dir_close (dir);
+}
+
+/** Whether the first self of the third instance was taken out of the group. */
+static bool
+is_voter_again (const fixture_t *fixture)
+{
+  bool found = false;
+
+  for (int i = 0; i < CONTROLS && !found; i++)
+    {
+      char *log = process_log (fixture->control[i]);
+
+      found = strstr (log, "kind=2") != NULL;
+      g_free (log);
+    }
+  return found;
+}
+
+/** An empty disk: the instance comes back as another and takes part again. */
+static void
+test_lost_disk (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  cluster_allow_kills (fixture->cluster);
+  g_assert_cmpint (put (fixture, 1, 9), ==, 200);
+  process_signal (fixture->control[2], SIGKILL);
+  empty_folder (cluster_subfolder (fixture->cluster, "node-2"));
+  fixture->control[2] = start (fixture, 2, false);
+  /* With another one down, the quorum needs its vote. */
+  CLUSTER_WAIT (is_voter_again (fixture));
+  process_signal (fixture->control[0], SIGKILL);
+  CLUSTER_WAIT (put (fixture, 2, 11) == 200);
+  CLUSTER_WAIT (read_version (fixture, 1) == 11);
+  fixture_free (fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/node/path", test_path);
+  g_test_add_func ("/node/configurations", test_configurations);
+  g_test_add_func ("/node/lost-disk", test_lost_disk);
+  return g_test_run ();
+}
