--- a/Makefile
+++ b/Makefile
@@ -136,6 +136,8 @@
 	@BUILD=$(BUILD) model/run.sh
 
 lint:
+	@t/names.sh
+	@t/logs.sh
 	@t/lint.sh '$(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS)' $(OWN_SRC)
 
 format:
--- /dev/null
+++ b/t/logs.sh
@@ -0,0 +1,14 @@
+#!/bin/bash
+# Checks that docs/LOGS.md names each log line of the programs for a platform.
+files="gateway*.c upstream-set.c engine-memory.c exchange.c caller-server.c
+	load-share.c node-*.c control-directory.c platform/*.c"
+missing=0
+while read -r sentence; do
+	grep -qF "$sentence" docs/LOGS.md || {
+		echo "logs: not in docs/LOGS.md: $sentence"
+		missing=1
+	}
+done < <(cat $files | tr '\n' ' ' |
+	grep -oE 'log_(info|warn|error) \("[^"]*' |
+	sed -E 's/.*\("//; s/ [a-z_]+=.*//; s/\\n//' | sed -E "s/\. .*/./" | sort -u)
+exit $missing
