engine-memory: give back what a lost instance had reserved

Jobs told to other instances carry their ticket now, and those give it back when its owner falls silent. Tested with two instances, and an engine that leaves a release unanswered.

--- a/engine-memory.c
+++ b/engine-memory.c
@@ -253,28 +253,58 @@
     reserve (ticket);
 }
 
+char *
+engine_memory_name (engine_memory_t *memory, void *parent)
+{
+  return talloc_asprintf (parent, "%016" PRIx64 "-%" PRIu64, memory->instance,
+                          ++memory->last_id);
+}
+
+static engine_ticket_t *
+ticket_new (engine_memory_t *memory,
+            uint64_t upstream,
+            const char *address,
+            const char *name)
+{
+  engine_ticket_t *ticket = talloc_zero (memory, engine_ticket_t);
+
+  ticket->memory = memory;
+  ticket->name = talloc_strdup (ticket, name);
+  ticket->address = talloc_strdup (ticket, address);
+  ticket->upstream = upstream;
+  ticket->timer = event_new (memory->options.base, -1, 0, on_timer, ticket);
+  memory->open++;
+  talloc_set_destructor (ticket, free_ticket);
+  return ticket;
+}
+
 engine_ticket_t *
 engine_memory_ask (engine_memory_t *memory,
                    const engine_ticket_options_t *options)
 {
-  engine_ticket_t *ticket = talloc_zero (memory, engine_ticket_t);
+  engine_ticket_t *ticket
+      = ticket_new (memory, options->upstream, options->address, options->name);
 
-  ticket->memory = memory;
-  ticket->name = talloc_asprintf (ticket, "%016" PRIx64 "-%" PRIu64,
-                                  memory->instance, ++memory->last_id);
-  ticket->address = talloc_strdup (ticket, options->address);
-  ticket->upstream = options->upstream;
   ticket->tokens = options->tokens;
   ticket->done = options->done;
   ticket->context = options->context;
-  ticket->timer = event_new (memory->options.base, -1, 0, on_timer, ticket);
-  memory->open++;
-  talloc_set_destructor (ticket, free_ticket);
   metric_add (memory->asked, 1);
   reserve (ticket);
   return ticket;
 }
 
+void
+engine_memory_clear (engine_memory_t *memory,
+                     uint64_t upstream,
+                     const char *address,
+                     const char *name)
+{
+  log_info ("Gives back what a lost instance had reserved. ticket=%s "
+            "address=%s",
+            name, address);
+  engine_memory_give_back (ticket_new (memory, upstream, address, name));
+}
+
 void
 engine_memory_give_back (engine_ticket_t *ticket)
 {
--- a/engine-memory.h
+++ b/engine-memory.h
@@ -3,8 +3,9 @@
  * Reserved memory at engines, for prompts that none of them can hold alone.
  *
  * A ticket is asked for with an order, kept for one request and given back with
- * another order, which is repeated until it is answered. A ticket whose end is
- * never heard of runs out by itself. No ticket is used twice.
+ * another order, which is repeated until it is answered. Other instances know
+ * of it (load-share.h) and give it back when its owner falls silent. A ticket
+ * whose end is never heard of runs out by itself. No ticket is used twice.
  */
 #ifndef ENGINE_MEMORY_H
 #define ENGINE_MEMORY_H
@@ -42,11 +43,21 @@
 {
   uint64_t upstream; /**< incarnation's key */
   const char *address;
+  const char *name; /**< see engine_memory_name() */
   uint32_t tokens;
   engine_ticket_cb_t done; /**< called once, later, unless given back first */
   void *context;
 } engine_ticket_options_t;
 
+/** A name for a new ticket, unique over all instances; for talloc @a parent. */
+char *engine_memory_name (engine_memory_t *memory, void *parent);
+
+/** Gives back what another instance had asked for and can no longer. */
+void engine_memory_clear (engine_memory_t *memory,
+                          uint64_t upstream,
+                          const char *address,
+                          const char *name);
+
 /** Asks for memory. */
 engine_ticket_t *engine_memory_ask (engine_memory_t *memory,
                                     const engine_ticket_options_t *options);
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -57,6 +57,7 @@
   uint64_t upstream_key;
   char *address;
   uint32_t memory_tokens;
+  char ticket_name[UPSTREAM_TICKET_BYTES];
   engine_ticket_t *ticket; /* or NULL */
 } gateway_helper_t;
 
--- a/gateway-parts.c
+++ b/gateway-parts.c
@@ -37,7 +37,14 @@
   helper->upstream_key = job.upstream = choice->helpers[index]->key;
   helper->address = talloc_strdup (request, choice->helpers[index]->address);
   if (index < choice->memory_count)
-    helper->memory_tokens = choice->memory_tokens[index];
+    {
+      char *name = engine_memory_name (request->gateway->memory, request);
+
+      helper->memory_tokens = choice->memory_tokens[index];
+      g_strlcpy (job.ticket, name, sizeof job.ticket);
+      g_strlcpy (helper->ticket_name, name, sizeof helper->ticket_name);
+      talloc_free (name);
+    }
   job.is_part = true;
   job.answer_tokens = 0;
   job.kv_tokens = helper->memory_tokens;
@@ -108,6 +115,7 @@
       gateway_helper_t *helper = &request->helpers[i];
       engine_ticket_options_t options = { .upstream = helper->upstream_key,
                                           .address = helper->address,
+                                          .name = helper->ticket_name,
                                           .tokens = helper->memory_tokens,
                                           .done = on_ticket,
                                           .context = request };
--- a/gateway.c
+++ b/gateway.c
@@ -488,6 +488,18 @@
   gateway_wake (context);
 }
 
+static void
+on_orphan (const upstream_job_t *job, void *context)
+{
+  gateway_t *gateway = context;
+  const upstream_member_t *member
+      = upstream_set_find (gateway->set, job->upstream);
+
+  if (member != NULL)
+    engine_memory_clear (gateway->memory, member->key, member->address,
+                         job->ticket);
+}
+
 static void
 on_upstream_gone (const upstream_member_t *member, void *context)
 {
@@ -567,6 +579,7 @@
                                  .listen = gateway->options.share_listen,
                                  .set = gateway->set,
                                  .on_change = on_share_change,
+                                 .on_orphan = on_orphan,
                                  .context = gateway,
                                  .metrics = gateway->options.metrics };
 
--- a/load-share.c
+++ b/load-share.c
@@ -75,6 +75,7 @@
   message->kv_tokens = job->kv_tokens;
   message->gap_target_ms = job->gap_target_ms;
   message->is_part = job->is_part;
+  message->ticket = (char *)job->ticket;
   message->begun_ago_ms = (uint32_t)(now_ms - job->begun_ms);
   message->target_ms = (uint32_t)(job->due_ms - job->begun_ms);
   message->sent_ago_ms = (uint32_t)(now_ms - job->sent_ms);
@@ -157,6 +158,15 @@
   g_array_append_val ((GArray *)context, *job);
 }
 
+static void
+tell_orphan (const upstream_job_t *job, void *context)
+{
+  load_share_t *share = context;
+
+  if (job->ticket[0] != '\0' && share->options.on_orphan != NULL)
+    share->options.on_orphan (job, share->options.context);
+}
+
 static void
 drop_silent (load_share_t *share, uint64_t now_ms)
 {
@@ -172,6 +182,8 @@
         continue;
       log_info ("Lost touch with an entry instance. incarnation=%ju",
                 (uintmax_t)sender->sender);
+      upstream_set_each_job (share->options.set, sender->sender, tell_orphan,
+                             share);
       upstream_set_drop_owner (share->options.set, sender->sender);
       g_hash_table_iter_remove (&iter);
     }
@@ -206,6 +218,7 @@
                          .gap_target_ms = message->gap_target_ms,
                          .is_part = message->is_part };
 
+  g_strlcpy (job.ticket, message->ticket, sizeof job.ticket);
   job.value = upstream_job_value (job.prompt_tokens, job.answer_tokens);
   job.sent_ms = now_ms - message->sent_ago_ms;
   job.begun_ms = now_ms - message->begun_ago_ms;
--- a/load-share.h
+++ b/load-share.h
@@ -27,6 +27,8 @@
   upstream_set_t *set;
   /** Jobs of others have changed; may be NULL. */
   void (*on_change) (void *context);
+  /** An instance fell silent and has left reserved memory; may be NULL. */
+  void (*on_orphan) (const upstream_job_t *job, void *context);
   void *context;
   metrics_t *metrics; /**< may be NULL */
 } load_share_options_t;
--- /dev/null
+++ b/t/t8070-load-share.c
@@ -0,0 +1,286 @@
+/*
+ * Two entry instances that tell each other of their jobs, and the memory that
+ * one of them had reserved at an engine when it is lost.
+ */
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+#include "base.h"
+#include "engine-memory.h"
+#include "load-share.h"
+#include "logging.h"
+
+#define PATIENCE_MS 20000
+
+typedef struct
+{
+  upstream_set_t *set;
+  load_share_t *share;
+  char listen[32];
+  char orphan[UPSTREAM_TICKET_BYTES];
+} instance_t;
+
+typedef struct
+{
+  struct event_base *base;
+  directory_t *directory;
+  uint64_t key;
+  instance_t one;
+  instance_t other;
+} fixture_t;
+
+/** A loopback address with a port that was free a moment ago. */
+static void
+free_address (char text[32])
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, size), ==, 0);
+  getsockname (fd, (struct sockaddr *)&address, &size);
+  snprintf (text, 32, "127.0.0.1:%u", ntohs (address.sin_port));
+  close (fd);
+}
+
+static void
+on_orphan (const upstream_job_t *job, void *context)
+{
+  instance_t *instance = context;
+
+  g_strlcpy (instance->orphan, job->ticket, sizeof instance->orphan);
+}
+
+static void
+open_instance (fixture_t *fixture, instance_t *instance)
+{
+  upstream_set_options_t set = { 0 };
+  load_share_options_t options = { .base = fixture->base,
+                                   .listen = instance->listen,
+                                   .on_orphan = on_orphan,
+                                   .context = instance };
+
+  free_address (instance->listen);
+  instance->set = options.set = upstream_set_new (NULL, &set);
+  upstream_set_follow (instance->set, fixture->directory, clock_mono_ms ());
+  instance->share = load_share_new (NULL, &options);
+  g_assert_nonnull (instance->share);
+}
+
+static fixture_t *
+fixture_new (void)
+{
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+  directory_statement_t said = { .id = "e",
+                                 .address = "10.0.0.1:80",
+                                 .zone = "z",
+                                 .service = "s",
+                                 .sequence = 1 };
+  size_t count;
+  char *addresses[2];
+
+  fixture->base = event_base_new ();
+  fixture->directory = directory_new (NULL);
+  directory_put (fixture->directory, &said, clock_mono_ms ());
+  fixture->key = directory_entries (fixture->directory, &count)[0]->key;
+  open_instance (fixture, &fixture->one);
+  open_instance (fixture, &fixture->other);
+  addresses[0] = fixture->one.listen;
+  addresses[1] = fixture->other.listen;
+  load_share_add_peers (fixture->one.share, addresses, 2);
+  load_share_add_peers (fixture->other.share, addresses, 2);
+  return fixture;
+}
+
+static void
+fixture_free (fixture_t *fixture)
+{
+  talloc_free (fixture->one.share);
+  talloc_free (fixture->other.share);
+  talloc_free (fixture->one.set);
+  talloc_free (fixture->other.set);
+  talloc_free (fixture->directory);
+  event_base_free (fixture->base);
+  g_free (fixture);
+}
+
+#define WAIT(condition)                                                        \
+  do                                                                           \
+    {                                                                          \
+      uint64_t end_ms = clock_mono_ms () + PATIENCE_MS;                        \
+      while (!(condition) && clock_mono_ms () < end_ms)                        \
+        {                                                                      \
+          event_base_loop (base, EVLOOP_NONBLOCK);                             \
+          g_usleep (500);                                                      \
+        }                                                                      \
+      g_assert_true (condition);                                               \
+    }                                                                          \
+  while (0)
+
+static upstream_job_t
+begin (fixture_t *fixture, instance_t *instance, const char *ticket)
+{
+  upstream_job_t job = { .id = load_share_next_id (instance->share),
+                         .upstream = fixture->key,
+                         .prompt_tokens = 5000,
+                         .read_tokens = 5000,
+                         .begun_ms = clock_mono_ms (),
+                         .sent_ms = clock_mono_ms () };
+
+  job.due_ms = job.begun_ms + 300;
+  g_strlcpy (job.ticket, ticket, sizeof job.ticket);
+  upstream_set_begin (instance->set, &job);
+  load_share_begin (instance->share, &job);
+  return job;
+}
+
+static void
+test_jobs (void)
+{
+  fixture_t *fixture = fixture_new ();
+  struct event_base *base = fixture->base;
+  upstream_job_t job = begin (fixture, &fixture->one, "");
+  const upstream_job_t *seen;
+
+  WAIT (upstream_set_job (fixture->other.set, job.id) != NULL);
+  seen = upstream_set_job (fixture->other.set, job.id);
+  g_assert_cmpuint (seen->prompt_tokens, ==, 5000);
+  g_assert_cmpuint (seen->due_ms - seen->begun_ms, ==, 300);
+  g_assert_cmpuint (seen->owner, !=, 0);
+  load_share_answering (fixture->one.share, job.id);
+  WAIT (upstream_set_job (fixture->other.set, job.id)->first_ms > 0);
+  upstream_set_end (fixture->one.set, job.id, UPSTREAM_JOB_GOOD,
+                    clock_mono_ms ());
+  load_share_end (fixture->one.share, job.id, UPSTREAM_JOB_GOOD);
+  WAIT (upstream_set_job (fixture->other.set, job.id) == NULL);
+  fixture_free (fixture);
+}
+
+/** An instance that is lost leaves no jobs behind, and its memory is told. */
+static void
+test_lost_instance (void)
+{
+  fixture_t *fixture = fixture_new ();
+  struct event_base *base = fixture->base;
+  upstream_job_t job = begin (fixture, &fixture->one, "ticket-1");
+
+  WAIT (upstream_set_job (fixture->other.set, job.id) != NULL);
+  talloc_free (fixture->one.share);
+  fixture->one.share = NULL;
+  WAIT (upstream_set_job (fixture->other.set, job.id) == NULL);
+  g_assert_cmpstr (fixture->other.orphan, ==, "ticket-1");
+  fixture_free (fixture);
+}
+
+/** An engine that takes orders; its first answers may be left out. */
+typedef struct
+{
+  uint32_t reserves;
+  uint32_t releases;
+  uint32_t silent; /* releases that get no answer */
+  int status;
+} engine_t;
+
+static void
+on_order (struct evhttp_request *request, void *context)
+{
+  engine_t *engine = context;
+  struct evbuffer *in = evhttp_request_get_input_buffer (request);
+  char text[200] = "";
+
+  evbuffer_copyout (in, text, sizeof text - 1);
+  if (strstr (text, "release") != NULL && ++engine->releases <= engine->silent)
+    return;
+  engine->reserves += strstr (text, "reserve") != NULL;
+  evhttp_send_reply (request, engine->status, "Answer", NULL);
+}
+
+static char *
+write_reserve (const char *ticket, uint32_t tokens, uint32_t hold_ms)
+{
+  return g_strdup_printf ("reserve %s %u %u", ticket, tokens, hold_ms);
+}
+
+static char *
+write_release (const char *ticket)
+{
+  return g_strdup_printf ("release %s", ticket);
+}
+
+static void
+on_ticket (engine_ticket_t *ticket, bool is_held, void *context)
+{
+  *(int *)context = is_held ? 1 : 0;
+}
+
+static const gateway_protocol_t protocol = { .write_reserve = write_reserve,
+                                             .write_release = write_release,
+                                             .order_target = "/order" };
+
+/** A release is repeated until it is answered; a refusal needs none. */
+static void
+test_tickets (void)
+{
+  struct event_base *base = event_base_new ();
+  struct evhttp *http = evhttp_new (base);
+  void *parent = talloc_new (NULL);
+  engine_t engine = { .status = 200, .silent = 1 };
+  exchange_pool_options_t pool = { .base = base, .connect_timeout_ms = 500 };
+  engine_memory_options_t options = { .base = base,
+                                      .protocol = &protocol,
+                                      .metrics = metrics_new (parent) };
+  int held = -1;
+  engine_ticket_options_t ask = { .upstream = 1,
+                                  .name = "t-1",
+                                  .tokens = 9,
+                                  .done = on_ticket,
+                                  .context = &held };
+  char address[32];
+  char ip[32];
+  int port;
+  engine_memory_t *memory;
+  engine_ticket_t *ticket;
+
+  free_address (address);
+  g_assert_cmpint (sscanf (address, "%31[^:]:%d", ip, &port), ==, 2);
+  g_assert_cmpint (evhttp_bind_socket (http, ip, (uint16_t)port), ==, 0);
+  evhttp_set_gencb (http, on_order, &engine);
+  options.pool = exchange_pool_new (parent, &pool);
+  memory = engine_memory_new (parent, &options);
+  ask.address = address;
+  ticket = engine_memory_ask (memory, &ask);
+  WAIT (held == 1);
+  engine_memory_give_back (ticket);
+  WAIT (engine.releases == 2);
+  held = -1;
+  engine.status = 409;
+  ticket = engine_memory_ask (memory, &ask);
+  WAIT (held == 0);
+  engine_memory_give_back (ticket);
+  engine.status = 200;
+  engine_memory_clear (memory, 1, address, "t-lost");
+  WAIT (engine.releases == 3);
+  talloc_free (parent);
+  evhttp_free (http);
+  event_base_free (base);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  base_init ("t8070-load-share");
+  logging_init (LOGGING_ERROR);
+  g_test_add_func ("/load-share/jobs", test_jobs);
+  g_test_add_func ("/load-share/lost-instance", test_lost_instance);
+  g_test_add_func ("/engine-memory/tickets", test_tickets);
+  return g_test_run ();
+}
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -19,6 +19,8 @@
 
 typedef struct upstream_set upstream_set_t;
 
+#define UPSTREAM_TICKET_BYTES 40
+
 /** One request at one upstream. */
 typedef struct
 {
@@ -38,6 +40,7 @@
   uint64_t last_ms;  /**< of its last event */
   bool is_late;      /**< a pause was too long already */
   bool is_part;      /**< reads a part of a prompt that another writes for */
+  char ticket[UPSTREAM_TICKET_BYTES]; /**< of memory reserved there, or "" */
 } upstream_job_t;
 
 /** How a job ended, as far as it tells of the upstream. */
