--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -17,7 +17,7 @@
 #define FIRST_HANGS_LONG_MS 2500
 /** Pauses between events, in times of what the caller accepts. */
 #define GAP_HANGS_FACTOR 4.0
-#define GAP_HANGS_MIN_MS 1200
+#define GAP_HANGS_MIN_MS 1500
 #define LOOK_AGAIN_MS    500
 /** Predictions of an engine's silence are this rough. */
 #define SILENCE_FACTOR 2.0
@@ -258,6 +258,7 @@
 void
 gateway_attempt_hangs (gateway_request_t *request)
 {
+  bool has_begun = request->has_head && request->attempt_events > 0;
   choice_t choice;
 
   /* Late is better than never: it is given up only for a sure better place. */
@@ -285,7 +286,9 @@
   request->has_head = false;
   request->may_have_run = true;
   request->sent++;
-  gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
+  /* An engine that has begun may just be reading: no sign that it fails. */
+  gateway_attempt_over (request,
+                        has_begun ? UPSTREAM_JOB_NEUTRAL : UPSTREAM_JOB_FAILED);
   gateway_attempt (request, &choice);
 }
 
