--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -1,12 +1,14 @@
 /**
  * @file gateway-internal.h
- * What the parts of a gateway share: gateway.c (requests in, waiting, ends),
- * gateway-attempt.c (sending and failures) and gateway-relay.c (answers). For
- * those only.
+ * What the parts of a gateway share: gateway.c (requests in, ends),
+ * gateway-wait.c (those that wait), gateway-attempt.c (sending and failures),
+ * gateway-parts.c (helpers and memory) and gateway-relay.c (answers). For those
+ * only.
  */
 #ifndef GATEWAY_INTERNAL_H
 #define GATEWAY_INTERNAL_H
 
+#include <event2/util.h>
 #include <glib.h>
 
 #include "engine-memory.h"
@@ -187,6 +189,12 @@
 /** The answer was passed on in full: ends the request. */
 void gateway_finish (gateway_request_t *request, uint32_t status);
 
+/** @a retry_ms or up to half as much again. */
+uint32_t gateway_spread_ms (uint32_t retry_ms);
+
+/** The event of those that wait: places who can be placed now. */
+void gateway_on_wake (evutil_socket_t fd, short what, void *context);
+
 /** Looks soon at those that wait. */
 void gateway_wake (gateway_t *gateway);
 
--- a/gateway.c
+++ b/gateway.c
@@ -12,17 +12,10 @@
 #include "logging.h"
 
 #define TICK_MS            100
-#define WAKE_MS            2
-#define QUEUE_EVERY_MS     20
 #define CONNECT_TIMEOUT_MS 600
 #define IDLE_TIMEOUT_MS    4000
-#define MAX_WAITING        512
-#define FIRST_EVENT_MS     100 /* from the send to a short request's first */
 /** Without a wish of the caller or a timeout of the route. */
 #define DEFAULT_DEADLINE_MS 30000
-/** Time after which a caller that was refused may find room. A spread is added,
- * so that those refused together do not return together. */
-#define RETRY_AFTER_MS 300
 /** An instance that has just started is configured in about that time. */
 #define CONFIGURED_AFTER_MS 900
 
@@ -52,16 +45,6 @@
   return 0;
 }
 
-void
-gateway_wake (gateway_t *gateway)
-{
-  struct timeval wait = { .tv_usec = WAKE_MS * 1000 };
-
-  if (gateway->waiting->len > 0
-      && !event_pending (gateway->wake, EV_TIMEOUT, NULL))
-    event_add (gateway->wake, &wait);
-}
-
 /** One line for each end of a request. */
 static void
 log_end (const gateway_request_t *request, const char *how, uint32_t status)
@@ -159,32 +142,12 @@
 }
 
 /** @a retry_ms or up to half as much again. */
-static uint32_t
-spread_ms (uint32_t retry_ms)
+uint32_t
+gateway_spread_ms (uint32_t retry_ms)
 {
   return retry_ms + (uint32_t)(random_id () % (retry_ms / 2 + 1));
 }
 
-void
-gateway_wait (gateway_request_t *request)
-{
-  gateway_t *gateway = request->gateway;
-
-  if (request->is_waiting)
-    return;
-  if (gateway->waiting->len >= MAX_WAITING)
-    {
-      gateway_refuse (request, ERROR_QUEUE_FULL, spread_ms (RETRY_AFTER_MS));
-      return;
-    }
-  request->is_waiting = true;
-  g_ptr_array_add (gateway->waiting, request);
-  log_info (
-      "Request waits for room. request=%s service=%s prompt=%u waiting=%u",
-      request->terms.id, request->service, request->terms.prompt_tokens,
-      gateway->waiting->len);
-}
-
 choice_t
 gateway_choose (const gateway_request_t *request)
 {
@@ -233,65 +196,10 @@
     gateway_refuse (request, ERROR_UPSTREAM_FAILED, 0);
   else if (choice.kind == CHOICE_HOPELESS)
     gateway_refuse (request, ERROR_DEADLINE_UNMEETABLE,
-                    spread_ms (choice.retry_ms));
+                    gateway_spread_ms (choice.retry_ms));
   else
-    gateway_refuse (request, ERROR_NO_UPSTREAM, spread_ms (choice.retry_ms));
-}
-
-/** Whether its first event may still come within its target. */
-static bool
-is_in_time (const gateway_request_t *request, uint64_t now_ms)
-{
-  return now_ms + FIRST_EVENT_MS < request->begun_ms + request->route.target_ms;
-}
-
-static gint
-compare_numbers (uint64_t a, uint64_t b)
-{
-  return (a > b) - (a < b);
-}
-
-/**
- * Who may still be in time goes first, the newest before others: under overload
- * the oldest of them would take the place of one that can be in time, and be
- * late itself. Those that are late anyway follow by age.
- */
-static gint
-compare_waiting (gconstpointer a, gconstpointer b, gpointer context)
-{
-  const gateway_request_t *one = *(const gateway_request_t *const *)a;
-  const gateway_request_t *other = *(const gateway_request_t *const *)b;
-  uint64_t now_ms = *(const uint64_t *)context;
-  bool one_in_time = is_in_time (one, now_ms);
-  bool other_in_time = is_in_time (other, now_ms);
-
-  if (one->route.priority != other->route.priority)
-    return compare_numbers (one->route.priority, other->route.priority);
-  if (one_in_time != other_in_time)
-    return one_in_time ? -1 : 1;
-  if (one->route.target_ms != other->route.target_ms)
-    return compare_numbers (one->route.target_ms, other->route.target_ms);
-  if (one_in_time)
-    return compare_numbers (other->begun_ms, one->begun_ms);
-  return compare_numbers (one->begun_ms, other->begun_ms);
-}
-
-static void
-on_wake (evutil_socket_t fd, short what, void *context)
-{
-  gateway_t *gateway = context;
-  struct timeval later = { .tv_usec = QUEUE_EVERY_MS * 1000 };
-  GPtrArray *all = g_ptr_array_new ();
-  uint64_t now_ms = clock_mono_ms ();
-
-  for (guint i = 0; i < gateway->waiting->len; i++)
-    g_ptr_array_add (all, g_ptr_array_index (gateway->waiting, i));
-  g_ptr_array_sort_with_data (all, compare_waiting, &now_ms);
-  for (guint i = 0; i < all->len; i++)
-    gateway_place (g_ptr_array_index (all, i));
-  g_ptr_array_free (all, TRUE);
-  if (gateway->waiting->len > 0)
-    event_add (gateway->wake, &later);
+    gateway_refuse (request, ERROR_NO_UPSTREAM,
+                    gateway_spread_ms (choice.retry_ms));
 }
 
 static void
@@ -348,7 +256,7 @@
             caller_request_target (caller),
             (uintmax_t)gateway_config_number (gateway));
   reply_error (caller, kind, terms->id,
-               may_return ? spread_ms (CONFIGURED_AFTER_MS) : 0);
+               may_return ? gateway_spread_ms (CONFIGURED_AFTER_MS) : 0);
 }
 
 /** Copies what the request needs of the configuration. */
@@ -609,7 +517,7 @@
   gateway->open = g_ptr_array_new ();
   gateway->waiting = g_ptr_array_new ();
   gateway->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gateway);
-  gateway->wake = event_new (options->base, -1, 0, on_wake, gateway);
+  gateway->wake = event_new (options->base, -1, 0, gateway_on_wake, gateway);
   talloc_set_destructor (gateway, free_gateway);
   event_add (gateway->tick, &every);
   gateway->set = upstream_set_new (gateway, &set);
