gateway: never repeat a silent stream that may run once

Found while reading: a silent stream of a route that is not resumable was moved to another upstream like a resumable one, and could run twice. The test gateway/silence-waits failed first.

--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -69,7 +69,7 @@
 {
   double wait_ms;
 
-  if (request->route.kind == ROUTE_UNSAFE)
+  if (!may_repeat (request))
     return 0;
   if (request->engine != NULL)
     wait_ms = request->predicted_ms * FIRST_HANGS_FACTOR
@@ -298,5 +298,7 @@
   double wait_ms
       = MAX (request->route.gap_target_ms * GAP_HANGS_FACTOR, GAP_HANGS_MIN_MS);
 
+  if (!may_repeat (request))
+    return 0;
   return clock_mono_ms () + (uint64_t)wait_ms;
 }
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -163,7 +163,8 @@
                              retry_reason_t reason,
                              bool has_run);
 
-/** When a stream counts as hanging if no event comes after one now. */
+/** When a stream counts as hanging if no event comes after one now; 0: never.
+ */
 uint64_t gateway_gap_due_ms (const gateway_request_t *request);
 
 /** The time that the attempt was given has passed. */
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -663,20 +663,25 @@
   fixture_free (fixture);
 }
 
-/** Silence alone ends nothing that cannot go on elsewhere. */
+/** Silence alone ends nothing that may run once only. */
 static void
 test_silence_waits (void)
 {
-  fixture_t *fixture = fixture_ready (ACT_SILENT, ACT_SILENT);
-  uint64_t begun_ms = clock_mono_ms ();
+  static const char *const asks[] = { POST ("/unsafe/"), POST ("/once/") };
 
-  ask (fixture, POST ("/unsafe/"));
-  WAIT (fixture->upstreams[0].requests == 1);
-  WAIT (clock_mono_ms () > begun_ms + 1500);
-  g_assert_cmpuint (requests (fixture), ==, 1);
-  g_assert_cmpuint (fixture->answer->len, ==, 0);
-  g_assert_cmpuint (fixture->upstreams[0].closed, ==, 0);
-  fixture_free (fixture);
+  for (size_t i = 0; i < G_N_ELEMENTS (asks); i++)
+    {
+      fixture_t *fixture = fixture_ready (ACT_SILENT, ACT_ANSWER);
+      uint64_t begun_ms = clock_mono_ms ();
+
+      ask (fixture, asks[i]);
+      WAIT (fixture->upstreams[0].requests == 1);
+      WAIT (clock_mono_ms () > begun_ms + 1500);
+      g_assert_cmpuint (requests (fixture), ==, 1);
+      g_assert_cmpuint (fixture->answer->len, ==, 0);
+      g_assert_cmpuint (fixture->upstreams[0].closed, ==, 0);
+      fixture_free (fixture);
+    }
 }
 
 /** A caller that closes ends the work for it. */
