--- a/caller-server.c
+++ b/caller-server.c
@@ -6,8 +6,6 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -18,15 +16,16 @@
 #define LOG_PART "callers"
 #include "logging.h"
 #include "settings.h"
+#include "socket-watch.h"
 
 #define BACKLOG 512
 /** What a caller may send ahead while its last request is answered. */
-#define MAX_AHEAD_BYTES   (64u * 1024)
-#define BODY_TIMEOUT_MS   10000
-#define USER_TIMEOUT_MS   10000
-#define KEEPALIVE_IDLE_S  5
-#define KEEPALIVE_EVERY_S 2
-#define KEEPALIVE_COUNT   3
+#define MAX_AHEAD_BYTES (64u * 1024)
+#define BODY_TIMEOUT_MS 10000
+
+/** A caller that is gone without a word has nothing to wait for. */
+static const socket_watch_t peer_watch
+    = { .user_timeout_ms = 10000, .idle_s = 5, .every_s = 2, .probes = 3 };
 
 typedef struct connection connection_t;
 
@@ -210,24 +209,6 @@
   talloc_free (connection);
 }
 
-static void
-watch_peer (evutil_socket_t fd)
-{
-  int on = 1;
-  int idle_s = KEEPALIVE_IDLE_S;
-  int every_s = KEEPALIVE_EVERY_S;
-  int count = KEEPALIVE_COUNT;
-  unsigned user_timeout_ms = USER_TIMEOUT_MS;
-
-  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof every_s);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
-              sizeof user_timeout_ms);
-}
-
 static void
 on_accept (struct evconnlistener *listener,
            evutil_socket_t fd,
@@ -243,7 +224,7 @@
           .on_body = on_body,
           .context = connection };
 
-  watch_peer (fd);
+  socket_watch (fd, &peer_watch);
   connection->server = server;
   connection->request.connection = connection;
   connection->reader = http_reader_new (connection, &reader_options);
--- a/exchange.c
+++ b/exchange.c
@@ -4,28 +4,25 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
 #include <talloc.h>
 
 #include "base.h"
+#include "socket-watch.h"
 #define LOG_PART "exchange"
 #include "logging.h"
 
 #define MAX_HEAD_BYTES (64u * 1024)
 #define MAX_KEPT       8 /* idle connections to one upstream */
-/** Unacknowledged bytes or keep-alive probes end a silent connection. */
-#define USER_TIMEOUT_MS   1500
-#define KEEPALIVE_IDLE_S  1
-#define KEEPALIVE_EVERY_S 1
-#define KEEPALIVE_COUNT   2
 /** A kept connection is left this long before its peer would close it. */
 #define IDLE_MARGIN_MS 500
 
+/** A request waits for this: an upstream that is gone is found soon. */
+static const socket_watch_t peer_watch
+    = { .user_timeout_ms = 1500, .idle_s = 1, .every_s = 1, .probes = 2 };
+
 typedef struct connection connection_t;
 
 struct exchange
@@ -243,25 +240,6 @@
     fail (connection, failure_of (connection));
 }
 
-static void
-watch_peer (struct bufferevent *stream)
-{
-  evutil_socket_t fd = bufferevent_getfd (stream);
-  int on = 1;
-  int idle_s = KEEPALIVE_IDLE_S;
-  int every_s = KEEPALIVE_EVERY_S;
-  int count = KEEPALIVE_COUNT;
-  unsigned user_timeout_ms = USER_TIMEOUT_MS;
-
-  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof every_s);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
-              sizeof user_timeout_ms);
-}
-
 static connection_t *
 connect_to (exchange_pool_t *pool, const char *address, uint64_t owner)
 {
@@ -299,7 +277,7 @@
                                  BEV_TRIG_DEFER_CALLBACKS);
     }
   else
-    watch_peer (connection->stream);
+    socket_watch (bufferevent_getfd (connection->stream), &peer_watch);
   return connection;
 }
 
