http: end calls with their owner

Cause: a one-shot call whose answer is awaited when its daemon stops was owned by nobody. The log of the failed daemon was not printed, so the harness does that first. Ruled out: a crash (status 1 is the sanitizer's own, no signal), the late answer of the case before (its engine had ended).

After: calls are owned, and end unreported with their owner. The new case (an engine that is stopped while it is asked) failed before and passes.

--- a/announce.c
+++ b/announce.c
@@ -41,7 +41,8 @@
 send_to (target_t *target)
 {
   const announce_options_t *options = &target->announce->options;
-  http_call_options_t call = { .base = options->base,
+  http_call_options_t call = { .owner = target->announce,
+                               .base = options->base,
                                .address = target->address,
                                .method = "POST",
                                .path = PATH,
--- a/builtin/lwm-swarm.c
+++ b/builtin/lwm-swarm.c
@@ -194,7 +194,8 @@
        i++)
     {
       size_t target = (standin->number + i) % settings->n_announce_to;
-      http_call_options_t call = { .base = swarm->base,
+      http_call_options_t call = { .owner = swarm,
+                                   .base = swarm->base,
                                    .address = settings->announce_to[target],
                                    .method = "POST",
                                    .path = "/v1/announce",
--- a/http.c
+++ b/http.c
@@ -6,6 +6,7 @@
 #include <event2/keyvalq_struct.h>
 #include <stdio.h>
 #include <string.h>
+#include <talloc.h>
 
 #include "settings.h"
 #include "tls.h"
@@ -246,17 +247,25 @@
   return json_node_get_boolean (node);
 }
 
+static int
+free_call (call_t *call)
+{
+  evhttp_connection_free (call->connection);
+  event_free (call->finish);
+  g_clear_pointer (&call->body, json_object_unref);
+  return 0;
+}
+
 static void
 finish_call (evutil_socket_t fd, short what, void *arg)
 {
   call_t *call = arg;
 
-  evhttp_connection_free (call->connection);
-  event_free (call->finish);
+  /* The callback may free the owner. */
+  talloc_steal (NULL, call);
   if (call->done != NULL)
     call->done (call->status, call->body, call->context);
-  g_clear_pointer (&call->body, json_object_unref);
-  g_free (call);
+  talloc_free (call);
 }
 
 static void
@@ -313,7 +322,7 @@
 void
 http_call (const http_call_options_t *options)
 {
-  call_t *call = g_new0 (call_t, 1);
+  call_t *call = talloc_zero (options->owner, call_t);
   struct timeval timeout = { .tv_sec = options->timeout_ms / 1000,
                              .tv_usec = (options->timeout_ms % 1000) * 1000 };
   struct evhttp_request *request = evhttp_request_new (on_answer, call);
@@ -332,6 +341,7 @@
           ? tls_client_bufferevent (options->tls, options->base, ip)
           : NULL,
       ip, port);
+  talloc_set_destructor (call, free_call);
   evhttp_connection_set_timeout_tv (call->connection, &timeout);
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
                      options->address);
--- a/http.h
+++ b/http.h
@@ -90,6 +90,7 @@
 
 typedef struct
 {
+  void *owner; /**< the call ends unreported with it (talloc); may be NULL */
   struct event_base *base;
   const char *address; /**< IP:PORT */
   const char *method;  /**< GET, POST, DELETE or PUT */
@@ -102,7 +103,10 @@
   void *context;
 } http_call_options_t;
 
-/** One call on a connection of its own; done is always called, once, later. */
+/**
+ * One call on a connection of its own; done is called once, later, unless the
+ * owner is freed before.
+ */
 void http_call (const http_call_options_t *options);
 
 #endif
--- a/standin-kv.c
+++ b/standin-kv.c
@@ -226,7 +226,8 @@
   import_t *import = talloc_zero (standin, import_t);
   char *escaped = g_uri_escape_string (id, NULL, FALSE);
   char *path = g_strdup_printf ("/v1/kv/%s", escaped);
-  http_call_options_t call = { .base = standin->base,
+  http_call_options_t call = { .owner = import,
+                               .base = standin->base,
                                .address = from,
                                .method = "GET",
                                .path = path,
--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -16,6 +16,8 @@
 #define CALL_TIMEOUT_MS 30000
 #define FIRST_PORT      20000
 #define MAX_ARGUMENTS   96
+/* Of a failed process; its first error is within them. */
+#define LOG_TAIL_BYTES 6000
 
 struct cluster
 {
@@ -362,6 +364,26 @@
   return process->code;
 }
 
+static void
+print_log_tail (const process_t *process)
+{
+  char *log = process_log (process);
+  size_t size = strlen (log);
+  size_t from = size > LOG_TAIL_BYTES ? size - LOG_TAIL_BYTES : 0;
+
+  g_printerr ("last lines of %s, which ended with %d:\n%s\n", process->name,
+              process->code, log + from);
+  g_free (log);
+}
+
+void
+process_expect_success (process_t *process)
+{
+  if (process_wait (process) != 0)
+    print_log_tail (process);
+  g_assert_cmpint (process->code, ==, 0);
+}
+
 bool
 process_running (process_t *process)
 {
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -69,6 +69,12 @@
 /** Waits for its end; the exit code, or 128 + signal. */
 int process_wait (process_t *process);
 
+/**
+ * Waits for its end and expects exit code 0; else fails the test and prints
+ * the last lines it wrote to stderr.
+ */
+void process_expect_success (process_t *process);
+
 /** Whether it still runs. */
 bool process_running (process_t *process);
 
--- a/t/lib-entry.c
+++ b/t/lib-entry.c
@@ -86,7 +86,7 @@
 deploy_free (deploy_t *deploy)
 {
   process_signal (deploy->process, SIGTERM);
-  g_assert_cmpint (process_wait (deploy->process), ==, 0);
+  process_expect_success (deploy->process);
   cluster_free (deploy->cluster);
   g_free (deploy);
 }
--- a/t/t1100-zones.c
+++ b/t/t1100-zones.c
@@ -378,7 +378,7 @@
   for (int i = 0; i < INSTANCES; i++)
     process_signal (fixture->instances[i].process, SIGTERM);
   for (int i = 0; i < INSTANCES; i++)
-    g_assert_cmpint (process_wait (fixture->instances[i].process), ==, 0);
+    process_expect_success (fixture->instances[i].process);
 }
 
 #define ADD(name, halves, test)                                                \
--- a/t/t2100-upstream.c
+++ b/t/t2100-upstream.c
@@ -453,7 +453,7 @@
   while ((got = recv (fd, chunk, sizeof chunk, 0)) > 0)
     g_string_append_len (events, chunk, got);
   g_assert_true (is_whole (events->str));
-  g_assert_cmpint (process_wait (rig->process), ==, 0);
+  process_expect_success (rig->process);
   close (fd);
   g_string_free (events, TRUE);
   g_strfreev (parts);
--- a/t/t3110-misbehave.c
+++ b/t/t3110-misbehave.c
@@ -1,5 +1,6 @@
 /* Engines that answer wrongly: what a caller gets is whole and its own, and
  * not_run is what the engines themselves recorded. */
+#include <signal.h>
 #include <string.h>
 
 #include "lib-entry.h"
@@ -144,6 +145,22 @@
   deploy_free (deploy);
 }
 
+/* What is still asked of an engine ends with the daemon: the sanitized run
+ * would report it as leaked. */
+static void
+test_stop_while_asking (void)
+{
+  deploy_t *deploy = deploy_new (NULL);
+  upstream_process_t engine = deploy_engine (deploy, SLOW, NULL);
+  double polls;
+
+  process_signal (engine.process, SIGSTOP);
+  polls = cluster_metric (deploy->address, "lwm_cache_polls_total");
+  CLUSTER_WAIT (cluster_metric (deploy->address, "lwm_cache_polls_total")
+                > polls);
+  deploy_free (deploy);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -155,5 +172,7 @@
   g_test_add_data_func ("/entry/misbehave/busy", &resumed[4], check_whole);
   g_test_add_func ("/entry/misbehave/late", test_late);
   g_test_add_func ("/entry/misbehave/third-fails", test_third_fails);
+  g_test_add_func ("/entry/misbehave/stop-while-asking",
+                   test_stop_while_asking);
   return g_test_run ();
 }
--- a/t/t3200-callers.c
+++ b/t/t3200-callers.c
@@ -209,7 +209,7 @@
       g_assert_cmpuint (count_in (&answer, "[DONE]"), ==, 1);
       cluster_answer_free (&answer);
     }
-  g_assert_cmpint (process_wait (deploy->process), ==, 0);
+  process_expect_success (deploy->process);
   deploy_free (deploy);
 }
 
--- a/t/t8200-node.c
+++ b/t/t8200-node.c
@@ -194,7 +194,7 @@
       call (fixture, 1, 0, "POST", "/instances/i-1/heartbeat", "{\"service\":"),
       ==, 400);
   process_signal (fixture->entry, SIGTERM);
-  g_assert_cmpint (process_wait (fixture->entry), ==, 0);
+  process_expect_success (fixture->entry);
   fixture_free (fixture);
 }
 
--- a/upstream-http-once.c
+++ b/upstream-http-once.c
@@ -1,6 +1,7 @@
 /* The one-shot calls of upstream-http.h. */
 #include <event2/http.h>
 #include <string.h>
+#include <talloc.h>
 
 #include "http.h"
 #include "upstream-http-internal.h"
@@ -45,7 +46,7 @@
 
   if (once->done != NULL)
     once->done (status, once->context);
-  g_free (once);
+  talloc_free (once);
 }
 
 static void
@@ -57,7 +58,9 @@
            http_done_cb_t done,
            once_t once)
 {
+  once_t *kept = talloc_memdup (http, &once, sizeof once);
   http_call_options_t options = {
+    .owner = http,
     .base = http->base,
     .address = target->address,
     .method = method,
@@ -65,7 +68,7 @@
     .body = body,
     .timeout_ms = ONE_SHOT_TIMEOUT_MS,
     .done = done,
-    .context = g_memdup2 (&once, sizeof once),
+    .context = kept,
   };
 
   http_call (&options);
@@ -211,7 +214,7 @@
     }
   else
     once->load (NULL, once->context);
-  g_free (once);
+  talloc_free (once);
 }
 
 void
@@ -270,7 +273,7 @@
   once->events ((const upstream_event_t *)events->data, events->len, next,
                 once->context);
   g_array_free (events, TRUE);
-  g_free (once);
+  talloc_free (once);
 }
 
 void
