keyed: let a resend wait for a running claim

Cause: an answer leaves before its outcome is committed to the control log. Ruled out: a stale read, as the second instance asks the leader.

Weighed: answer only once the outcome is committed (a commit more on each such answer, and none without a quorum), or let the resend ask again for a short time. The second also serves who resends while the request is about to end; only resends pay for it.

The new case (resend while the service is at work) failed before with 409 and passes.

--- a/dispatch-keyed.c
+++ b/dispatch-keyed.c
@@ -101,7 +101,8 @@
 dispatch_add_keyed (dispatch_t *dispatch)
 {
   const dispatch_options_t *options = &dispatch->options;
-  keyed_options_t keyed = { .control = options->control,
+  keyed_options_t keyed = { .base = options->base,
+                            .control = options->control,
                             .metrics = options->metrics,
                             .verdict = on_verdict,
                             .context = dispatch,
--- a/keyed.c
+++ b/keyed.c
@@ -1,6 +1,7 @@
 #include "keyed.h"
 
 #include <event2/buffer.h>
+#include <event2/event.h>
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
@@ -12,6 +13,8 @@
 #include "logging.h"
 
 #define FINISH_TIMEOUT_MS 30000
+#define FIRST_PAUSE_MS    20
+#define LONGEST_PAUSE_MS  320
 
 struct keyed
 {
@@ -26,6 +29,10 @@
   keyed_t *keyed;
   uint64_t sequence;
   Lwm__ControlClaimTake take;
+  uint32_t timeout_ms;  /* of each call to the group */
+  uint64_t wait_end_ms; /* until then a running claim is asked for again */
+  uint32_t pause_ms;    /* before the next time */
+  struct event *again;
 } claiming_t;
 
 bool
@@ -135,24 +142,42 @@
          || options->is_live (claim->owner, options->is_live_context);
 }
 
-static void
+/** Asks again later; false when the time for that is over. */
+static bool
+wait_for_end (claiming_t *claiming)
+{
+  struct timeval pause = { .tv_usec = claiming->pause_ms * 1000 };
+
+  if (clock_mono_ms () >= claiming->wait_end_ms)
+    return false;
+  claiming->pause_ms = MIN (claiming->pause_ms * 2, LONGEST_PAUSE_MS);
+  event_add (claiming->again, &pause);
+  return true;
+}
+
+/** Tells of the claim that exists; false while its end is waited for. */
+static bool
 say_exists (claiming_t *claiming, const Lwm__ControlClaim *claim)
 {
-  const keyed_options_t *options = &claiming->keyed->options;
+  bool running = is_running (&claiming->keyed->options, claim);
 
+  if (running && wait_for_end (claiming))
+    return false;
   metric_add (claiming->keyed->resent, 1);
   if (claim->state == LWM__CONTROL_CLAIM_STATE__CLAIM_DONE)
     say_recorded (claiming, claim);
-  else if (is_running (options, claim))
+  else if (running)
     say (claiming, KEYED_REFUSE, NULL, ERROR_KEY_IN_PROGRESS);
   else
     say (claiming, KEYED_REFUSE, NULL, ERROR_OUTCOME_UNKNOWN);
+  return true;
 }
 
 static void
 on_claimed (const Lwm__ControlAnswer *answer, void *context)
 {
   claiming_t *claiming = context;
+  bool said = true;
 
   switch (answer->result)
     {
@@ -161,7 +186,7 @@
       say (claiming, KEYED_RUN, NULL, ERROR_NONE);
       break;
     case LWM__CONTROL_RESULT__RESULT_EXISTS:
-      say_exists (claiming, answer->claim);
+      said = say_exists (claiming, answer->claim);
       break;
     case LWM__CONTROL_RESULT__RESULT_CONFLICT:
       say (claiming, KEYED_REFUSE, NULL, ERROR_KEY_CONFLICT);
@@ -171,7 +196,28 @@
       say (claiming, KEYED_REFUSE, NULL, ERROR_NO_QUORUM);
       break;
     }
-  talloc_free (claiming);
+  if (said)
+    talloc_free (claiming);
+}
+
+static void
+ask (claiming_t *claiming)
+{
+  control_client_claim (claiming->keyed->options.control, &claiming->take,
+                        claiming->timeout_ms, on_claimed, claiming);
+}
+
+static void
+on_again (evutil_socket_t fd, short what, void *arg)
+{
+  ask (arg);
+}
+
+static int
+free_claiming (claiming_t *claiming)
+{
+  event_free (claiming->again);
+  return 0;
 }
 
 void
@@ -195,8 +241,12 @@
   /* The sequence is this request's alone within the owner's incarnation. */
   take->attempt = request->sequence;
   take->keep_ms = keep_ms;
-  control_client_claim (keyed->options.control, take, timeout_ms, on_claimed,
-                        claiming);
+  claiming->timeout_ms = timeout_ms;
+  claiming->wait_end_ms = clock_mono_ms () + KEYED_RUNNING_WAIT_MS;
+  claiming->pause_ms = FIRST_PAUSE_MS;
+  claiming->again = event_new (keyed->options.base, -1, 0, on_again, claiming);
+  talloc_set_destructor (claiming, free_claiming);
+  ask (claiming);
 }
 
 /** The answer in packed form; freed with @a parent. */
--- a/keyed.h
+++ b/keyed.h
@@ -6,6 +6,10 @@
  * quorum. A resend, at any instance, finds the claim and gets the recorded
  * answer, or is told that the outcome is unknown; it never runs again. A
  * request that surely did not run gives its key back.
+ *
+ * An answer leaves before its record is committed, so a resend may find the
+ * claim of a request that is over or nearly so. It asks again for
+ * KEYED_RUNNING_WAIT_MS before it is told that the key is in progress.
  */
 #ifndef KEYED_H
 #define KEYED_H
@@ -19,6 +23,11 @@
 #include "metric.h"
 #include "request.h"
 
+struct event_base;
+
+/** Some elections of the control group long, and short beside deadlines. */
+#define KEYED_RUNNING_WAIT_MS 2000
+
 typedef struct keyed keyed_t;
 
 typedef enum
@@ -45,6 +54,7 @@
 
 typedef struct
 {
+  struct event_base *base;
   control_client_t *control;
   metrics_t *metrics;
   keyed_verdict_cb_t verdict;
--- a/t/t3300-keyed.c
+++ b/t/t3300-keyed.c
@@ -211,6 +211,25 @@
   return NULL;
 }
 
+/* The record of an answer may come after the answer: a resend waits for it,
+ * and just so for a request that is about to end. */
+static void
+test_resend_waits_for_the_end (fixture_t *fixture, gconstpointer data)
+{
+  background_t background = { .fixture = fixture };
+  GThread *thread = g_thread_new ("caller", call_in_background, &background);
+  answer_t second;
+
+  CLUSTER_WAIT (runs_of (fixture, "issue-4") == 1);
+  second = call (fixture, 1, "issue-4", "{}");
+  g_thread_join (thread);
+  g_assert_cmpint (second.status, ==, 200);
+  g_assert_cmpstr (second.body, ==, background.answer.body);
+  g_assert_cmpint (runs_of (fixture, "issue-4"), ==, 1);
+  cluster_answer_free (&second);
+  cluster_answer_free (&background.answer);
+}
+
 static void
 test_killed_owner_leaves_it_unknown (fixture_t *fixture, gconstpointer data)
 {
@@ -248,6 +267,8 @@
               test_no_quorum_is_refused_truthfully, tear_down);
   g_test_add ("/keyed/hang-up-keeps-the-outcome", fixture_t, "1500", set_up,
               test_hang_up_keeps_the_outcome, tear_down);
+  g_test_add ("/keyed/resend-waits-for-the-end", fixture_t, "500", set_up,
+              test_resend_waits_for_the_end, tear_down);
   g_test_add ("/keyed/killed-owner-leaves-it-unknown", fixture_t, "10000",
               set_up, test_killed_owner_leaves_it_unknown, tear_down);
   return g_test_run ();
