engine-choice: leave oversize prompts what writers spare

Cause: an oversize prompt was refused whenever half of the engines read, also while nearly all slots were free.

Now the engines that must not read follow from the slots that writers fill. The new case failed before (WAIT instead of SEND).

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -19,10 +19,10 @@
 #define WAIT_UNTIL  0.6
 #define WAIT_SLACK  0.35
 /** For oversize prompts: what others may lose, as a share of its worth, the
- * share of engines that may read long prompts then, and how long it waits for
- * that, as a share of its target. */
+ * engines that must not read long prompts then, and how long it waits for that,
+ * as a share of its target. */
 #define HEAVY_DAMAGE    0.25
-#define HEAVY_BLOCKED   0.5
+#define HEAVY_HEADROOM  1.6 /* engines left free, to those that writers fill */
 #define IDLE_ARRIVALS_S 0.3 /* at each engine: there is nobody to make late */
 #define HEAVY_WAIT      0.12
 /** Each engine that helps to read may fail, and is kept from others. */
@@ -102,6 +102,7 @@
 {
   double arrivals_s; /* requests an engine gets in a second, on average */
   double blocked;    /* share of engines that make those they write to late */
+  double filled;     /* share of all slots that is taken */
 } press_t;
 
 /**
@@ -127,16 +128,20 @@
 {
   press_t press = { 0 };
   uint32_t held = 0;
+  double slots = 0;
 
   for (uint32_t i = 0; i < count; i++)
     {
       const place_t *place = &places[i];
 
       held += place->state.held;
+      slots += place->member->slots > 0 ? place->member->slots
+                                        : request->model->slots;
       if (place->write_ms + place->state.pass_read_ms
           > BLOCKED_SHARE * request->shortest_gap_ms)
         press.blocked += 1;
     }
+  press.filled = held / fmax (slots, 1);
   press.arrivals_s = held / ANSWER_S / fmax (count, 1);
   press.blocked = (press.blocked + 1) / fmax (count, 1);
   return press;
@@ -422,7 +427,7 @@
 
   return best->damage > HEAVY_DAMAGE * value
          || (press->arrivals_s > IDLE_ARRIVALS_S
-             && press->blocked + taken > HEAVY_BLOCKED);
+             && press->blocked + taken > 1 - HEAVY_HEADROOM * press->filled);
 }
 
 /** Waiting a little costs nothing while the target is far off. */
--- a/t/t8040-upstream-choice.c
+++ b/t/t8040-upstream-choice.c
@@ -413,6 +413,26 @@
   fixture_free (fixture);
 }
 
+/** A wave of long prompts while short ones are few: a third of the engines
+ * read, a third writes and has room, so the rest reads the largest ones too. */
+static void
+test_oversize_in_long_wave (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t brief = short_request ();
+  choice_request_t large = long_request (LONG_TOKENS);
+  choice_request_t request = long_request (HUGE_TOKENS);
+
+  for (uint32_t i = 0; i < 2 * ENGINES / 3; i++)
+    if (i < ENGINES / 3)
+      lay (fixture, fixture->keys[i], &brief, 1, false, true);
+    else
+      lay (fixture, fixture->keys[i], &large, 1, false, false);
+  g_assert_cmpint (upstream_choose (fixture->set, &request, NOW_MS).kind, ==,
+                   CHOICE_SEND);
+  fixture_free (fixture);
+}
+
 /** Failing ones are found within a few requests, and tried again with care. */
 static void
 test_failing (void)
@@ -530,6 +550,7 @@
   g_test_add_func ("/choice/memory", test_memory);
   g_test_add_func ("/choice/oversize", test_oversize);
   g_test_add_func ("/choice/oversize-at-crest", test_oversize_at_crest);
+  g_test_add_func ("/choice/oversize-in-long-wave", test_oversize_in_long_wave);
   g_test_add_func ("/choice/failing", test_failing);
   g_test_add_func ("/choice/dead-helper", test_dead_helper);
   g_test_add_func ("/choice/all-failing", test_all_failing);
