--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,13 @@
 
 PACKAGES = build-essential pkg-config curl libevent-dev libzmq3-dev \
 	libprotobuf-c-dev libyaml-dev libjson-glib-dev liblog4c-dev \
-	libglib2.0-dev libxxhash-dev libtalloc-dev libssl-dev libhttp-parser-dev gnuplot-nox
+	libglib2.0-dev libxxhash-dev libtalloc-dev libssl-dev libhttp-parser-dev \
+	zlib1g-dev gnuplot-nox
 LINT_PACKAGES = clang clang-format clang-tidy libclang-rt-14-dev \
 	protobuf-c-compiler protobuf-compiler doxygen spin
 
 LIBS = libevent libevent_openssl libzmq libprotobuf-c yaml-0.1 \
-	json-glib-1.0 glib-2.0 gobject-2.0 libxxhash talloc openssl
+	json-glib-1.0 glib-2.0 gobject-2.0 libxxhash talloc openssl zlib
 
 CPPFLAGS += -D_GNU_SOURCE -iquote . -iquote generated
 CFLAGS   ?= -O2 -g
--- a/node-control.c
+++ b/node-control.c
@@ -11,7 +11,9 @@
 #include "control-client.h"
 #include "control-server.h"
 #include "daemon.h"
+#include "packed-text.h"
 #include "settings.h"
+#include "statemachine.h"
 #define LOG_PART "operator"
 #include "logging.h"
 
@@ -71,18 +73,34 @@
     }
 }
 
+/** Unpacks the revision, if there is one with its configuration. */
+static void
+read_revision (call_t *call,
+               const Lwm__ControlRevision *revision,
+               node_control_answer_t *answer)
+{
+  if (revision == NULL)
+    return;
+  answer->number = revision->number;
+  if (revision->config.len == 0)
+    return;
+  answer->text
+      = packed_text_open (call, revision->config.data, revision->config.len,
+                          STATEMACHINE_MAX_CONFIG_BYTES, &answer->text_bytes);
+  if (answer->text != NULL)
+    return;
+  log_error ("A revision is damaged. number=%ju bytes=%zu",
+             (uintmax_t)revision->number, revision->config.len);
+  answer->kind = ERROR_NO_CONFIGURATION;
+}
+
 static void
 on_answer (const Lwm__ControlAnswer *control_answer, void *context)
 {
   call_t *call = context;
   node_control_answer_t answer = { .kind = error_of (control_answer) };
 
-  if (control_answer->revision != NULL)
-    {
-      answer.number = control_answer->revision->number;
-      answer.text = control_answer->revision->config.data;
-      answer.text_bytes = control_answer->revision->config.len;
-    }
+  read_revision (call, control_answer->revision, &answer);
   log_info ("A call ended. proposed=%ju result=%d held=%ju took_ms=%ju "
             "detail='%s'",
             (uintmax_t)call->number, (int)control_answer->result,
@@ -108,6 +126,17 @@
   return call;
 }
 
+static void
+refuse_as_too_large (call_t *call, size_t text_bytes)
+{
+  node_control_answer_t answer = { .kind = ERROR_BAD_CONFIGURATION };
+
+  log_info ("Refused a configuration as too large. proposed=%ju bytes=%zu",
+            (uintmax_t)call->number, text_bytes);
+  call->done (&answer, call->context);
+  talloc_free (call);
+}
+
 void
 node_control_apply (node_control_t *control,
                     uint64_t number,
@@ -117,17 +146,23 @@
                     void *context)
 {
   Lwm__ControlApply apply = LWM__CONTROL_APPLY__INIT;
+  call_t *call = call_new (control, number, done, context);
   char digest[DIGEST_BYTES];
 
+  if (text_bytes > STATEMACHINE_MAX_CONFIG_BYTES)
+    {
+      refuse_as_too_large (call, text_bytes);
+      return;
+    }
   digest_of (text, text_bytes, digest);
   apply.number = number;
   apply.digest = digest;
-  apply.config.data = (uint8_t *)text;
-  apply.config.len = text_bytes;
+  apply.config.data
+      = packed_text_new (call, text, text_bytes, &apply.config.len);
   apply.who = (char *)"operator";
   apply.when_ms = clock_wall_ms ();
   control_client_apply (control->client, &apply, CALL_TIMEOUT_MS, on_answer,
-                        call_new (control, number, done, context));
+                        call);
 }
 
 void
--- a/node-entry.c
+++ b/node-entry.c
@@ -10,6 +10,8 @@
 #include "control-directory.h"
 #include "daemon.h"
 #include "http.h"
+#include "packed-text.h"
+#include "statemachine.h"
 #define LOG_PART "entry"
 #include "logging.h"
 
@@ -59,10 +61,15 @@
 {
   node_entry_t *entry = context;
   void *scratch = talloc_new (entry);
-  char *why = NULL;
-  gateway_config_t *config = entry->options.read_config (
-      scratch, revision->config.data, revision->config.len, &why);
-
+  char *why = "its text is damaged";
+  size_t text_bytes = 0;
+  uint8_t *text
+      = packed_text_open (scratch, revision->config.data, revision->config.len,
+                          STATEMACHINE_MAX_CONFIG_BYTES, &text_bytes);
+  gateway_config_t *config = NULL;
+
+  if (text != NULL)
+    config = entry->options.read_config (scratch, text, text_bytes, &why);
   if (config == NULL)
     log_error ("Revision cannot be read; the old one stays. number=%ju why=%s",
                (uintmax_t)revision->number, why);
--- /dev/null
+++ b/packed-text.c
@@ -0,0 +1,71 @@
+#include "packed-text.h"
+
+#include <talloc.h>
+#include <zlib.h>
+
+#define HEAD_BYTES 4
+/* Twice as fast as the usual level, for a tenth more space. */
+#define LEVEL 3
+
+static void
+put_size (uint8_t head[HEAD_BYTES], size_t size)
+{
+  for (int i = 0; i < HEAD_BYTES; i++)
+    head[i] = (uint8_t)(size >> (8 * (HEAD_BYTES - 1 - i)));
+}
+
+static size_t
+get_size (const uint8_t head[HEAD_BYTES])
+{
+  size_t size = 0;
+
+  for (int i = 0; i < HEAD_BYTES; i++)
+    size = size << 8 | head[i];
+  return size;
+}
+
+uint8_t *
+packed_text_new (void *parent,
+                 const uint8_t *text,
+                 size_t text_bytes,
+                 size_t *packed_bytes)
+{
+  uLongf used = compressBound (text_bytes);
+  uint8_t *packed;
+
+  if (text_bytes > UINT32_MAX)
+    return NULL;
+  packed = talloc_array_size (parent, 1, (unsigned)(HEAD_BYTES + used));
+  put_size (packed, text_bytes);
+  if (compress2 (packed + HEAD_BYTES, &used, text, text_bytes, LEVEL) != Z_OK)
+    {
+      talloc_free (packed);
+      return NULL;
+    }
+  *packed_bytes = HEAD_BYTES + used;
+  return packed;
+}
+
+uint8_t *
+packed_text_open (void *parent,
+                  const uint8_t *packed,
+                  size_t packed_bytes,
+                  size_t max_bytes,
+                  size_t *text_bytes)
+{
+  uint8_t *text;
+  uLongf used;
+
+  if (packed_bytes < HEAD_BYTES || get_size (packed) > max_bytes)
+    return NULL;
+  used = get_size (packed);
+  *text_bytes = used;
+  /* One byte more: an empty text is a block too. */
+  text = talloc_array_size (parent, 1, (unsigned)(used + 1));
+  if (uncompress (text, &used, packed + HEAD_BYTES, packed_bytes - HEAD_BYTES)
+          == Z_OK
+      && used == *text_bytes)
+    return text;
+  talloc_free (text);
+  return NULL;
+}
