--- a/engine-choice.c
+++ b/engine-choice.c
@@ -544,6 +544,8 @@
   best.usable = find_places (set, request, desperate, now_ms, places, &helpers);
   press = press_of (request, places, best.usable);
   weigh_all (request, &press, places, helpers, now_ms, &best);
+  best.blocked = press.blocked;
+  best.filled = press.filled;
   if (best.member != NULL && engine_choice_is_oversize (request)
       && is_too_heavy (request, &press, &best))
     best.kind = request->waited_ms < HEAVY_WAIT * request->target_ms
--- a/gateway.c
+++ b/gateway.c
@@ -172,6 +172,20 @@
   return upstream_choose (gateway->set, &ask, now_ms);
 }
 
+static void
+log_hopeless (const gateway_request_t *request, const choice_t *choice)
+{
+  log_info ("No engine can take the request in time. request=%s prompt=%u "
+            "parts=%u damage=%.0f value=%.0f blocked_percent=%.0f "
+            "filled_percent=%.0f usable=%u predicted_ms=%.0f",
+            request->terms.id, request->terms.prompt_tokens,
+            choice->helper_count + 1, choice->damage,
+            upstream_job_value (request->terms.prompt_tokens,
+                                request->terms.answer_tokens),
+            choice->blocked * 100, choice->filled * 100, choice->usable,
+            choice->first_ms);
+}
+
 void
 gateway_place (gateway_request_t *request)
 {
@@ -195,8 +209,11 @@
   else if (request->may_have_run)
     gateway_refuse (request, ERROR_UPSTREAM_FAILED, 0);
   else if (choice.kind == CHOICE_HOPELESS)
-    gateway_refuse (request, ERROR_DEADLINE_UNMEETABLE,
-                    gateway_spread_ms (choice.retry_ms));
+    {
+      log_hopeless (request, &choice);
+      gateway_refuse (request, ERROR_DEADLINE_UNMEETABLE,
+                      gateway_spread_ms (choice.retry_ms));
+    }
   else
     gateway_refuse (request, ERROR_NO_UPSTREAM,
                     gateway_spread_ms (choice.retry_ms));
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -67,6 +67,8 @@
   double first_ms;   /**< predicted time to the first event there */
   double damage;     /**< what others would lose */
   double loss;       /**< predicted, in upstream_job_value() units */
+  double blocked;    /**< share of engines too busy reading to write in time */
+  double filled;     /**< share of the engines' slots that is taken */
   uint32_t usable;   /**< upstreams that were looked at */
   uint32_t retry_ms; /**< with CHOICE_HOPELESS: when there may be room */
 } choice_t;
