--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,8 @@
 
 $(BUILD)/t/t8100-platform: $(PLATFORM_OBJ)
 
+$(BUILD)/t/t8110-platform-corpus: $(BUILD)/fuzz/fuzz-platform.o $(PLATFORM_OBJ)
+
 $(BUILD)/t/%: $(BUILD)/t/%.o $(TEST_LIB) $(BUILD)/liblwm.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(PKG_LIBS)
 
@@ -131,6 +133,14 @@
 	$(BUILD)/fuzz/fuzz-control -seed=1 -max_total_time=$(FUZZ_SECONDS) \
 		-artifact_prefix=$(BUILD)/fuzz/ -print_final_stats=1 \
 		$(BUILD)/fuzz/found-control t/corpus-control
+	@mkdir -p $(BUILD)/fuzz/found-platform
+	clang $(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS) -O1 -g $(FUZZ_FLAGS) \
+		-o $(BUILD)/fuzz/fuzz-platform fuzz/fuzz-platform.c \
+		$(filter-out platform/lwm-%,$(wildcard platform/*.c)) $(LIB_SRC) \
+		$(PKG_LIBS)
+	$(BUILD)/fuzz/fuzz-platform -seed=1 -max_total_time=$(FUZZ_SECONDS) \
+		-artifact_prefix=$(BUILD)/fuzz/ -print_final_stats=1 \
+		$(BUILD)/fuzz/found-platform t/corpus-platform
 
 # Exhaustive checks of the bounded models in model/, with spin.
 model:
--- /dev/null
+++ b/t/lib-corpus.h
@@ -0,0 +1,20 @@
+/**
+ * @file lib-corpus.h
+ * Replays the fixed corpus of a fuzz target in a test.
+ */
+#ifndef LIB_CORPUS_H
+#define LIB_CORPUS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+typedef int (*corpus_target_t) (const uint8_t *data, size_t size);
+
+/**
+ * Gives the target every file of @a folder, cut short at each byte, and with
+ * each byte changed.
+ * @param least files that must be there
+ */
+void corpus_replay (const char *folder, int least, corpus_target_t target);
+
+#endif
--- a/t/t8100-platform.c
+++ b/t/t8100-platform.c
@@ -349,6 +349,45 @@
   talloc_free (parent);
 }
 
+/** Unusual ways to write the list of routes mean the same by steps. */
+static void
+test_config_by_steps_unusual (void)
+{
+  static const char *const lists[] = {
+    "\"routes\":[%s],\"routes\":[]",
+    "\"routes\":[],\"routes\":[%s]",
+    "\"rout\\u0065s\":[%s]",
+  };
+  static const size_t counts[] = { 0, 1, 1 };
+  const char *route = "{\"name\":\"r\",\"host\":\"h\",\"path-prefix\":\"/\","
+                      "\"kind\":\"safe\",\"timeout-ms\":1,\"service\":\"t\"}";
+  void *parent = talloc_new (NULL);
+  platform_config_reader_t *reader = platform_config_reader_new (parent);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lists); i++)
+    {
+      char **parts = g_strsplit (lists[i], "%s", 2);
+      char *list = g_strjoinv (route, parts);
+      GString *text = g_string_new (NULL);
+      gateway_config_t *whole;
+      gateway_config_t *stepwise;
+      uint32_t steps;
+
+      g_string_printf (
+          text, "{\"version\":1,%s,\"services\":[{\"name\":\"t\"}]}", list);
+      whole = read_config (parent, text->str);
+      stepwise = read_stepwise (reader, parent, text, &steps);
+      g_assert_nonnull (whole);
+      g_assert_nonnull (stepwise);
+      g_assert_cmpuint (whole->route_count, ==, counts[i]);
+      g_assert_cmpuint (stepwise->route_count, ==, counts[i]);
+      g_string_free (text, TRUE);
+      g_free (list);
+      g_strfreev (parts);
+    }
+  talloc_free (parent);
+}
+
 /** What cannot be read whole cannot be read by steps, wherever it is torn. */
 static void
 test_config_by_steps_torn (void)
@@ -386,6 +425,8 @@
   g_test_add_func ("/platform/terms", test_terms);
   g_test_add_func ("/platform/fields", test_fields);
   g_test_add_func ("/platform/config-by-steps", test_config_by_steps);
+  g_test_add_func ("/platform/config-by-steps-unusual",
+                   test_config_by_steps_unusual);
   g_test_add_func ("/platform/config-by-steps-torn", test_config_by_steps_torn);
   return g_test_run ();
 }
--- /dev/null
+++ b/t/t8110-platform-corpus.c
@@ -0,0 +1,22 @@
+/* The decoders of what comes from the platform take every file of the fixed
+ * corpus, and every one cut short or with a byte changed, without harm. */
+#include <glib.h>
+
+#include "lib-corpus.h"
+
+/* NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+test_corpus (void)
+{
+  corpus_replay ("t/corpus-platform", 6, LLVMFuzzerTestOneInput);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform-corpus/replay", test_corpus);
+  return g_test_run ();
+}
