--- /dev/null
+++ b/t/lib-scripted.c
@@ -0,0 +1,203 @@
+#include "lib-scripted.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+typedef struct
+{
+  scripted_t *upstream;
+  bool answered;
+} call_t;
+
+void
+scripted_say (struct bufferevent *stream, const char *text)
+{
+  bufferevent_write (stream, text, strlen (text));
+}
+
+static void
+say_events (struct bufferevent *stream, const char *request)
+{
+  const char *after = strstr (request, "X-After: ");
+  int first = after != NULL ? atoi (after + strlen ("X-After: ")) + 1 : 1;
+
+  for (int id = first; id <= 3; id++)
+    {
+      char event[32];
+      char chunk[64];
+
+      snprintf (event, sizeof event, "id: %d\ndata: x\n\n", id);
+      snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (event), event);
+      scripted_say (stream, chunk);
+    }
+  scripted_say (stream, "0\r\n\r\n");
+}
+
+static void
+act (call_t *call, struct bufferevent *stream, const char *request)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\nX-Signed: 1\r\n";
+
+  call->answered = call->upstream->act != ACT_SILENT;
+  switch (call->upstream->act)
+    {
+    case ACT_ANSWER:
+      scripted_say (stream, head);
+      scripted_say (stream, "Content-Length: 4\r\nX-Kept: v\r\n\r\nbody");
+      break;
+    case ACT_CLOSE:
+      bufferevent_free (stream);
+      g_free (call);
+      break;
+    case ACT_NOT_RUN:
+      scripted_say (stream, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n"
+                            "Content-Length: 0\r\n\r\n");
+      break;
+    case ACT_FAIL:
+      scripted_say (stream, "HTTP/1.1 500 Sorry\r\nX-Signed: 1\r\n"
+                            "Content-Length: 3\r\n\r\nbad");
+      break;
+    case ACT_FOREIGN:
+      scripted_say (stream, head);
+      scripted_say (stream, "X-Id: another\r\nContent-Length: 4\r\n\r\nelse");
+      break;
+    case ACT_EXTRA:
+      scripted_say (stream, head);
+      scripted_say (stream, "Content-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n"
+                            "X-Signed: 1\r\nContent-Length: 5\r\n\r\nextra");
+      break;
+    case ACT_STREAM:
+      scripted_say (stream, head);
+      scripted_say (stream, "Transfer-Encoding: chunked\r\n\r\n");
+      say_events (stream, request);
+      break;
+    case ACT_STREAM_GAP:
+      scripted_say (stream, head);
+      scripted_say (stream, "Transfer-Encoding: chunked\r\n\r\n"
+                            "1e\r\nid: 1\ndata: x\n\nid: 3\ndata: x\n\n\r\n");
+      break;
+    case ACT_STREAM_CUT:
+      scripted_say (stream, head);
+      scripted_say (stream, "\r\nid: 1\ndata: x\n\nid: 2\nda");
+      /* Reset: the end of an answer without length would be a close. */
+      setsockopt (bufferevent_getfd (stream), SOL_SOCKET, SO_LINGER,
+                  &(struct linger){ .l_onoff = 1 }, sizeof (struct linger));
+      bufferevent_flush (stream, EV_WRITE, BEV_FLUSH);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_cut_written (struct bufferevent *stream, void *context)
+{
+  call_t *call = context;
+
+  if (call->upstream->act != ACT_STREAM_CUT || !call->answered)
+    return;
+  bufferevent_free (stream);
+  g_free (call);
+}
+
+static void
+on_request_bytes (struct bufferevent *stream, void *context)
+{
+  call_t *call = context;
+  struct evbuffer *in = bufferevent_get_input (stream);
+  size_t length = evbuffer_get_length (in);
+  char *text = g_strndup ((char *)evbuffer_pullup (in, -1), length);
+  const char *end = strstr (text, "\r\n\r\n");
+  const char *has_length = strstr (text, "Content-Length: ");
+  size_t body
+      = has_length != NULL
+            ? strtoul (has_length + strlen ("Content-Length: "), NULL, 10)
+            : 0;
+
+  if (end != NULL && length >= (size_t)(end - text) + 4 + body)
+    {
+      evbuffer_drain (in, length);
+      call->upstream->requests++;
+      g_string_assign (call->upstream->last, text);
+      act (call, stream, text);
+    }
+  g_free (text);
+}
+
+static void
+on_upstream_event (struct bufferevent *stream, short what, void *context)
+{
+  call_t *call = context;
+
+  call->upstream->closed += !call->answered;
+  bufferevent_free (stream);
+  g_free (call);
+}
+
+static void
+on_upstream_accept (struct evconnlistener *listener,
+                    evutil_socket_t fd,
+                    struct sockaddr *address,
+                    int address_bytes,
+                    void *context)
+{
+  call_t *call = g_new0 (call_t, 1);
+  struct bufferevent *stream = bufferevent_socket_new (
+      evconnlistener_get_base (listener), fd, BEV_OPT_CLOSE_ON_FREE);
+
+  call->upstream = context;
+  bufferevent_setcb (stream, on_request_bytes, on_cut_written,
+                     on_upstream_event, call);
+  bufferevent_enable (stream, EV_READ | EV_WRITE);
+}
+
+/** A loopback address with a port that is free now. */
+static struct evconnlistener *
+listen_free (struct event_base *base,
+             evconnlistener_cb on_accept,
+             void *context,
+             char text[32])
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  struct evconnlistener *listener;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listener = evconnlistener_new_bind (
+      base, on_accept, context, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+      (struct sockaddr *)&address, sizeof address);
+  g_assert_nonnull (listener);
+  getsockname (evconnlistener_get_fd (listener), (struct sockaddr *)&address,
+               &size);
+  snprintf (text, 32, "127.0.0.1:%u", ntohs (address.sin_port));
+  return listener;
+}
+
+void
+scripted_free_address (struct event_base *base, char text[32])
+{
+  evconnlistener_free (listen_free (base, NULL, NULL, text));
+}
+
+void
+scripted_start (scripted_t *upstream, struct event_base *base)
+{
+  upstream->last = g_string_new (NULL);
+  upstream->listener
+      = listen_free (base, on_upstream_accept, upstream, upstream->address);
+}
+
+void
+scripted_stop (scripted_t *upstream)
+{
+  evconnlistener_free (upstream->listener);
+  g_string_free (upstream->last, TRUE);
+}
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -5,60 +5,27 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <talloc.h>
 
 #include "base.h"
 #include "gateway.h"
+#include "lib-scripted.h"
 #include "logging.h"
 
 #define PATIENCE_MS 20000
 #define UPSTREAMS   2
 
-/** What a scripted upstream does with its next requests. */
-typedef enum
-{
-  ACT_ANSWER,     /* 200 and a body */
-  ACT_CLOSE,      /* reads the request and closes */
-  ACT_NOT_RUN,    /* 503, has not run */
-  ACT_FAIL,       /* 500 */
-  ACT_FOREIGN,    /* the answer of another request */
-  ACT_EXTRA,      /* an answer, and bytes after it */
-  ACT_STREAM,     /* three events, then the end */
-  ACT_STREAM_CUT, /* an event and a half, then a close */
-  ACT_STREAM_GAP, /* an event is missing */
-  ACT_SILENT,     /* nothing */
-} act_t;
-
-typedef struct
-{
-  struct evconnlistener *listener;
-  char address[32];
-  act_t act;
-  uint32_t requests;
-  uint32_t closed; /* by the gateway, without an answer */
-  GString *last;   /* request */
-} upstream_t;
-
-typedef struct
-{
-  upstream_t *upstream;
-  bool answered;
-} upstream_call_t;
-
 typedef struct
 {
   struct event_base *base;
   gateway_t *gateway;
   metrics_t *metrics;
   directory_t *directory;
-  upstream_t upstreams[UPSTREAMS];
+  scripted_t upstreams[UPSTREAMS];
   char listen[32];
   /* The present caller. */
   struct bufferevent *caller;
@@ -116,170 +83,6 @@
                                              .write_fields = write_fields,
                                              .read_answer = read_answer };
 
-static void
-say (struct bufferevent *stream, const char *text)
-{
-  bufferevent_write (stream, text, strlen (text));
-}
-
-static void
-say_events (struct bufferevent *stream, const char *request)
-{
-  const char *after = strstr (request, "X-After: ");
-  int first = after != NULL ? atoi (after + strlen ("X-After: ")) + 1 : 1;
-
-  for (int id = first; id <= 3; id++)
-    {
-      char event[32];
-      char chunk[64];
-
-      snprintf (event, sizeof event, "id: %d\ndata: x\n\n", id);
-      snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (event), event);
-      say (stream, chunk);
-    }
-  say (stream, "0\r\n\r\n");
-}
-
-static void
-act (upstream_call_t *call, struct bufferevent *stream, const char *request)
-{
-  static const char head[] = "HTTP/1.1 200 OK\r\nX-Signed: 1\r\n";
-
-  call->answered = call->upstream->act != ACT_SILENT;
-  switch (call->upstream->act)
-    {
-    case ACT_ANSWER:
-      say (stream, head);
-      say (stream, "Content-Length: 4\r\nX-Kept: v\r\n\r\nbody");
-      break;
-    case ACT_CLOSE:
-      bufferevent_free (stream);
-      g_free (call);
-      break;
-    case ACT_NOT_RUN:
-      say (stream, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n"
-                   "Content-Length: 0\r\n\r\n");
-      break;
-    case ACT_FAIL:
-      say (stream, "HTTP/1.1 500 Sorry\r\nX-Signed: 1\r\n"
-                   "Content-Length: 3\r\n\r\nbad");
-      break;
-    case ACT_FOREIGN:
-      say (stream, head);
-      say (stream, "X-Id: another\r\nContent-Length: 4\r\n\r\nelse");
-      break;
-    case ACT_EXTRA:
-      say (stream, head);
-      say (stream, "Content-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n"
-                   "X-Signed: 1\r\nContent-Length: 5\r\n\r\nextra");
-      break;
-    case ACT_STREAM:
-      say (stream, head);
-      say (stream, "Transfer-Encoding: chunked\r\n\r\n");
-      say_events (stream, request);
-      break;
-    case ACT_STREAM_GAP:
-      say (stream, head);
-      say (stream, "Transfer-Encoding: chunked\r\n\r\n"
-                   "1e\r\nid: 1\ndata: x\n\nid: 3\ndata: x\n\n\r\n");
-      break;
-    case ACT_STREAM_CUT:
-      say (stream, head);
-      say (stream, "\r\nid: 1\ndata: x\n\nid: 2\nda");
-      /* Reset: the end of an answer without length would be a close. */
-      setsockopt (bufferevent_getfd (stream), SOL_SOCKET, SO_LINGER,
-                  &(struct linger){ .l_onoff = 1 }, sizeof (struct linger));
-      bufferevent_flush (stream, EV_WRITE, BEV_FLUSH);
-      break;
-    default:
-      break;
-    }
-}
-
-static void
-on_cut_written (struct bufferevent *stream, void *context)
-{
-  upstream_call_t *call = context;
-
-  if (call->upstream->act != ACT_STREAM_CUT || !call->answered)
-    return;
-  bufferevent_free (stream);
-  g_free (call);
-}
-
-static void
-on_request_bytes (struct bufferevent *stream, void *context)
-{
-  upstream_call_t *call = context;
-  struct evbuffer *in = bufferevent_get_input (stream);
-  size_t length = evbuffer_get_length (in);
-  char *text = g_strndup ((char *)evbuffer_pullup (in, -1), length);
-  const char *end = strstr (text, "\r\n\r\n");
-  const char *has_length = strstr (text, "Content-Length: ");
-  size_t body
-      = has_length != NULL
-            ? strtoul (has_length + strlen ("Content-Length: "), NULL, 10)
-            : 0;
-
-  if (end != NULL && length >= (size_t)(end - text) + 4 + body)
-    {
-      evbuffer_drain (in, length);
-      call->upstream->requests++;
-      g_string_assign (call->upstream->last, text);
-      act (call, stream, text);
-    }
-  g_free (text);
-}
-
-static void
-on_upstream_event (struct bufferevent *stream, short what, void *context)
-{
-  upstream_call_t *call = context;
-
-  call->upstream->closed += !call->answered;
-  bufferevent_free (stream);
-  g_free (call);
-}
-
-static void
-on_upstream_accept (struct evconnlistener *listener,
-                    evutil_socket_t fd,
-                    struct sockaddr *address,
-                    int address_bytes,
-                    void *context)
-{
-  upstream_call_t *call = g_new0 (upstream_call_t, 1);
-  struct bufferevent *stream = bufferevent_socket_new (
-      evconnlistener_get_base (listener), fd, BEV_OPT_CLOSE_ON_FREE);
-
-  call->upstream = context;
-  bufferevent_setcb (stream, on_request_bytes, on_cut_written,
-                     on_upstream_event, call);
-  bufferevent_enable (stream, EV_READ | EV_WRITE);
-}
-
-/** A loopback address with a port that is free now. */
-static struct evconnlistener *
-listen_free (struct event_base *base,
-             evconnlistener_cb on_accept,
-             void *context,
-             char text[32])
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  struct evconnlistener *listener;
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  listener = evconnlistener_new_bind (
-      base, on_accept, context, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
-      (struct sockaddr *)&address, sizeof address);
-  g_assert_nonnull (listener);
-  getsockname (evconnlistener_get_fd (listener), (struct sockaddr *)&address,
-               &size);
-  snprintf (text, 32, "127.0.0.1:%u", ntohs (address.sin_port));
-  return listener;
-}
-
 static gateway_route_t
 route (const char *prefix, route_kind_t kind, bool resumable)
 {
@@ -343,13 +146,6 @@
   gateway_follow (fixture->gateway, fixture->directory);
 }
 
-/** Gives back an address that was free a moment ago. */
-static void
-free_address (struct event_base *base, char text[32])
-{
-  evconnlistener_free (listen_free (base, NULL, NULL, text));
-}
-
 static fixture_t *
 fixture_new (void)
 {
@@ -365,18 +161,12 @@
   fixture->base = options.base = event_base_new ();
   fixture->metrics = options.metrics = metrics_new (NULL);
   fixture->directory = directory_new (NULL);
-  free_address (fixture->base, fixture->listen);
-  free_address (fixture->base, share);
+  scripted_free_address (fixture->base, fixture->listen);
+  scripted_free_address (fixture->base, share);
   fixture->gateway = gateway_new (NULL, &options);
   g_assert_nonnull (fixture->gateway);
   for (int i = 0; i < UPSTREAMS; i++)
-    {
-      upstream_t *upstream = &fixture->upstreams[i];
-
-      upstream->last = g_string_new (NULL);
-      upstream->listener = listen_free (fixture->base, on_upstream_accept,
-                                        upstream, upstream->address);
-    }
+    scripted_start (&fixture->upstreams[i], fixture->base);
   fixture->answer = g_string_new (NULL);
   return fixture;
 }
@@ -390,10 +180,7 @@
   talloc_free (fixture->metrics);
   talloc_free (fixture->directory);
   for (int i = 0; i < UPSTREAMS; i++)
-    {
-      evconnlistener_free (fixture->upstreams[i].listener);
-      g_string_free (fixture->upstreams[i].last, TRUE);
-    }
+    scripted_stop (&fixture->upstreams[i]);
   /* Connections of upstreams end with those of the gateway. */
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
@@ -443,7 +230,7 @@
       bufferevent_socket_connect (fixture->caller, (struct sockaddr *)&address,
                                   size);
     }
-  say (fixture->caller, request);
+  scripted_say (fixture->caller, request);
 }
 
 #define WAIT(condition)                                                        \
