control-server: keep its own copies of option texts

Cause: a control server, and a gateway, went on using texts of the settings they were made from. Settings that are read again free the old ones, so a control instance then introduced itself with whatever stood in that memory. Others take the address that their settings give for a name: with a stale name that is one of the seeds', they sent votes to the wrong instance, in one trace to themselves, and a group of three that had lost one for good elected nobody any more. Ruled out: too few voters (the voters in the log were right), links.

The new case changes the settings of all processes, reads them again and goes on; it failed before with the sanitizers. The line of a new leader or term now lists the voters.

--- a/control-server.c
+++ b/control-server.c
@@ -356,10 +356,24 @@
   server->elections = elections;
 }
 
+/** Names of the voters, in a text to be freed with talloc_free(). */
+static char *
+voters_text (const Lwm__ControlMembership *membership)
+{
+  char *text = talloc_strdup (NULL, "");
+
+  for (size_t i = 0; i < membership->n_members; i++)
+    if (membership->members[i]->voter)
+      text = talloc_asprintf_append (text, "%s%s", text[0] != '\0' ? "," : "",
+                                     membership->members[i]->name);
+  return text;
+}
+
 static void
 log_leader (control_server_t *server)
 {
   raft_status_t status = raft_status (server->raft);
+  char *voters;
   const Lwm__ControlMember *leader
       = membership_find (raft_membership (server->raft), status.leader);
 
@@ -367,8 +381,11 @@
     return;
   server->leader = status.leader;
   server->term = status.term;
-  log_info ("Leader or term changed. leader=%s term=%ju",
-            leader != NULL ? leader->name : "none", (uintmax_t)status.term);
+  voters = voters_text (raft_membership (server->raft));
+  log_info ("Leader or term changed. leader=%s term=%ju voters=%s",
+            leader != NULL ? leader->name : "none", (uintmax_t)status.term,
+            voters);
+  talloc_free (voters);
 }
 
 static void
@@ -521,6 +538,10 @@
   const char *address;
 
   server->options = *options;
+  /* The caller's texts may go, as settings do that are read again. */
+  server->options.name = talloc_strdup (server, options->name);
+  server->options.listen = talloc_strdup (server, options->listen);
+  server->options.folder = talloc_strdup (server, options->folder);
   server->held = g_ptr_array_new_with_free_func (free_held);
   talloc_set_destructor (server, free_server);
   server->flush = event_new (options->base, -1, 0, on_flush, server);
--- a/gateway.c
+++ b/gateway.c
@@ -530,6 +530,11 @@
   struct timeval every = { .tv_usec = TICK_MS * 1000 };
 
   gateway->options = *options;
+  /* The caller's texts may go, as settings do that are read again. */
+  gateway->options.zone = talloc_strdup (gateway, options->zone);
+  gateway->options.listen = talloc_strdup (gateway, options->listen);
+  gateway->options.share_listen
+      = talloc_strdup (gateway, options->share_listen);
   gateway->open = g_ptr_array_new ();
   gateway->waiting = g_ptr_array_new ();
   gateway->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gateway);
--- a/t/t8200-node.c
+++ b/t/t8200-node.c
@@ -264,6 +264,34 @@
   fixture_free (fixture);
 }
 
+/** Settings that change and are read again leave nothing behind that still
+ * uses the old ones: the sanitized run would see it. */
+static void
+test_settings_again (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  announce (fixture, 1, "ready", 1);
+  CLUSTER_WAIT (call (fixture, CONTROLS, 2, "GET", "/ready", NULL) == 200);
+  for (int i = 0; i <= CONTROLS; i++)
+    {
+      g_free (write_settings (fixture, i, false));
+      process_signal (i < CONTROLS ? fixture->control[i] : fixture->entry,
+                      SIGHUP);
+    }
+  for (int version = 6; version < 26; version++)
+    {
+      int index = version % CONTROLS;
+
+      CLUSTER_WAIT (put (fixture, index, version) == 200);
+      g_assert_cmpint (read_version (fixture, index), ==, version);
+      CLUSTER_WAIT (call (fixture, CONTROLS, 3, "GET", "/b/", NULL) == 404);
+    }
+  process_signal (fixture->entry, SIGTERM);
+  process_expect_success (fixture->entry);
+  fixture_free (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -271,5 +299,6 @@
   g_test_add_func ("/node/path", test_path);
   g_test_add_func ("/node/configurations", test_configurations);
   g_test_add_func ("/node/lost-disk", test_lost_disk);
+  g_test_add_func ("/node/settings-again", test_settings_again);
   return g_test_run ();
 }
