--- a/t/t3200-callers.c
+++ b/t/t3200-callers.c
@@ -14,6 +14,7 @@
 #define MANY_TOKENS  400000
 #define PAUSED_BYTES (1024 * 1024)
 #define STREAMS      8
+#define END_BYTES    400
 /* Until one of them is tried at an upstream that is not there. */
 #define MOST_CALLS 200
 
@@ -157,6 +158,18 @@
   g_free (deploy);
 }
 
+/** What a failed case needs: the answer's last bytes and the daemon's log. */
+static void
+print_end (const deploy_t *deploy, const answer_t *answer)
+{
+  size_t size = strlen (answer->body);
+  char *log = process_log (deploy->process);
+
+  g_printerr ("the answer ends with: %s\n%s\n",
+              answer->body + (size > END_BYTES ? size - END_BYTES : 0), log);
+  g_free (log);
+}
+
 static void
 test_slow_reader (void)
 {
@@ -177,6 +190,8 @@
       g_assert_cmpfloat (now, <, PAUSED_BYTES);
     }
   answer = read_rest (fd);
+  if (count_in (&answer, "[DONE]") != 1)
+    print_end (deploy, &answer);
   g_assert_cmpuint (count_in (&answer, "\"offset\":"), ==, MANY_TOKENS + 1);
   g_assert_cmpuint (count_in (&answer, "[DONE]"), ==, 1);
   cluster_answer_free (&answer);
