--- a/config.c
+++ b/config.c
@@ -284,19 +284,27 @@
   return message_unpack (parent, &lwm__config__descriptor, data, size_bytes);
 }
 
+void
+config_digest_bytes (const uint8_t *data,
+                     size_t size_bytes,
+                     char digest[CONFIG_DIGEST_SIZE])
+{
+  XXH128_hash_t hash = XXH3_128bits (data, size_bytes);
+
+  snprintf (digest, CONFIG_DIGEST_SIZE, "%016llx%016llx",
+            (unsigned long long)hash.high64, (unsigned long long)hash.low64);
+}
+
 void
 config_digest (const Lwm__Config *config, char digest[CONFIG_DIGEST_SIZE])
 {
   Lwm__Config content = *config;
   size_t size;
   uint8_t *data;
-  XXH128_hash_t hash;
 
   content.number = 0;
   data = config_pack (NULL, &content, &size);
-  hash = XXH3_128bits (data, size);
-  snprintf (digest, CONFIG_DIGEST_SIZE, "%016llx%016llx",
-            (unsigned long long)hash.high64, (unsigned long long)hash.low64);
+  config_digest_bytes (data, size, digest);
   talloc_free (data);
 }
 
--- a/config.h
+++ b/config.h
@@ -46,6 +46,11 @@
 /** Digest of the content, all but the number. */
 void config_digest (const Lwm__Config *config, char digest[CONFIG_DIGEST_SIZE]);
 
+/** The digest of a revision whose content is kept as it came. */
+void config_digest_bytes (const uint8_t *data,
+                          size_t size_bytes,
+                          char digest[CONFIG_DIGEST_SIZE]);
+
 const Lwm__Service *config_service (const Lwm__Config *config,
                                     const char *name);
 const Lwm__Customer *config_customer (const Lwm__Config *config,
--- a/node-control.c
+++ b/node-control.c
@@ -3,11 +3,10 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <glib.h>
-#include <inttypes.h>
 #include <talloc.h>
-#include <xxhash.h>
 
 #include "base.h"
+#include "config.h"
 #include "control-client.h"
 #include "control-server.h"
 #include "daemon.h"
@@ -24,7 +23,6 @@
 /** Those who call move on to another instance after a second. */
 #define CALL_TIMEOUT_MS 900
 #define STOP_MS         300
-#define DIGEST_BYTES    33
 
 struct node_control
 {
@@ -44,15 +42,6 @@
   uint64_t begun_ms;
 } call_t;
 
-static void
-digest_of (const uint8_t *text, size_t text_bytes, char digest[DIGEST_BYTES])
-{
-  XXH128_hash_t hash = XXH3_128bits (text, text_bytes);
-
-  g_snprintf (digest, DIGEST_BYTES, "%016" PRIx64 "%016" PRIx64,
-              (uint64_t)hash.high64, (uint64_t)hash.low64);
-}
-
 static error_kind_t
 error_of (const Lwm__ControlAnswer *answer)
 {
@@ -147,14 +136,14 @@
 {
   Lwm__ControlApply apply = LWM__CONTROL_APPLY__INIT;
   call_t *call = call_new (control, number, done, context);
-  char digest[DIGEST_BYTES];
+  char digest[CONFIG_DIGEST_SIZE];
 
   if (text_bytes > STATEMACHINE_MAX_CONFIG_BYTES)
     {
       refuse_as_too_large (call, text_bytes);
       return;
     }
-  digest_of (text, text_bytes, digest);
+  config_digest_bytes (text, text_bytes, digest);
   apply.number = number;
   apply.digest = digest;
   apply.config.data
