--- a/control-group.c
+++ b/control-group.c
@@ -433,17 +433,14 @@
 {
   const Lwm__ControlMember *member
       = membership_find (members, change->incarnation);
-  size_t voters = 0;
 
-  for (size_t i = 0; i < members->n_members; i++)
-    voters += members->members[i]->voter;
   /* A name is not enough: sent again, it could mean the replacement. */
   if (change->incarnation == 0)
     return refuse (answer, LWM__CONTROL_RESULT__RESULT_BAD_REQUEST,
                    "a removal must name the incarnation");
   if (member == NULL)
     return refuse (answer, LWM__CONTROL_RESULT__RESULT_SAME, "");
-  if (member->voter && voters == 1)
+  if (member->voter && membership_voters (members) == 1)
     return refuse (answer, LWM__CONTROL_RESULT__RESULT_BAD_REQUEST,
                    "the last voter cannot be removed");
   membership_remove (members, member->incarnation);
--- a/control-report.c
+++ b/control-report.c
@@ -49,12 +49,8 @@
 read_voters (void *context)
 {
   const control_server_t *server = context;
-  const Lwm__ControlMembership *members = raft_membership (server->raft);
-  double voters = 0;
 
-  for (size_t i = 0; i < members->n_members; i++)
-    voters += members->members[i]->voter;
-  return voters;
+  return (double)membership_voters (raft_membership (server->raft));
 }
 
 static double
--- a/members.c
+++ b/members.c
@@ -54,6 +54,16 @@
   return data;
 }
 
+size_t
+membership_voters (const Lwm__ControlMembership *membership)
+{
+  size_t voters = 0;
+
+  for (size_t i = 0; i < membership->n_members; i++)
+    voters += membership->members[i]->voter;
+  return voters;
+}
+
 Lwm__ControlMember *
 membership_find (const Lwm__ControlMembership *membership, uint64_t incarnation)
 {
--- a/members.h
+++ b/members.h
@@ -25,6 +25,9 @@
                           size_t *size_bytes);
 
 /** The member with that incarnation, or NULL. */
+/** How many of the members vote. */
+size_t membership_voters (const Lwm__ControlMembership *membership);
+
 Lwm__ControlMember *membership_find (const Lwm__ControlMembership *membership,
                                      uint64_t incarnation);
 
