--- a/control-client.c
+++ b/control-client.c
@@ -243,7 +243,7 @@
     }
 }
 
-/** Makes @a peer the one that pushes revisions, and asks it at once. */
+/** Makes that peer the one that pushes revisions, and asks it at once. */
 static void
 move_home (control_client_t *client, size_t number)
 {
@@ -253,6 +253,13 @@
   client->peers[number]->watch_due_ms = 0;
 }
 
+/** Lets the next peer push revisions in place of the present one. */
+static void
+leave_home (control_client_t *client)
+{
+  move_home (client, (client->home + 1) % client->peer_count);
+}
+
 /** A replica other than the home may be ahead of it for a short while only. */
 static void
 compare_number (control_client_t *client, const peer_t *peer, uint64_t number)
@@ -286,8 +293,7 @@
     /* A message before this one was lost. */
     peer->watch_due_ms = 0;
   for (size_t i = 0; i < part->n_replicas; i++)
-    if (find_peer (client, "", part->replicas[i]) == NO_PEER)
-      add_peer (client, part->replicas[i]);
+    control_client_add_peer (client, part->replicas[i]);
   compare_number (client, peer, part->config_number);
   if (client->options.on_directory != NULL)
     client->options.on_directory (part, client->options.context);
@@ -325,7 +331,7 @@
       return;
     }
   /* It may be cut off from a group that goes on without it. */
-  move_home (client, (client->home + 1) % client->peer_count);
+  leave_home (client);
 }
 
 static void
@@ -438,7 +444,7 @@
   if (client->options.on_revision == NULL)
     return;
   if (client->home_heard_ms + WATCH_SILENCE_MS < now_ms)
-    move_home (client, (client->home + 1) % client->peer_count);
+    leave_home (client);
   for (size_t i = 0; i < client->peer_count; i++)
     {
       peer_t *peer = client->peers[i];
