gateway: one way to fail an attempt

A cut stream, a foreign answer and a broken connection each did the same three steps. Also: the time since the last word is worked out once, and the pause that a refused caller is told has one name.

--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -198,7 +198,7 @@
   else if (request->may_have_run)
     gateway_refuse (request, ERROR_UPSTREAM_FAILED, 0);
   else
-    gateway_refuse (request, ERROR_NO_UPSTREAM, 300);
+    gateway_refuse (request, ERROR_NO_UPSTREAM, GATEWAY_RETRY_AFTER_MS);
 }
 
 void
@@ -228,31 +228,38 @@
   gateway_set_timer (request);
 }
 
+/** How long an engine is expected to say nothing. */
 static double
-silence_ms (const gateway_request_t *request,
-            uint64_t upstream_key,
-            uint64_t now_ms)
+expected_silence_ms (const gateway_request_t *request,
+                     uint64_t upstream_key,
+                     uint64_t now_ms)
 {
   return upstream_choice_silence_ms (request->gateway->set, upstream_key,
                                      request->engine, now_ms);
 }
 
+/** Time since the present attempt was last heard of. */
+static uint64_t
+silent_ms (const gateway_request_t *request, uint64_t now_ms)
+{
+  return now_ms - MAX (request->attempt_ms, request->last_event_ms);
+}
+
 /** Whether its engines are known to be reading for that long. */
 static bool
 is_silence_expected (const gateway_request_t *request)
 {
   uint64_t now_ms = clock_mono_ms ();
-  uint64_t last_ms = MAX (request->attempt_ms, request->last_event_ms);
   double expected_ms;
 
   if (request->engine == NULL)
     return false;
-  expected_ms = silence_ms (request, request->upstream_key, now_ms);
+  expected_ms = expected_silence_ms (request, request->upstream_key, now_ms);
   for (uint32_t i = 0; i < request->helper_count; i++)
-    expected_ms
-        = MAX (expected_ms,
-               silence_ms (request, request->helpers[i].upstream_key, now_ms));
-  return (double)(now_ms - last_ms) < expected_ms * SILENCE_FACTOR;
+    expected_ms = MAX (expected_ms,
+                       expected_silence_ms (
+                           request, request->helpers[i].upstream_key, now_ms));
+  return (double)silent_ms (request, now_ms) < expected_ms * SILENCE_FACTOR;
 }
 
 void
@@ -280,8 +287,7 @@
   log_info ("An upstream is silent. request=%s upstream=%s silent_ms=%ju "
             "events=%u",
             request->terms.id, request->upstream_id,
-            (uintmax_t)(clock_mono_ms ()
-                        - MAX (request->attempt_ms, request->last_event_ms)),
+            (uintmax_t)silent_ms (request, clock_mono_ms ()),
             request->event_count);
   request->has_head = false;
   request->may_have_run = true;
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -22,6 +22,8 @@
 struct event;
 
 #define GATEWAY_MAX_TRIES 6
+/** Time after which a caller that was refused may find room. */
+#define GATEWAY_RETRY_AFTER_MS 300
 
 /** Counters; one for each refusal reason is in refusals. */
 typedef struct
@@ -190,7 +192,8 @@
 /** The answer was passed on in full: ends the request. */
 void gateway_finish (gateway_request_t *request, uint32_t status);
 
-/** @a retry_ms or up to half as much again. */
+/** @a retry_ms or up to half as much again, so that those who are refused
+ * together do not return together. */
 uint32_t gateway_spread_ms (uint32_t retry_ms);
 
 /** The event of those that wait: places who can be placed now. */
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -52,12 +52,13 @@
   return request->status < 300 && !answer->is_signed;
 }
 
+/** The upstream failed; nothing of its answer is passed on any more. */
 static void
-fail_now (gateway_request_t *request, retry_reason_t reason)
+fail (gateway_request_t *request, retry_reason_t reason, bool has_run)
 {
   request->has_head = false;
   gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
-  gateway_attempt_failed (request, reason, true);
+  gateway_attempt_failed (request, reason, has_run);
 }
 
 /** The engine's own time is told from ours by its first event. */
@@ -169,7 +170,7 @@
           = !event_stream_feed (request->events, data, size_bytes);
       if (request->is_spoilt)
         {
-          fail_now (request, RETRY_CROSSED);
+          fail (request, RETRY_CROSSED, true);
           return;
         }
       if (request->event_count > 0)
@@ -182,7 +183,7 @@
     {
       log_warn ("An answer is too large. request=%s upstream=%s",
                 request->terms.id, request->upstream_id);
-      fail_now (request, RETRY_TRUNCATED);
+      fail (request, RETRY_TRUNCATED, true);
       return;
     }
   g_byte_array_append (request->body, data, (guint)size_bytes);
@@ -203,9 +204,7 @@
   if (!event_stream_is_whole (request->events)
       || (!request->is_begun && request->event_count == 0))
     {
-      gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
-      request->has_head = false;
-      gateway_attempt_failed (request, RETRY_TRUNCATED, true);
+      fail (request, RETRY_TRUNCATED, true);
       return;
     }
   gateway_attempt_over (request, UPSTREAM_JOB_GOOD);
@@ -249,7 +248,7 @@
 
   request->exchange = NULL;
   if (request->is_foreign)
-    fail_now (request, RETRY_CROSSED);
+    fail (request, RETRY_CROSSED, true);
   else if (request->events != NULL)
     end_stream (request);
   else
@@ -265,9 +264,7 @@
                                             [EXCHANGE_BROKEN] = RETRY_BROKEN };
 
   request->exchange = NULL;
-  request->has_head = false;
-  gateway_attempt_over (request, UPSTREAM_JOB_FAILED);
-  gateway_attempt_failed (request, reasons[how], how != EXCHANGE_NOT_SENT);
+  fail (request, reasons[how], how != EXCHANGE_NOT_SENT);
 }
 
 const exchange_callbacks_t gateway_relay_callbacks = { .on_head = on_head,
--- a/gateway-wait.c
+++ b/gateway-wait.c
@@ -9,9 +9,6 @@
 #define QUEUE_EVERY_MS 20
 #define MAX_WAITING    512
 #define FIRST_EVENT_MS 100 /* from the send to a short request's first */
-/** Time after which a caller that was refused may find room. A spread is added,
- * so that those refused together do not return together. */
-#define RETRY_AFTER_MS 300
 
 void
 gateway_wake (gateway_t *gateway)
@@ -33,7 +30,7 @@
   if (gateway->waiting->len >= MAX_WAITING)
     {
       gateway_refuse (request, ERROR_QUEUE_FULL,
-                      gateway_spread_ms (RETRY_AFTER_MS));
+                      gateway_spread_ms (GATEWAY_RETRY_AFTER_MS));
       return;
     }
   request->is_waiting = true;
