--- a/caller-server.c
+++ b/caller-server.c
@@ -8,7 +8,6 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
@@ -362,14 +361,6 @@
   return request->data;
 }
 
-static bool
-is_framing (const char *name)
-{
-  return strcasecmp (name, "Content-Length") == 0
-         || strcasecmp (name, "Transfer-Encoding") == 0
-         || strcasecmp (name, "Connection") == 0;
-}
-
 void
 caller_reply_begin (caller_request_t *request,
                     uint32_t status,
@@ -385,9 +376,8 @@
   connection->closes = connection->closes || connection->server->is_draining;
   evbuffer_add_printf (out, "HTTP/1.1 %u %s\r\n", status, reason);
   for (size_t i = 0; i < fields->count; i++)
-    if (!is_framing (fields->items[i].name))
-      evbuffer_add_printf (out, "%s: %s\r\n", fields->items[i].name,
-                           fields->items[i].value);
+    evbuffer_add_printf (out, "%s: %s\r\n", fields->items[i].name,
+                         fields->items[i].value);
   if (request->chunked)
     evbuffer_add_printf (out, "Transfer-Encoding: chunked\r\n");
   else if (length_bytes >= 0 && status != 204)
--- a/caller-server.h
+++ b/caller-server.h
@@ -83,6 +83,7 @@
 
 /**
  * Begins the answer.
+ * @param fields none of them for one connection (http_field_is_hop())
  * @param length_bytes of the body, or -1 when it is not known yet
  */
 void caller_reply_begin (caller_request_t *request,
