--- a/exchange.c
+++ b/exchange.c
@@ -49,7 +49,6 @@
 {
   exchange_pool_options_t options;
   GPtrArray *kept; /* connection_t, oldest first */
-  uint64_t opened;
   struct event *sweep;
 };
 
@@ -263,7 +262,6 @@
                      connection);
   bufferevent_set_timeouts (connection->stream, &timeout, &timeout);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
-  pool->opened++;
   if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&to, &to_bytes)
           != 0
       || bufferevent_socket_connect (connection->stream, (struct sockaddr *)&to,
@@ -342,12 +340,6 @@
   return pool;
 }
 
-uint64_t
-exchange_pool_opened (const exchange_pool_t *pool)
-{
-  return pool->opened;
-}
-
 static void
 write_request (connection_t *connection, const exchange_options_t *options)
 {
--- a/exchange.h
+++ b/exchange.h
@@ -72,9 +72,6 @@
 /** Closes kept connections to @a owner. */
 void exchange_pool_forget (exchange_pool_t *pool, uint64_t owner);
 
-/** Connections opened so far. */
-uint64_t exchange_pool_opened (const exchange_pool_t *pool);
-
 /** Sends a request; callbacks come later, never from within this call. */
 exchange_t *exchange_send (exchange_pool_t *pool,
                            const exchange_options_t *options);
--- a/load-share.c
+++ b/load-share.c
@@ -383,12 +383,6 @@
   soon (share);
 }
 
-uint32_t
-load_share_peers (const load_share_t *share)
-{
-  return g_hash_table_size (share->senders);
-}
-
 uint64_t
 load_share_next_id (load_share_t *share)
 {
--- a/load-share.h
+++ b/load-share.h
@@ -51,9 +51,6 @@
 void
 load_share_end (load_share_t *share, uint64_t job_id, upstream_job_end_t how);
 
-/** Instances heard of lately, this one not counted. */
-uint32_t load_share_peers (const load_share_t *share);
-
 /** A number for a new job, unique over all instances. */
 uint64_t load_share_next_id (load_share_t *share);
 
