--- a/mq.c
+++ b/mq.c
@@ -113,39 +113,33 @@
   return 0;
 }
 
+static void
+set (mq_t *mq, int option, int value)
+{
+  zmq_setsockopt (mq->socket, option, &value, sizeof value);
+}
+
 static bool
 set_up_socket (mq_t *mq, const mq_options_t *options)
 {
-  int linger_ms = 0;
   int queue = options->queue_messages > 0 ? (int)options->queue_messages
                                           : DEFAULT_QUEUE_MESSAGES;
-  int on = 1;
-  int reconnect_ms = RECONNECT_MS;
-  int reconnect_max_ms = RECONNECT_MAX_MS;
-  int connect_timeout_ms = CONNECT_TIMEOUT_MS;
-  int silence_ms = SILENCE_MS;
-  int heartbeat_ms = HEARTBEAT_MS;
   char endpoint[96];
 
-  zmq_setsockopt (mq->socket, ZMQ_LINGER, &linger_ms, sizeof linger_ms);
-  zmq_setsockopt (mq->socket, ZMQ_SNDHWM, &queue, sizeof queue);
-  zmq_setsockopt (mq->socket, ZMQ_RCVHWM, &queue, sizeof queue);
-  zmq_setsockopt (mq->socket, ZMQ_RECONNECT_IVL, &reconnect_ms,
-                  sizeof reconnect_ms);
-  zmq_setsockopt (mq->socket, ZMQ_RECONNECT_IVL_MAX, &reconnect_max_ms,
-                  sizeof reconnect_max_ms);
-  zmq_setsockopt (mq->socket, ZMQ_CONNECT_TIMEOUT, &connect_timeout_ms,
-                  sizeof connect_timeout_ms);
+  set (mq, ZMQ_LINGER, 0);
+  set (mq, ZMQ_SNDHWM, queue);
+  set (mq, ZMQ_RCVHWM, queue);
+  set (mq, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+  set (mq, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+  set (mq, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
   /* A connection may fall silent for good without being reset. */
-  zmq_setsockopt (mq->socket, ZMQ_TCP_MAXRT, &silence_ms, sizeof silence_ms);
-  zmq_setsockopt (mq->socket, ZMQ_HEARTBEAT_IVL, &heartbeat_ms,
-                  sizeof heartbeat_ms);
-  zmq_setsockopt (mq->socket, ZMQ_HEARTBEAT_TIMEOUT, &silence_ms,
-                  sizeof silence_ms);
+  set (mq, ZMQ_TCP_MAXRT, SILENCE_MS);
+  set (mq, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+  set (mq, ZMQ_HEARTBEAT_TIMEOUT, SILENCE_MS);
   if (options->type == ZMQ_ROUTER)
     {
-      zmq_setsockopt (mq->socket, ZMQ_ROUTER_MANDATORY, &on, sizeof on);
-      zmq_setsockopt (mq->socket, ZMQ_ROUTER_HANDOVER, &on, sizeof on);
+      set (mq, ZMQ_ROUTER_MANDATORY, 1);
+      set (mq, ZMQ_ROUTER_HANDOVER, 1);
     }
   if (options->identity != NULL)
     zmq_setsockopt (mq->socket, ZMQ_ROUTING_ID, options->identity,
