--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -363,15 +363,14 @@
   return process->code;
 }
 
-static void
-print_log_tail (const process_t *process)
+void
+process_print_log (const process_t *process)
 {
   char *log = process_log (process);
   size_t size = strlen (log);
   size_t from = size > LOG_TAIL_BYTES ? size - LOG_TAIL_BYTES : 0;
 
-  g_printerr ("last lines of %s, which ended with %d:\n%s\n", process->name,
-              process->code, log + from);
+  g_printerr ("last lines of %s:\n%s\n", process->name, log + from);
   g_free (log);
 }
 
@@ -379,7 +378,7 @@
 process_expect_success (process_t *process)
 {
   if (process_wait (process) != 0)
-    print_log_tail (process);
+    process_print_log (process);
   g_assert_cmpint (process->code, ==, 0);
 }
 
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -63,6 +63,9 @@
 /** What it wrote to stderr so far; g_free(). */
 char *process_log (const process_t *process);
 
+/** Prints the last lines that it wrote to stderr. */
+void process_print_log (const process_t *process);
+
 /** Sends a signal; SIGKILL also waits for the end. */
 void process_signal (process_t *process, int signal_number);
 
--- a/t/t3200-callers.c
+++ b/t/t3200-callers.c
@@ -163,11 +163,10 @@
 print_end (const deploy_t *deploy, const answer_t *answer)
 {
   size_t size = strlen (answer->body);
-  char *log = process_log (deploy->process);
 
-  g_printerr ("the answer ends with: %s\n%s\n",
-              answer->body + (size > END_BYTES ? size - END_BYTES : 0), log);
-  g_free (log);
+  g_printerr ("the answer ends with: %s\n",
+              answer->body + (size > END_BYTES ? size - END_BYTES : 0));
+  process_print_log (deploy->process);
 }
 
 static void
