t: give each machine of a test an address of its own

Cause: t8200 stood for four machines by counting up from its program's address, and the next ones belong to test programs with the next process ids. Each program now has four addresses, told apart by bits that no process id uses.

--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -21,7 +21,7 @@
 struct cluster
 {
   char *folder;
-  char ip[32];
+  char *ip;
   uint16_t next_port;
   GPtrArray *processes;
   GPtrArray *texts; /* strings handed out, freed with the cluster */
@@ -46,17 +46,26 @@
   return text;
 }
 
+char *
+cluster_ip (uint32_t index)
+{
+  /* The process id keeps test programs out of each other's way. It has 22
+   * bits; the two above tell the addresses of one program apart. */
+  uint32_t number = (uint32_t)getpid () | index << 22;
+
+  g_assert_cmpuint (index, <, CLUSTER_IPS);
+  return g_strdup_printf ("127.%u.%u.%u", (1 + (number >> 16)) & 255,
+                          (number >> 8) & 255, 1 + (number & 255) % 254);
+}
+
 cluster_t *
 cluster_new (void)
 {
   cluster_t *cluster = g_new0 (cluster_t, 1);
-  uint32_t pid = (uint32_t)getpid ();
 
   cluster->folder = g_dir_make_tmp ("lwm-test-XXXXXX", NULL);
   g_assert_nonnull (cluster->folder);
-  /* An address by process id keeps test programs out of each other's way. */
-  snprintf (cluster->ip, sizeof cluster->ip, "127.%u.%u.%u",
-            1 + ((pid >> 16) & 63), (pid >> 8) & 255, 1 + (pid & 255) % 254);
+  cluster->ip = cluster_ip (0);
   cluster->next_port = FIRST_PORT;
   cluster->processes = g_ptr_array_new ();
   cluster->texts = g_ptr_array_new_with_free_func (g_free);
@@ -134,6 +143,7 @@
     remove_tree (cluster->folder);
   g_ptr_array_free (cluster->texts, TRUE);
   g_free (cluster->folder);
+  g_free (cluster->ip);
   g_free (cluster);
 }
 
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -42,6 +42,12 @@
 /** Writes a file below cluster_folder(), making its folder. */
 void cluster_write (cluster_t *cluster, const char *path, const char *text);
 
+/** Machines that a test may stand for, each with an address. */
+#define CLUSTER_IPS 4
+
+/** An address that no other test program uses, of CLUSTER_IPS; g_free(). */
+char *cluster_ip (uint32_t index);
+
 /** "IP:PORT", free now and given out once. */
 const char *cluster_address (cluster_t *cluster);
 
--- a/t/t8200-node.c
+++ b/t/t8200-node.c
@@ -30,16 +30,11 @@
 static void
 choose_addresses (fixture_t *fixture)
 {
-  const char *free = cluster_address (fixture->cluster);
-  int a;
-  int b;
-  int c;
-  int d;
+  const char *port = strrchr (cluster_address (fixture->cluster), ':');
 
-  g_assert_cmpint (
-      sscanf (free, "%d.%d.%d.%d:%d", &a, &b, &c, &d, &fixture->port), ==, 5);
-  for (int i = 0; i <= CONTROLS; i++)
-    fixture->ip[i] = g_strdup_printf ("%d.%d.%d.%d", a, b, c, d + i);
+  fixture->port = atoi (port + 1);
+  for (uint32_t i = 0; i <= CONTROLS; i++)
+    fixture->ip[i] = cluster_ip (i);
 }
 
 static char *
