--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -2,8 +2,8 @@
  * @file gateway-internal.h
  * What the parts of a gateway share: gateway.c (requests in, ends),
  * gateway-wait.c (those that wait), gateway-attempt.c (sending and failures),
- * gateway-parts.c (helpers and memory) and gateway-relay.c (answers). For those
- * only.
+ * gateway-parts.c (helpers and memory), gateway-relay.c (answers) and
+ * gateway-metrics.c. For those only.
  */
 #ifndef GATEWAY_INTERNAL_H
 #define GATEWAY_INTERNAL_H
@@ -123,6 +123,9 @@
   uint32_t longest_gap_ms; /* between two events */
 };
 
+/** Makes the counters and gauges. */
+void gateway_add_metrics (gateway_t *gateway);
+
 /** Where it would go now. */
 choice_t gateway_choose (const gateway_request_t *request);
 
