engine-choice: weigh and sort places in one way

Both kinds of prompts worked out reading times and weighed each place in the same lines, and two sorts by hand differed in their key only; the cost was worked out anew at each comparison, now once for a place. The order is the same: g_qsort_with_data() is stable, as the two were.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <math.h>
 #include <string.h>
 
@@ -55,6 +56,7 @@
   /* For the number of parts being weighed. */
   double damage;
   double ready_ms; /* when its part is read */
+  double rank;     /* it is sorted by */
 } place_t;
 
 #define MAX_PLACES 64
@@ -147,6 +149,12 @@
   return press;
 }
 
+static double
+value_of (const choice_request_t *request)
+{
+  return upstream_job_value (request->prompt_tokens, request->answer_tokens);
+}
+
 /** What a part of the prompt, read in @a read_ms, does at that engine. */
 static void
 weigh_part (const choice_request_t *request,
@@ -173,6 +181,25 @@
     place->ready_ms += (place->write_ms + state->pass_read_ms) / 2 * slowness;
 }
 
+/** What parts of that number do at each engine. */
+static void
+weigh_places (const choice_request_t *request,
+              const press_t *press,
+              place_t *places,
+              uint32_t count,
+              uint32_t parts,
+              uint64_t now_ms)
+{
+  double tokens = request->prompt_tokens;
+  double read_ms = engine_read_ms (request->model, tokens) / parts;
+  double pass_read_ms
+      = engine_load_part_pass_ms (request->model, tokens, tokens / parts);
+
+  for (uint32_t i = 0; i < count; i++)
+    weigh_part (request, press, &places[i], read_ms, pass_read_ms, parts,
+                now_ms);
+}
+
 static double
 part_cost (const choice_request_t *request, const place_t *place, double value)
 {
@@ -180,6 +207,22 @@
          + value * 0.1 * place->ready_ms / fmax (request->left_ms, 1);
 }
 
+static gint
+compare_ranks (gconstpointer a, gconstpointer b, gpointer context)
+{
+  double one = ((const place_t *)a)->rank;
+  double other = ((const place_t *)b)->rank;
+
+  return (one > other) - (one < other);
+}
+
+/** Puts places of low rank first; of equal ones, those that came first. */
+static void
+sort_by_rank (place_t *places, uint32_t count)
+{
+  g_qsort_with_data (places, (gint)count, sizeof *places, compare_ranks, NULL);
+}
+
 /** Puts the engines that suit a part best first. */
 static void
 sort_places (const choice_request_t *request,
@@ -187,19 +230,9 @@
              uint32_t count,
              double value)
 {
-  for (uint32_t i = 1; i < count; i++)
-    {
-      place_t place = places[i];
-      double cost = part_cost (request, &place, value);
-      uint32_t at = i;
-
-      while (at > 0 && part_cost (request, &places[at - 1], value) > cost)
-        {
-          places[at] = places[at - 1];
-          at--;
-        }
-      places[at] = place;
-    }
+  for (uint32_t i = 0; i < count; i++)
+    places[i].rank = part_cost (request, &places[i], value);
+  sort_by_rank (places, count);
 }
 
 static double
@@ -252,22 +285,14 @@
              uint64_t now_ms,
              choice_t *best)
 {
-  const engine_model_t *model = request->model;
-  double value
-      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
-  double tokens = request->prompt_tokens;
-  double read_ms = engine_read_ms (model, tokens) / parts;
-  double pass_read_ms
-      = engine_load_part_pass_ms (model, tokens, tokens / parts);
+  double value = value_of (request);
   double loss = PART_COST * (parts - 1) * value;
   double damage = 0;
   double ready_ms = 0;
   int writer;
   uint32_t taken = 1;
 
-  for (uint32_t i = 0; i < count; i++)
-    weigh_part (request, press, &places[i], read_ms, pass_read_ms, parts,
-                now_ms);
+  weigh_places (request, press, places, count, parts, now_ms);
   if (parts > 1)
     sort_places (request, places, count, value);
   writer = find_writer (request, places, count, value);
@@ -326,19 +351,9 @@
                 place_t *places,
                 uint32_t count)
 {
-  for (uint32_t i = 1; i < count; i++)
-    {
-      place_t place = places[i];
-      double tokens = free_tokens (request, &place);
-      uint32_t at = i;
-
-      while (at > 0 && free_tokens (request, &places[at - 1]) < tokens)
-        {
-          places[at] = places[at - 1];
-          at--;
-        }
-      places[at] = place;
-    }
+  for (uint32_t i = 0; i < count; i++)
+    places[i].rank = -free_tokens (request, &places[i]);
+  sort_by_rank (places, count);
 }
 
 /**
@@ -382,19 +397,12 @@
                 choice_t *best)
 {
   choice_t choice = { .kind = CHOICE_SEND, .usable = best->usable };
-  double tokens = request->prompt_tokens;
-  double value
-      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
-  double read_ms = engine_read_ms (request->model, tokens) / parts;
-  double pass_read_ms
-      = engine_load_part_pass_ms (request->model, tokens, tokens / parts);
+  double value = value_of (request);
   uint32_t keepers;
 
   if (!lay_memory (request, places, count, parts, &choice))
     return;
-  for (uint32_t i = 0; i < count; i++)
-    weigh_part (request, press, &places[i], read_ms, pass_read_ms, parts,
-                now_ms);
+  weigh_places (request, press, places, count, parts, now_ms);
   keepers = 1 + choice.memory_count;
   sort_places (request, places + keepers, count - keepers, value);
   for (uint32_t i = 0; i < parts; i++)
@@ -421,8 +429,7 @@
               const press_t *press,
               const choice_t *best)
 {
-  double value
-      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
+  double value = value_of (request);
   double taken = (best->helper_count + 1.0) / fmax (best->usable, 1);
 
   return best->damage > HEAVY_DAMAGE * value
@@ -434,8 +441,7 @@
 static bool
 should_wait (const choice_request_t *request, const choice_t *best)
 {
-  double value
-      = upstream_job_value (request->prompt_tokens, request->answer_tokens);
+  double value = value_of (request);
 
   return best->damage > WAIT_DAMAGE * value
          && best->first_ms < WAIT_SLACK * request->target_ms
