--- a/node-control.c
+++ b/node-control.c
@@ -210,18 +210,6 @@
   node_settings_reload (control->options.settings);
 }
 
-static void
-on_settings (const Lwm__NodeSettings *settings, void *context)
-{
-  node_control_t *control = context;
-  size_t count;
-  char **peers = node_settings_control_peers (control, settings, &count);
-
-  for (size_t i = 0; i < count; i++)
-    control_client_add_peer (control->client, peers[i]);
-  talloc_free (peers);
-}
-
 /** First members of the group, "IP=IP:PORT": names are the seeds' addresses. */
 static char **
 first_members (void *parent, const Lwm__NodeSettings *settings, size_t *count)
@@ -313,7 +301,7 @@
     goto out;
   set_up_client (control);
   node_settings_watch (options->settings, daemon_base (control->daemon),
-                       on_settings, control);
+                       node_settings_tell_peers, control->client);
   code = daemon_run (control->daemon);
 
 out:
--- a/node-entry.c
+++ b/node-entry.c
@@ -196,18 +196,6 @@
   node_settings_reload (entry->options.settings);
 }
 
-static void
-on_settings (const Lwm__NodeSettings *settings, void *context)
-{
-  node_entry_t *entry = context;
-  size_t count;
-  char **peers = node_settings_control_peers (entry, settings, &count);
-
-  for (size_t i = 0; i < count; i++)
-    control_client_add_peer (entry->control, peers[i]);
-  talloc_free (peers);
-}
-
 /** Ends once callers have gone elsewhere and what is open is answered. */
 static void
 look_at_stop (node_entry_t *entry, uint64_t now_ms)
@@ -333,7 +321,7 @@
       = event_new (daemon_base (entry->daemon), -1, EV_PERSIST, on_tick, entry);
   event_add (entry->tick, &every);
   node_settings_watch (options->settings, daemon_base (entry->daemon),
-                       on_settings, entry);
+                       node_settings_tell_peers, entry->control);
   code = daemon_run (entry->daemon);
 
 out:
--- a/node-settings.c
+++ b/node-settings.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "base.h"
+#include "control-client.h"
 #include "settings.h"
 #include "yamlmsg.h"
 #define LOG_PART "settings"
@@ -212,6 +213,18 @@
   return peers;
 }
 
+void
+node_settings_tell_peers (const Lwm__NodeSettings *settings,
+                          void *control_client)
+{
+  size_t count;
+  char **peers = node_settings_control_peers (NULL, settings, &count);
+
+  for (size_t i = 0; i < count; i++)
+    control_client_add_peer (control_client, peers[i]);
+  talloc_free (peers);
+}
+
 char *
 node_settings_own_address (void *parent, const Lwm__NodeSettings *settings)
 {
--- a/node-settings.h
+++ b/node-settings.h
@@ -42,6 +42,10 @@
                                     const Lwm__NodeSettings *settings,
                                     size_t *count);
 
+/** A node_settings_cb_t that tells the control client of new seeds. */
+void node_settings_tell_peers (const Lwm__NodeSettings *settings,
+                               void *control_client);
+
 /** Where this instance takes messages of its own kind, "IP:PORT". */
 char *node_settings_own_address (void *parent,
                                  const Lwm__NodeSettings *settings);
