--- a/control-client.c
+++ b/control-client.c
@@ -36,7 +36,6 @@
   mq_t *mq;
   uint64_t asked_ms; /* oldest message without an answer, 0 for none */
   uint64_t sent_ms;
-  uint64_t heard_ms;
   uint64_t watch_due_ms;
   uint64_t epoch; /* of the part of the directory held from it */
   uint64_t version;
@@ -83,7 +82,6 @@
   uint64_t home_heard_ms;
   uint64_t known;
   uint64_t behind_since_ms; /* another replica has a later revision; 0: none */
-  uint64_t in_touch_ms;     /* 0 for never */
   client_counters_t counters;
 };
 
@@ -238,7 +236,6 @@
     {
       if (!call->any)
         client->leader = peer->number;
-      client->in_touch_ms = clock_mono_ms ();
       end_call (client, call, answer);
     }
 }
@@ -327,7 +324,7 @@
     return;
   if (!answer->stale)
     {
-      client->home_heard_ms = client->in_touch_ms = clock_mono_ms ();
+      client->home_heard_ms = clock_mono_ms ();
       return;
     }
   /* It may be cut off from a group that goes on without it. */
@@ -597,17 +594,3 @@
   else
     call->resend_ms = UINT64_MAX;
 }
-
-uint64_t
-control_client_known (const control_client_t *client)
-{
-  return client->known;
-}
-
-uint64_t
-control_client_silent_ms (const control_client_t *client)
-{
-  if (client->in_touch_ms == 0)
-    return UINT64_MAX;
-  return clock_mono_ms () - client->in_touch_ms;
-}
--- a/control-client.h
+++ b/control-client.h
@@ -149,10 +149,4 @@
                             control_answer_cb_t done,
                             void *context);
 
-/** Highest revision number seen, 0 for none. */
-uint64_t control_client_known (const control_client_t *client);
-
-/** Time since a replica with a leader answered; UINT64_MAX for never. */
-uint64_t control_client_silent_ms (const control_client_t *client);
-
 #endif
