upstream-http: take a large piece by turns of the loop

Cause of the known-red slow-reader: evhttp hands on a chunk only when all of it is there, and a fast engine's chunk may hold 60,000 events. They were all taken in one turn of the loop, though the reader had paused the stream: traced, the last token was 3 ms old, the pause 2.1 s, the resume 3.8 s, all in one turn. Timers armed in that turn count from its beginning, so the silence timer of 3 s ran out at once and the engine was given up. Ruled out: a timer armed again after the pause (a caller idle for 4 s got its whole answer before the mend as well).

Now 512 lines a turn, none while paused, and what came before a broken connection is handed on first.

--- a/t/lib-scripted.c
+++ b/t/lib-scripted.c
@@ -92,17 +92,22 @@
                   &(struct linger){ .l_onoff = 1 }, sizeof (struct linger));
       bufferevent_flush (stream, EV_WRITE, BEV_FLUSH);
       break;
+    case ACT_TEXT:
+    case ACT_TEXT_CUT:
+      scripted_say (stream, call->upstream->text);
+      break;
     default:
       break;
     }
 }
 
 static void
-on_cut_written (struct bufferevent *stream, void *context)
+on_written (struct bufferevent *stream, void *context)
 {
   call_t *call = context;
+  act_t act = call->upstream->act;
 
-  if (call->upstream->act != ACT_STREAM_CUT || !call->answered)
+  if ((act != ACT_STREAM_CUT && act != ACT_TEXT_CUT) || !call->answered)
     return;
   bufferevent_free (stream);
   g_free (call);
@@ -154,8 +159,8 @@
       evconnlistener_get_base (listener), fd, BEV_OPT_CLOSE_ON_FREE);
 
   call->upstream = context;
-  bufferevent_setcb (stream, on_request_bytes, on_cut_written,
-                     on_upstream_event, call);
+  bufferevent_setcb (stream, on_request_bytes, on_written, on_upstream_event,
+                     call);
   bufferevent_enable (stream, EV_READ | EV_WRITE);
 }
 
--- a/t/lib-scripted.h
+++ b/t/lib-scripted.h
@@ -26,6 +26,8 @@
   ACT_STREAM_CUT, /* an event and a half, then a close */
   ACT_STREAM_GAP, /* an event is missing */
   ACT_SILENT,     /* nothing */
+  ACT_TEXT,       /* the text that it is given */
+  ACT_TEXT_CUT,   /* the same, then a close */
 } act_t;
 
 typedef struct
@@ -33,6 +35,7 @@
   struct evconnlistener *listener;
   char address[32];
   act_t act;
+  const char *text; /* for ACT_TEXT */
   uint32_t requests;
   uint32_t closed; /* by the gateway, without an answer */
   GString *last;   /* request */
--- a/t/t3200-callers.c
+++ b/t/t3200-callers.c
@@ -9,12 +9,18 @@
 /* With the stand-ins' time scale: 20 ms a token. */
 #define SLOW "--step-us=100000"
 /* As fast as it goes: some 70 bytes of events a token. */
-#define FAST         "--step-us=5"
-#define MANY         ",\"stream\":true,\"max_tokens\":400000"
+#define FAST "--step-us=5"
+#define MANY                                                                   \
+  ",\"stream\":true,\"max_tokens\":400000,\"deadline_ms\":" PATIENT_MS
+/* A sanitized build on a busy machine needs half a minute for so many tokens.
+ */
+#define PATIENT_MS   "200000"
 #define MANY_TOKENS  400000
 #define PAUSED_BYTES (1024 * 1024)
 #define STREAMS      8
 #define END_BYTES    400
+/* Longer than an engine may send nothing between two tokens. */
+#define IDLE_MS 4000
 /* Until one of them is tried at an upstream that is not there. */
 #define MOST_CALLS 200
 
@@ -169,18 +175,13 @@
   process_print_log (deploy->process);
 }
 
+/** Waits until nothing more is read from the engine. */
 static void
-test_slow_reader (void)
+wait_until_paused (const deploy_t *deploy)
 {
-  deploy_t *deploy = deploy_new (NULL);
-  upstream_process_t engine
-      = deploy_engine (deploy, FAST, "--kv-tokens=1000000");
-  int fd = prompt_without_reading (deploy, PROMPT ("x", MANY));
   double before = -1;
   double now = 0;
-  answer_t answer;
 
-  /* Until nothing more is read from the engine. */
   while (now == 0 || now != before)
     {
       before = now;
@@ -188,6 +189,20 @@
       now = cluster_metric (deploy->address, "lwm_live_answer_bytes");
       g_assert_cmpfloat (now, <, PAUSED_BYTES);
     }
+}
+
+/** A caller that reads nothing for a while gets its whole answer. */
+static void
+read_slowly (uint32_t idle_ms)
+{
+  deploy_t *deploy = deploy_new (NULL);
+  upstream_process_t engine
+      = deploy_engine (deploy, FAST, "--kv-tokens=1000000");
+  int fd = prompt_without_reading (deploy, PROMPT ("x", MANY));
+  answer_t answer;
+
+  wait_until_paused (deploy);
+  cluster_sleep_ms (idle_ms);
   answer = read_rest (fd);
   if (count_in (&answer, "[DONE]") != 1)
     print_end (deploy, &answer);
@@ -198,6 +213,19 @@
   deploy_free (deploy);
 }
 
+static void
+test_slow_reader (void)
+{
+  read_slowly (0);
+}
+
+/* What an engine sends is not read meanwhile: that is no sign of it. */
+static void
+test_idle_reader (void)
+{
+  read_slowly (IDLE_MS);
+}
+
 static void
 test_stop_under_load (void)
 {
@@ -330,6 +358,7 @@
   g_test_add_func ("/entry/callers/come-back-elsewhere",
                    test_come_back_elsewhere);
   g_test_add_func ("/entry/callers/slow-reader", test_slow_reader);
+  g_test_add_func ("/entry/callers/idle-reader", test_idle_reader);
   g_test_add_func ("/entry/callers/stop-under-load", test_stop_under_load);
   g_test_add_func ("/entry/callers/at-most-once", test_at_most_once);
   g_test_add_func ("/entry/callers/not-connected", test_not_connected);
--- a/upstream-http.c
+++ b/upstream-http.c
@@ -20,6 +20,9 @@
 /* How long after its deadline a connection may still be open. */
 #define DEADLINE_GRACE_MS 5000
 #define RESUME_TIMEOUT_MS 3600000
+/* Taken in one turn of the loop, two for each event: one piece may hold a
+ * hundred thousand events, and all else would stand still meanwhile. */
+#define LINES_PER_TURN 512
 /* Of text, that an engine caches as one. */
 #define BLOCK_BYTES 1024
 /* Answers of plain services may be as large as requests. */
@@ -39,6 +42,7 @@
   struct evhttp_connection *connection;
   struct event *later;   /* reports the end, or frees, outside of callbacks */
   struct event *connect; /* runs out while nothing was written */
+  struct event *more;    /* takes the next events that have come */
   struct evbuffer *input;
   upstream_sink_t sink;
   char *request_id;
@@ -46,8 +50,11 @@
   uint64_t next_offset;
   int status;
   bool wrote;
-  bool ended;  /* the end is known; nothing more is read */
-  bool closed; /* by the owner */
+  bool paused;  /* nothing is taken now */
+  bool is_over; /* nothing more will come; events may wait to be taken */
+  upstream_result_t over_result; /* unless one of those says otherwise */
+  bool ended;                    /* the end is known; nothing more is read */
+  bool closed;                   /* by the owner */
   upstream_end_t end;
 };
 
@@ -74,6 +81,7 @@
 {
   event_free (call->later);
   event_free (call->connect);
+  event_free (call->more);
   evhttp_connection_free (call->connection);
   evbuffer_free (call->input);
   return 0;
@@ -187,25 +195,66 @@
     end_call (call, UPSTREAM_BROKEN);
 }
 
+static bool
+is_stream (const upstream_call_t *call)
+{
+  return call->kind != CALL_PLAIN && call->status == HTTP_OK;
+}
+
+static bool
+may_take (const upstream_call_t *call)
+{
+  return !call->ended && !call->closed && !call->paused;
+}
+
+static bool
+take_line_in (upstream_call_t *call)
+{
+  size_t length;
+  char *line = evbuffer_readln (call->input, &length, EVBUFFER_EOL_CRLF);
+
+  if (line == NULL)
+    return false;
+  take_line (call, line, length);
+  free (line);
+  return true;
+}
+
+/** Takes the next events, and goes on in the next turn if there may be more. */
 static void
 take_lines (upstream_call_t *call)
 {
-  size_t length;
-  char *line;
+  struct timeval next_turn = { 0 };
+  uint32_t taken = 0;
+
+  while (may_take (call) && taken < LINES_PER_TURN && take_line_in (call))
+    taken++;
+  if (!may_take (call))
+    return;
+  if (taken == LINES_PER_TURN)
+    event_add (call->more, &next_turn);
+  else if (call->is_over)
+    end_call (call, call->over_result);
+}
 
-  while (!call->ended && !call->closed
-         && (line = evbuffer_readln (call->input, &length, EVBUFFER_EOL_CRLF))
-                != NULL)
+/** Nothing more will come: ends the call once a stream's events are taken. */
+static void
+end_after_lines (upstream_call_t *call, upstream_result_t result)
+{
+  if (!is_stream (call))
     {
-      take_line (call, line, length);
-      free (line);
+      end_call (call, result);
+      return;
     }
+  call->is_over = true;
+  call->over_result = result;
+  take_lines (call);
 }
 
-static bool
-is_stream (const upstream_call_t *call)
+static void
+on_more (evutil_socket_t fd, short what, void *arg)
 {
-  return call->kind != CALL_PLAIN && call->status == HTTP_OK;
+  take_lines (arg);
 }
 
 static int
@@ -284,8 +333,6 @@
 {
   upstream_result_t result;
 
-  if (is_stream (call))
-    return UPSTREAM_TRUNCATED;
   if (call->kind != CALL_PLAIN)
     return refusal_result (call);
   result = call->status < 500 ? UPSTREAM_DONE : refusal_result (call);
@@ -302,7 +349,10 @@
   upstream_call_t *call = arg;
 
   if (request == NULL || evhttp_request_get_response_code (request) == 0)
-    end_call (call, call->wrote ? UPSTREAM_BROKEN : UPSTREAM_NOT_CONNECTED);
+    end_after_lines (call,
+                     call->wrote ? UPSTREAM_BROKEN : UPSTREAM_NOT_CONNECTED);
+  else if (is_stream (call))
+    end_after_lines (call, UPSTREAM_TRUNCATED);
   else
     end_call (call, final_result (call));
 }
@@ -326,6 +376,7 @@
   call->input = evbuffer_new ();
   call->later = event_new (http->base, -1, 0, on_later, call);
   call->connect = event_new (http->base, -1, 0, on_connect_timeout, call);
+  call->more = event_new (http->base, -1, 0, on_more, call);
   call->connection = evhttp_connection_base_new (http->base, NULL, ip, port);
   evbuffer_add_cb (bufferevent_get_output (
                        evhttp_connection_get_bufferevent (call->connection)),
@@ -467,11 +518,16 @@
   struct bufferevent *bev
       = evhttp_connection_get_bufferevent (call->connection);
 
+  struct timeval next_turn = { 0 };
+
   if (call->ended || call->status == 0)
     return;
+  call->paused = paused;
+  if (!paused)
+    event_add (call->more, &next_turn);
   if (paused)
     bufferevent_disable (bev, EV_READ);
-  else
+  else if (!call->is_over)
     bufferevent_enable (bev, EV_READ);
 }
 
