store: wait for room on a full disk, begin a stale log anew

A write that found no room is known not to be there, unlike a failed sync, which still ends the process. Now the batch is taken back and the replica takes no part in the group, as one that is cut off, until it can save; watchers and announcements go on, all else is sent to others at once.

The log is now begun anew before anything else is saved.

ENOSPC left failed-write-or-sync-stops, where EIO stands in its place: staying is what is wanted now, and the new case asserts that nothing acknowledged is lost. Open: full-disk-is-waited-for failed in its first run of all (the fault was not met in 30 s, machine busy); 10 runs since passed, not traced.

--- a/control-internal.h
+++ b/control-internal.h
@@ -32,6 +32,7 @@
   metric_t *snapshots;
   metric_t *snapshots_received;
   metric_t *malformed;
+  metric_t *no_room;
 } control_counters_t;
 
 typedef struct control_requests control_requests_t;
@@ -53,10 +54,14 @@
   struct event *tick;
   struct event *flush;
   GPtrArray *held; /* messages that wait for the sync */
+  /* The disk is full: the replica takes no part in the group, as one that is
+   * cut off, until it can save what it knows. */
+  bool has_no_room;
   uint64_t applied;
   uint64_t snapshot_index;
-  uint64_t members_index; /* membership that the peers know of */
-  uint64_t clock_base_ms; /* control clock at clock_mono_ms */
+  uint64_t snapshot_due_ms; /* not before, as there was no room */
+  uint64_t members_index;   /* membership that the peers know of */
+  uint64_t clock_base_ms;   /* control clock at clock_mono_ms */
   uint64_t clock_mono_ms;
   uint64_t expire_due_ms;
   uint64_t elections; /* counted so far */
@@ -108,6 +113,9 @@
 /** Redirects all who wait, when this replica leads no more. */
 void control_requests_check_role (control_requests_t *requests);
 
+/** The disk is full: sends all who wait elsewhere. */
+void control_requests_lost_room (control_requests_t *requests);
+
 /** Pushes the last revision to those who watch. */
 void control_requests_push (control_requests_t *requests);
 
--- a/control-report.c
+++ b/control-report.c
@@ -110,6 +110,10 @@
                                          "Campaigns begun here.", NULL);
   counters->snapshots = metrics_counter (metrics, "lwm_control_snapshots_total",
                                          "Snapshots taken.", NULL);
+  counters->no_room = metrics_counter (
+      metrics, "lwm_control_no_room_total",
+      "times the disk was full and the replica took no part in the group",
+      NULL);
   counters->snapshots_received
       = metrics_counter (metrics, "lwm_control_snapshots_received_total",
                          "Snapshots installed from a leader.", NULL);
--- a/control-requests.c
+++ b/control-requests.c
@@ -324,6 +324,14 @@
     }
 }
 
+/** Whether it takes more than what this replica knows. */
+static bool
+needs_group (const Lwm__ControlRequest *request)
+{
+  return request->what_case != LWM__CONTROL_REQUEST__WHAT_WATCH
+         && request->what_case != LWM__CONTROL_REQUEST__WHAT_STATUS;
+}
+
 void
 control_requests_receive (control_requests_t *requests,
                           const mq_frame_t *client,
@@ -336,6 +344,11 @@
     return;
   memcpy (from.client, client->data, client->size_bytes);
   from.client_bytes = client->size_bytes;
+  if (requests->server->has_no_room && needs_group (request))
+    {
+      redirect (requests, &from, false);
+      return;
+    }
   if (is_command (request, &command))
     {
       propose (requests, &from, &command);
@@ -427,23 +440,35 @@
   g_hash_table_remove (requests->waiting, &index);
 }
 
+/** What they asked for may yet be done by the next leader. */
+static void
+redirect_all (control_requests_t *requests)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, requests->waiting);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    redirect (requests, value, true);
+  g_hash_table_remove_all (requests->waiting);
+  for (guint i = 0; i < requests->reads->len; i++)
+    redirect (requests, g_ptr_array_index (requests->reads, i), false);
+  g_ptr_array_set_size (requests->reads, 0);
+}
+
+void
+control_requests_lost_room (control_requests_t *requests)
+{
+  redirect_all (requests);
+}
+
 void
 control_requests_check_role (control_requests_t *requests)
 {
   bool leads = raft_status (requests->server->raft).role == RAFT_LEADER;
-  GHashTableIter iter;
-  gpointer value;
 
   if (requests->was_leader && !leads)
-    {
-      g_hash_table_iter_init (&iter, requests->waiting);
-      while (g_hash_table_iter_next (&iter, NULL, &value))
-        redirect (requests, value, true);
-      g_hash_table_remove_all (requests->waiting);
-      for (guint i = 0; i < requests->reads->len; i++)
-        redirect (requests, g_ptr_array_index (requests->reads, i), false);
-      g_ptr_array_set_size (requests->reads, 0);
-    }
+    redirect_all (requests);
   requests->was_leader = leads;
 }
 
--- a/control-server.c
+++ b/control-server.c
@@ -17,6 +17,7 @@
 #define INTRODUCE_AFTER_MS  2000
 #define EXPIRE_EVERY_MS     10000
 #define ROUTER_QUEUE        1000
+#define SNAPSHOT_RETRY_MS   1000 /* after one that found no room */
 #define MAX_LOG_BYTES       (16u * 1024 * 1024)
 #define KEEP_ENTRIES        64
 #define KEEP_ENTRIES_LARGE  4
@@ -188,7 +189,8 @@
   control_peers_heard (server->peers, message->incarnation, clock_mono_ms ());
   if (message->hello != NULL && *message->name != '\0')
     control_group_hello (server->group, message);
-  if (message->raft != NULL && message->raft->from == message->incarnation)
+  if (message->raft != NULL && message->raft->from == message->incarnation
+      && !server->has_no_room)
     {
       raft_receive (server->raft, message->raft, clock_mono_ms ());
       control_server_wake (server);
@@ -290,12 +292,20 @@
       = raft_membership_at (server->raft, server->applied, scratch);
   snapshot.state = statemachine_export (server->machine, scratch);
   data = snapshot_encode (scratch, &snapshot, &size_bytes);
-  store_snapshot (server->store, server->raft, server->applied, keep, data,
-                  size_bytes);
-  server->snapshot_index = server->applied;
-  metric_add (server->counters.snapshots, 1);
-  log_info ("Took a snapshot. index=%ju bytes=%zu", (uintmax_t)server->applied,
-            size_bytes);
+  if (store_snapshot (server->store, server->raft, server->applied, keep, data,
+                      size_bytes))
+    {
+      server->snapshot_index = server->applied;
+      metric_add (server->counters.snapshots, 1);
+      log_info ("Took a snapshot. index=%ju bytes=%zu",
+                (uintmax_t)server->applied, size_bytes);
+    }
+  else
+    {
+      server->snapshot_due_ms = clock_mono_ms () + SNAPSHOT_RETRY_MS;
+      log_warn ("Found no room for a snapshot. index=%ju bytes=%zu",
+                (uintmax_t)server->applied, size_bytes);
+    }
   talloc_free (scratch);
 }
 
@@ -310,7 +320,8 @@
   snapshot = store_install (server->store, server->raft, &received);
   if (snapshot == NULL)
     {
-      log_warn ("Dropped a malformed snapshot. index=%ju",
+      log_warn ("Dropped a snapshot that is malformed or finds no room. "
+                "index=%ju",
                 (uintmax_t)received.index);
       return;
     }
@@ -336,15 +347,39 @@
   g_ptr_array_set_size (server->held, 0);
 }
 
+/** Notes whether the disk has room; what waits for it must not leave. */
 static void
+note_room (control_server_t *server, bool has_no_room)
+{
+  if (server->has_no_room == has_no_room)
+    return;
+  server->has_no_room = has_no_room;
+  if (has_no_room)
+    {
+      metric_add (server->counters.no_room, 1);
+      log_error ("The disk is full: takes no part in the group. applied=%ju",
+                 (uintmax_t)server->applied);
+      g_ptr_array_set_size (server->held, 0);
+      control_requests_lost_room (server->requests);
+    }
+  else
+    log_info ("The disk has room again. applied=%ju",
+              (uintmax_t)server->applied);
+}
+
+/** Makes all durable that is not; false when the disk has no room. */
+static bool
 save (control_server_t *server)
 {
   uint64_t bytes = store_bytes (server->store);
+  store_save_t saved;
 
   install_snapshot (server);
-  while (store_save (server->store, server->raft))
+  while ((saved = store_save (server->store, server->raft)) == STORE_SAVED)
     metric_add (server->counters.syncs, 1);
   metric_add (server->counters.log_bytes, store_bytes (server->store) - bytes);
+  note_room (server, saved == STORE_NO_ROOM);
+  return !server->has_no_room;
 }
 
 static void
@@ -388,15 +423,31 @@
   talloc_free (voters);
 }
 
+static bool
+is_snapshot_due (const control_server_t *server, uint64_t now_ms)
+{
+  uint64_t log_bytes = raft_log_size_bytes (raft_log (server->raft));
+
+  if (now_ms < server->snapshot_due_ms)
+    return false;
+  return server->applied
+             >= server->snapshot_index + server->options.snapshot_entries
+         || (log_bytes > MAX_LOG_BYTES
+             && server->applied > server->snapshot_index);
+}
+
 static void
 on_flush (evutil_socket_t fd, short what, void *arg)
 {
   control_server_t *server = arg;
 
+  if (server->has_no_room && !save (server))
+    return;
   control_requests_begin_reads (server->requests);
   /* Followers write while this replica does. */
   raft_flush (server->raft, clock_mono_ms ());
-  save (server);
+  if (!save (server))
+    return;
   learn_members (server);
   send_held (server);
   apply_committed (server);
@@ -404,10 +455,7 @@
   log_leader (server);
   control_requests_check_role (server->requests);
   control_requests_end_reads (server->requests);
-  if (server->applied
-          >= server->snapshot_index + server->options.snapshot_entries
-      || (raft_log_size_bytes (raft_log (server->raft)) > MAX_LOG_BYTES
-          && server->applied > server->snapshot_index))
+  if (is_snapshot_due (server, clock_mono_ms ()))
     take_snapshot (server);
 }
 
@@ -438,10 +486,13 @@
   control_server_t *server = arg;
   uint64_t now_ms = clock_mono_ms ();
 
-  raft_tick (server->raft, now_ms);
-  control_group_tick (server->group, now_ms);
   control_directory_tick (server->directory, now_ms);
-  expire (server, now_ms);
+  if (!server->has_no_room)
+    {
+      raft_tick (server->raft, now_ms);
+      control_group_tick (server->group, now_ms);
+      expire (server, now_ms);
+    }
   on_flush (fd, what, arg);
 }
 
--- a/file.c
+++ b/file.c
@@ -13,7 +13,13 @@
 
 #define FILE_MODE 0600
 
-static void
+static bool
+is_no_room (int error)
+{
+  return error == ENOSPC || error == EDQUOT || error == EFBIG;
+}
+
+static bool
 write_part (int fd, const char *path, const uint8_t *data, size_t size_bytes)
 {
   while (size_bytes > 0)
@@ -22,14 +28,17 @@
 
       if (written < 0 && errno == EINTR)
         continue;
+      if (written < 0 && is_no_room (errno))
+        return false;
       if (written < 0)
         die ("cannot write '%s': %s", path, strerror (errno));
       data += written;
       size_bytes -= (size_t)written;
     }
+  return true;
 }
 
-void
+bool
 file_write (int fd,
             const char *path,
             const uint8_t *data,
@@ -40,12 +49,17 @@
   int error = fault_error (prefix, "write");
 
   fault_point (prefix, "write");
-  write_part (fd, path, data, half);
+  if (!write_part (fd, path, data, half))
+    return false;
   fault_point (prefix, "half");
+  if (is_no_room (error))
+    return false;
   if (error != 0)
     die ("cannot write '%s': %s", path, strerror (error));
-  write_part (fd, path, data + half, size_bytes - half);
+  if (!write_part (fd, path, data + half, size_bytes - half))
+    return false;
   fault_point (prefix, "written");
+  return true;
 }
 
 void
@@ -71,7 +85,29 @@
   fault_point (prefix, "folder");
 }
 
-void
+/** Writes the file that is to take another's place; false without room. */
+static bool
+write_temporary (const char *temporary,
+                 const uint8_t *data,
+                 size_t size_bytes,
+                 const char *prefix)
+{
+  int fd
+      = open (temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+  bool is_written;
+
+  if (fd < 0 && is_no_room (errno))
+    return false;
+  if (fd < 0)
+    die ("cannot create '%s': %s", temporary, strerror (errno));
+  is_written = file_write (fd, temporary, data, size_bytes, prefix);
+  if (is_written)
+    file_sync (fd, temporary, prefix);
+  close (fd);
+  return is_written;
+}
+
+bool
 file_replace (const char *folder,
               const char *name,
               const uint8_t *data,
@@ -80,19 +116,18 @@
 {
   char *path = talloc_asprintf (NULL, "%s/%s", folder, name);
   char *temporary = talloc_asprintf (path, "%s.tmp", path);
-  int fd
-      = open (temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
 
-  if (fd < 0)
-    die ("cannot create '%s': %s", temporary, strerror (errno));
-  file_write (fd, temporary, data, size_bytes, prefix);
-  file_sync (fd, temporary, prefix);
-  close (fd);
+  if (!write_temporary (temporary, data, size_bytes, prefix))
+    {
+      talloc_free (path);
+      return false;
+    }
   if (rename (temporary, path) != 0)
     die ("cannot rename '%s': %s", temporary, strerror (errno));
   fault_point (prefix, "renamed");
   sync_folder (folder, prefix);
   talloc_free (path);
+  return true;
 }
 
 bool
--- a/file.h
+++ b/file.h
@@ -3,7 +3,8 @@
  * Durable files. A failed write or sync ends the process: after it nobody
  * knows what the disk holds, and a later sync may wrongly report success
  * (Rebello et al., "Can Applications Recover from fsync Failures?", USENIX
- * ATC 2020).
+ * ATC 2020). A disk without room is another matter: what was not written is
+ * known not to be there, and room may come.
  */
 #ifndef FILE_H
 #define FILE_H
@@ -14,9 +15,10 @@
 
 /**
  * Writes all of @a data at the end of @a fd.
+ * @return false when the disk has no room; a part may have been written
  * @param prefix names the fault points of tests
  */
-void file_write (int fd,
+bool file_write (int fd,
                  const char *path,
                  const uint8_t *data,
                  size_t size_bytes,
@@ -27,8 +29,9 @@
 /**
  * Replaces a file as a whole: writes PATH.tmp, syncs it, renames it over the
  * old one and syncs the folder.
+ * @return false when the disk has no room, and the old file stays
  */
-void file_replace (const char *folder,
+bool file_replace (const char *folder,
                    const char *name,
                    const uint8_t *data,
                    size_t size_bytes,
--- a/snapshot.c
+++ b/snapshot.c
@@ -43,10 +43,10 @@
   return snapshot;
 }
 
-void
+bool
 snapshot_write (const char *folder, const uint8_t *data, size_t size_bytes)
 {
-  file_replace (folder, SNAPSHOT_NAME, data, size_bytes, "snapshot");
+  return file_replace (folder, SNAPSHOT_NAME, data, size_bytes, "snapshot");
 }
 
 uint8_t *
--- a/snapshot.h
+++ b/snapshot.h
@@ -22,8 +22,11 @@
  */
 Lwm__ControlSnapshot *snapshot_decode (const uint8_t *data, size_t size_bytes);
 
-/** Makes a frame the folder's snapshot, durably. */
-void
+/**
+ * Makes a frame the folder's snapshot, durably.
+ * @return false when the disk has no room
+ */
+bool
 snapshot_write (const char *folder, const uint8_t *data, size_t size_bytes);
 
 /** The frame of the folder's snapshot, freed with @a parent; NULL for none. */
--- a/store.c
+++ b/store.c
@@ -11,6 +11,8 @@
 #include "file.h"
 #include "frame.h"
 #include "wal.h"
+#define LOG_PART "store"
+#include "logging.h"
 
 #define IDENTITY_NAME "identity"
 
@@ -21,6 +23,7 @@
   uint64_t incarnation;
   bool is_new;
   wal_t *wal;
+  uint64_t rewrite_index; /* the log is to begin after it anew, or 0 */
   uint64_t syncs;
   uint64_t bytes;
 };
@@ -59,13 +62,14 @@
   return false;
 }
 
-static void
+static bool
 write_identity (store_t *store, const char *name)
 {
   Lwm__ControlIdentity identity = LWM__CONTROL_IDENTITY__INIT;
   uint8_t payload[256];
   size_t size_bytes;
   uint8_t *data;
+  bool is_written;
 
   identity.name = (char *)name;
   identity.incarnation = store->incarnation;
@@ -73,8 +77,10 @@
     die ("instance name '%s' is too long", name);
   size_bytes = lwm__control_identity__pack (&identity, payload);
   data = frame_encode (store, 0, payload, size_bytes, &size_bytes);
-  file_replace (store->folder, IDENTITY_NAME, data, size_bytes, "identity");
+  is_written = file_replace (store->folder, IDENTITY_NAME, data, size_bytes,
+                             "identity");
   talloc_free (data);
+  return is_written;
 }
 
 static void
@@ -113,9 +119,11 @@
     }
   store->incarnation = random_id ();
   store->is_new = true;
-  wal_create (store->folder, &first);
-  write_identity (store, name);
-  return true;
+  if (wal_create (store->folder, &first) && write_identity (store, name))
+    return true;
+  *why = talloc_asprintf (talloc_parent (store),
+                          "no room for the data folder '%s'", store->folder);
+  return false;
 }
 
 static bool
@@ -249,6 +257,8 @@
   store->wal = wal_open (store, store->folder, restore_batch, &recovery, why);
   if (store->wal == NULL)
     return false;
+  if (recovery.other_history)
+    store->rewrite_index = recovery.snapshot_index;
   if (!recovery.gap && recovery.base_index <= recovery.snapshot_index)
     return true;
   *why = talloc_asprintf (talloc_parent (store),
@@ -258,45 +268,61 @@
   return false;
 }
 
-bool
-store_save (store_t *store, raft_t *raft)
+/**
+ * Begins the log file anew after the snapshot at @a index. Without room it is
+ * done before anything else is saved: entries that followed an older log's
+ * would not be read again.
+ */
+static bool
+rewrite_log (store_t *store, raft_t *raft, uint64_t index)
 {
   Lwm__ControlBatch batch = LWM__CONTROL_BATCH__INIT;
   raft_unsaved_t unsaved;
 
-  if (!raft_unsaved (raft, &unsaved))
-    return false;
+  raft_unsaved (raft, &unsaved);
   batch.term = unsaved.term;
   batch.vote = unsaved.vote;
   batch.group = unsaved.group;
-  batch.entries = unsaved.entries;
-  batch.n_entries = unsaved.count;
-  wal_append (store->wal, &batch);
-  store->syncs++;
-  store->bytes += lwm__control_batch__get_packed_size (&batch);
+  batch.base_index = index;
+  raft_log_term (raft_log (raft), index, &batch.base_term);
+  batch.entries = raft_log_from (raft_log (raft), index + 1, &batch.n_entries);
+  store->rewrite_index = index;
+  if (!wal_rewrite (store->wal, &batch))
+    {
+      log_warn ("Cannot begin the log anew: no room. index=%ju",
+                (uintmax_t)index);
+      return false;
+    }
+  store->rewrite_index = 0;
   raft_saved (raft);
   return true;
 }
 
-/** Begins the log file anew after the snapshot at @a index. */
-static void
-rewrite_log (store_t *store, raft_t *raft, uint64_t index)
+store_save_t
+store_save (store_t *store, raft_t *raft)
 {
   Lwm__ControlBatch batch = LWM__CONTROL_BATCH__INIT;
   raft_unsaved_t unsaved;
 
-  raft_unsaved (raft, &unsaved);
+  if (!raft_unsaved (raft, &unsaved))
+    return STORE_NOTHING;
+  if (store->rewrite_index > 0)
+    return rewrite_log (store, raft, store->rewrite_index) ? STORE_SAVED
+                                                           : STORE_NO_ROOM;
   batch.term = unsaved.term;
   batch.vote = unsaved.vote;
   batch.group = unsaved.group;
-  batch.base_index = index;
-  raft_log_term (raft_log (raft), index, &batch.base_term);
-  batch.entries = raft_log_from (raft_log (raft), index + 1, &batch.n_entries);
-  wal_rewrite (store->wal, &batch);
+  batch.entries = unsaved.entries;
+  batch.n_entries = unsaved.count;
+  if (!wal_append (store->wal, &batch))
+    return STORE_NO_ROOM;
+  store->syncs++;
+  store->bytes += lwm__control_batch__get_packed_size (&batch);
   raft_saved (raft);
+  return STORE_SAVED;
 }
 
-void
+bool
 store_snapshot (store_t *store,
                 raft_t *raft,
                 uint64_t index,
@@ -304,9 +330,11 @@
                 const uint8_t *data,
                 size_t size_bytes)
 {
-  snapshot_write (store->folder, data, size_bytes);
+  if (!snapshot_write (store->folder, data, size_bytes))
+    return false;
   raft_compact (raft, index, keep, data, size_bytes);
   rewrite_log (store, raft, index);
+  return true;
 }
 
 Lwm__ControlSnapshot *
@@ -322,12 +350,18 @@
       lwm__control_snapshot__free_unpacked (snapshot, NULL);
       snapshot = NULL;
     }
+  /* Without room the leader sends it again later. */
+  if (snapshot != NULL
+      && !snapshot_write (store->folder, received->data, received->size_bytes))
+    {
+      lwm__control_snapshot__free_unpacked (snapshot, NULL);
+      snapshot = NULL;
+    }
   if (snapshot == NULL)
     {
       raft_installed (raft, NULL, false);
       return NULL;
     }
-  snapshot_write (store->folder, received->data, received->size_bytes);
   raft_installed (raft, snapshot->membership, true);
   rewrite_log (store, raft, snapshot->index);
   return snapshot;
--- a/store.h
+++ b/store.h
@@ -48,11 +48,22 @@
                     Lwm__ControlSnapshot **snapshot,
                     char **why);
 
-/** Makes the core's unsaved part durable; false when there was none. */
-bool store_save (store_t *store, raft_t *raft);
+/** What came of saving. */
+typedef enum
+{
+  STORE_NOTHING, /**< there was nothing to save */
+  STORE_SAVED,
+  STORE_NO_ROOM, /**< the disk is full: nothing was saved, try again later */
+} store_save_t;
+
+/** Makes the core's unsaved part durable. */
+store_save_t store_save (store_t *store, raft_t *raft);
 
-/** Makes a frame the snapshot, then leaves out the log before it. */
-void store_snapshot (store_t *store,
+/**
+ * Makes a frame the snapshot, then leaves out the log before it.
+ * @return false when the disk has no room, and all stays as it was
+ */
+bool store_snapshot (store_t *store,
                      raft_t *raft,
                      uint64_t index,
                      uint64_t keep,
@@ -61,7 +72,8 @@
 
 /**
  * Makes the snapshot that @a raft received durable and installs it.
- * @return what the state is to be restored from, or NULL when it was bad; freed
+ * @return what the state is to be restored from, or NULL when it was bad or the
+ * disk has no room; freed
  * with lwm__control_snapshot__free_unpacked()
  */
 Lwm__ControlSnapshot *
--- a/t/t5001-storage.c
+++ b/t/t5001-storage.c
@@ -2,7 +2,9 @@
  * where; a data folder that is not whole is not used. */
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <talloc.h>
 
 #include "lib-cluster.h"
@@ -317,6 +319,93 @@
   talloc_free (raft);
 }
 
+/** Opens the folder anew; the last entry that it holds. */
+static uint64_t
+reopen (const char *folder, store_t **store, raft_t **raft)
+{
+  Lwm__ControlSnapshot *snapshot = NULL;
+  char *why;
+
+  talloc_free (*store);
+  talloc_free (*raft);
+  *store = open_store (folder, "a", &why);
+  *raft = new_raft ();
+  g_assert_true (store_recover (*store, *raft, &snapshot, &why));
+  if (snapshot != NULL)
+    lwm__control_snapshot__free_unpacked (snapshot, NULL);
+  return raft_log_last (raft_log (*raft));
+}
+
+/* A leader's snapshot was made durable, and the log that ends before it was
+ * not begun anew: entries that are saved then must be read again. */
+static void
+test_log_ends_before_snapshot (void)
+{
+  const char *folder = cluster_subfolder (cluster, "behind");
+  char *why;
+  store_t *store = open_store (folder, "a", &why);
+  raft_t *raft = make_single (store);
+  gsize size;
+  char *old_log = read_log (folder, &size);
+  uint64_t last;
+
+  for (int i = 0; i < 5; i++)
+    {
+      raft_propose (raft, (const uint8_t *)"x", 1);
+      store_save (store, raft);
+    }
+  last = raft_log_last (raft_log (raft));
+  take_snapshot (store, raft, last);
+  write_log (folder, old_log, size);
+  g_free (old_log);
+  g_assert_cmpuint (reopen (folder, &store, &raft), ==, last);
+  for (uint64_t now_ms = 1000; now_ms < 3000; now_ms += 10)
+    raft_tick (raft, now_ms);
+  g_assert_cmpuint (raft_propose (raft, (const uint8_t *)"x", 1), >, last);
+  last = raft_log_last (raft_log (raft));
+  store_save (store, raft);
+  g_assert_cmpuint (reopen (folder, &store, &raft), ==, last);
+  talloc_free (store);
+  talloc_free (raft);
+}
+
+static void
+limit_files (rlim_t size_bytes)
+{
+  struct rlimit limit;
+
+  g_assert_cmpint (getrlimit (RLIMIT_FSIZE, &limit), ==, 0);
+  limit.rlim_cur = size_bytes;
+  g_assert_cmpint (setrlimit (RLIMIT_FSIZE, &limit), ==, 0);
+}
+
+/* Without room nothing is saved, and the file stays as it was. */
+static void
+test_no_room (void)
+{
+  const char *folder = cluster_subfolder (cluster, "full");
+  char *why;
+  store_t *store = open_store (folder, "a", &why);
+  raft_t *raft = make_single (store);
+  uint64_t last;
+  gsize size;
+
+  signal (SIGXFSZ, SIG_IGN);
+  g_free (read_log (folder, &size));
+  raft_propose (raft, (const uint8_t *)"a longer entry than there is room", 33);
+  last = raft_log_last (raft_log (raft));
+  limit_files (size + 10);
+  g_assert_cmpint (store_save (store, raft), ==, STORE_NO_ROOM);
+  g_assert_cmpint (store_save (store, raft), ==, STORE_NO_ROOM);
+  limit_files (RLIM_INFINITY);
+  g_free (read_log (folder, &size));
+  g_assert_cmpint (store_save (store, raft), ==, STORE_SAVED);
+  g_assert_cmpint (store_save (store, raft), ==, STORE_NOTHING);
+  g_assert_cmpuint (reopen (folder, &store, &raft), ==, last);
+  talloc_free (store);
+  talloc_free (raft);
+}
+
 static void
 test_missing_files_refuse (void)
 {
@@ -365,6 +454,9 @@
                    test_folder_is_used_once_and_by_its_owner);
   g_test_add_func ("/storage/crash-between-snapshot-and-log",
                    test_crash_between_snapshot_and_log);
+  g_test_add_func ("/storage/log-ends-before-snapshot",
+                   test_log_ends_before_snapshot);
+  g_test_add_func ("/storage/no-room", test_no_room);
   g_test_add_func ("/storage/missing-files-refuse", test_missing_files_refuse);
   failures = g_test_run ();
   cluster_free (cluster);
--- a/t/t5110-control-crash.c
+++ b/t/t5110-control-crash.c
@@ -1,6 +1,6 @@
-/* Killed at every step of append, sync, snapshot and rename, or with a full
- * disk or a failing sync: the replica stops, comes back whole, and nothing that
- * was accepted is lost. */
+/* Killed at every step of append, sync, snapshot and rename, or with a failing
+ * write or sync: the replica stops, comes back whole, and nothing that was
+ * accepted is lost. With a full disk it stays and goes on later. */
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
@@ -69,6 +69,31 @@
   return code;
 }
 
+static bool
+has_met_full_disk (size_t at)
+{
+  char *log = process_log (group->process[at]);
+  bool has_met = strstr (log, "The disk is full") != NULL
+                 || strstr (log, "Found no room") != NULL
+                 || strstr (log, "Cannot begin the log anew") != NULL;
+
+  g_free (log);
+  return has_met;
+}
+
+/** Restarts @a at with the fault, makes changes until its disk was full. */
+static void
+meet (size_t at, const char *fault)
+{
+  int64_t end_us = g_get_monotonic_time () + CLUSTER_PATIENCE_MS * 1000;
+
+  group_kill (group, at, false);
+  group_start (group, at, fault);
+  while (!has_met_full_disk (at) && g_get_monotonic_time () < end_us)
+    apply_one ();
+  g_assert_true (has_met_full_disk (at));
+}
+
 static void
 check_whole (size_t at)
 {
@@ -114,7 +139,7 @@
 test_failed_write_or_sync_stops (void)
 {
   static const char *const faults[]
-      = { "log-write:4:ENOSPC", "log-sync:4:EIO", "snapshot-write:1:ENOSPC",
+      = { "log-write:4:EIO", "log-sync:4:EIO", "snapshot-write:1:EIO",
           "rewrite-sync:1:EIO" };
 
   set_up ();
@@ -129,6 +154,34 @@
   tear_down ();
 }
 
+/* A write that finds no room ends nothing: the replica goes on when there is
+ * room, with all that was acknowledged. */
+static void
+test_full_disk_is_waited_for (void)
+{
+  static const char *const faults[]
+      = { "log-write:4:ENOSPC", "snapshot-write:1:ENOSPC",
+          "rewrite-write:1:ENOSPC" };
+
+  set_up ();
+  apply_one ();
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      size_t at = (group_leader (group) + i % 2) % 3;
+
+      g_test_message ("%s at %zu", faults[i], at);
+      meet (at, faults[i]);
+      apply_one ();
+      CLUSTER_WAIT (group_status (group, at, "config_number")
+                    == (int64_t)history->accepted);
+      g_assert_true (process_running (group->process[at]));
+      /* And what it wrote is whole. */
+      group_kill (group, at, false);
+      check_whole (at);
+    }
+  tear_down ();
+}
+
 static void
 test_killed_while_the_folder_is_made (void)
 {
@@ -194,6 +247,8 @@
                    test_killed_at_every_step);
   g_test_add_func ("/control-crash/failed-write-or-sync-stops",
                    test_failed_write_or_sync_stops);
+  g_test_add_func ("/control-crash/full-disk-is-waited-for",
+                   test_full_disk_is_waited_for);
   g_test_add_func ("/control-crash/killed-while-the-folder-is-made",
                    test_killed_while_the_folder_is_made);
   g_test_add_func ("/control-crash/damage-refuses-to-start",
--- a/wal.c
+++ b/wal.c
@@ -20,6 +20,7 @@
   char *path;
   int fd;
   uint64_t sequence; /* of the next frame */
+  uint64_t size_bytes;
   uint64_t cut_bytes;
 };
 
@@ -41,14 +42,15 @@
   return data;
 }
 
-void
+bool
 wal_create (const char *folder, const Lwm__ControlBatch *first)
 {
   size_t size_bytes;
   uint8_t *data = encode (NULL, first, FIRST_SEQUENCE, &size_bytes);
+  bool is_made = file_replace (folder, LOG_NAME, data, size_bytes, "rewrite");
 
-  file_replace (folder, LOG_NAME, data, size_bytes, "rewrite");
   talloc_free (data);
+  return is_made;
 }
 
 bool
@@ -162,9 +164,12 @@
 static void
 open_end (wal_t *wal)
 {
+  off_t end;
+
   wal->fd = open (wal->path, O_WRONLY | O_APPEND | O_CLOEXEC);
-  if (wal->fd < 0)
+  if (wal->fd < 0 || (end = lseek (wal->fd, 0, SEEK_END)) < 0)
     die ("cannot open '%s': %s", wal->path, strerror (errno));
+  wal->size_bytes = (uint64_t)end;
 }
 
 static void
@@ -175,6 +180,7 @@
     return;
   if (ftruncate (wal->fd, (off_t)end) != 0 || fsync (wal->fd) != 0)
     die ("cannot cut '%s': %s", wal->path, strerror (errno));
+  wal->size_bytes = end;
 }
 
 wal_t *
@@ -213,24 +219,42 @@
   return wal;
 }
 
-void
+/** Takes a batch back of which only a part may have been written. */
+static void
+take_back (wal_t *wal)
+{
+  if (ftruncate (wal->fd, (off_t)wal->size_bytes) != 0)
+    die ("cannot cut '%s': %s", wal->path, strerror (errno));
+}
+
+bool
 wal_append (wal_t *wal, const Lwm__ControlBatch *batch)
 {
   size_t size_bytes;
-  uint8_t *data = encode (wal, batch, wal->sequence++, &size_bytes);
+  uint8_t *data = encode (wal, batch, wal->sequence, &size_bytes);
+  bool is_written = file_write (wal->fd, wal->path, data, size_bytes, "log");
 
-  file_write (wal->fd, wal->path, data, size_bytes, "log");
-  file_sync (wal->fd, wal->path, "log");
   talloc_free (data);
+  if (!is_written)
+    {
+      take_back (wal);
+      return false;
+    }
+  file_sync (wal->fd, wal->path, "log");
+  wal->sequence++;
+  wal->size_bytes += size_bytes;
+  return true;
 }
 
-void
+bool
 wal_rewrite (wal_t *wal, const Lwm__ControlBatch *first)
 {
-  wal_create (wal->folder, first);
+  if (!wal_create (wal->folder, first))
+    return false;
   close (wal->fd);
   wal->sequence = FIRST_SEQUENCE + 1;
   open_end (wal);
+  return true;
 }
 
 uint64_t
--- a/wal.h
+++ b/wal.h
@@ -22,8 +22,11 @@
 /** One batch, in order; valid only in the callback. */
 typedef void (*wal_batch_cb_t) (const Lwm__ControlBatch *batch, void *context);
 
-/** Writes a new log file with @a first as its only batch. */
-void wal_create (const char *folder, const Lwm__ControlBatch *first);
+/**
+ * Writes a new log file with @a first as its only batch.
+ * @return false when the disk has no room
+ */
+bool wal_create (const char *folder, const Lwm__ControlBatch *first);
 
 /** Whether @a folder has a log file. */
 bool wal_exists (const char *folder);
@@ -39,11 +42,17 @@
                  void *context,
                  char **why);
 
-/** Makes a batch durable, or ends the process. */
-void wal_append (wal_t *wal, const Lwm__ControlBatch *batch);
+/**
+ * Makes a batch durable, or ends the process.
+ * @return false when the disk has no room; the file is as it was
+ */
+bool wal_append (wal_t *wal, const Lwm__ControlBatch *batch);
 
-/** Replaces the file by one that begins with @a first. */
-void wal_rewrite (wal_t *wal, const Lwm__ControlBatch *first);
+/**
+ * Replaces the file by one that begins with @a first.
+ * @return false when the disk has no room; the file is as it was
+ */
+bool wal_rewrite (wal_t *wal, const Lwm__ControlBatch *first);
 
 /** Bytes cut from the tail when it was opened. */
 uint64_t wal_cut_bytes (const wal_t *wal);
