engine-choice: keep short requests together

A pass with 12 writers takes little longer than one with 2, so crowding costs nothing until the slots are gone, and an engine on which nobody waits can read a long prompt at once.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -32,9 +32,11 @@
 /** Tickets for less are not worth their order. */
 #define MIN_TICKET_TOKENS    2000.0
 #define TICKET_ROUND_TRIP_MS 12.0
-/** Small preferences, as shares of the request's own worth. */
-#define EMPTY_COST      0.02
-#define CROWDED_COST    0.05
+/** Small preferences, as shares of the request's own worth. An engine on which
+ * nobody waits for events can read a long prompt at once, so short requests
+ * keep together; a few more of them at an engine hardly make its passes longer.
+ */
+#define EMPTY_COST      0.05
 #define OTHER_ZONE_COST 0.01
 #define SILENT_COST     0.3
 /** Requests that one engine holds, as a share of its slots. */
@@ -90,8 +92,6 @@
 
   if (state->held == 0)
     cost += EMPTY_COST;
-  cost += CROWDED_COST * state->held
-          / fmax (member->slots, request->model->slots);
   if (strcmp (member->zone, request->zone) != 0)
     cost += OTHER_ZONE_COST;
   if (member->is_silent)
