t: play loads on simulated engines

Engines that work in passes, in simulated time, take what a policy sends them; arrivals are the same for all policies. It judges a change of placement in a second: the same wave and bursts that a deployment of 45 engines has, with random, least requests and two choices in the same run.

--- /dev/null
+++ b/t/lib-engines.c
@@ -0,0 +1,677 @@
+#include "lib-engines.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#define STEP_MS       2
+#define WAKE_EVERY_MS 20
+#define BEGIN_MS      100000 /* times of 0 mean never */
+#define DRAIN_MS      16000
+#define RETRY_MS      300
+/** An answer is longer than expected as often as it is shorter. */
+#define HINT_SPREAD 0.5
+
+typedef struct request request_t;
+
+/** What one engine has to read of a request. */
+typedef struct
+{
+  request_t *request;
+  double unread_ms;
+  double tokens;
+  bool is_part;
+  uint32_t engine;
+} reading_t;
+
+struct request
+{
+  const engines_kind_t *kind;
+  uint32_t kind_index;
+  bool is_largest;
+  uint32_t prompt_tokens;
+  uint32_t answer_tokens; /* as its caller expects */
+  uint32_t events_left;
+  uint64_t asked_ms; /* first attempt */
+  uint64_t begun_ms;
+  uint64_t return_ms; /* asks again then, or 0 */
+  bool has_returned;
+  bool is_sent;
+  bool is_over;
+  bool is_late;
+  uint32_t parts_left;
+  uint64_t first_ms;
+  uint64_t last_ms;
+  uint64_t jobs[1 + CHOICE_MAX_HELPERS];
+  uint32_t engines[1 + CHOICE_MAX_HELPERS];
+  uint32_t kv_tokens[1 + CHOICE_MAX_HELPERS];
+  uint32_t job_count;
+};
+
+typedef struct
+{
+  uint64_t key;
+  GPtrArray *writers;  /* request_t */
+  GPtrArray *readings; /* reading_t: oldest first */
+  double pass_end_ms;
+  GPtrArray *read_now; /* readings that this pass ends */
+} engine_t;
+
+typedef struct
+{
+  const engines_load_t *load;
+  GRand *rand;    /* of arrivals: the same for all policies */
+  GRand *chances; /* of placement and returns */
+  directory_t *directory;
+  upstream_set_t *set;
+  engine_t *engines;
+  GPtrArray *requests; /* all that were asked */
+  GPtrArray *waiting;
+  uint64_t now_ms;
+  uint64_t last_job;
+  uint32_t shortest_gap_ms;
+  engines_result_t result;
+} world_t;
+
+/** What an engine holds of requests, and of memory. */
+static uint32_t
+held_at (const upstream_member_t *member, double *kv_tokens)
+{
+  uint32_t held = 0;
+
+  *kv_tokens = 0;
+  for (guint i = 0; i < member->jobs->len; i++)
+    {
+      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
+
+      held += !job->is_part;
+      *kv_tokens += job->kv_tokens;
+    }
+  return held;
+}
+
+static bool
+is_free (const choice_request_t *request, const upstream_member_t *member)
+{
+  double kv_tokens;
+  uint32_t held = held_at (member, &kv_tokens);
+
+  return held < request->model->slots
+         && kv_tokens + request->prompt_tokens + request->answer_tokens
+                <= (double)request->model->kv_tokens;
+}
+
+/** The one with the fewest requests of the first @a tries drawn. */
+static choice_t
+least_of (const upstream_set_t *set,
+          const choice_request_t *request,
+          uint32_t tries)
+{
+  choice_t choice = { .kind = CHOICE_WAIT, .retry_ms = RETRY_MS };
+  size_t count;
+  const upstream_member_t *const *members = upstream_set_members (set, &count);
+  double ignored;
+
+  if (request->prompt_tokens + request->answer_tokens
+      > request->model->kv_tokens)
+    choice.kind = CHOICE_HOPELESS;
+  for (uint32_t i = 0; i < tries && choice.kind != CHOICE_HOPELESS; i++)
+    {
+      /* Large steps, so that two in a row are not always neighbours. */
+      const upstream_member_t *member
+          = members[(request->random + i * (request->random % 7 + 1)) % count];
+
+      if (!is_free (request, member)
+          || (choice.member != NULL
+              && held_at (member, &ignored)
+                     >= held_at (choice.member, &ignored)))
+        continue;
+      choice.kind = CHOICE_SEND;
+      choice.member = member;
+    }
+  return choice;
+}
+
+choice_t
+engines_least (const upstream_set_t *set,
+               const choice_request_t *request,
+               uint64_t now_ms)
+{
+  size_t count;
+
+  upstream_set_members (set, &count);
+  return least_of (set, request, (uint32_t)count * 2);
+}
+
+choice_t
+engines_random (const upstream_set_t *set,
+                const choice_request_t *request,
+                uint64_t now_ms)
+{
+  return least_of (set, request, 1);
+}
+
+choice_t
+engines_two_choices (const upstream_set_t *set,
+                     const choice_request_t *request,
+                     uint64_t now_ms)
+{
+  return least_of (set, request, 2);
+}
+
+static double
+draw_normal (GRand *rand)
+{
+  double u = g_rand_double_range (rand, 1e-9, 1);
+
+  return sqrt (-2 * log (u)) * cos (2 * G_PI * g_rand_double (rand));
+}
+
+static double
+draw_lognormal (GRand *rand, double mean, double spread)
+{
+  return mean * exp (spread * draw_normal (rand) - spread * spread / 2);
+}
+
+static void
+make_engines (world_t *world)
+{
+  upstream_set_options_t options = { 0 };
+  uint32_t count = world->load->engines;
+  size_t ignored;
+
+  world->directory = directory_new (NULL);
+  world->set = upstream_set_new (NULL, &options);
+  world->engines = g_new0 (engine_t, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char id[24];
+      char address[32];
+      directory_statement_t said = { .id = id,
+                                     .address = address,
+                                     .zone = "a",
+                                     .service = "engines",
+                                     .born_ms = 1,
+                                     .sequence = 1,
+                                     .slots = world->load->model->slots };
+
+      snprintf (id, sizeof id, "engine-%u", i);
+      snprintf (address, sizeof address, "10.0.0.%u:80", i + 1);
+      directory_put (world->directory, &said, BEGIN_MS);
+    }
+  upstream_set_follow (world->set, world->directory, BEGIN_MS);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      world->engines[i].key
+          = upstream_set_members (world->set, &ignored)[i]->key;
+      world->engines[i].writers = g_ptr_array_new ();
+      world->engines[i].readings = g_ptr_array_new_with_free_func (g_free);
+      world->engines[i].read_now = g_ptr_array_new ();
+    }
+}
+
+static uint32_t
+engine_of (const world_t *world, uint64_t key)
+{
+  for (uint32_t i = 0; i < world->load->engines; i++)
+    if (world->engines[i].key == key)
+      return i;
+  g_assert_not_reached ();
+}
+
+static choice_request_t
+ask_of (const world_t *world, const request_t *request)
+{
+  uint64_t waited_ms = world->now_ms - request->begun_ms;
+
+  return (choice_request_t){
+    .service = "engines",
+    .model = world->load->model,
+    .zone = "a",
+    .prompt_tokens = request->prompt_tokens,
+    .answer_tokens = request->answer_tokens,
+    .target_ms = request->kind->target_ms,
+    .gap_target_ms = request->kind->gap_target_ms,
+    .shortest_gap_ms = world->shortest_gap_ms,
+    .waited_ms = (uint32_t)waited_ms,
+    .left_ms = (uint32_t)(request->asked_ms + request->kind->deadline_ms
+                          - world->now_ms),
+    .random = g_rand_int (world->chances),
+  };
+}
+
+static void
+note_job (world_t *world,
+          request_t *request,
+          const upstream_member_t *member,
+          uint32_t parts,
+          uint32_t kv_tokens,
+          bool is_part)
+{
+  upstream_job_t job
+      = { .id = ++world->last_job,
+          .upstream = member->key,
+          .prompt_tokens = request->prompt_tokens,
+          .read_tokens = request->prompt_tokens / parts,
+          .answer_tokens = is_part ? 0 : request->answer_tokens,
+          .kv_tokens = kv_tokens,
+          .gap_target_ms = request->kind->gap_target_ms,
+          .value = upstream_job_value (request->prompt_tokens,
+                                       is_part ? 0 : request->answer_tokens),
+          .begun_ms = request->begun_ms,
+          .due_ms = request->begun_ms + request->kind->target_ms,
+          .sent_ms = world->now_ms,
+          .is_part = is_part };
+  uint32_t engine = engine_of (world, member->key);
+  reading_t *reading = g_new0 (reading_t, 1);
+  uint32_t at = request->job_count++;
+
+  upstream_set_begin (world->set, &job);
+  request->jobs[at] = job.id;
+  request->engines[at] = engine;
+  request->kv_tokens[at] = kv_tokens;
+  reading->request = request;
+  reading->engine = engine;
+  reading->is_part = parts > 1;
+  reading->tokens = (double)request->prompt_tokens / parts;
+  reading->unread_ms
+      = engine_read_ms (world->load->model, request->prompt_tokens) / parts;
+  g_ptr_array_add (world->engines[engine].readings, reading);
+}
+
+static void
+send (world_t *world, request_t *request, const choice_t *choice)
+{
+  uint32_t parts = choice->helper_count + 1;
+  uint32_t kv_tokens = request->prompt_tokens + request->answer_tokens;
+
+  request->is_sent = true;
+  request->parts_left = parts;
+  for (uint32_t i = 0; i < choice->memory_count; i++)
+    kv_tokens -= MIN (kv_tokens, choice->memory_tokens[i]);
+  note_job (world, request, choice->member, parts, kv_tokens, false);
+  for (uint32_t i = 0; i < choice->helper_count; i++)
+    note_job (world, request, choice->helpers[i], parts,
+              i < choice->memory_count ? choice->memory_tokens[i] : 0, true);
+}
+
+/** Size against the mean of its kind counts, as longer work is worth more. */
+static double
+worth_of (const request_t *request)
+{
+  double size = request->prompt_tokens / request->kind->prompt_tokens;
+
+  return request->kind->worth * fmin (0.3 + 0.7 * size, 4);
+}
+
+static void
+end_request (world_t *world, request_t *request, bool is_served)
+{
+  engines_tally_t *tallies[]
+      = { &world->result.all, &world->result.kinds[request->kind_index],
+          &world->result.largest };
+  int tally_count = request->is_largest ? 3 : 2;
+  double worth = worth_of (request);
+  double late = worth * request->kind->late_worth / request->kind->worth;
+
+  request->is_over = true;
+  for (int i = 0; i < tally_count; i++)
+    {
+      tallies[i]->asked++;
+      tallies[i]->owed += worth;
+      tallies[i]->refused += !is_served && !request->is_sent;
+      tallies[i]->failed += !is_served && request->is_sent;
+      tallies[i]->late += is_served && request->is_late;
+      tallies[i]->in_time += is_served && !request->is_late;
+      if (is_served)
+        tallies[i]->earned += request->is_late ? late : worth;
+    }
+}
+
+static void
+refuse (world_t *world, request_t *request, uint32_t retry_ms)
+{
+  uint32_t wait_ms
+      = retry_ms + g_rand_int_range (world->chances, 0, (gint)retry_ms / 2 + 1);
+  uint64_t until_ms = request->asked_ms + request->kind->deadline_ms;
+
+  if (request->has_returned || world->now_ms + 3 * wait_ms > until_ms)
+    {
+      end_request (world, request, false);
+      return;
+    }
+  request->has_returned = true;
+  request->return_ms = world->now_ms + wait_ms;
+}
+
+/** False when it waits. */
+static bool
+place (world_t *world, request_t *request)
+{
+  choice_request_t ask = ask_of (world, request);
+  choice_t choice = world->load->policy (world->set, &ask, world->now_ms);
+
+  if (choice.kind == CHOICE_WAIT)
+    return false;
+  if (choice.kind == CHOICE_SEND)
+    send (world, request, &choice);
+  else
+    refuse (world, request, choice.retry_ms);
+  return true;
+}
+
+static void
+arrive (world_t *world, request_t *request)
+{
+  request->begun_ms = world->now_ms;
+  request->return_ms = 0;
+  if (!place (world, request))
+    g_ptr_array_add (world->waiting, request);
+}
+
+static gint
+compare_waiting (gconstpointer a, gconstpointer b)
+{
+  const request_t *one = *(const request_t *const *)a;
+  const request_t *other = *(const request_t *const *)b;
+
+  if (one->kind->target_ms != other->kind->target_ms)
+    return one->kind->target_ms < other->kind->target_ms ? -1 : 1;
+  return (one->begun_ms < other->begun_ms) - (one->begun_ms > other->begun_ms);
+}
+
+static void
+place_waiting (world_t *world)
+{
+  g_ptr_array_sort (world->waiting, compare_waiting);
+  for (guint i = 0; i < world->waiting->len;)
+    {
+      request_t *request = g_ptr_array_index (world->waiting, i);
+      bool is_late
+          = world->now_ms >= request->asked_ms + request->kind->deadline_ms;
+
+      if (is_late)
+        end_request (world, request, false);
+      if (is_late || place (world, request))
+        g_ptr_array_remove_index (world->waiting, i);
+      else
+        i++;
+    }
+}
+
+/** The next prompt to read: the newest part, then whole ones by age. */
+static reading_t *
+next_reading (engine_t *engine)
+{
+  reading_t *first = NULL;
+
+  for (guint i = 0; i < engine->readings->len; i++)
+    {
+      reading_t *reading = g_ptr_array_index (engine->readings, i);
+
+      if (reading->unread_ms <= 0)
+        continue;
+      if (reading->is_part)
+        first = reading;
+      else if (first == NULL)
+        first = reading;
+    }
+  return first;
+}
+
+/** Reads what the pass has room for; the time that takes. */
+static double
+read_in_pass (const world_t *world, engine_t *engine)
+{
+  double room_tokens = engine_pass_tokens (world->load->model);
+  double took_ms = 0;
+  reading_t *reading;
+
+  while (room_tokens >= 1 && (reading = next_reading (engine)) != NULL)
+    {
+      double rate = reading->tokens / reading->unread_ms;
+      double tokens = fmin (room_tokens, reading->tokens);
+      double read_ms = tokens / rate;
+
+      room_tokens -= tokens;
+      reading->tokens -= tokens;
+      reading->unread_ms -= read_ms;
+      took_ms += read_ms;
+      if (reading->tokens >= 0.5)
+        continue;
+      reading->unread_ms = 0;
+      g_ptr_array_add (engine->read_now, reading);
+    }
+  return took_ms;
+}
+
+static void
+begin_pass (world_t *world, engine_t *engine)
+{
+  double context_tokens = 0;
+  double pass_ms = 0;
+
+  for (guint i = 0; i < engine->writers->len; i++)
+    {
+      const request_t *request = g_ptr_array_index (engine->writers, i);
+
+      context_tokens += request->kv_tokens[0];
+    }
+  if (engine->writers->len > 0)
+    pass_ms = engine_pass_ms (world->load->model, engine->writers->len,
+                              context_tokens);
+  pass_ms += read_in_pass (world, engine);
+  engine->pass_end_ms = pass_ms > 0 ? (double)world->now_ms + pass_ms : 0;
+}
+
+static void
+finish (world_t *world, request_t *request)
+{
+  for (uint32_t i = 0; i < request->job_count; i++)
+    upstream_set_end (world->set, request->jobs[i], UPSTREAM_JOB_GOOD,
+                      world->now_ms);
+  end_request (world, request, true);
+}
+
+static void
+write_event (world_t *world, request_t *request)
+{
+  if (request->first_ms == 0)
+    {
+      request->first_ms = world->now_ms;
+      request->is_late
+          = world->now_ms > request->asked_ms + request->kind->target_ms;
+      /* Those that only read are free; who keeps memory stays. */
+      for (uint32_t i = 1; i < request->job_count; i++)
+        if (request->kv_tokens[i] == 0)
+          upstream_set_end (world->set, request->jobs[i], UPSTREAM_JOB_NEUTRAL,
+                            world->now_ms);
+        else
+          upstream_set_progress (world->set, request->jobs[i], world->now_ms);
+    }
+  else if (world->now_ms > request->last_ms + request->kind->gap_target_ms)
+    request->is_late = true;
+  request->last_ms = world->now_ms;
+  upstream_set_progress (world->set, request->jobs[0], world->now_ms);
+  request->events_left--;
+}
+
+static void
+end_pass (world_t *world, engine_t *engine)
+{
+  for (guint i = engine->writers->len; i-- > 0;)
+    {
+      request_t *request = g_ptr_array_index (engine->writers, i);
+
+      write_event (world, request);
+      if (request->events_left > 0)
+        continue;
+      g_ptr_array_remove_index (engine->writers, i);
+      finish (world, request);
+    }
+  for (guint i = 0; i < engine->read_now->len; i++)
+    {
+      reading_t *reading = g_ptr_array_index (engine->read_now, i);
+      request_t *request = reading->request;
+
+      if (--request->parts_left == 0)
+        g_ptr_array_add (world->engines[request->engines[0]].writers, request);
+      g_ptr_array_remove (engine->readings, reading);
+    }
+  g_ptr_array_set_size (engine->read_now, 0);
+  engine->pass_end_ms = 0;
+}
+
+static void
+run_engines (world_t *world)
+{
+  for (uint32_t i = 0; i < world->load->engines; i++)
+    {
+      engine_t *engine = &world->engines[i];
+
+      if (engine->pass_end_ms > 0
+          && engine->pass_end_ms <= (double)world->now_ms)
+        end_pass (world, engine);
+      if (engine->pass_end_ms == 0)
+        begin_pass (world, engine);
+    }
+}
+
+static request_t *
+request_new (world_t *world, uint32_t kind_index)
+{
+  const engines_kind_t *kind = &world->load->kinds[kind_index];
+  request_t *request = g_new0 (request_t, 1);
+  double tokens
+      = draw_lognormal (world->rand, kind->prompt_tokens, kind->prompt_spread);
+  double events = draw_lognormal (world->rand, kind->answer_events, 0.5);
+  double hint = draw_lognormal (world->rand, 1, HINT_SPREAD);
+
+  request->kind = kind;
+  request->kind_index = kind_index;
+  request->prompt_tokens = (uint32_t)fmin (tokens, kind->prompt_most);
+  request->events_left = (uint32_t)fmax (events, 1);
+  request->answer_tokens
+      = (uint32_t)(request->events_left * hint * world->load->event_tokens);
+  /* Where a tenth of a lognormal distribution lies above. */
+  request->is_largest
+      = kind_index + 1 == world->load->kind_count
+        && tokens > kind->prompt_tokens
+                        * exp (1.2816 * kind->prompt_spread
+                               - kind->prompt_spread * kind->prompt_spread / 2);
+  request->asked_ms = world->now_ms;
+  g_ptr_array_add (world->requests, request);
+  return request;
+}
+
+static double
+rate_now (const world_t *world, const engines_kind_t *kind)
+{
+  const engines_load_t *load = world->load;
+  uint64_t since_ms = world->now_ms - BEGIN_MS;
+  double turn = 2 * G_PI * (double)since_ms / load->swing_ms;
+  double rate = kind->rate_s * (1 + load->swing * sin (turn));
+
+  if (load->burst > 1 && since_ms % load->swing_ms < load->swing_ms / 5)
+    rate *= load->burst;
+  return rate;
+}
+
+static void
+draw_arrivals (world_t *world)
+{
+  for (uint32_t i = 0; i < world->load->kind_count; i++)
+    if (g_rand_double (world->rand)
+        < rate_now (world, &world->load->kinds[i]) * STEP_MS / 1000.0)
+      arrive (world, request_new (world, i));
+}
+
+static void
+take_returns (world_t *world)
+{
+  for (guint i = 0; i < world->requests->len; i++)
+    {
+      request_t *request = g_ptr_array_index (world->requests, i);
+
+      if (request->return_ms > 0 && request->return_ms <= world->now_ms)
+        arrive (world, request);
+    }
+}
+
+static void
+free_world (world_t *world)
+{
+  for (uint32_t i = 0; i < world->load->engines; i++)
+    {
+      g_ptr_array_free (world->engines[i].writers, TRUE);
+      g_ptr_array_free (world->engines[i].readings, TRUE);
+      g_ptr_array_free (world->engines[i].read_now, TRUE);
+    }
+  g_free (world->engines);
+  for (guint i = 0; i < world->requests->len; i++)
+    g_free (g_ptr_array_index (world->requests, i));
+  g_ptr_array_free (world->requests, TRUE);
+  g_ptr_array_free (world->waiting, TRUE);
+  talloc_free (world->set);
+  talloc_free (world->directory);
+  g_rand_free (world->rand);
+  g_rand_free (world->chances);
+}
+
+engines_result_t
+engines_play (const engines_load_t *load)
+{
+  world_t world = { .load = load,
+                    .rand = g_rand_new_with_seed (load->seed),
+                    .chances = g_rand_new_with_seed (load->seed + 1),
+                    .requests = g_ptr_array_new (),
+                    .waiting = g_ptr_array_new () };
+  uint64_t end_ms = BEGIN_MS + load->length_ms;
+
+  g_assert_cmpuint (load->kind_count, <=, ENGINES_MAX_KINDS);
+  make_engines (&world);
+  world.shortest_gap_ms = load->kinds[0].gap_target_ms;
+  for (uint32_t i = 1; i < load->kind_count; i++)
+    world.shortest_gap_ms
+        = MIN (world.shortest_gap_ms, load->kinds[i].gap_target_ms);
+  for (world.now_ms = BEGIN_MS; world.now_ms < end_ms + DRAIN_MS;
+       world.now_ms += STEP_MS)
+    {
+      if (world.now_ms < end_ms)
+        draw_arrivals (&world);
+      run_engines (&world);
+      if (world.now_ms % WAKE_EVERY_MS != 0)
+        continue;
+      take_returns (&world);
+      place_waiting (&world);
+      upstream_set_tick (world.set, world.now_ms);
+    }
+  free_world (&world);
+  return world.result;
+}
+
+double
+engines_share (const engines_tally_t *tally)
+{
+  return tally->owed > 0 ? tally->earned / tally->owed : 1;
+}
+
+static void
+print_tally (const char *name, const engines_tally_t *tally)
+{
+  g_test_message ("%-10s asked=%u in_time=%u late=%u refused=%u failed=%u "
+                  "earned=%.3f of %.0f",
+                  name, tally->asked, tally->in_time, tally->late,
+                  tally->refused, tally->failed, engines_share (tally),
+                  tally->owed);
+}
+
+void
+engines_print (const engines_load_t *load, const engines_result_t *result)
+{
+  for (uint32_t i = 0; i < load->kind_count; i++)
+    print_tally (load->kinds[i].name, &result->kinds[i]);
+  print_tally ("largest", &result->largest);
+  print_tally ("all", &result->all);
+}
--- /dev/null
+++ b/t/t8041-load-patterns.c
@@ -0,0 +1,143 @@
+/*
+ * How much of what callers ask for is earned under the loads that a day
+ * brings, on simulated engines.
+ */
+#include <glib.h>
+
+#include "lib-engines.h"
+
+static const engine_model_t large_model = { .slots = 12,
+                                            .kv_tokens = 197200,
+                                            .steps_per_pass = 48,
+                                            .read_step_tokens = 2048,
+                                            .step_ms = 1.02,
+                                            .step_stream_ms = 0.00226,
+                                            .step_context_ms = 0.00431,
+                                            .read_tokens_s = 206000,
+                                            .read_pairs_ms = 0.138 };
+
+static const engines_kind_t large_kinds[] = {
+  { .name = "short",
+    .rate_s = 65.8,
+    .prompt_tokens = 4960,
+    .prompt_spread = 0.78,
+    .prompt_most = 23800,
+    .answer_events = 31,
+    .target_ms = 300,
+    .gap_target_ms = 250,
+    .deadline_ms = 10000,
+    .worth = 1.3,
+    .late_worth = 0.33 },
+  { .name = "medium",
+    .rate_s = 4.49,
+    .prompt_tokens = 45000,
+    .prompt_spread = 0.47,
+    .prompt_most = 110000,
+    .answer_events = 18,
+    .target_ms = 1500,
+    .gap_target_ms = 600,
+    .deadline_ms = 10000,
+    .worth = 3.3,
+    .late_worth = 0.83 },
+  { .name = "long",
+    .rate_s = 2.77,
+    .prompt_tokens = 190000,
+    .prompt_spread = 0.51,
+    .prompt_most = 600000,
+    .answer_events = 15,
+    .target_ms = 3000,
+    .gap_target_ms = 1000,
+    .deadline_ms = 15000,
+    .worth = 20,
+    .late_worth = 5.1 },
+};
+
+typedef struct
+{
+  const char *name;
+  engines_policy_t policy;
+} named_policy_t;
+
+static const named_policy_t baselines[]
+    = { { "random", engines_random },
+        { "least", engines_least },
+        { "two choices", engines_two_choices } };
+
+#define SEEDS 2
+
+static engines_load_t
+large_load (uint32_t burst)
+{
+  return (engines_load_t){ .model = &large_model,
+                           .engines = 45,
+                           .event_tokens = 48,
+                           .kinds = large_kinds,
+                           .kind_count = G_N_ELEMENTS (large_kinds),
+                           .swing = 0.55,
+                           .swing_ms = 17000,
+                           .burst = burst,
+                           .length_ms = 34000 };
+}
+
+/** Mean share earned of all, over some seeds. */
+static double
+share_of (engines_load_t load, const named_policy_t *by, double *of_long)
+{
+  double sum = 0;
+
+  *of_long = 0;
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      engines_result_t result;
+
+      load.seed = seed;
+      load.policy = by->policy;
+      result = engines_play (&load);
+      g_test_message ("%s, seed %u", by->name, seed);
+      engines_print (&load, &result);
+      sum += engines_share (&result.all) / SEEDS;
+      *of_long += engines_share (&result.kinds[2]) / SEEDS;
+    }
+  return sum;
+}
+
+/** Callers get what they ask for, and more than any baseline gives them. */
+static void
+check_load (uint32_t burst, double least_all, double least_long)
+{
+  static const named_policy_t product = { "product", upstream_choose };
+  engines_load_t load = large_load (burst);
+  double of_long;
+  double all = share_of (load, &product, &of_long);
+  double ignored;
+
+  g_assert_cmpfloat (all, >=, least_all);
+  g_assert_cmpfloat (of_long, >=, least_long);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (baselines); i++)
+    g_assert_cmpfloat (share_of (load, &baselines[i], &ignored), <, all);
+}
+
+/* The users hope for 0.74 over days with trouble: without any, and with all
+ * known at once, there must be room above it. Long prompts find engines on
+ * which nobody waits for events. */
+static void
+test_wave (void)
+{
+  check_load (1, 0.84, 0.74);
+}
+
+/* All kinds come twice as often for a fifth of the time. */
+static void
+test_burst (void)
+{
+  check_load (2, 0.74, 0.4);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/load-patterns/wave", test_wave);
+  g_test_add_func ("/load-patterns/burst", test_burst);
+  return g_test_run ();
+}
