gateway: histograms of times by kind of request

Time to the first event and to the end, for calls and for streams with short, medium and long prompts.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -22,9 +22,23 @@
 struct event;
 
 #define GATEWAY_MAX_TRIES 6
+/** Prompts up to this size are answered before longer ones. */
+#define GATEWAY_SHORT_TOKENS 16000
+/** Prompts over this size give way to others. */
+#define GATEWAY_LONG_TOKENS 80000
 /** Time after which a caller that was refused may find room. */
 #define GATEWAY_RETRY_AFTER_MS 300
 
+/** Kinds of request that are measured apart, as callers expect other times. */
+typedef enum
+{
+  GATEWAY_CLASS_CALL,  /**< an answer that is no stream */
+  GATEWAY_CLASS_SHORT, /**< streams, by the size of their prompt */
+  GATEWAY_CLASS_MEDIUM,
+  GATEWAY_CLASS_LONG,
+  GATEWAY_CLASS_COUNT,
+} gateway_class_t;
+
 /** Counters; one for each refusal reason is in refusals. */
 typedef struct
 {
@@ -33,6 +47,8 @@
   metric_t *gone;
   metric_t *broken;
   metric_t *refusals[ERROR_KIND_COUNT];
+  metric_t *first[GATEWAY_CLASS_COUNT]; /* seconds to the first event */
+  metric_t *whole[GATEWAY_CLASS_COUNT]; /* seconds to the end */
 } gateway_counters_t;
 
 struct gateway
@@ -126,6 +142,11 @@
 /** Makes the counters and gauges. */
 void gateway_add_metrics (gateway_t *gateway);
 
+gateway_class_t gateway_class_of (const gateway_request_t *request);
+
+/** Notes how long a request took that was answered in full. */
+void gateway_note_times (const gateway_request_t *request, uint64_t now_ms);
+
 /** Where it would go now. */
 choice_t gateway_choose (const gateway_request_t *request);
 
--- a/gateway-metrics.c
+++ b/gateway-metrics.c
@@ -29,6 +29,60 @@
     }
 }
 
+/** Ends of the buckets, in seconds, around what callers expect. */
+static const double bounds_s[]
+    = { 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 3, 5, 10, 15, 30 };
+
+static void
+add_histograms (gateway_t *gateway)
+{
+  static const char *const names[] = { [GATEWAY_CLASS_CALL] = "call",
+                                       [GATEWAY_CLASS_SHORT] = "short",
+                                       [GATEWAY_CLASS_MEDIUM] = "medium",
+                                       [GATEWAY_CLASS_LONG] = "long" };
+  metrics_t *metrics = gateway->options.metrics;
+  char labels[32];
+
+  for (int i = 0; i < GATEWAY_CLASS_COUNT; i++)
+    {
+      snprintf (labels, sizeof labels, "kind=\"%s\"", names[i]);
+      gateway->counters.first[i] = metrics_histogram (
+          metrics, "lwm_gateway_first_event_seconds",
+          "Time from a request's arrival to its answer's first event.", labels,
+          bounds_s, G_N_ELEMENTS (bounds_s));
+      gateway->counters.whole[i] = metrics_histogram (
+          metrics, "lwm_gateway_answer_seconds",
+          "Time from a request's arrival to the end of its answer.", labels,
+          bounds_s, G_N_ELEMENTS (bounds_s));
+    }
+}
+
+gateway_class_t
+gateway_class_of (const gateway_request_t *request)
+{
+  if (request->route.kind != ROUTE_STREAM)
+    return GATEWAY_CLASS_CALL;
+  if (request->terms.prompt_tokens <= GATEWAY_SHORT_TOKENS)
+    return GATEWAY_CLASS_SHORT;
+  return request->terms.prompt_tokens > GATEWAY_LONG_TOKENS
+             ? GATEWAY_CLASS_LONG
+             : GATEWAY_CLASS_MEDIUM;
+}
+
+void
+gateway_note_times (const gateway_request_t *request, uint64_t now_ms)
+{
+  const gateway_counters_t *counters = &request->gateway->counters;
+  gateway_class_t class = gateway_class_of (request);
+  uint64_t first_ms
+      = request->first_event_ms > 0 ? request->first_event_ms : now_ms;
+
+  metric_observe (counters->first[class],
+                  (double)(first_ms - request->begun_ms) / 1000.0);
+  metric_observe (counters->whole[class],
+                  (double)(now_ms - request->begun_ms) / 1000.0);
+}
+
 static double
 read_waiting (void *context)
 {
@@ -49,6 +103,7 @@
   metrics_t *metrics = gateway->options.metrics;
 
   add_counters (gateway);
+  add_histograms (gateway);
   metrics_gauge_read (metrics, "lwm_gateway_waiting",
                       "Requests that wait for room at an upstream.", NULL,
                       read_waiting, gateway);
--- a/gateway.c
+++ b/gateway.c
@@ -135,6 +135,7 @@
   caller_request_t *caller = request->caller;
 
   metric_add (request->gateway->counters.answered, 1);
+  gateway_note_times (request, clock_mono_ms ());
   log_end (request, "answered", status);
   caller_request_set_data (caller, NULL);
   talloc_free (request);
--- a/metric.c
+++ b/metric.c
@@ -16,6 +16,10 @@
   double value;
   metric_read_cb_t read;
   void *context;
+  /* Of a histogram, else NULL and 0; value is the sum then. */
+  const double *bounds;
+  uint64_t *counts; /* of each bucket alone, and of what lies over the last */
+  size_t bound_count;
 };
 
 typedef struct
@@ -128,6 +132,36 @@
   return metric;
 }
 
+metric_t *
+metrics_histogram (metrics_t *metrics,
+                   const char *name,
+                   const char *help,
+                   const char *labels,
+                   const double *bounds,
+                   size_t bound_count)
+{
+  metric_t *metric
+      = find_member (find_family (metrics, name, help, "histogram"), labels);
+
+  if (metric->bounds != NULL)
+    return metric;
+  metric->bounds = bounds;
+  metric->bound_count = bound_count;
+  metric->counts = talloc_zero_array (metric, uint64_t, bound_count + 1);
+  return metric;
+}
+
+void
+metric_observe (metric_t *metric, double value)
+{
+  size_t bucket = 0;
+
+  while (bucket < metric->bound_count && value > metric->bounds[bucket])
+    bucket++;
+  metric->counts[bucket]++;
+  metric->value += value;
+}
+
 void
 metric_add (metric_t *metric, uint64_t amount)
 {
@@ -146,6 +180,27 @@
   return metric->read != NULL ? metric->read (metric->context) : metric->value;
 }
 
+/** Buckets count all values up to their bound, as the format wants it. */
+static void
+write_histogram (const char *name, const metric_t *metric, struct evbuffer *out)
+{
+  const char *labels = metric->labels != NULL ? metric->labels : "";
+  const char *comma = metric->labels != NULL ? "," : "";
+  uint64_t count = 0;
+
+  for (size_t i = 0; i < metric->bound_count; i++)
+    {
+      count += metric->counts[i];
+      evbuffer_add_printf (out, "%s_bucket{%s%sle=\"%g\"} %ju\n", name, labels,
+                           comma, metric->bounds[i], (uintmax_t)count);
+    }
+  count += metric->counts[metric->bound_count];
+  evbuffer_add_printf (out, "%s_bucket{%s%sle=\"+Inf\"} %ju\n", name, labels,
+                       comma, (uintmax_t)count);
+  evbuffer_add_printf (out, "%s_sum{%s} %.17g\n%s_count{%s} %ju\n", name,
+                       labels, metric->value, name, labels, (uintmax_t)count);
+}
+
 static void
 write_family (const family_t *family, struct evbuffer *out)
 {
@@ -155,7 +210,9 @@
     {
       const metric_t *metric = g_ptr_array_index (family->members, i);
 
-      if (metric->labels != NULL)
+      if (metric->bounds != NULL)
+        write_histogram (family->name, metric, out);
+      else if (metric->labels != NULL)
         evbuffer_add_printf (out, "%s{%s} %.17g\n", family->name,
                              metric->labels, metric_value (metric));
       else
--- a/metric.h
+++ b/metric.h
@@ -1,6 +1,6 @@
 /**
  * @file metric.h
- * Counters and gauges of our own, in the Prometheus text format.
+ * Counters, gauges and histograms of our own, in the Prometheus text format.
  *
  * A metric family has a name and a help line; each label set in it is one
  * value. Pointers stay valid as long as the registry does.
@@ -8,6 +8,7 @@
 #ifndef METRIC_H
 #define METRIC_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 struct evbuffer;
@@ -44,10 +45,24 @@
                               metric_read_cb_t read,
                               void *context);
 
+/**
+ * A histogram of values that metric_observe() is given.
+ * @param bounds upper ends of its buckets, rising; must outlive the registry
+ */
+metric_t *metrics_histogram (metrics_t *metrics,
+                             const char *name,
+                             const char *help,
+                             const char *labels,
+                             const double *bounds,
+                             size_t bound_count);
+
 void metric_add (metric_t *metric, uint64_t amount);
 void metric_set (metric_t *metric, double value);
 double metric_value (const metric_t *metric);
 
+/** Counts a value in a histogram. */
+void metric_observe (metric_t *metric, double value);
+
 /** Appends all metrics to @a out in the Prometheus text format. */
 void metrics_write (const metrics_t *metrics, struct evbuffer *out);
 
