retry: share one budget over all instances

Cause: each instance had 20 in 100 of its own requests and 3 retries more in ten seconds, whatever their number. At 79 instances that is 237 beside a bound of 234 for all, and at 300 far beyond it, once a service fails as a whole; at 6 it is 18 of 100. And a window of ten slots lets what was spent at the end of a second be spent again 9 s later.

Now an instance takes an equal part of the spare retries, by the number of instances that it ever learned of, one while it knows none; retries count for eleven slots. The bound comes with the settings (spare_retries).

--- a/attempt.c
+++ b/attempt.c
@@ -12,6 +12,8 @@
 
 /* Longest silence after a token; engines space them by some 70 ms. */
 #define TOKEN_SILENCE_MS 3000
+/* In ten seconds, so that a quiet service has some too. */
+#define SPARE_RETRIES 3
 /* Silence before the first token, besides twice the predicted time. */
 #define FIRST_SILENCE_MS 5000
 /* An idempotent call that has this share of its time behind it is sent anew. */
@@ -458,13 +460,15 @@
   return pause < MAX_PAUSE_MS ? pause : MAX_PAUSE_MS;
 }
 
-static uint32_t
-retry_percent (const dispatch_t *dispatch, const request_t *request)
+static retry_budget_t
+retry_budget (const dispatch_t *dispatch, const request_t *request)
 {
   const Lwm__Service *service
       = config_service (dispatch->config, request->service);
 
-  return service != NULL ? service->retry_percent : 0;
+  return (retry_budget_t){ .percent
+                           = service != NULL ? service->retry_percent : 0,
+                           .spare = SPARE_RETRIES };
 }
 
 /** Sends the request anew, where that is allowed. */
@@ -474,14 +478,15 @@
                  retry_reason_t reason)
 {
   bool may_run = request->ran != RAN_NO;
+  retry_budget_t budget = retry_budget (dispatch, request);
 
   if (!request->idempotent && may_run)
     {
       dispatch_fail (dispatch, request, ERROR_OUTCOME_UNKNOWN);
       return;
     }
-  if (!retry_take (dispatch->retry, request->service, reason,
-                   retry_percent (dispatch, request), clock_mono_ms ()))
+  if (!retry_take (dispatch->retry, request->service, reason, &budget,
+                   clock_mono_ms ()))
     {
       dispatch_fail (dispatch, request, ERROR_RETRY_BUDGET);
       return;
--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -22,11 +22,9 @@
 /** Predictions of an engine's silence are this rough. */
 #define SILENCE_FACTOR 2.0
 /** Requests that may be read while a shorter one waits are less urgent. */
-#define URGENT_PROMPT_TOKENS 16000
-#define LONG_PROMPT_TOKENS   80000
-#define PRIORITY_URGENT      3
-#define PRIORITY_USUAL       5
-#define PRIORITY_LONG        6
+#define PRIORITY_URGENT 3
+#define PRIORITY_USUAL  5
+#define PRIORITY_LONG   6
 
 static bool
 may_repeat (const gateway_request_t *request)
@@ -39,10 +37,10 @@
 static uint32_t
 priority_of (const gateway_request_t *request)
 {
-  if (request->terms.prompt_tokens <= URGENT_PROMPT_TOKENS)
+  if (request->terms.prompt_tokens <= GATEWAY_SHORT_TOKENS)
     return PRIORITY_URGENT;
-  return request->terms.prompt_tokens > LONG_PROMPT_TOKENS ? PRIORITY_LONG
-                                                           : PRIORITY_USUAL;
+  return request->terms.prompt_tokens > GATEWAY_LONG_TOKENS ? PRIORITY_LONG
+                                                            : PRIORITY_USUAL;
 }
 
 /** The caller's fields as they are passed on, and our own. */
@@ -73,7 +71,7 @@
     return 0;
   if (request->engine != NULL)
     wait_ms = request->predicted_ms * FIRST_HANGS_FACTOR
-              + (request->terms.prompt_tokens > URGENT_PROMPT_TOKENS
+              + (request->terms.prompt_tokens > GATEWAY_SHORT_TOKENS
                      ? FIRST_HANGS_LONG_MS
                      : FIRST_HANGS_MIN_MS);
   else
@@ -170,20 +168,29 @@
   gateway_wake (request->gateway);
 }
 
+/** Takes a retry out of this instance's part of the budget. */
+static bool
+take_retry (const gateway_request_t *request, retry_reason_t reason)
+{
+  const gateway_t *gateway = request->gateway;
+  retry_budget_t budget = retry_budget_part (
+      gateway->options.retry_percent, gateway->options.spare_retries,
+      load_share_instances (gateway->share));
+
+  return retry_take (gateway->retry, request->service, reason, &budget,
+                     clock_mono_ms ());
+}
+
 /** Whether the rules of its route let it be sent once more. */
 static bool
 may_send_again (gateway_request_t *request, retry_reason_t reason, bool has_run)
 {
-  gateway_t *gateway = request->gateway;
-
   if (request->may_have_run && !may_repeat (request))
     return false;
   if (request->sent >= request->route.attempts
       || request->tries >= GATEWAY_MAX_TRIES)
     return false;
-  return retry_take (gateway->retry, request->service,
-                     has_run ? reason : RETRY_REFUSED,
-                     gateway->options.retry_percent, clock_mono_ms ());
+  return take_retry (request, has_run ? reason : RETRY_REFUSED);
 }
 
 /** What the caller is told when no attempt is left. */
@@ -276,10 +283,7 @@
       return;
     }
   choice = gateway_choose (request);
-  if (choice.kind != CHOICE_SEND
-      || !retry_take (request->gateway->retry, request->service, RETRY_STALLED,
-                      request->gateway->options.retry_percent,
-                      clock_mono_ms ()))
+  if (choice.kind != CHOICE_SEND || !take_retry (request, RETRY_STALLED))
     {
       wait_on (request);
       return;
--- a/gateway.h
+++ b/gateway.h
@@ -86,7 +86,9 @@
   const char *share_listen; /**< other entry instances */
   const gateway_protocol_t *protocol;
   uint32_t retry_percent; /**< of recent requests that may be sent again */
-  uint32_t zone_cost_ms;  /**< of a round trip to another zone */
+  /** Beyond that, in ten seconds, by all instances together. */
+  uint32_t spare_retries;
+  uint32_t zone_cost_ms; /**< of a round trip to another zone */
   metrics_t *metrics;
 } gateway_options_t;
 
--- a/load-share.c
+++ b/load-share.c
@@ -358,6 +358,14 @@
     }
 }
 
+uint32_t
+load_share_instances (const load_share_t *share)
+{
+  uint32_t others = MAX (share->peers->len, g_hash_table_size (share->senders));
+
+  return others > 0 ? others + 1 : 0;
+}
+
 void
 load_share_begin (load_share_t *share, const upstream_job_t *job)
 {
--- a/load-share.h
+++ b/load-share.h
@@ -45,6 +45,12 @@
                            char *const *addresses,
                            size_t count);
 
+/**
+ * Instances that may be there, this one among them: those ever learned of or
+ * heard of lately, so never too few. 0 while it knows of no other.
+ */
+uint32_t load_share_instances (const load_share_t *share);
+
 /** An own job begins, has its first event, or ends. */
 void load_share_begin (load_share_t *share, const upstream_job_t *job);
 void load_share_answering (load_share_t *share, uint64_t job_id);
--- a/node-entry.c
+++ b/node-entry.c
@@ -253,6 +253,7 @@
           .share_listen = node_settings_own_address (entry, settings),
           .protocol = entry->options.protocol,
           .retry_percent = (uint32_t)(settings->retry_share * 100),
+          .spare_retries = settings->spare_retries,
           .zone_cost_ms = ZONE_COST_MS,
           .metrics = daemon_metrics (entry->daemon) };
 
--- a/retry.c
+++ b/retry.c
@@ -6,8 +6,10 @@
 
 #define DEFAULT_PERCENT 10
 #define WINDOW_SECONDS  10
-/* Retries that a window always has, so that a quiet service has some too. */
-#define WINDOW_FLOOR 3
+/* One more than the window: it may begin within a second. */
+#define SLOT_COUNT (WINDOW_SECONDS + 1)
+/* While nobody knows how many share it. */
+#define UNKNOWN_SPARE 1
 
 typedef struct
 {
@@ -18,7 +20,7 @@
 
 typedef struct
 {
-  slot_t slots[WINDOW_SECONDS];
+  slot_t slots[SLOT_COUNT];
 } window_t;
 
 struct retry
@@ -131,7 +133,7 @@
 current_slot (window_t *window, uint64_t now_ms)
 {
   uint64_t second = now_ms / 1000;
-  slot_t *slot = &window->slots[second % WINDOW_SECONDS];
+  slot_t *slot = &window->slots[second % SLOT_COUNT];
 
   if (slot->second != second)
     *slot = (slot_t){ .second = second };
@@ -144,20 +146,37 @@
   current_slot (find_window (retry, service), now_ms)->requests++;
 }
 
+retry_budget_t
+retry_budget_part (uint32_t percent, uint32_t spare, uint32_t instances)
+{
+  retry_budget_t part = { .percent = percent, .spare = UNKNOWN_SPARE };
+
+  if (instances > 0)
+    part.spare = spare / instances;
+  return part;
+}
+
+/** Retries of any window that ends now are held against fewer requests. */
 static bool
-has_budget (const window_t *window, uint32_t percent, uint64_t now_ms)
+has_budget (const window_t *window,
+            const retry_budget_t *budget,
+            uint64_t now_ms)
 {
-  uint64_t oldest = now_ms / 1000 + 1 - WINDOW_SECONDS;
+  uint32_t percent = budget->percent > 0 ? budget->percent : DEFAULT_PERCENT;
+  uint64_t second = now_ms / 1000;
   uint64_t requests = 0;
   uint64_t retries = 0;
 
-  for (int i = 0; i < WINDOW_SECONDS; i++)
-    if (window->slots[i].second >= oldest)
-      {
-        requests += window->slots[i].requests;
-        retries += window->slots[i].retries;
-      }
-  return retries < WINDOW_FLOOR + requests * percent / 100;
+  for (int i = 0; i < SLOT_COUNT; i++)
+    {
+      const slot_t *slot = &window->slots[i];
+
+      if (slot->second + WINDOW_SECONDS > second)
+        requests += slot->requests;
+      if (slot->second + WINDOW_SECONDS >= second)
+        retries += slot->retries;
+    }
+  return retries < budget->spare + requests * percent / 100;
 }
 
 static void
@@ -171,7 +190,7 @@
 retry_take (retry_t *retry,
             const char *service,
             retry_reason_t reason,
-            uint32_t percent,
+            const retry_budget_t *budget,
             uint64_t now_ms)
 {
   window_t *window = find_window (retry, service);
@@ -179,7 +198,7 @@
 
   if (retry_is_budgeted (reason))
     {
-      if (!has_budget (window, percent > 0 ? percent : DEFAULT_PERCENT, now_ms))
+      if (!has_budget (window, budget, now_ms))
         {
           count (retry->denied);
           return false;
--- a/retry.h
+++ b/retry.h
@@ -46,18 +46,34 @@
 /** Whether a retry for @a reason takes from the budget. */
 bool retry_is_budgeted (retry_reason_t reason);
 
+/** How much may be sent again. */
+typedef struct
+{
+  uint32_t percent; /**< of recent requests; 0 for the default */
+  uint32_t spare;   /**< beyond that, in any ten seconds */
+} retry_budget_t;
+
+/**
+ * An instance's part of a budget that all instances share: of its own requests
+ * the same share, of the spare retries an equal part, so that all together
+ * stay within the whole.
+ * @param spare of all instances together
+ * @param instances how many there are at most, 0 for not known
+ */
+retry_budget_t
+retry_budget_part (uint32_t percent, uint32_t spare, uint32_t instances);
+
 /** Counts a request of @a service towards its budget. */
 void retry_note_request (retry_t *retry, const char *service, uint64_t now_ms);
 
 /**
  * Takes one retry from the budget of @a service and counts it.
- * @param percent share of recent requests, 0 for the default
  * @return false when the budget is used up
  */
 bool retry_take (retry_t *retry,
                  const char *service,
                  retry_reason_t reason,
-                 uint32_t percent,
+                 const retry_budget_t *budget,
                  uint64_t now_ms);
 
 /** Counts a resumed stream, which costs the upstream no work. */
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -156,6 +156,7 @@
                                 .share_listen = share,
                                 .protocol = &protocol,
                                 .retry_percent = 20,
+                                .spare_retries = 3,
                                 .zone_cost_ms = 10 };
 
   fixture->base = options.base = event_base_new ();
@@ -403,6 +404,19 @@
   fixture_free (fixture);
 }
 
+static bool
+metrics_have (const fixture_t *fixture, const char *text)
+{
+  struct evbuffer *out = evbuffer_new ();
+  bool have;
+
+  metrics_write (fixture->metrics, out);
+  evbuffer_add (out, "", 1);
+  have = strstr ((char *)evbuffer_pullup (out, -1), text) != NULL;
+  evbuffer_free (out);
+  return have;
+}
+
 static void
 test_stream (void)
 {
@@ -412,6 +426,10 @@
   WAIT (has (fixture, "0\r\n\r\n"));
   g_assert_true (has (fixture, "id: 1\ndata: x\n\n"));
   g_assert_true (has (fixture, "id: 3\ndata: x\n\n"));
+  g_assert_true (metrics_have (fixture, "lwm_gateway_first_event_seconds_count"
+                                        "{kind=\"short\"} 1\n"));
+  g_assert_true (metrics_have (fixture, "lwm_gateway_answer_seconds_count"
+                                        "{kind=\"call\"} 0\n"));
   fixture_free (fixture);
 }
 
--- a/t/t8200-node.c
+++ b/t/t8200-node.c
@@ -51,7 +51,7 @@
       "callers: \"%s:%d\"\nstatus: \"%s:%d\"\ncontrol: \"%s:%d\"\n"
       "found: %s\n"
       "announce_ms: 1000\nstop_timeout_s: 4\nlost_machines: 1\n"
-      "retry_share: 0.2\nkeeps_state: %s\nseeds: [",
+      "retry_share: 0.2\nspare_retries: 100\nkeeps_state: %s\nseeds: [",
       name, fixture->ip[index], fixture->port + 1, fixture->port + 9,
       fixture->ip[index], fixture->port + 3, fixture->ip[index],
       fixture->port + 2, fixture->ip[index], fixture->port,
