load-share: count instances beyond those that are told

Cause: no more than 128 others were known of, and an instance's part of the retry budget follows from their number: with 300 it was more than twice its part. All addresses are counted now, the first 128 are told. The lookup is by a hash table in place of a walk over all peers.

--- a/load-share.c
+++ b/load-share.c
@@ -16,16 +16,9 @@
 #define BATCH_MS       1
 #define WHOLE_EVERY_MS 1000
 #define SILENT_MS      2500
-#define MAX_PEERS      128
+#define MAX_PEERS      128 /* that are told; more are only counted */
 #define QUEUE_MESSAGES 200
 
-/** Another instance by its address, to send to. */
-typedef struct
-{
-  char *address;
-  mq_t *mq;
-} peer_t;
-
 /** Another instance by its incarnation, as heard. */
 typedef struct
 {
@@ -40,7 +33,8 @@
   uint64_t sender; /* own incarnation */
   uint64_t last_id;
   mq_t *router;
-  GPtrArray *peers;    /* peer_t, children of share */
+  GPtrArray *peers;    /* mq_t of those that are told, children of share */
+  GHashTable *known;   /* addresses of all others, as texts */
   GHashTable *senders; /* sender -> sender_t */
   GArray *begun;       /* upstream_job_t */
   GArray *answering;   /* uint64_t */
@@ -56,6 +50,7 @@
   event_free (share->batch);
   event_free (share->tick);
   g_ptr_array_free (share->peers, TRUE);
+  g_hash_table_destroy (share->known);
   g_hash_table_destroy (share->senders);
   g_array_free (share->begun, TRUE);
   g_array_free (share->answering, TRUE);
@@ -92,12 +87,9 @@
 
   lwm__share_update__pack (update, data);
   for (guint i = 0; i < share->peers->len; i++)
-    {
-      const peer_t *peer = g_ptr_array_index (share->peers, i);
-
-      if (mq_send (peer->mq, &frame, 1) && share->bytes_out != NULL)
-        metric_add (share->bytes_out, size_bytes);
-    }
+    if (mq_send (g_ptr_array_index (share->peers, i), &frame, 1)
+        && share->bytes_out != NULL)
+      metric_add (share->bytes_out, size_bytes);
   g_free (data);
 }
 
@@ -294,6 +286,7 @@
   share->sender = random_id ();
   share->last_id = random_id ();
   share->peers = g_ptr_array_new ();
+  share->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   share->senders
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   share->begun = g_array_new (FALSE, FALSE, sizeof (upstream_job_t));
@@ -315,53 +308,45 @@
   return NULL;
 }
 
+/** Opens a socket to another instance. */
 static bool
-is_known (const load_share_t *share, const char *address)
+add_peer (load_share_t *share, const char *address)
 {
-  if (strcmp (share->listen, address) == 0)
-    return true;
-  for (guint i = 0; i < share->peers->len; i++)
-    {
-      const peer_t *peer = g_ptr_array_index (share->peers, i);
+  mq_options_t options = { .base = share->options.base,
+                           .type = ZMQ_DEALER,
+                           .connect = address,
+                           .queue_messages = QUEUE_MESSAGES };
+  mq_t *mq = mq_new (share, &options);
 
-      if (strcmp (peer->address, address) == 0)
-        return true;
+  if (mq == NULL)
+    {
+      log_warn ("Cannot open a socket to an entry instance. address=%s",
+                address);
+      return false;
     }
-  return false;
+  g_ptr_array_add (share->peers, mq);
+  log_info ("Learned of an entry instance. address=%s", address);
+  return true;
 }
 
 void
 load_share_add_peers (load_share_t *share, char *const *addresses, size_t count)
 {
-  for (size_t i = 0; i < count && share->peers->len < MAX_PEERS; i++)
+  for (size_t i = 0; i < count; i++)
     {
-      mq_options_t options = { .base = share->options.base,
-                               .type = ZMQ_DEALER,
-                               .connect = addresses[i],
-                               .queue_messages = QUEUE_MESSAGES };
-      peer_t *peer;
-
-      if (is_known (share, addresses[i]))
+      if (strcmp (share->listen, addresses[i]) == 0
+          || g_hash_table_contains (share->known, addresses[i]))
         continue;
-      peer = talloc_zero (share, peer_t);
-      peer->address = talloc_strdup (peer, addresses[i]);
-      peer->mq = mq_new (peer, &options);
-      if (peer->mq == NULL)
-        {
-          log_warn ("Cannot open a socket to an entry instance. address=%s",
-                    addresses[i]);
-          talloc_free (peer);
-          continue;
-        }
-      g_ptr_array_add (share->peers, peer);
-      log_info ("Learned of an entry instance. address=%s", addresses[i]);
+      if (share->peers->len >= MAX_PEERS || add_peer (share, addresses[i]))
+        g_hash_table_add (share->known, g_strdup (addresses[i]));
     }
 }
 
 uint32_t
 load_share_instances (const load_share_t *share)
 {
-  uint32_t others = MAX (share->peers->len, g_hash_table_size (share->senders));
+  uint32_t others = MAX (g_hash_table_size (share->known),
+                         g_hash_table_size (share->senders));
 
   return others > 0 ? others + 1 : 0;
 }
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -165,6 +165,26 @@
 }
 
 /** An instance that is lost leaves no jobs behind, and its memory is told. */
+/* Many instances: all are counted, each once, though not all are told. */
+static void
+test_count (void)
+{
+  fixture_t *fixture = fixture_new ();
+  uint32_t before = load_share_instances (fixture->one.share);
+
+  for (int twice = 0; twice < 2; twice++)
+    for (uint32_t i = 0; i < 300; i++)
+      {
+        char *address = g_strdup_printf ("127.99.0.1:%u", 20000 + i);
+
+        load_share_add_peers (fixture->one.share, &address, 1);
+        g_free (address);
+      }
+  g_assert_cmpuint (load_share_instances (fixture->one.share), ==,
+                    before + 300);
+  fixture_free (fixture);
+}
+
 static void
 test_lost_instance (void)
 {
@@ -280,6 +300,7 @@
   base_init ("t8070-load-share");
   logging_init (LOGGING_ERROR);
   g_test_add_func ("/load-share/jobs", test_jobs);
+  g_test_add_func ("/load-share/count", test_count);
   g_test_add_func ("/load-share/lost-instance", test_lost_instance);
   g_test_add_func ("/engine-memory/tickets", test_tickets);
   return g_test_run ();
