t: a fault soak of the real programs

This first form has the entry path: links that are reset, cut, cut one way, slow or end early by the fault proxy, an upstream or the entry instance paused, the entry instance killed, stopped and started, or told to read its settings again, in two series that overlap; what callers and upstreams see is checked.

Its first run failed: engine memory was held after the only entry instance was killed. Traced to the deployment, not to the product: what a killed instance had open is released by others, and there was none; a second one is part of it now.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 OWN_SRC  = $(wildcard *.c *.h builtin/*.c builtin/*.h t/*.c t/*.h \
 	fuzz/*.c platform/*.c platform/*.h)
 
-.PHONY: all platform tests check check-built demo bench bench-control slopes model fuzz \
+.PHONY: all platform tests check check-built soak demo bench bench-control slopes model fuzz \
 	lint lint-deps format deps generate check-generated clean
 
 all: $(PROGRAMS:%=$(BUILD)/%) platform
@@ -100,6 +100,15 @@
 check-built: tests
 	@BUILD=$(BUILD) t/run
 
+# One seed for some minutes: make soak SEED=7 MINUTES=2
+SEED    ?= $(shell od -An -N3 -tu4 /dev/urandom | tr -d ' ')
+MINUTES ?= 1
+
+soak: tests
+	@echo "soak: seed $(SEED), $(MINUTES) minutes"
+	@SOAK_SEED=$(SEED) SOAK_SECONDS=$$(($(MINUTES) * 60)) LWM_BUILD=$(BUILD) \
+		$(BUILD)/t/t9000-soak --verbose
+
 demo: deps
 	@$(MAKE) -s -j$(JOBS) all
 	@BUILD=$(BUILD) t/demo.sh
--- a/t/lib-entry.c
+++ b/t/lib-entry.c
@@ -68,6 +68,13 @@
   return address;
 }
 
+void
+deploy_restart (deploy_t *deploy)
+{
+  deploy->process
+      = start_entry (deploy, "e1", deploy->address, deploy->gossip, NULL);
+}
+
 deploy_t *
 deploy_new (const char *flag)
 {
@@ -242,6 +249,7 @@
   char *headers;
   char *body;
   answer_t answer;
+  gint is_done; /* set by its thread */
 };
 
 static gpointer
@@ -251,9 +259,16 @@
 
   call->answer = cluster_call_with (call->address, "POST", call->path,
                                     call->headers, call->body, 60000);
+  g_atomic_int_set (&call->is_done, 1);
   return NULL;
 }
 
+bool
+call_is_done (const call_t *call)
+{
+  return g_atomic_int_get (&call->is_done) != 0;
+}
+
 call_t *
 call_start (const char *address,
             const char *path,
--- a/t/lib-entry.h
+++ b/t/lib-entry.h
@@ -44,6 +44,9 @@
 /** Starts another instance of the zone, "e2"; its address. */
 const char *deploy_second_entry (deploy_t *deploy);
 
+/** Starts the first entry instance again, which has ended, where it was. */
+void deploy_restart (deploy_t *deploy);
+
 /** Starts an engine, with up to two more flags, and waits until it is known. */
 upstream_process_t
 deploy_engine (deploy_t *deploy, const char *flag, const char *flag2);
@@ -81,6 +84,9 @@
                     const char *headers,
                     const char *body);
 
+/** Whether its answer has come, or will not. */
+bool call_is_done (const call_t *call);
+
 /** Waits for the answer; frees the call. */
 answer_t call_finish (call_t *call);
 
--- /dev/null
+++ b/t/t9000-soak.c
@@ -0,0 +1,491 @@
+/*
+ * A soak: the real programs on loopback take requests while links, signals and
+ * restarts go wrong around them, by a schedule that follows from a seed. What
+ * callers and upstreams see is checked while it runs and at its end.
+ *
+ * SOAK_SEED plays one seed for SOAK_SECONDS; without it the listed seeds are
+ * played for a few seconds each. A failure prints its seed and the last lines
+ * of the entry instance's log. See docs/operators/soak.md.
+ */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib-entry.h"
+
+#define SHORT_SECONDS 5
+#define TICK_MS       50
+#define CALLS         8 /* in flight */
+#define TOKENS        40
+#define STREAM                                                                 \
+  PROMPT ("How is a flipper coil wound?", ",\"max_tokens\":40,\"stream\":"     \
+                                          "true")
+#define MIN_FAULT_MS 100
+#define MAX_FAULT_MS 1500
+#define MAX_PAUSE_MS 400
+#define ENGINES      2
+#define UPSTREAMS    4
+
+typedef enum
+{
+  ASK_STREAM,
+  ASK_LEDGER, /* must not run twice */
+  ASK_LOOKUP,
+  ASK_COUNT
+} ask_t;
+
+/** One request under way. */
+typedef struct
+{
+  call_t *call;
+  ask_t ask;
+  bool may_be_lost; /* its instance was killed meanwhile */
+} slot_t;
+
+typedef struct soak soak_t;
+
+/** One kind of fault; what is not healed needs no healing. */
+typedef struct
+{
+  const char *name;
+  void (*begin) (soak_t *soak, uint32_t at);
+  void (*heal) (soak_t *soak, uint32_t at);
+} fault_t;
+
+/** A fault under way. */
+typedef struct
+{
+  const fault_t *fault;
+  uint32_t at; /* upstream */
+  uint64_t until_ms;
+} trouble_t;
+
+struct soak
+{
+  uint32_t seed;
+  GRand *faults; /* draws the schedule, and nothing else */
+  GRand *asks;
+  deploy_t *deploy;
+  upstream_process_t upstreams[UPSTREAMS];
+  char *text; /* of a whole stream */
+  slot_t slots[CALLS];
+  trouble_t link;     /* one of the links */
+  trouble_t signal;   /* one of the processes */
+  GPtrArray *not_run; /* ids of ledger calls that were said not to have run */
+  uint32_t answered;
+  uint32_t refused;
+  uint32_t lost;
+  uint32_t troubles;
+};
+
+static uint64_t
+now_ms (void)
+{
+  return (uint64_t)g_get_monotonic_time () / 1000;
+}
+
+static void
+fail (const soak_t *soak, const char *what, const answer_t *answer)
+{
+  g_printerr ("soak failed: %s (SOAK_SEED=%u)\n", what, soak->seed);
+  if (answer != NULL)
+    g_printerr ("status %d, body: %s\n", answer->status, answer->body);
+  process_print_log (soak->deploy->process);
+  g_assert_not_reached ();
+}
+
+static void
+set_link (soak_t *soak, uint32_t at, const char *faults)
+{
+  deploy_fault (soak->deploy, &soak->upstreams[at], faults);
+}
+
+static void
+reset_link (soak_t *soak, uint32_t at)
+{
+  set_link (soak, at, "{\"reset\":true}");
+}
+
+static void
+cut_link (soak_t *soak, uint32_t at)
+{
+  set_link (soak, at, "{\"cut\":\"both\"}");
+}
+
+static void
+cut_one_way (soak_t *soak, uint32_t at)
+{
+  set_link (soak, at, "{\"cut\":\"out\"}");
+}
+
+static void
+join_link (soak_t *soak, uint32_t at)
+{
+  set_link (soak, at, "{\"cut\":\"none\"}");
+}
+
+static void
+slow_link (soak_t *soak, uint32_t at)
+{
+  set_link (soak, at, "{\"delay_ms\":80}");
+}
+
+static void
+quick_link (soak_t *soak, uint32_t at)
+{
+  set_link (soak, at, "{\"delay_ms\":0}");
+}
+
+static void
+truncate_link (soak_t *soak, uint32_t at)
+{
+  set_link (soak, at, "{\"truncate_bytes\":300}");
+}
+
+static void
+whole_link (soak_t *soak, uint32_t at)
+{
+  set_link (soak, at, "{\"truncate_bytes\":0}");
+}
+
+static void
+pause_upstream (soak_t *soak, uint32_t at)
+{
+  process_signal (soak->upstreams[at].process, SIGSTOP);
+}
+
+static void
+go_on_upstream (soak_t *soak, uint32_t at)
+{
+  process_signal (soak->upstreams[at].process, SIGCONT);
+}
+
+static void
+pause_entry (soak_t *soak, uint32_t at)
+{
+  process_signal (soak->deploy->process, SIGSTOP);
+}
+
+static void
+go_on_entry (soak_t *soak, uint32_t at)
+{
+  process_signal (soak->deploy->process, SIGCONT);
+}
+
+/** Its callers may get no answer. */
+static void
+excuse_all (soak_t *soak)
+{
+  for (uint32_t i = 0; i < CALLS; i++)
+    soak->slots[i].may_be_lost = true;
+}
+
+static void
+kill_entry (soak_t *soak, uint32_t at)
+{
+  excuse_all (soak);
+  process_signal (soak->deploy->process, SIGKILL);
+  process_wait (soak->deploy->process);
+}
+
+/** Those that come while it stops, or before it is back, find nobody. */
+static void
+stop_entry (soak_t *soak, uint32_t at)
+{
+  excuse_all (soak);
+  process_signal (soak->deploy->process, SIGTERM);
+  process_expect_success (soak->deploy->process);
+}
+
+static void
+start_entry (soak_t *soak, uint32_t at)
+{
+  deploy_restart (soak->deploy);
+}
+
+static void
+reload_entry (soak_t *soak, uint32_t at)
+{
+  process_signal (soak->deploy->process, SIGHUP);
+}
+
+static const fault_t link_faults[] = {
+  { "reset", reset_link, NULL },
+  { "cut", cut_link, join_link },
+  { "cut one way", cut_one_way, join_link },
+  { "slow", slow_link, quick_link },
+  { "truncate", truncate_link, whole_link },
+};
+
+static const fault_t signal_faults[] = {
+  { "pause an upstream", pause_upstream, go_on_upstream },
+  { "pause the entry instance", pause_entry, go_on_entry },
+  { "kill the entry instance", kill_entry, start_entry },
+  { "stop the entry instance", stop_entry, start_entry },
+  { "reload the entry instance", reload_entry, NULL },
+};
+
+static void
+begin_trouble (soak_t *soak,
+               trouble_t *trouble,
+               const fault_t *faults,
+               size_t count)
+{
+  gint32 for_ms
+      = g_rand_int_range (soak->faults, MIN_FAULT_MS, MAX_FAULT_MS + 1);
+
+  trouble->fault = &faults[g_rand_int_range (soak->faults, 0, (gint32)count)];
+  trouble->at = (uint32_t)g_rand_int_range (soak->faults, 0, UPSTREAMS);
+  trouble->until_ms = now_ms () + (uint64_t)for_ms;
+  soak->troubles++;
+  g_test_message ("%s, upstream %u, for %d ms", trouble->fault->name,
+                  trouble->at, for_ms);
+  trouble->fault->begin (soak, trouble->at);
+}
+
+static void
+end_trouble (soak_t *soak, trouble_t *trouble)
+{
+  if (trouble->fault != NULL && trouble->fault->heal != NULL)
+    trouble->fault->heal (soak, trouble->at);
+  trouble->fault = NULL;
+  trouble->until_ms
+      = now_ms () + (uint64_t)g_rand_int_range (soak->faults, 0, MAX_PAUSE_MS);
+}
+
+/** Ends a fault whose time is over, or begins the next. */
+static void
+turn_trouble (soak_t *soak,
+              trouble_t *trouble,
+              const fault_t *faults,
+              size_t count)
+{
+  if (now_ms () < trouble->until_ms)
+    return;
+  if (trouble->fault != NULL)
+    end_trouble (soak, trouble);
+  else
+    begin_trouble (soak, trouble, faults, count);
+}
+
+static void
+ask (soak_t *soak, slot_t *slot)
+{
+  static const char *const paths[] = { [ASK_STREAM] = "/v1/completions",
+                                       [ASK_LEDGER] = "/v1/call/ledger/issue",
+                                       [ASK_LOOKUP] = "/v1/call/lookup/job" };
+
+  slot->ask = (ask_t)g_rand_int_range (soak->asks, 0, ASK_COUNT);
+  slot->may_be_lost = !process_running (soak->deploy->process);
+  slot->call = call_start (soak->deploy->address, paths[slot->ask],
+                           "X-Customer: counter\r\n",
+                           slot->ask == ASK_STREAM ? STREAM : "{}");
+}
+
+/** Whole, or the beginning of the whole and an error that says so. */
+static void
+check_stream (soak_t *soak, const answer_t *answer, bool may_be_lost)
+{
+  char *text = stream_text (answer);
+  uint32_t ends = count_in (answer, "[DONE]");
+  bool has_error = count_in (answer, "\"error\"") > 0;
+
+  if (!g_str_has_prefix (soak->text, text))
+    fail (soak, "a stream has other text", answer);
+  if (ends > 1 || (ends == 1 && strcmp (text, soak->text) != 0))
+    fail (soak, "a stream ends as whole and is not", answer);
+  if (ends == 0 && !has_error && !may_be_lost)
+    fail (soak, "a stream ends without a word", answer);
+  g_free (text);
+}
+
+/** Keeps the id of a call that is said not to have run. */
+static void
+note_refusal (soak_t *soak, const answer_t *answer)
+{
+  JsonObject *error;
+
+  if (answer->json == NULL || !json_object_has_member (answer->json, "error"))
+    fail (soak, "an error says nothing", answer);
+  error = json_object_get_object_member (answer->json, "error");
+  soak->refused++;
+  if (json_node_get_value_type (json_object_get_member (error, "not_run"))
+          == G_TYPE_BOOLEAN
+      && json_object_get_boolean_member (error, "not_run"))
+    g_ptr_array_add (soak->not_run, g_strdup (json_object_get_string_member (
+                                        error, "request_id")));
+}
+
+static void
+take_answer (soak_t *soak, slot_t *slot)
+{
+  bool may_be_lost = slot->may_be_lost;
+  answer_t answer = call_finish (slot->call);
+
+  slot->call = NULL;
+  if (answer.status == 0 && !may_be_lost)
+    fail (soak, "a call has no answer", NULL);
+  if (answer.status == 0)
+    soak->lost++;
+  else if (answer.status != 200)
+    note_refusal (soak, &answer);
+  else if (slot->ask == ASK_STREAM)
+    check_stream (soak, &answer, may_be_lost);
+  soak->answered += answer.status == 200;
+  cluster_answer_free (&answer);
+}
+
+static void
+turn_calls (soak_t *soak, bool goes_on)
+{
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      slot_t *slot = &soak->slots[i];
+
+      if (slot->call != NULL && call_is_done (slot->call))
+        take_answer (soak, slot);
+      if (slot->call == NULL && goes_on)
+        ask (soak, slot);
+    }
+}
+
+static void
+check_processes (soak_t *soak)
+{
+  bool is_away
+      = soak->signal.fault != NULL && soak->signal.fault->heal == start_entry;
+
+  if (!is_away && !process_running (soak->deploy->process))
+    fail (soak, "the entry instance ended by itself", NULL);
+  for (uint32_t i = 0; i < UPSTREAMS; i++)
+    if (!process_running (soak->upstreams[i].process))
+      fail (soak, "an upstream ended by itself", NULL);
+}
+
+static void
+check_runs (soak_t *soak)
+{
+  const upstream_process_t *ledger = &soak->upstreams[ENGINES];
+  answer_t answer = cluster_call (ledger->address, "GET", "/v1/inspect", NULL);
+  JsonObject *runs = json_object_get_object_member (answer.json, "runs");
+
+  if (json_object_get_int_member (answer.json, "double_runs") != 0)
+    fail (soak, "a call ran twice", &answer);
+  for (guint i = 0; i < soak->not_run->len; i++)
+    if (json_object_has_member (runs, g_ptr_array_index (soak->not_run, i)))
+      fail (soak, g_ptr_array_index (soak->not_run, i), &answer);
+  cluster_answer_free (&answer);
+}
+
+static void
+set_up (soak_t *soak)
+{
+  answer_t answer;
+
+  soak->faults = g_rand_new_with_seed (soak->seed);
+  soak->asks = g_rand_new_with_seed (soak->seed + 1);
+  soak->not_run = g_ptr_array_new_with_free_func (g_free);
+  soak->deploy = deploy_new (NULL);
+  cluster_allow_kills (soak->deploy->cluster);
+  /* Who releases what a killed instance had open at engines. */
+  deploy_second_entry (soak->deploy);
+  deploy_proxy (soak->deploy);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    soak->upstreams[i] = deploy_engine (soak->deploy, "--step-us=10000", NULL);
+  soak->upstreams[ENGINES]
+      = deploy_service (soak->deploy, "ledger", "--service-ms=60");
+  soak->upstreams[ENGINES + 1]
+      = deploy_service (soak->deploy, "lookup", "--service-ms=60");
+  answer = deploy_prompt (soak->deploy, STREAM);
+  soak->text = stream_text (&answer);
+  g_assert_cmpuint (count_in (&answer, "[DONE]"), ==, 1);
+  cluster_answer_free (&answer);
+}
+
+static bool
+has_open_calls (const soak_t *soak)
+{
+  for (uint32_t i = 0; i < CALLS; i++)
+    if (soak->slots[i].call != NULL)
+      return true;
+  return false;
+}
+
+/** Heals all, waits for the last answers, and looks at what is left. */
+static void
+settle (soak_t *soak)
+{
+  end_trouble (soak, &soak->link);
+  end_trouble (soak, &soak->signal);
+  while (has_open_calls (soak))
+    {
+      turn_calls (soak, false);
+      cluster_sleep_ms (TICK_MS);
+    }
+  check_processes (soak);
+  check_runs (soak);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    CLUSTER_WAIT (inspect_count (&soak->upstreams[i], "kv_used_tokens") == 0);
+}
+
+static void
+tear_down (soak_t *soak)
+{
+  g_test_message ("seed %u: %u answered, %u refused, %u lost with their "
+                  "instance, %u faults",
+                  soak->seed, soak->answered, soak->refused, soak->lost,
+                  soak->troubles);
+  g_assert_cmpuint (soak->answered, >, 0);
+  g_ptr_array_free (soak->not_run, TRUE);
+  g_rand_free (soak->faults);
+  g_rand_free (soak->asks);
+  g_free (soak->text);
+  deploy_free (soak->deploy);
+}
+
+static void
+play (uint32_t seed, uint32_t seconds)
+{
+  soak_t soak = { .seed = seed };
+  uint64_t end_ms;
+
+  set_up (&soak);
+  end_ms = now_ms () + seconds * 1000;
+  while (now_ms () < end_ms)
+    {
+      turn_trouble (&soak, &soak.link, link_faults, G_N_ELEMENTS (link_faults));
+      turn_trouble (&soak, &soak.signal, signal_faults,
+                    G_N_ELEMENTS (signal_faults));
+      turn_calls (&soak, true);
+      check_processes (&soak);
+      cluster_sleep_ms (TICK_MS);
+    }
+  settle (&soak);
+  tear_down (&soak);
+}
+
+static void
+test_seeds (void)
+{
+  static const uint32_t seeds[] = { 1, 2 };
+  const char *seed = getenv ("SOAK_SEED");
+  const char *seconds = getenv ("SOAK_SECONDS");
+
+  if (seed != NULL)
+    {
+      play ((uint32_t)strtoul (seed, NULL, 10),
+            seconds != NULL ? (uint32_t)strtoul (seconds, NULL, 10)
+                            : SHORT_SECONDS);
+      return;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (seeds); i++)
+    play (seeds[i], SHORT_SECONDS);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/soak/seeds", test_seeds);
+  return g_test_run ();
+}
