control-disk: what a replica saves, apart from its loop

The soak's link faults are rows of a table, simple policies of placement have a file beside the simulated engines.

--- /dev/null
+++ b/control-disk.c
@@ -0,0 +1,126 @@
+#include <talloc.h>
+
+#include "base.h"
+#include "control-internal.h"
+#define LOG_PART "control"
+#include "logging.h"
+
+#define SNAPSHOT_RETRY_MS  1000 /* after one that found no room */
+#define MAX_LOG_BYTES      (16u * 1024 * 1024)
+#define KEEP_ENTRIES       64
+#define KEEP_ENTRIES_LARGE 4
+
+static void
+install_snapshot (control_server_t *server)
+{
+  raft_received_t received;
+  Lwm__ControlSnapshot *snapshot;
+
+  if (!raft_received (server->raft, &received))
+    return;
+  snapshot = store_install (server->store, server->raft, &received);
+  if (snapshot == NULL)
+    {
+      log_warn ("Dropped a snapshot that is malformed or finds no room. "
+                "index=%ju",
+                (uintmax_t)received.index);
+      return;
+    }
+  statemachine_restore (server->machine, snapshot->state);
+  server->applied = server->snapshot_index = snapshot->index;
+  control_server_follow_clock (server);
+  metric_add (server->counters.snapshots_received, 1);
+  log_info ("Installed a snapshot of the leader. index=%ju",
+            (uintmax_t)snapshot->index);
+  lwm__control_snapshot__free_unpacked (snapshot, NULL);
+  control_requests_push (server->requests);
+}
+
+/** Notes whether the disk has room; what waits for it must not leave. */
+static void
+note_room (control_server_t *server, bool has_no_room)
+{
+  if (server->has_no_room == has_no_room)
+    return;
+  server->has_no_room = has_no_room;
+  if (has_no_room)
+    {
+      metric_add (server->counters.no_room, 1);
+      log_error ("The disk is full: takes no part in the group. applied=%ju",
+                 (uintmax_t)server->applied);
+      g_ptr_array_set_size (server->held, 0);
+      control_requests_lost_room (server->requests);
+    }
+  else
+    log_info ("The disk has room again. applied=%ju",
+              (uintmax_t)server->applied);
+}
+
+bool
+control_disk_save (control_server_t *server)
+{
+  uint64_t bytes = store_bytes (server->store);
+  store_save_t saved;
+
+  install_snapshot (server);
+  while ((saved = store_save (server->store, server->raft)) == STORE_SAVED)
+    metric_add (server->counters.syncs, 1);
+  metric_add (server->counters.log_bytes, store_bytes (server->store) - bytes);
+  note_room (server, saved == STORE_NO_ROOM);
+  return !server->has_no_room;
+}
+
+static void
+take_snapshot (control_server_t *server)
+{
+  void *scratch = talloc_new (server);
+  Lwm__ControlSnapshot snapshot = LWM__CONTROL_SNAPSHOT__INIT;
+  const raft_log_t *log = raft_log (server->raft);
+  uint64_t keep = raft_log_size_bytes (log) > MAX_LOG_BYTES ? KEEP_ENTRIES_LARGE
+                                                            : KEEP_ENTRIES;
+  size_t size_bytes;
+  uint8_t *data;
+
+  snapshot.index = server->applied;
+  raft_log_term (log, server->applied, &snapshot.term);
+  snapshot.group = raft_status (server->raft).group;
+  snapshot.membership
+      = raft_membership_at (server->raft, server->applied, scratch);
+  snapshot.state = statemachine_export (server->machine, scratch);
+  data = snapshot_encode (scratch, &snapshot, &size_bytes);
+  if (store_snapshot (server->store, server->raft, server->applied, keep, data,
+                      size_bytes))
+    {
+      server->snapshot_index = server->applied;
+      metric_add (server->counters.snapshots, 1);
+      log_info ("Took a snapshot. index=%ju bytes=%zu",
+                (uintmax_t)server->applied, size_bytes);
+    }
+  else
+    {
+      server->snapshot_due_ms = clock_mono_ms () + SNAPSHOT_RETRY_MS;
+      log_warn ("Found no room for a snapshot. index=%ju bytes=%zu",
+                (uintmax_t)server->applied, size_bytes);
+    }
+  talloc_free (scratch);
+}
+
+static bool
+is_snapshot_due (const control_server_t *server, uint64_t now_ms)
+{
+  uint64_t log_bytes = raft_log_size_bytes (raft_log (server->raft));
+
+  if (now_ms < server->snapshot_due_ms)
+    return false;
+  return server->applied
+             >= server->snapshot_index + server->options.snapshot_entries
+         || (log_bytes > MAX_LOG_BYTES
+             && server->applied > server->snapshot_index);
+}
+
+void
+control_disk_snapshot (control_server_t *server, uint64_t now_ms)
+{
+  if (is_snapshot_due (server, now_ms))
+    take_snapshot (server);
+}
--- a/control-internal.h
+++ b/control-internal.h
@@ -1,7 +1,8 @@
 /**
  * @file control-internal.h
- * What the parts of a control replica share: control-server.c (loop, storage,
- * applying), control-report.c (metrics, status), control-requests.c (clients)
+ * What the parts of a control replica share: control-server.c (loop, messages,
+ * applying), control-disk.c (saving, snapshots), control-report.c (metrics,
+ * status), control-requests.c (clients)
  * and control-group.c (founding, joining, membership). For those only.
  */
 #ifndef CONTROL_INTERNAL_H
@@ -76,6 +77,18 @@
 /** Runs a flush at the end of this loop pass. */
 void control_server_wake (control_server_t *server);
 
+/**
+ * Makes all durable that is not yet, and installs a leader's snapshot.
+ * @return false when the disk has no room; nothing may leave then
+ */
+bool control_disk_save (control_server_t *server);
+
+/** Takes a snapshot if the log has grown enough since the last. */
+void control_disk_snapshot (control_server_t *server, uint64_t now_ms);
+
+/** Sets the control clock forward to what a leader has stamped. */
+void control_server_follow_clock (control_server_t *server);
+
 /** The control clock now. */
 uint64_t control_server_clock_ms (const control_server_t *server);
 
--- a/control-server.c
+++ b/control-server.c
@@ -17,10 +17,6 @@
 #define INTRODUCE_AFTER_MS  2000
 #define EXPIRE_EVERY_MS     10000
 #define ROUTER_QUEUE        1000
-#define SNAPSHOT_RETRY_MS   1000 /* after one that found no room */
-#define MAX_LOG_BYTES       (16u * 1024 * 1024)
-#define KEEP_ENTRIES        64
-#define KEEP_ENTRIES_LARGE  4
 
 /** A packed message for a replica. */
 typedef struct
@@ -51,9 +47,8 @@
   return server->clock_base_ms + (clock_mono_ms () - server->clock_mono_ms);
 }
 
-/** Sets the control clock forward to what a leader has stamped. */
-static void
-follow_clock (control_server_t *server)
+void
+control_server_follow_clock (control_server_t *server)
 {
   uint64_t clock_ms = statemachine_clock_ms (server->machine);
 
@@ -231,7 +226,7 @@
   if (command == NULL)
     die ("log entry %ju is malformed", (uintmax_t)entry->index);
   statemachine_apply (server->machine, entry->index, command, &answer);
-  follow_clock (server);
+  control_server_follow_clock (server);
   control_requests_applied (server->requests, entry->index, entry->term,
                             &answer);
   lwm__control_command__free_unpacked (command, NULL);
@@ -274,67 +269,6 @@
                          members->members[i]->address);
 }
 
-static void
-take_snapshot (control_server_t *server)
-{
-  void *scratch = talloc_new (server);
-  Lwm__ControlSnapshot snapshot = LWM__CONTROL_SNAPSHOT__INIT;
-  const raft_log_t *log = raft_log (server->raft);
-  uint64_t keep = raft_log_size_bytes (log) > MAX_LOG_BYTES ? KEEP_ENTRIES_LARGE
-                                                            : KEEP_ENTRIES;
-  size_t size_bytes;
-  uint8_t *data;
-
-  snapshot.index = server->applied;
-  raft_log_term (log, server->applied, &snapshot.term);
-  snapshot.group = raft_status (server->raft).group;
-  snapshot.membership
-      = raft_membership_at (server->raft, server->applied, scratch);
-  snapshot.state = statemachine_export (server->machine, scratch);
-  data = snapshot_encode (scratch, &snapshot, &size_bytes);
-  if (store_snapshot (server->store, server->raft, server->applied, keep, data,
-                      size_bytes))
-    {
-      server->snapshot_index = server->applied;
-      metric_add (server->counters.snapshots, 1);
-      log_info ("Took a snapshot. index=%ju bytes=%zu",
-                (uintmax_t)server->applied, size_bytes);
-    }
-  else
-    {
-      server->snapshot_due_ms = clock_mono_ms () + SNAPSHOT_RETRY_MS;
-      log_warn ("Found no room for a snapshot. index=%ju bytes=%zu",
-                (uintmax_t)server->applied, size_bytes);
-    }
-  talloc_free (scratch);
-}
-
-static void
-install_snapshot (control_server_t *server)
-{
-  raft_received_t received;
-  Lwm__ControlSnapshot *snapshot;
-
-  if (!raft_received (server->raft, &received))
-    return;
-  snapshot = store_install (server->store, server->raft, &received);
-  if (snapshot == NULL)
-    {
-      log_warn ("Dropped a snapshot that is malformed or finds no room. "
-                "index=%ju",
-                (uintmax_t)received.index);
-      return;
-    }
-  statemachine_restore (server->machine, snapshot->state);
-  server->applied = server->snapshot_index = snapshot->index;
-  follow_clock (server);
-  metric_add (server->counters.snapshots_received, 1);
-  log_info ("Installed a snapshot of the leader. index=%ju",
-            (uintmax_t)snapshot->index);
-  lwm__control_snapshot__free_unpacked (snapshot, NULL);
-  control_requests_push (server->requests);
-}
-
 static void
 send_held (control_server_t *server)
 {
@@ -347,41 +281,6 @@
   g_ptr_array_set_size (server->held, 0);
 }
 
-/** Notes whether the disk has room; what waits for it must not leave. */
-static void
-note_room (control_server_t *server, bool has_no_room)
-{
-  if (server->has_no_room == has_no_room)
-    return;
-  server->has_no_room = has_no_room;
-  if (has_no_room)
-    {
-      metric_add (server->counters.no_room, 1);
-      log_error ("The disk is full: takes no part in the group. applied=%ju",
-                 (uintmax_t)server->applied);
-      g_ptr_array_set_size (server->held, 0);
-      control_requests_lost_room (server->requests);
-    }
-  else
-    log_info ("The disk has room again. applied=%ju",
-              (uintmax_t)server->applied);
-}
-
-/** Makes all durable that is not; false when the disk has no room. */
-static bool
-save (control_server_t *server)
-{
-  uint64_t bytes = store_bytes (server->store);
-  store_save_t saved;
-
-  install_snapshot (server);
-  while ((saved = store_save (server->store, server->raft)) == STORE_SAVED)
-    metric_add (server->counters.syncs, 1);
-  metric_add (server->counters.log_bytes, store_bytes (server->store) - bytes);
-  note_room (server, saved == STORE_NO_ROOM);
-  return !server->has_no_room;
-}
-
 static void
 count_elections (control_server_t *server)
 {
@@ -423,30 +322,17 @@
   talloc_free (voters);
 }
 
-static bool
-is_snapshot_due (const control_server_t *server, uint64_t now_ms)
-{
-  uint64_t log_bytes = raft_log_size_bytes (raft_log (server->raft));
-
-  if (now_ms < server->snapshot_due_ms)
-    return false;
-  return server->applied
-             >= server->snapshot_index + server->options.snapshot_entries
-         || (log_bytes > MAX_LOG_BYTES
-             && server->applied > server->snapshot_index);
-}
-
 static void
 on_flush (evutil_socket_t fd, short what, void *arg)
 {
   control_server_t *server = arg;
 
-  if (server->has_no_room && !save (server))
+  if (server->has_no_room && !control_disk_save (server))
     return;
   control_requests_begin_reads (server->requests);
   /* Followers write while this replica does. */
   raft_flush (server->raft, clock_mono_ms ());
-  if (!save (server))
+  if (!control_disk_save (server))
     return;
   learn_members (server);
   send_held (server);
@@ -455,8 +341,7 @@
   log_leader (server);
   control_requests_check_role (server->requests);
   control_requests_end_reads (server->requests);
-  if (is_snapshot_due (server, clock_mono_ms ()))
-    take_snapshot (server);
+  control_disk_snapshot (server, clock_mono_ms ());
 }
 
 static void
--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -9,7 +9,6 @@
 #define WAKE_EVERY_MS 20
 #define BEGIN_MS      100000 /* times of 0 mean never */
 #define DRAIN_MS      16000
-#define RETRY_MS      300
 /** An answer is longer than expected as often as it is shorter. */
 #define HINT_SPREAD 0.5
 
@@ -74,92 +73,6 @@
   engines_result_t result;
 } world_t;
 
-/** What an engine holds of requests, and of memory. */
-static uint32_t
-held_at (const upstream_member_t *member, double *kv_tokens)
-{
-  uint32_t held = 0;
-
-  *kv_tokens = 0;
-  for (guint i = 0; i < member->jobs->len; i++)
-    {
-      const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
-
-      held += !job->is_part;
-      *kv_tokens += job->kv_tokens;
-    }
-  return held;
-}
-
-static bool
-is_free (const choice_request_t *request, const upstream_member_t *member)
-{
-  double kv_tokens;
-  uint32_t held = held_at (member, &kv_tokens);
-
-  return held < request->model->slots
-         && kv_tokens + request->prompt_tokens + request->answer_tokens
-                <= (double)request->model->kv_tokens;
-}
-
-/** The one with the fewest requests of the first @a tries drawn. */
-static choice_t
-least_of (const upstream_set_t *set,
-          const choice_request_t *request,
-          uint32_t tries)
-{
-  choice_t choice = { .kind = CHOICE_WAIT, .retry_ms = RETRY_MS };
-  size_t count;
-  const upstream_member_t *const *members = upstream_set_members (set, &count);
-  double ignored;
-
-  if (request->prompt_tokens + request->answer_tokens
-      > request->model->kv_tokens)
-    choice.kind = CHOICE_HOPELESS;
-  for (uint32_t i = 0; i < tries && choice.kind != CHOICE_HOPELESS; i++)
-    {
-      /* Large steps, so that two in a row are not always neighbours. */
-      const upstream_member_t *member
-          = members[(request->random + i * (request->random % 7 + 1)) % count];
-
-      if (!is_free (request, member)
-          || (choice.member != NULL
-              && held_at (member, &ignored)
-                     >= held_at (choice.member, &ignored)))
-        continue;
-      choice.kind = CHOICE_SEND;
-      choice.member = member;
-    }
-  return choice;
-}
-
-choice_t
-engines_least (const upstream_set_t *set,
-               const choice_request_t *request,
-               uint64_t now_ms)
-{
-  size_t count;
-
-  upstream_set_members (set, &count);
-  return least_of (set, request, (uint32_t)count * 2);
-}
-
-choice_t
-engines_random (const upstream_set_t *set,
-                const choice_request_t *request,
-                uint64_t now_ms)
-{
-  return least_of (set, request, 1);
-}
-
-choice_t
-engines_two_choices (const upstream_set_t *set,
-                     const choice_request_t *request,
-                     uint64_t now_ms)
-{
-  return least_of (set, request, 2);
-}
-
 static double
 draw_normal (GRand *rand)
 {
--- a/t/lib-engines.h
+++ b/t/lib-engines.h
@@ -11,7 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "upstream-choice.h"
+#include "lib-policies.h"
 
 /** One kind of request and how often it comes. */
 typedef struct
@@ -29,25 +29,9 @@
   double late_worth;
 } engines_kind_t;
 
-/** A policy: where a request goes. */
-typedef choice_t (*engines_policy_t) (const upstream_set_t *set,
-                                      const choice_request_t *request,
-                                      uint64_t now_ms);
-
-/** The fewest requests, any engine, and the better of two. */
-choice_t engines_least (const upstream_set_t *set,
-                        const choice_request_t *request,
-                        uint64_t now_ms);
-choice_t engines_random (const upstream_set_t *set,
-                         const choice_request_t *request,
-                         uint64_t now_ms);
-choice_t engines_two_choices (const upstream_set_t *set,
-                              const choice_request_t *request,
-                              uint64_t now_ms);
-
 typedef struct
 {
-  engines_policy_t policy;
+  policy_t policy;
   const engine_model_t *model;
   uint32_t engines;
   uint32_t event_tokens; /**< of an answer, in one event */
--- a/t/lib-entry.h
+++ b/t/lib-entry.h
@@ -19,9 +19,9 @@
   process_t *process;
   process_t *second;         /**< entry instance "e2", or NULL */
   const char *second_gossip; /**< its address for other instances */
-  const char *gossip; /**< its address for other instances */
-  uint32_t upstreams; /**< started so far */
-  const char *proxy;  /**< address that drives the fault proxy, or NULL */
+  const char *gossip;        /**< its address for other instances */
+  uint32_t upstreams;        /**< started so far */
+  const char *proxy; /**< address that drives the fault proxy, or NULL */
 } deploy_t;
 
 /** A call under way in a thread of its own. */
--- a/t/t5110-control-crash.c
+++ b/t/t5110-control-crash.c
@@ -75,6 +75,7 @@
   char *log = process_log (group->process[at]);
   bool has_met = strstr (log, "The disk is full") != NULL
                  || strstr (log, "Found no room") != NULL
+                 || strstr (log, "finds no room") != NULL
                  || strstr (log, "Cannot begin the log anew") != NULL;
 
   g_free (log);
@@ -91,6 +92,8 @@
   group_start (group, at, fault);
   while (!has_met_full_disk (at) && g_get_monotonic_time () < end_us)
     apply_one ();
+  if (!has_met_full_disk (at))
+    process_print_log (group->process[at]);
   g_assert_true (has_met_full_disk (at));
 }
 
--- a/t/t8041-load-patterns.c
+++ b/t/t8041-load-patterns.c
@@ -55,13 +55,13 @@
 typedef struct
 {
   const char *name;
-  engines_policy_t policy;
+  policy_t policy;
 } named_policy_t;
 
 static const named_policy_t baselines[]
-    = { { "random", engines_random },
-        { "least", engines_least },
-        { "two choices", engines_two_choices } };
+    = { { "random", policy_random },
+        { "least", policy_least },
+        { "two choices", policy_two_choices } };
 
 #define SEEDS 2
 
--- a/t/t9000-soak.c
+++ b/t/t9000-soak.c
@@ -48,10 +48,12 @@
 
 typedef struct soak soak_t;
 
-/** One kind of fault; what is not healed needs no healing. */
+/** One kind of fault: of a link, as its proxy is told, or by signals. */
 typedef struct
 {
   const char *name;
+  const char *link;   /* or NULL */
+  const char *healed; /* the link again; NULL where nothing is to be healed */
   void (*begin) (soak_t *soak, uint32_t at);
   void (*heal) (soak_t *soak, uint32_t at);
 } fault_t;
@@ -100,60 +102,6 @@
   g_assert_not_reached ();
 }
 
-static void
-set_link (soak_t *soak, uint32_t at, const char *faults)
-{
-  deploy_fault (soak->deploy, &soak->upstreams[at], faults);
-}
-
-static void
-reset_link (soak_t *soak, uint32_t at)
-{
-  set_link (soak, at, "{\"reset\":true}");
-}
-
-static void
-cut_link (soak_t *soak, uint32_t at)
-{
-  set_link (soak, at, "{\"cut\":\"both\"}");
-}
-
-static void
-cut_one_way (soak_t *soak, uint32_t at)
-{
-  set_link (soak, at, "{\"cut\":\"out\"}");
-}
-
-static void
-join_link (soak_t *soak, uint32_t at)
-{
-  set_link (soak, at, "{\"cut\":\"none\"}");
-}
-
-static void
-slow_link (soak_t *soak, uint32_t at)
-{
-  set_link (soak, at, "{\"delay_ms\":80}");
-}
-
-static void
-quick_link (soak_t *soak, uint32_t at)
-{
-  set_link (soak, at, "{\"delay_ms\":0}");
-}
-
-static void
-truncate_link (soak_t *soak, uint32_t at)
-{
-  set_link (soak, at, "{\"truncate_bytes\":300}");
-}
-
-static void
-whole_link (soak_t *soak, uint32_t at)
-{
-  set_link (soak, at, "{\"truncate_bytes\":0}");
-}
-
 static void
 pause_upstream (soak_t *soak, uint32_t at)
 {
@@ -217,19 +165,33 @@
 }
 
 static const fault_t link_faults[] = {
-  { "reset", reset_link, NULL },
-  { "cut", cut_link, join_link },
-  { "cut one way", cut_one_way, join_link },
-  { "slow", slow_link, quick_link },
-  { "truncate", truncate_link, whole_link },
+  { .name = "reset", .link = "{\"reset\":true}" },
+  { .name = "cut",
+    .link = "{\"cut\":\"both\"}",
+    .healed = "{\"cut\":\"none\"}" },
+  { .name = "cut one way",
+    .link = "{\"cut\":\"out\"}",
+    .healed = "{\"cut\":\"none\"}" },
+  { .name = "slow", .link = "{\"delay_ms\":80}", .healed = "{\"delay_ms\":0}" },
+  { .name = "truncate",
+    .link = "{\"truncate_bytes\":300}",
+    .healed = "{\"truncate_bytes\":0}" },
 };
 
 static const fault_t signal_faults[] = {
-  { "pause an upstream", pause_upstream, go_on_upstream },
-  { "pause the entry instance", pause_entry, go_on_entry },
-  { "kill the entry instance", kill_entry, start_entry },
-  { "stop the entry instance", stop_entry, start_entry },
-  { "reload the entry instance", reload_entry, NULL },
+  { .name = "pause an upstream",
+    .begin = pause_upstream,
+    .heal = go_on_upstream },
+  { .name = "pause the entry instance",
+    .begin = pause_entry,
+    .heal = go_on_entry },
+  { .name = "kill the entry instance",
+    .begin = kill_entry,
+    .heal = start_entry },
+  { .name = "stop the entry instance",
+    .begin = stop_entry,
+    .heal = start_entry },
+  { .name = "reload the entry instance", .begin = reload_entry },
 };
 
 static void
@@ -247,14 +209,28 @@
   soak->troubles++;
   g_test_message ("%s, upstream %u, for %d ms", trouble->fault->name,
                   trouble->at, for_ms);
-  trouble->fault->begin (soak, trouble->at);
+  if (trouble->fault->link != NULL)
+    deploy_fault (soak->deploy, &soak->upstreams[trouble->at],
+                  trouble->fault->link);
+  else
+    trouble->fault->begin (soak, trouble->at);
+}
+
+static void
+heal (soak_t *soak, const trouble_t *trouble)
+{
+  const fault_t *fault = trouble->fault;
+
+  if (fault != NULL && fault->healed != NULL)
+    deploy_fault (soak->deploy, &soak->upstreams[trouble->at], fault->healed);
+  else if (fault != NULL && fault->heal != NULL)
+    fault->heal (soak, trouble->at);
 }
 
 static void
 end_trouble (soak_t *soak, trouble_t *trouble)
 {
-  if (trouble->fault != NULL && trouble->fault->heal != NULL)
-    trouble->fault->heal (soak, trouble->at);
+  heal (soak, trouble);
   trouble->fault = NULL;
   trouble->until_ms
       = now_ms () + (uint64_t)g_rand_int_range (soak->faults, 0, MAX_PAUSE_MS);
