--- a/snapshot.h
+++ b/snapshot.h
@@ -6,6 +6,7 @@
 #ifndef SNAPSHOT_H
 #define SNAPSHOT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
