--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -21,7 +21,6 @@
   double unread_ms;
   double tokens;
   bool is_part;
-  uint32_t engine;
 } reading_t;
 
 struct request
@@ -37,7 +36,6 @@
   uint64_t return_ms; /* asks again then, or 0 */
   bool has_returned;
   bool is_sent;
-  bool is_over;
   bool is_late;
   uint32_t parts_left;
   uint64_t first_ms;
@@ -185,7 +183,6 @@
   request->engines[at] = engine;
   request->kv_tokens[at] = kv_tokens;
   reading->request = request;
-  reading->engine = engine;
   reading->is_part = parts > 1;
   reading->tokens = (double)request->prompt_tokens / parts;
   reading->unread_ms
@@ -228,7 +225,6 @@
   double worth = worth_of (request);
   double late = worth * request->kind->late_worth / request->kind->worth;
 
-  request->is_over = true;
   for (int i = 0; i < tally_count; i++)
     {
       tallies[i]->asked++;
