--- a/control-disk.c
+++ b/control-disk.c
@@ -49,7 +49,7 @@
       log_error ("The disk is full: takes no part in the group. applied=%ju",
                  (uintmax_t)server->applied);
       g_ptr_array_set_size (server->held, 0);
-      control_requests_lost_room (server->requests);
+      control_requests_redirect_all (server->requests);
     }
   else
     log_info ("The disk has room again. applied=%ju",
--- a/control-internal.h
+++ b/control-internal.h
@@ -126,8 +126,8 @@
 /** Redirects all who wait, when this replica leads no more. */
 void control_requests_check_role (control_requests_t *requests);
 
-/** The disk is full: sends all who wait elsewhere. */
-void control_requests_lost_room (control_requests_t *requests);
+/** Sends all who wait to others; the next leader may yet do what they asked. */
+void control_requests_redirect_all (control_requests_t *requests);
 
 /** Pushes the last revision to those who watch. */
 void control_requests_push (control_requests_t *requests);
--- a/control-requests.c
+++ b/control-requests.c
@@ -440,9 +440,8 @@
   g_hash_table_remove (requests->waiting, &index);
 }
 
-/** What they asked for may yet be done by the next leader. */
-static void
-redirect_all (control_requests_t *requests)
+void
+control_requests_redirect_all (control_requests_t *requests)
 {
   GHashTableIter iter;
   gpointer value;
@@ -456,19 +455,13 @@
   g_ptr_array_set_size (requests->reads, 0);
 }
 
-void
-control_requests_lost_room (control_requests_t *requests)
-{
-  redirect_all (requests);
-}
-
 void
 control_requests_check_role (control_requests_t *requests)
 {
   bool leads = raft_status (requests->server->raft).role == RAFT_LEADER;
 
   if (requests->was_leader && !leads)
-    redirect_all (requests);
+    control_requests_redirect_all (requests);
   requests->was_leader = leads;
 }
 
