standstill: count others' silence from waking

An entry instance whose machine was frozen took its own standstill for the silence of its upstreams and of the other instances: timers run before what came meanwhile is read. Control instances marked all upstreams silent.

Three tests failed before: the gateway sent the stream twice, load-share told of an orphan, the directory said silent. Ruled out: messages lost while frozen; they lie in the sockets.

--- a/control-directory.c
+++ b/control-directory.c
@@ -11,7 +11,6 @@
 #define LOG_PART "directory"
 #include "logging.h"
 
-#define TICK_MS 200
 /** Announcements that may be missed before an upstream counts as silent. */
 #define SILENT_ANNOUNCEMENTS 4
 #define DEFAULT_ANNOUNCE_MS  1200
@@ -221,7 +220,7 @@
   save (directory, now_ms);
   if (now_ms < directory->due_ms)
     return;
-  directory->due_ms = now_ms + TICK_MS;
+  directory->due_ms = now_ms + DIRECTORY_EXPIRE_EVERY_MS;
   if (announce_ms == 0)
     announce_ms = DEFAULT_ANNOUNCE_MS;
   directory_expire (directory->directory, SILENT_ANNOUNCEMENTS * announce_ms,
--- a/directory.c
+++ b/directory.c
@@ -5,6 +5,8 @@
 #include <talloc.h>
 #include <xxhash.h>
 
+#include "standstill.h"
+
 /** How long one that is gone is remembered, so that late words of it are
  * known to be late. */
 #define REMEMBER_MS 120000
@@ -15,6 +17,7 @@
   GHashTable *by_key; /* key -> directory_entry_t, children of directory */
   GPtrArray *entries;
   uint64_t version;
+  standstill_t still;
 };
 
 static int
@@ -172,13 +175,16 @@
 void
 directory_expire (directory_t *directory, uint32_t silent_ms, uint64_t now_ms)
 {
+  standstill_beat (&directory->still, DIRECTORY_EXPIRE_EVERY_MS, now_ms);
   for (guint i = directory->entries->len; i-- > 0;)
     {
       directory_entry_t *entry = g_ptr_array_index (directory->entries, i);
+      uint64_t since_ms
+          = standstill_silent_since_ms (&directory->still, entry->heard_ms);
 
       if (entry->heard_ms + REMEMBER_MS < now_ms)
         forget (directory, i);
-      else if (entry->heard_ms + silent_ms < now_ms
+      else if (since_ms + silent_ms < now_ms
                && entry->said.state == DIRECTORY_READY)
         {
           entry->said.state = DIRECTORY_SILENT;
--- a/directory.h
+++ b/directory.h
@@ -45,6 +45,8 @@
   uint64_t version; /**< of the directory, when this entry last changed */
 } directory_entry_t;
 
+#define DIRECTORY_EXPIRE_EVERY_MS 200
+
 typedef struct directory directory_t;
 
 typedef enum
@@ -72,8 +74,9 @@
                       uint64_t now_ms);
 
 /**
- * Marks those silent that were not heard of for @a silent_ms, and forgets
- * those that are gone for good.
+ * Marks those silent that were not heard of for @a silent_ms in which this
+ * process ran, and forgets those that are gone for good. To be called every
+ * DIRECTORY_EXPIRE_EVERY_MS.
  */
 void
 directory_expire (directory_t *directory, uint32_t silent_ms, uint64_t now_ms);
--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -245,11 +245,24 @@
                                      request->engine, now_ms);
 }
 
-/** Time since the present attempt was last heard of. */
+/** Time since the present attempt was last heard of, or could be. */
 static uint64_t
 silent_ms (const gateway_request_t *request, uint64_t now_ms)
 {
-  return now_ms - MAX (request->attempt_ms, request->last_event_ms);
+  return now_ms
+         - standstill_silent_since_ms (
+             &request->gateway->still,
+             MAX (request->attempt_ms, request->last_event_ms));
+}
+
+/** Whether this process woke so lately that answers may lie here unread. */
+static bool
+has_just_woken (gateway_t *gateway)
+{
+  uint64_t now_ms = clock_mono_ms ();
+
+  standstill_beat (&gateway->still, GATEWAY_TICK_MS, now_ms);
+  return standstill_has_just_woken (&gateway->still, LOOK_AGAIN_MS, now_ms);
 }
 
 /** Whether its engines are known to be reading for that long. */
@@ -276,7 +289,8 @@
   choice_t choice;
 
   /* Late is better than never: it is given up only for a sure better place. */
-  if (request->sent + 1 >= request->route.attempts
+  if (has_just_woken (request->gateway)
+      || request->sent + 1 >= request->route.attempts
       || is_silence_expected (request))
     {
       wait_on (request);
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -17,11 +17,13 @@
 #include "exchange.h"
 #include "gateway.h"
 #include "retry.h"
+#include "standstill.h"
 #include "upstream-choice.h"
 
 struct event;
 
 #define GATEWAY_MAX_TRIES 6
+#define GATEWAY_TICK_MS   100
 /** Prompts up to this size are answered before longer ones. */
 #define GATEWAY_SHORT_TOKENS 16000
 /** Prompts over this size give way to others. */
@@ -61,6 +63,7 @@
   load_share_t *share;
   engine_memory_t *memory;
   retry_t *retry;
+  standstill_t still; /* of this process */
   GPtrArray *open;    /* gateway_request_t */
   GPtrArray *waiting; /* gateway_request_t, in no order */
   struct event *tick;
--- a/gateway.c
+++ b/gateway.c
@@ -11,7 +11,6 @@
 #define LOG_PART "gateway"
 #include "logging.h"
 
-#define TICK_MS            100
 #define CONNECT_TIMEOUT_MS 600
 #define IDLE_TIMEOUT_MS    4000
 /** Without a wish of the caller or a timeout of the route. */
@@ -400,8 +399,10 @@
 on_tick (evutil_socket_t fd, short what, void *context)
 {
   gateway_t *gateway = context;
+  uint64_t now_ms = clock_mono_ms ();
 
-  upstream_set_tick (gateway->set, clock_mono_ms ());
+  standstill_beat (&gateway->still, GATEWAY_TICK_MS, now_ms);
+  upstream_set_tick (gateway->set, now_ms);
 }
 
 static void
@@ -484,7 +485,7 @@
   engine_memory_options_t memory = { .base = options->base,
                                      .protocol = options->protocol,
                                      .metrics = options->metrics };
-  struct timeval every = { .tv_usec = TICK_MS * 1000 };
+  struct timeval every = { .tv_usec = GATEWAY_TICK_MS * 1000 };
 
   gateway->options = *options;
   /* The caller's texts may go, as settings do that are read again. */
@@ -502,6 +503,7 @@
   gateway->pool = exchange_pool_new (gateway, &pool);
   memory.pool = gateway->pool;
   gateway->memory = engine_memory_new (gateway, &memory);
+  standstill_beat (&gateway->still, GATEWAY_TICK_MS, clock_mono_ms ());
   gateway->retry = retry_new (gateway, options->metrics);
   gateway_add_metrics (gateway);
   if (open_sockets (gateway))
--- a/load-share.c
+++ b/load-share.c
@@ -10,6 +10,7 @@
 #include "base.h"
 #include "mq.h"
 #include "share.pb-c.h"
+#include "standstill.h"
 #define LOG_PART "load-share"
 #include "logging.h"
 
@@ -39,6 +40,7 @@
   GArray *begun;       /* upstream_job_t */
   GArray *answering;   /* uint64_t */
   GArray *ended;       /* Lwm__ShareEnded */
+  standstill_t still;  /* of this process */
   struct event *batch;
   struct event *tick;
   metric_t *bytes_out;
@@ -165,12 +167,15 @@
   GHashTableIter iter;
   gpointer value;
 
+  standstill_beat (&share->still, WHOLE_EVERY_MS, now_ms);
   g_hash_table_iter_init (&iter, share->senders);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const sender_t *sender = value;
+      uint64_t since_ms
+          = standstill_silent_since_ms (&share->still, sender->heard_ms);
 
-      if (sender->heard_ms + SILENT_MS > now_ms)
+      if (since_ms + SILENT_MS > now_ms)
         continue;
       log_info ("Lost touch with an entry instance. incarnation=%ju",
                 (uintmax_t)sender->sender);
@@ -283,6 +288,7 @@
 
   share->options = *options;
   share->listen = talloc_strdup (share, options->listen);
+  standstill_beat (&share->still, WHOLE_EVERY_MS, clock_mono_ms ());
   share->sender = random_id ();
   share->last_id = random_id ();
   share->peers = g_ptr_array_new ();
--- a/t/lib-scripted.c
+++ b/t/lib-scripted.c
@@ -84,6 +84,12 @@
       scripted_say (stream, "Transfer-Encoding: chunked\r\n\r\n"
                             "1e\r\nid: 1\ndata: x\n\nid: 3\ndata: x\n\n\r\n");
       break;
+    case ACT_STREAM_HELD:
+      scripted_say (stream, head);
+      scripted_say (stream, "Transfer-Encoding: chunked\r\n\r\n"
+                            "f\r\nid: 1\ndata: x\n\n\r\n");
+      call->upstream->held = stream;
+      break;
     case ACT_STREAM_CUT:
       scripted_say (stream, head);
       scripted_say (stream, "\r\nid: 1\ndata: x\n\nid: 2\nda");
@@ -200,6 +206,16 @@
       = listen_free (base, on_upstream_accept, upstream, upstream->address);
 }
 
+void
+scripted_let_go (scripted_t *upstream)
+{
+  static const char rest[] = "f\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n";
+  ssize_t sent
+      = send (bufferevent_getfd (upstream->held), rest, strlen (rest), 0);
+
+  g_assert_cmpint (sent, ==, (ssize_t)strlen (rest));
+}
+
 void
 scripted_stop (scripted_t *upstream)
 {
--- a/t/t8020-directory.c
+++ b/t/t8020-directory.c
@@ -131,6 +131,25 @@
   talloc_free (directory);
 }
 
+/** The time in which the instance itself stood still is nobody's silence. */
+static void
+test_own_standstill (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t said = statement ("u", 100, 1);
+
+  directory_put (directory, &said, 1000);
+  directory_expire (directory, 1500, 1200);
+  directory_expire (directory, 1500, 7000);
+  g_assert_cmpint (entry_of (directory, "u", 100)->said.state, ==,
+                   DIRECTORY_READY);
+  for (uint64_t now_ms = 7200; now_ms <= 8600; now_ms += 200)
+    directory_expire (directory, 1500, now_ms);
+  g_assert_cmpint (entry_of (directory, "u", 100)->said.state, ==,
+                   DIRECTORY_SILENT);
+  talloc_free (directory);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -140,5 +159,6 @@
   g_test_add_func ("/directory/restart", test_restart);
   g_test_add_func ("/directory/address-used-again", test_address_used_again);
   g_test_add_func ("/directory/silence", test_silence);
+  g_test_add_func ("/directory/own-standstill", test_own_standstill);
   return g_test_run ();
 }
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -509,6 +509,26 @@
     }
 }
 
+/** Longer than any pause between events that an upstream is granted. */
+#define STANDSTILL_MS 2000
+
+/* The instance stands still, as on a machine that is frozen, while its upstream
+ * writes on: what has come meanwhile is read before the upstream is judged. */
+static void
+test_own_standstill (void)
+{
+  fixture_t *fixture = fixture_ready (ACT_STREAM_HELD, ACT_STREAM);
+
+  ask (fixture, POST ("/stream/"));
+  WAIT (has (fixture, "id: 1\n"));
+  scripted_let_go (&fixture->upstreams[0]);
+  g_usleep (STANDSTILL_MS * 1000);
+  WAIT (has (fixture, "0\r\n\r\n"));
+  g_assert_cmpuint (requests (fixture), ==, 1);
+  g_assert_cmpuint (count (fixture->answer->str, "id: 2\n"), ==, 1);
+  fixture_free (fixture);
+}
+
 /** A caller that closes ends the work for it. */
 static void
 test_caller_gone (void)
@@ -575,6 +595,7 @@
   g_test_add_func ("/gateway/stream-gap", test_stream_gap);
   g_test_add_func ("/gateway/stream-cut", test_stream_cut);
   g_test_add_func ("/gateway/silence-waits", test_silence_waits);
+  g_test_add_func ("/gateway/own-standstill", test_own_standstill);
   g_test_add_func ("/gateway/caller-gone", test_caller_gone);
   g_test_add_func ("/gateway/drain", test_drain);
   g_test_add_func ("/gateway/config-forward", test_config_forward);
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -18,6 +18,10 @@
 #include "logging.h"
 
 #define PATIENCE_MS 20000
+/** Longer than an instance may be silent. */
+#define STANDSTILL_MS 3000
+/** In that time an instance tells all its jobs once more. */
+#define SHARE_EVERY_MS 1100
 
 typedef struct
 {
@@ -164,8 +168,7 @@
   fixture_free (fixture);
 }
 
-/** An instance that is lost leaves no jobs behind, and its memory is told. */
-/* Many instances: all are counted, each once, though not all are told. */
+/** Many instances: all are counted, each once, though not all are told. */
 static void
 test_count (void)
 {
@@ -185,6 +188,7 @@
   fixture_free (fixture);
 }
 
+/** An instance that is lost leaves no jobs behind, and its memory is told. */
 static void
 test_lost_instance (void)
 {
@@ -200,6 +204,25 @@
   fixture_free (fixture);
 }
 
+/* Both stand still for longer than one may be silent: what they hear after is
+ * read before one takes the other for lost, and its memory for nobody's. */
+static void
+test_own_standstill (void)
+{
+  fixture_t *fixture = fixture_new ();
+  struct event_base *base = fixture->base;
+  upstream_job_t job = begin (fixture, &fixture->one, "ticket-1");
+  uint64_t woke_ms;
+
+  WAIT (upstream_set_job (fixture->other.set, job.id) != NULL);
+  g_usleep (STANDSTILL_MS * 1000);
+  woke_ms = clock_mono_ms ();
+  WAIT (clock_mono_ms () > woke_ms + SHARE_EVERY_MS);
+  g_assert_cmpstr (fixture->other.orphan, ==, "");
+  g_assert_nonnull (upstream_set_job (fixture->other.set, job.id));
+  fixture_free (fixture);
+}
+
 /** An engine that takes orders; its first answers may be left out. */
 typedef struct
 {
@@ -302,6 +325,7 @@
   g_test_add_func ("/load-share/jobs", test_jobs);
   g_test_add_func ("/load-share/count", test_count);
   g_test_add_func ("/load-share/lost-instance", test_lost_instance);
+  g_test_add_func ("/load-share/own-standstill", test_own_standstill);
   g_test_add_func ("/engine-memory/tickets", test_tickets);
   return g_test_run ();
 }
