t: soak: schedules that repeat, service after healing

No promise was broken, and the check said nothing about one. Replaced by a stricter one: with all healed, each kind of request must be answered; that some were answered still holds, and follows.

Found while tracing: both series drew from one source, so the schedule of a seed followed from the machine's speed as well. Now each has its own; the same seed twice gives the same faults (compared).

--- a/t/t9000-soak.c
+++ b/t/t9000-soak.c
@@ -58,9 +58,10 @@
   void (*heal) (soak_t *soak, uint32_t at);
 } fault_t;
 
-/** A fault under way. */
+/** One series of faults, and the one under way. */
 typedef struct
 {
+  GRand *draws; /* its schedule, and nothing else */
   const fault_t *fault;
   uint32_t at; /* upstream */
   uint64_t until_ms;
@@ -69,7 +70,6 @@
 struct soak
 {
   uint32_t seed;
-  GRand *faults; /* draws the schedule, and nothing else */
   GRand *asks;
   deploy_t *deploy;
   upstream_process_t upstreams[UPSTREAMS];
@@ -201,10 +201,10 @@
                size_t count)
 {
   gint32 for_ms
-      = g_rand_int_range (soak->faults, MIN_FAULT_MS, MAX_FAULT_MS + 1);
+      = g_rand_int_range (trouble->draws, MIN_FAULT_MS, MAX_FAULT_MS + 1);
 
-  trouble->fault = &faults[g_rand_int_range (soak->faults, 0, (gint32)count)];
-  trouble->at = (uint32_t)g_rand_int_range (soak->faults, 0, UPSTREAMS);
+  trouble->fault = &faults[g_rand_int_range (trouble->draws, 0, (gint32)count)];
+  trouble->at = (uint32_t)g_rand_int_range (trouble->draws, 0, UPSTREAMS);
   trouble->until_ms = now_ms () + (uint64_t)for_ms;
   soak->troubles++;
   g_test_message ("%s, upstream %u, for %d ms", trouble->fault->name,
@@ -233,7 +233,8 @@
   heal (soak, trouble);
   trouble->fault = NULL;
   trouble->until_ms
-      = now_ms () + (uint64_t)g_rand_int_range (soak->faults, 0, MAX_PAUSE_MS);
+      = now_ms ()
+        + (uint64_t)g_rand_int_range (trouble->draws, 0, MAX_PAUSE_MS);
 }
 
 /** Ends a fault whose time is over, or begins the next. */
@@ -251,17 +252,17 @@
     begin_trouble (soak, trouble, faults, count);
 }
 
+static const char *const ask_paths[] = { [ASK_STREAM] = "/v1/completions",
+                                         [ASK_LEDGER] = "/v1/call/ledger/issue",
+                                         [ASK_LOOKUP] = "/v1/call/lookup/job" };
+
 static void
 ask (soak_t *soak, slot_t *slot)
 {
-  static const char *const paths[] = { [ASK_STREAM] = "/v1/completions",
-                                       [ASK_LEDGER] = "/v1/call/ledger/issue",
-                                       [ASK_LOOKUP] = "/v1/call/lookup/job" };
-
   slot->ask = (ask_t)g_rand_int_range (soak->asks, 0, ASK_COUNT);
   slot->begun_ms = now_ms ();
   slot->may_be_lost = !process_running (soak->deploy->process);
-  slot->call = call_start (soak->deploy->address, paths[slot->ask],
+  slot->call = call_start (soak->deploy->address, ask_paths[slot->ask],
                            "X-Customer: counter\r\n",
                            slot->ask == ASK_STREAM ? STREAM : "{}");
 }
@@ -377,12 +378,36 @@
   fail (soak, "an engine's memory is not given back", &answer);
 }
 
+/** Once all is healed, each kind of request is served again before long. */
+static void
+check_service (soak_t *soak)
+{
+  for (uint32_t kind = 0; kind < ASK_COUNT; kind++)
+    {
+      uint64_t end_ms = now_ms () + CLUSTER_PATIENCE_MS;
+      uint32_t before = soak->answered;
+
+      while (soak->answered == before && now_ms () < end_ms)
+        {
+          slot_t slot = { .ask = (ask_t)kind, .begun_ms = now_ms () };
+
+          slot.call = call_start (soak->deploy->address, ask_paths[kind],
+                                  "X-Customer: counter\r\n",
+                                  kind == ASK_STREAM ? STREAM : "{}");
+          take_answer (soak, &slot);
+        }
+      if (soak->answered == before)
+        fail (soak, ask_paths[kind], NULL);
+    }
+}
+
 static void
 set_up (soak_t *soak)
 {
   answer_t answer;
 
-  soak->faults = g_rand_new_with_seed (soak->seed);
+  soak->link.draws = g_rand_new_with_seed (soak->seed);
+  soak->signal.draws = g_rand_new_with_seed (~soak->seed);
   soak->asks = g_rand_new_with_seed (soak->seed + 1);
   soak->not_run = g_ptr_array_new_with_free_func (g_free);
   soak->deploy = deploy_new (NULL);
@@ -423,6 +448,7 @@
       cluster_sleep_ms (TICK_MS);
     }
   check_processes (soak);
+  check_service (soak);
   check_runs (soak);
   for (uint32_t i = 0; i < ENGINES; i++)
     check_memory (soak, &soak->upstreams[i]);
@@ -437,7 +463,8 @@
                   soak->troubles);
   g_assert_cmpuint (soak->answered, >, 0);
   g_ptr_array_free (soak->not_run, TRUE);
-  g_rand_free (soak->faults);
+  g_rand_free (soak->link.draws);
+  g_rand_free (soak->signal.draws);
   g_rand_free (soak->asks);
   g_free (soak->text);
   deploy_free (soak->deploy);
@@ -468,7 +495,10 @@
 test_seeds (void)
 {
   /* 1 and 12: memory was held at an engine while the instance that came back
-   * knew of no other, to whom it could tell what it opens.
+   * knew of no other, to whom it could tell what it opens. 12 again, in a slow
+   * build: stopped ten times in six seconds, the instance was never up for long
+   * enough to be configured, and nobody was served; since then it must serve
+   * once all is healed.
    * 121: a release overtook the requests it was for, which a cut held up. */
   static const uint32_t seeds[] = { 1, 2, 12, 121 };
   const char *seed = getenv ("SOAK_SEED");
