engine-choice: let chance part equal engines

Traced from the lines: up to six instances sent short requests to one engine within 20 ms, as all saw the same one as the least laden of those in use and hear of one another's sends 10 to 25 ms later; the last of them found no slot (1.1 s), the others read each other's prompts in one pass.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "engine-load.h"
 #include "upstream-choice-internal.h"
@@ -39,6 +40,10 @@
 #define EMPTY_COST      0.05
 #define OTHER_ZONE_COST 0.01
 #define SILENT_COST     0.3
+/** Instances that choose at the same moment, before they hear of one another,
+ * must not all choose the same engine: chance decides between those that differ
+ * by less. */
+#define CHANCE_COST 0.002
 /** Requests that one engine holds, as a share of its slots. */
 #define SLOTS_SHARE 1.0
 /** Memory left free, for answers that grow longer than expected. */
@@ -82,13 +87,22 @@
          && kv_tokens <= (double)model->kv_tokens * KV_SHARE;
 }
 
+/** From 0 to 1, another for each engine and each time that one is chosen. */
+static double
+chance (const choice_request_t *request, const upstream_member_t *member)
+{
+  uint64_t hash = XXH64 (&member->key, sizeof member->key, request->random);
+
+  return (double)hash / (double)UINT64_MAX;
+}
+
 /** Small preferences that decide between engines of equal loss. */
 static double
 preference (const choice_request_t *request,
             const upstream_member_t *member,
             const engine_load_t *state)
 {
-  double cost = 0;
+  double cost = CHANCE_COST * chance (request, member);
 
   if (state->held == 0)
     cost += EMPTY_COST;
--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -21,11 +21,14 @@
   double unread_ms;
   double tokens;
   bool is_part;
+  bool is_helper; /* another engine writes; takes no slot */
+  bool has_slot;
 } reading_t;
 
 struct request
 {
   const engines_kind_t *kind;
+  uint32_t instance; /* that took it on */
   uint32_t kind_index;
   bool is_largest;
   uint32_t prompt_tokens;
@@ -55,13 +58,30 @@
   GPtrArray *read_now; /* readings that this pass ends */
 } engine_t;
 
+/** What an instance tells the others. */
+typedef struct
+{
+  uint64_t due_ms;
+  uint32_t from;
+  enum
+  {
+    TOLD_BEGIN,
+    TOLD_PROGRESS,
+    TOLD_END
+  } what;
+  upstream_job_t job;
+  upstream_job_end_t how;
+} told_t;
+
 typedef struct
 {
   const engines_load_t *load;
   GRand *rand;    /* of arrivals: the same for all policies */
   GRand *chances; /* of placement and returns */
   directory_t *directory;
-  upstream_set_t *set;
+  upstream_set_t *sets[ENGINES_MAX_INSTANCES]; /* what each instance knows */
+  uint32_t set_count;
+  GQueue told; /* told_t, oldest first */
   engine_t *engines;
   GPtrArray *requests; /* all that were asked */
   GPtrArray *waiting;
@@ -93,7 +113,6 @@
   size_t ignored;
 
   world->directory = directory_new (NULL);
-  world->set = upstream_set_new (NULL, &options);
   world->engines = g_new0 (engine_t, count);
   for (uint32_t i = 0; i < count; i++)
     {
@@ -111,11 +130,15 @@
       snprintf (address, sizeof address, "10.0.0.%u:80", i + 1);
       directory_put (world->directory, &said, BEGIN_MS);
     }
-  upstream_set_follow (world->set, world->directory, BEGIN_MS);
+  for (uint32_t i = 0; i < world->set_count; i++)
+    {
+      world->sets[i] = upstream_set_new (NULL, &options);
+      upstream_set_follow (world->sets[i], world->directory, BEGIN_MS);
+    }
   for (uint32_t i = 0; i < count; i++)
     {
       world->engines[i].key
-          = upstream_set_members (world->set, &ignored)[i]->key;
+          = upstream_set_members (world->sets[0], &ignored)[i]->key;
       world->engines[i].writers = g_ptr_array_new ();
       world->engines[i].readings = g_ptr_array_new_with_free_func (g_free);
       world->engines[i].read_now = g_ptr_array_new ();
@@ -152,6 +175,60 @@
   };
 }
 
+static void
+take_told (upstream_set_t *set, const told_t *told, uint64_t now_ms)
+{
+  if (told->what == TOLD_BEGIN)
+    upstream_set_begin (set, &told->job);
+  else if (told->what == TOLD_PROGRESS)
+    upstream_set_progress (set, told->job.id, now_ms);
+  else
+    upstream_set_end (set, told->job.id, told->how, now_ms);
+}
+
+/** What the others are old enough to know. */
+static void
+tell_others (world_t *world)
+{
+  told_t *told;
+
+  while ((told = g_queue_peek_head (&world->told)) != NULL
+         && told->due_ms <= world->now_ms)
+    {
+      for (uint32_t i = 0; i < world->set_count; i++)
+        if (i != told->from)
+          take_told (world->sets[i], told, world->now_ms);
+      g_free (g_queue_pop_head (&world->told));
+    }
+}
+
+/** The instance of the request knows at once, the others after the lag. */
+static void
+tell (world_t *world, const request_t *request, told_t told)
+{
+  told.from = request->instance;
+  told.due_ms = world->now_ms + world->load->lag_ms;
+  take_told (world->sets[told.from], &told, world->now_ms);
+  g_queue_push_tail (&world->told, g_memdup2 (&told, sizeof told));
+}
+
+static void
+tell_progress (world_t *world, const request_t *request, uint64_t job_id)
+{
+  tell (world, request,
+        (told_t){ .what = TOLD_PROGRESS, .job = { .id = job_id } });
+}
+
+static void
+tell_end (world_t *world,
+          const request_t *request,
+          uint64_t job_id,
+          upstream_job_end_t how)
+{
+  tell (world, request,
+        (told_t){ .what = TOLD_END, .job = { .id = job_id }, .how = how });
+}
+
 static void
 note_job (world_t *world,
           request_t *request,
@@ -178,12 +255,13 @@
   reading_t *reading = g_new0 (reading_t, 1);
   uint32_t at = request->job_count++;
 
-  upstream_set_begin (world->set, &job);
+  tell (world, request, (told_t){ .what = TOLD_BEGIN, .job = job });
   request->jobs[at] = job.id;
   request->engines[at] = engine;
   request->kv_tokens[at] = kv_tokens;
   reading->request = request;
   reading->is_part = parts > 1;
+  reading->is_helper = is_part;
   reading->tokens = (double)request->prompt_tokens / parts;
   reading->unread_ms
       = engine_read_ms (world->load->model, request->prompt_tokens) / parts;
@@ -259,7 +337,8 @@
 place (world_t *world, request_t *request)
 {
   choice_request_t ask = ask_of (world, request);
-  choice_t choice = world->load->policy (world->set, &ask, world->now_ms);
+  choice_t choice = world->load->policy (world->sets[request->instance], &ask,
+                                         world->now_ms);
 
   if (choice.kind == CHOICE_WAIT)
     return false;
@@ -309,6 +388,30 @@
     }
 }
 
+/** Lets those in that waited for a slot, as many as there are. */
+static void
+give_slots (const world_t *world, engine_t *engine)
+{
+  uint32_t taken = engine->writers->len;
+
+  for (guint i = 0; i < engine->readings->len; i++)
+    {
+      const reading_t *reading = g_ptr_array_index (engine->readings, i);
+
+      taken += reading->has_slot && !reading->is_helper;
+    }
+  for (guint i = 0; i < engine->readings->len; i++)
+    {
+      reading_t *reading = g_ptr_array_index (engine->readings, i);
+
+      if (reading->has_slot)
+        continue;
+      reading->has_slot
+          = reading->is_helper || taken < world->load->model->slots;
+      taken += reading->has_slot && !reading->is_helper;
+    }
+}
+
 /** The next prompt to read: the newest part, then whole ones by age. */
 static reading_t *
 next_reading (engine_t *engine)
@@ -319,7 +422,7 @@
     {
       reading_t *reading = g_ptr_array_index (engine->readings, i);
 
-      if (reading->unread_ms <= 0)
+      if (reading->unread_ms <= 0 || !reading->has_slot)
         continue;
       if (reading->is_part)
         first = reading;
@@ -370,6 +473,7 @@
   if (engine->writers->len > 0)
     pass_ms = engine_pass_ms (world->load->model, engine->writers->len,
                               context_tokens);
+  give_slots (world, engine);
   pass_ms += read_in_pass (world, engine);
   engine->pass_end_ms = pass_ms > 0 ? (double)world->now_ms + pass_ms : 0;
 }
@@ -378,8 +482,7 @@
 finish (world_t *world, request_t *request)
 {
   for (uint32_t i = 0; i < request->job_count; i++)
-    upstream_set_end (world->set, request->jobs[i], UPSTREAM_JOB_GOOD,
-                      world->now_ms);
+    tell_end (world, request, request->jobs[i], UPSTREAM_JOB_GOOD);
   end_request (world, request, true);
 }
 
@@ -394,15 +497,16 @@
       /* Those that only read are free; who keeps memory stays. */
       for (uint32_t i = 1; i < request->job_count; i++)
         if (request->kv_tokens[i] == 0)
-          upstream_set_end (world->set, request->jobs[i], UPSTREAM_JOB_NEUTRAL,
-                            world->now_ms);
+          tell_end (world, request, request->jobs[i], UPSTREAM_JOB_NEUTRAL);
         else
-          upstream_set_progress (world->set, request->jobs[i], world->now_ms);
+          tell_progress (world, request, request->jobs[i]);
+      tell_progress (world, request, request->jobs[0]);
     }
   else if (world->now_ms > request->last_ms + request->kind->gap_target_ms)
     request->is_late = true;
   request->last_ms = world->now_ms;
-  upstream_set_progress (world->set, request->jobs[0], world->now_ms);
+  upstream_set_progress (world->sets[request->instance], request->jobs[0],
+                         world->now_ms);
   request->events_left--;
 }
 
@@ -459,6 +563,9 @@
 
   request->kind = kind;
   request->kind_index = kind_index;
+  if (world->set_count > 1)
+    request->instance
+        = g_rand_int_range (world->rand, 0, (gint32)world->set_count);
   request->prompt_tokens = (uint32_t)fmin (tokens, kind->prompt_most);
   request->events_left = (uint32_t)fmax (events, 1);
   request->answer_tokens
@@ -522,7 +629,9 @@
     g_free (g_ptr_array_index (world->requests, i));
   g_ptr_array_free (world->requests, TRUE);
   g_ptr_array_free (world->waiting, TRUE);
-  talloc_free (world->set);
+  for (uint32_t i = 0; i < world->set_count; i++)
+    talloc_free (world->sets[i]);
+  g_queue_clear_full (&world->told, g_free);
   talloc_free (world->directory);
   g_rand_free (world->rand);
   g_rand_free (world->chances);
@@ -535,10 +644,12 @@
                     .rand = g_rand_new_with_seed (load->seed),
                     .chances = g_rand_new_with_seed (load->seed + 1),
                     .requests = g_ptr_array_new (),
-                    .waiting = g_ptr_array_new () };
+                    .waiting = g_ptr_array_new (),
+                    .set_count = MAX (load->instances, 1) };
   uint64_t end_ms = BEGIN_MS + load->length_ms;
 
   g_assert_cmpuint (load->kind_count, <=, ENGINES_MAX_KINDS);
+  g_assert_cmpuint (world.set_count, <=, ENGINES_MAX_INSTANCES);
   make_engines (&world);
   world.shortest_gap_ms = load->kinds[0].gap_target_ms;
   for (uint32_t i = 1; i < load->kind_count; i++)
@@ -549,12 +660,14 @@
     {
       if (world.now_ms < end_ms)
         draw_arrivals (&world);
+      tell_others (&world);
       run_engines (&world);
       if (world.now_ms % WAKE_EVERY_MS != 0)
         continue;
       take_returns (&world);
       place_waiting (&world);
-      upstream_set_tick (world.set, world.now_ms);
+      for (uint32_t i = 0; i < world.set_count; i++)
+        upstream_set_tick (world.sets[i], world.now_ms);
     }
   free_world (&world);
   return world.result;
--- a/t/lib-engines.h
+++ b/t/lib-engines.h
@@ -2,7 +2,9 @@
  * @file lib-engines.h
  * Model engines in simulated time, for tests of policy under load: they work
  * in passes, as engine-model.h describes, and a service places arrivals on
- * them through upstream-choice.h. Nothing here does I/O or reads a clock.
+ * them through upstream-choice.h. Several instances may place them, each by
+ * what it knows of the others' requests. Nothing here does I/O or reads a
+ * clock.
  */
 #ifndef LIB_ENGINES_H
 #define LIB_ENGINES_H
@@ -34,6 +36,8 @@
   policy_t policy;
   const engine_model_t *model;
   uint32_t engines;
+  uint32_t instances; /**< that place requests, each by what it knows; 0: 1 */
+  uint32_t lag_ms;    /**< after which one knows what another has placed */
   uint32_t event_tokens; /**< of an answer, in one event */
   const engines_kind_t *kinds;
   uint32_t kind_count;
@@ -44,7 +48,8 @@
   uint32_t seed;
 } engines_load_t;
 
-#define ENGINES_MAX_KINDS 4
+#define ENGINES_MAX_KINDS     4
+#define ENGINES_MAX_INSTANCES 80
 
 /** What became of the requests of one kind. */
 typedef struct
--- a/t/t8041-load-patterns.c
+++ b/t/t8041-load-patterns.c
@@ -65,8 +65,16 @@
 
 #define SEEDS 2
 
+/** What a load is played with, beside its kinds. */
+typedef struct
+{
+  uint32_t burst;
+  uint32_t instances;
+  uint32_t lag_ms;
+} pattern_t;
+
 static engines_load_t
-large_load (uint32_t burst)
+large_load (const pattern_t *pattern)
 {
   return (engines_load_t){ .model = &large_model,
                            .engines = 45,
@@ -75,7 +83,9 @@
                            .kind_count = G_N_ELEMENTS (large_kinds),
                            .swing = 0.55,
                            .swing_ms = 17000,
-                           .burst = burst,
+                           .burst = pattern->burst,
+                           .instances = pattern->instances,
+                           .lag_ms = pattern->lag_ms,
                            .length_ms = 34000 };
 }
 
@@ -103,10 +113,10 @@
 
 /** Callers get what they ask for, and more than any baseline gives them. */
 static void
-check_load (uint32_t burst, double least_all, double least_long)
+check_load (const pattern_t *pattern, double least_all, double least_long)
 {
   static const named_policy_t product = { "product", upstream_choose };
-  engines_load_t load = large_load (burst);
+  engines_load_t load = large_load (pattern);
   double of_long;
   double all = share_of (load, &product, &of_long);
   double ignored;
@@ -123,14 +133,29 @@
 static void
 test_wave (void)
 {
-  check_load (1, 0.84, 0.74);
+  static const pattern_t wave = { .burst = 1, .instances = 1 };
+
+  check_load (&wave, 0.84, 0.74);
 }
 
 /* All kinds come twice as often for a fifth of the time. */
 static void
 test_burst (void)
 {
-  check_load (2, 0.74, 0.4);
+  static const pattern_t burst = { .burst = 2, .instances = 1 };
+
+  check_load (&burst, 0.74, 0.4);
+}
+
+/* Many instances choose at the same time and hear of one another's choices
+ * later: it must cost callers nothing that each sees the same engine as the
+ * best. */
+static void
+test_many_instances (void)
+{
+  static const pattern_t many = { .burst = 1, .instances = 24, .lag_ms = 20 };
+
+  check_load (&many, 0.84, 0.74);
 }
 
 int
@@ -139,5 +164,6 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/load-patterns/wave", test_wave);
   g_test_add_func ("/load-patterns/burst", test_burst);
+  g_test_add_func ("/load-patterns/many-instances", test_many_instances);
   return g_test_run ();
 }
