--- a/engine-choice.c
+++ b/engine-choice.c
@@ -43,7 +43,7 @@
 /** Instances that choose at the same moment, before they hear of one another,
  * must not all choose the same engine: chance decides between those that differ
  * by less. */
-#define CHANCE_COST 0.002
+#define CHANCE_COST 0.001
 /** Requests that one engine holds, as a share of its slots. */
 #define SLOTS_SHARE 1.0
 /** Memory left free, for answers that grow longer than expected. */
