gateway: hold what comes in the first second

After a loss of power of all, entry instances listen 0.6 s before the control group has a leader and their configuration comes. Now an instance that has just started keeps what it cannot serve yet until configuration and upstreams are there, a second from its start at most and 256 at most; after that it refuses at once, as before. The test got its 503 before and gets 200 now.

--- /dev/null
+++ b/gateway-early.c
@@ -0,0 +1,74 @@
+/* Requests that come before a starting instance can serve any. */
+#include <event2/event.h>
+
+#include "base.h"
+#include "caller-server.h"
+#include "gateway-internal.h"
+#define LOG_PART "gateway"
+#include "logging.h"
+
+/** From the start; mostly an instance is configured sooner. */
+#define EARLY_MS  1000
+#define MAX_EARLY 256
+
+static bool
+is_early (const gateway_t *gateway)
+{
+  size_t count;
+
+  upstream_set_members (gateway->set, &count);
+  return (gateway->config == NULL || count == 0)
+         && clock_mono_ms () < gateway->started_ms + EARLY_MS;
+}
+
+bool
+gateway_hold_early (gateway_t *gateway, caller_request_t *caller)
+{
+  uint64_t now_ms = clock_mono_ms ();
+  struct timeval wait;
+
+  if (!is_early (gateway) || gateway->early->len >= MAX_EARLY)
+    return false;
+  if (gateway->early->len == 0)
+    {
+      wait = clock_timeval (gateway->started_ms + EARLY_MS - now_ms);
+      event_add (gateway->early_end, &wait);
+    }
+  g_ptr_array_add (gateway->early, caller);
+  log_info ("Request waits for the first configuration. held=%u after_ms=%ju",
+            gateway->early->len, (uintmax_t)(now_ms - gateway->started_ms));
+  return true;
+}
+
+void
+gateway_drop_early (gateway_t *gateway, caller_request_t *caller)
+{
+  g_ptr_array_remove (gateway->early, caller);
+}
+
+/** Takes on or turns away all that wait, in the order in which they came. */
+static void
+take_all (gateway_t *gateway)
+{
+  event_del (gateway->early_end);
+  while (gateway->early->len > 0)
+    {
+      caller_request_t *caller = g_ptr_array_index (gateway->early, 0);
+
+      g_ptr_array_remove_index (gateway->early, 0);
+      gateway_take (gateway, caller);
+    }
+}
+
+void
+gateway_end_early (gateway_t *gateway)
+{
+  if (gateway->early->len > 0 && !is_early (gateway))
+    take_all (gateway);
+}
+
+void
+gateway_on_early_end (evutil_socket_t fd, short what, void *context)
+{
+  take_all (context);
+}
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -1,6 +1,7 @@
 /**
  * @file gateway-internal.h
  * What the parts of a gateway share: gateway.c (requests in, ends),
+ * gateway-early.c (those that come before the first configuration),
  * gateway-wait.c (those that wait), gateway-attempt.c (sending and failures),
  * gateway-parts.c (helpers and memory), gateway-relay.c (answers) and
  * gateway-metrics.c. For those only.
@@ -66,6 +67,9 @@
   standstill_t still; /* of this process */
   GPtrArray *open;    /* gateway_request_t */
   GPtrArray *waiting; /* gateway_request_t, in no order */
+  uint64_t started_ms;
+  GPtrArray *early; /* caller_request_t that came too early to be served */
+  struct event *early_end;
   struct event *tick;
   struct event *wake; /* looks at those that wait */
   gateway_counters_t counters;
@@ -142,6 +146,25 @@
   uint32_t longest_gap_ms; /* between two events */
 };
 
+/** Takes a request on, or turns it away. */
+void gateway_take (gateway_t *gateway, caller_request_t *caller);
+
+/**
+ * Keeps a request for the moment at which an instance that has just started
+ * can serve it.
+ * @return false when that is not to be waited for
+ */
+bool gateway_hold_early (gateway_t *gateway, caller_request_t *caller);
+
+/** Its caller is gone. */
+void gateway_drop_early (gateway_t *gateway, caller_request_t *caller);
+
+/** A configuration or upstreams have come: takes on those that wait for it. */
+void gateway_end_early (gateway_t *gateway);
+
+/** The event of those that have waited for long enough. */
+void gateway_on_early_end (evutil_socket_t fd, short what, void *context);
+
 /** Makes the counters and gauges. */
 void gateway_add_metrics (gateway_t *gateway);
 
--- a/gateway.c
+++ b/gateway.c
@@ -327,10 +327,9 @@
   return request;
 }
 
-static void
-on_request (caller_request_t *caller, void *context)
+void
+gateway_take (gateway_t *gateway, caller_request_t *caller)
 {
-  gateway_t *gateway = context;
   const http_fields_t *fields = caller_request_fields (caller);
   const char *host = http_fields_find (fields, "Host");
   gateway_terms_t terms = { .id = "" };
@@ -338,7 +337,6 @@
   const gateway_customer_t *customer = NULL;
   gateway_request_t *request;
 
-  metric_add (gateway->counters.requests, 1);
   gateway->options.protocol->read_terms (fields, &terms);
   if (gateway->config == NULL)
     {
@@ -370,6 +368,16 @@
   gateway_place (request);
 }
 
+static void
+on_request (caller_request_t *caller, void *context)
+{
+  gateway_t *gateway = context;
+
+  metric_add (gateway->counters.requests, 1);
+  if (!gateway_hold_early (gateway, caller))
+    gateway_take (gateway, caller);
+}
+
 static void
 on_gone (caller_request_t *caller, void *context)
 {
@@ -377,7 +385,10 @@
   gateway_request_t *request = caller_request_data (caller);
 
   if (request == NULL)
-    return;
+    {
+      gateway_drop_early (gateway, caller);
+      return;
+    }
   metric_add (gateway->counters.gone, 1);
   log_end (request, "caller_gone", 0);
   gateway_attempt_over (request, UPSTREAM_JOB_NEUTRAL);
@@ -442,7 +453,9 @@
   TALLOC_FREE (gateway->callers);
   event_free (gateway->tick);
   event_free (gateway->wake);
+  event_free (gateway->early_end);
   g_ptr_array_free (gateway->waiting, TRUE);
+  g_ptr_array_free (gateway->early, TRUE);
   return 0;
 }
 
@@ -495,6 +508,10 @@
       = talloc_strdup (gateway, options->share_listen);
   gateway->open = g_ptr_array_new ();
   gateway->waiting = g_ptr_array_new ();
+  gateway->early = g_ptr_array_new ();
+  gateway->started_ms = clock_mono_ms ();
+  gateway->early_end
+      = event_new (options->base, -1, 0, gateway_on_early_end, gateway);
   gateway->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gateway);
   gateway->wake = event_new (options->base, -1, 0, gateway_on_wake, gateway);
   talloc_set_destructor (gateway, free_gateway);
@@ -528,6 +545,7 @@
   talloc_free (gateway->config);
   gateway->config = talloc_steal (gateway, config);
   caller_server_set_limits (gateway->callers, &config->limits);
+  gateway_end_early (gateway);
 }
 
 uint64_t
@@ -540,6 +558,7 @@
 gateway_follow (gateway_t *gateway, const directory_t *directory)
 {
   upstream_set_follow (gateway->set, directory, clock_mono_ms ());
+  gateway_end_early (gateway);
   gateway_wake (gateway);
 }
 
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -326,6 +326,42 @@
   fixture_free (fixture);
 }
 
+/** Who comes to an instance that has just started waits until it can serve. */
+static void
+test_early (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  fixture->upstreams[0].act = fixture->upstreams[1].act = ACT_ANSWER;
+  ask (fixture, GET ("/safe/"));
+  WAIT (gateway_open_requests (fixture->gateway) == 1);
+  configure (fixture);
+  g_assert_cmpuint (fixture->answer->len, ==, 0);
+  announce (fixture);
+  WAIT (has (fixture, "body"));
+  g_assert_true (has (fixture, "HTTP/1.1 200"));
+  fixture_free (fixture);
+}
+
+/** One that leaves meanwhile is forgotten. */
+static void
+test_early_gone (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  ask (fixture, GET ("/safe/"));
+  WAIT (gateway_open_requests (fixture->gateway) == 1);
+  bufferevent_free (fixture->caller);
+  fixture->caller = NULL;
+  WAIT (gateway_open_requests (fixture->gateway) == 0);
+  configure (fixture);
+  announce (fixture);
+  ask (fixture, GET ("/safe/"));
+  WAIT (has (fixture, "body"));
+  g_assert_cmpuint (requests (fixture), ==, 1);
+  fixture_free (fixture);
+}
+
 /** What may be repeated goes to another upstream, whatever went wrong. */
 static void
 test_safe_again (void)
@@ -586,6 +622,8 @@
   logging_init (LOGGING_ERROR);
   g_test_add_func ("/gateway/relay", test_relay);
   g_test_add_func ("/gateway/refusals", test_refusals);
+  g_test_add_func ("/gateway/early", test_early);
+  g_test_add_func ("/gateway/early-gone", test_early_gone);
   g_test_add_func ("/gateway/safe-again", test_safe_again);
   g_test_add_func ("/gateway/unsafe-once", test_unsafe_once);
   g_test_add_func ("/gateway/promise", test_promise);
