gateway: wait for upstreams beside configuration

After a loss of power of all, 147 requests held for the configuration were sent in 0.1 s to the five upstreams heard of by then (predicted 0.6 to 2.7 s, others of the sixteen alive were heard of 0.1 to 1 s later); 54 callers left. Now half of the upstreams that control instances remember must have announced themselves, 1.2 s after the start at most.

--- a/gateway-early.c
+++ b/gateway-early.c
@@ -7,18 +7,32 @@
 #define LOG_PART "gateway"
 #include "logging.h"
 
-/** From the start; mostly an instance is configured sooner. */
-#define EARLY_MS  1000
+/** From the start: upstreams announce themselves about as often, and mostly an
+ * instance is configured sooner. */
+#define EARLY_MS  1200
 #define MAX_EARLY 256
+/** Share of the upstreams it was told of that have announced themselves; all
+ * at once, those who wait would be too many for fewer. */
+#define ENOUGH_UPSTREAMS 0.5
 
 static bool
-is_early (const gateway_t *gateway)
+has_enough_upstreams (const gateway_t *gateway)
 {
   size_t count;
+  size_t announced = 0;
+  const upstream_member_t *const *members
+      = upstream_set_members (gateway->set, &count);
+
+  for (size_t i = 0; i < count; i++)
+    announced += members[i]->is_usable && !members[i]->is_silent;
+  return count > 0 && (double)announced >= ENOUGH_UPSTREAMS * (double)count;
+}
 
-  upstream_set_members (gateway->set, &count);
-  return (gateway->config == NULL || count == 0)
-         && clock_mono_ms () < gateway->started_ms + EARLY_MS;
+static bool
+is_early (const gateway_t *gateway)
+{
+  return clock_mono_ms () < gateway->started_ms + EARLY_MS
+         && (gateway->config == NULL || !has_enough_upstreams (gateway));
 }
 
 bool
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -343,6 +343,42 @@
   fixture_free (fixture);
 }
 
+/** After a restart of the control instances few upstreams are heard of at
+ * first: those who wait are not all sent to these. */
+static void
+test_early_few_upstreams (void)
+{
+  fixture_t *fixture = fixture_new ();
+  directory_statement_t said = { .id = "u1",
+                                 .address = fixture->upstreams[1].address,
+                                 .zone = "z",
+                                 .service = "s",
+                                 .sequence = 1,
+                                 .slots = 4 };
+
+  fixture->upstreams[0].act = fixture->upstreams[1].act = ACT_ANSWER;
+  ask (fixture, GET ("/safe/"));
+  WAIT (gateway_open_requests (fixture->gateway) == 1);
+  for (int i = 0; i < 2; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "before-%d", i);
+      said.id = id;
+      said.state = DIRECTORY_SILENT;
+      directory_put (fixture->directory, &said, clock_mono_ms ());
+    }
+  said.id = "u1";
+  said.state = DIRECTORY_READY;
+  directory_put (fixture->directory, &said, clock_mono_ms ());
+  gateway_follow (fixture->gateway, fixture->directory);
+  configure (fixture);
+  g_assert_cmpuint (requests (fixture), ==, 0);
+  announce (fixture);
+  WAIT (has (fixture, "body"));
+  fixture_free (fixture);
+}
+
 /** One that leaves meanwhile is forgotten. */
 static void
 test_early_gone (void)
@@ -623,6 +659,7 @@
   g_test_add_func ("/gateway/relay", test_relay);
   g_test_add_func ("/gateway/refusals", test_refusals);
   g_test_add_func ("/gateway/early", test_early);
+  g_test_add_func ("/gateway/early-few-upstreams", test_early_few_upstreams);
   g_test_add_func ("/gateway/early-gone", test_early_gone);
   g_test_add_func ("/gateway/safe-again", test_safe_again);
   g_test_add_func ("/gateway/unsafe-once", test_unsafe_once);
