--- a/raft.c
+++ b/raft.c
@@ -5,6 +5,9 @@
 
 #include "raft-internal.h"
 
+/** Turns by which voters try after a start; more would only wait longer. */
+#define MAX_START_TURNS 4
+
 /** Sets the next campaign @a least_ms to @a least_ms + @a spread_ms off. */
 static void
 wait_between (raft_t *raft, uint32_t least_ms, uint32_t spread_ms)
@@ -259,6 +262,32 @@
     campaign (raft);
 }
 
+/** Voters before this one in the order of their ids. */
+static uint32_t
+rank_of (const raft_t *raft)
+{
+  uint32_t rank = 0;
+
+  for (size_t i = 0; i < raft->peer_count; i++)
+    rank += raft->peers[i].voter && raft->peers[i].id < raft->options.id;
+  return rank;
+}
+
+/**
+ * Just started: a leader that is there is heard within a heartbeat, and those
+ * that hear it refuse the pre-vote. Where all have started at the same moment,
+ * as after a loss of power, they try one after another, so that their votes are
+ * not split.
+ */
+static void
+wait_after_start (raft_t *raft)
+{
+  uint32_t step_ms = raft->options.heartbeat_ms / 2;
+  uint32_t turn_ms = MIN (rank_of (raft), MAX_START_TURNS) * step_ms;
+
+  wait_between (raft, raft->options.heartbeat_ms + turn_ms, step_ms / 4);
+}
+
 void
 raft_tick (raft_t *raft, uint64_t now_ms)
 {
@@ -266,9 +295,7 @@
   if (raft->role == RAFT_LEADER)
     raft_leader_tick (raft);
   else if (raft->deadline_ms == 0)
-    /* Just started: a leader that is there is heard within a heartbeat, and
-     * those that hear it refuse the pre-vote. */
-    wait_between (raft, raft->options.heartbeat_ms, raft->options.heartbeat_ms);
+    wait_after_start (raft);
   else if (raft->deadline_ms <= now_ms && raft_internal_is_voter (raft))
     pre_campaign (raft);
 }
--- a/t/t5000-raft.c
+++ b/t/t5000-raft.c
@@ -42,6 +42,8 @@
   replica_t replicas[MAX_REPLICAS];
   bool cut[MAX_REPLICAS][MAX_REPLICAS]; /* from, to */
   uint32_t loss_percent;
+  uint32_t most_delay_ms;
+  uint32_t again_percent; /* of messages that come twice */
   GPtrArray *packets;
   GHashTable *leaders; /* term -> replica number + 1 */
   GPtrArray *history;  /* index - 1 -> "term:data" applied first */
@@ -64,7 +66,9 @@
   bool lost = net.cut[packet->from][packet->to]
               || g_rand_int_range (net.random, 0, 100) < (int)net.loss_percent;
 
-  packet->due_ms = net.now_ms + (uint64_t)g_rand_int_range (net.random, 1, 60);
+  packet->due_ms
+      = net.now_ms
+        + (uint64_t)g_rand_int_range (net.random, 1, (gint32)net.most_delay_ms);
   if (lost)
     free_packet (packet);
   else
@@ -225,8 +229,8 @@
       if (to->raft != NULL)
         raft_receive (to->raft, message, net.now_ms);
       lwm__raft_message__free_unpacked (message, NULL);
-      /* One in ten comes again, much later: maybe from an old term. */
-      if (g_rand_int_range (net.random, 0, 10) == 0)
+      /* Some come again, much later: maybe from an old term. */
+      if (g_rand_int_range (net.random, 0, 100) < (int)net.again_percent)
         packet->due_ms
             = net.now_ms + (uint64_t)g_rand_int_range (net.random, 1, 3000);
       else
@@ -266,7 +270,9 @@
 {
   Lwm__ControlMembership *members;
 
-  net = (net_t){ .count = count, .now_ms = 1 };
+  net = (net_t){
+    .count = count, .now_ms = 1, .most_delay_ms = 60, .again_percent = 10
+  };
   net.parent = talloc_new (NULL);
   net.random = g_rand_new_with_seed (seed);
   net.packets = g_ptr_array_new_with_free_func (free_packet);
@@ -448,6 +454,33 @@
   tear_down ();
 }
 
+/* All start at the same moment: one election is enough. */
+static void
+test_start_together (void)
+{
+  for (uint32_t seed = 1; seed <= 20; seed++)
+    {
+      uint64_t elections = 0;
+
+      set_up (seed, 3);
+      run_ms (2000);
+      net.most_delay_ms = 6;
+      net.again_percent = 0;
+      g_ptr_array_set_size (net.packets, 0);
+      for (size_t i = 0; i < 3; i++)
+        crash (&net.replicas[i]);
+      for (size_t i = 0; i < 3; i++)
+        start (&net.replicas[i]);
+      for (uint32_t i = 0; i < 100 && leader () == NULL; i++)
+        step ();
+      g_assert_nonnull (leader ());
+      for (size_t i = 0; i < 3; i++)
+        elections += raft_status (net.replicas[i].raft).elections;
+      g_assert_cmpuint (elections, ==, 1);
+      tear_down ();
+    }
+}
+
 static void
 test_read_needs_a_quorum (void)
 {
@@ -563,6 +596,7 @@
   g_test_add_func ("/raft/cut-off-replica-raises-no-term",
                    test_cut_off_replica_raises_no_term);
   g_test_add_func ("/raft/deaf-leader-steps-down", test_deaf_leader_steps_down);
+  g_test_add_func ("/raft/start-together", test_start_together);
   g_test_add_func ("/raft/read-needs-a-quorum", test_read_needs_a_quorum);
   g_test_add_func ("/raft/one-member-change-at-a-time",
                    test_one_member_change_at_a_time);
