--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -105,31 +105,45 @@
   return mean * exp (spread * draw_normal (rand) - spread * spread / 2);
 }
 
-static void
-make_engines (world_t *world)
+directory_t *
+engines_directory_new (void *parent,
+                       uint32_t count,
+                       const char *const zones[2],
+                       uint32_t slots,
+                       uint64_t now_ms)
 {
-  upstream_set_options_t options = { 0 };
-  uint32_t count = world->load->engines;
-  size_t ignored;
+  directory_t *directory = directory_new (parent);
 
-  world->directory = directory_new (NULL);
-  world->engines = g_new0 (engine_t, count);
   for (uint32_t i = 0; i < count; i++)
     {
       char id[24];
       char address[32];
       directory_statement_t said = { .id = id,
                                      .address = address,
-                                     .zone = "a",
+                                     .zone = zones[i % 2],
                                      .service = "engines",
                                      .born_ms = 1,
                                      .sequence = 1,
-                                     .slots = world->load->model->slots };
+                                     .slots = slots };
 
       snprintf (id, sizeof id, "engine-%u", i);
       snprintf (address, sizeof address, "10.0.0.%u:80", i + 1);
-      directory_put (world->directory, &said, BEGIN_MS);
+      directory_put (directory, &said, now_ms);
     }
+  return directory;
+}
+
+static void
+make_engines (world_t *world)
+{
+  upstream_set_options_t options = { 0 };
+  static const char *const one_zone[] = { "a", "a" };
+  uint32_t count = world->load->engines;
+  size_t ignored;
+
+  world->directory = engines_directory_new (
+      NULL, count, one_zone, world->load->model->slots, BEGIN_MS);
+  world->engines = g_new0 (engine_t, count);
   for (uint32_t i = 0; i < world->set_count; i++)
     {
       world->sets[i] = upstream_set_new (NULL, &options);
--- a/t/lib-engines.h
+++ b/t/lib-engines.h
@@ -13,6 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "directory.h"
 #include "lib-policies.h"
 
 /** One kind of request and how often it comes. */
@@ -70,6 +71,16 @@
   engines_tally_t largest; /**< tenth of the last kind */
 } engines_result_t;
 
+/**
+ * Engines 0 to @a count - 1 of the service "engines", by turns in two zones;
+ * freed with @a parent (talloc).
+ */
+directory_t *engines_directory_new (void *parent,
+                                    uint32_t count,
+                                    const char *const zones[2],
+                                    uint32_t slots,
+                                    uint64_t now_ms);
+
 /** Plays a load to its end. */
 engines_result_t engines_play (const engines_load_t *load);
 
--- a/t/t8040-upstream-choice.c
+++ b/t/t8040-upstream-choice.c
@@ -9,6 +9,7 @@
 #include <talloc.h>
 
 #include "engine-load.h"
+#include "lib-engines.h"
 #include "upstream-choice.h"
 
 #define ENGINES      14
@@ -40,27 +41,13 @@
 static fixture_t *
 fixture_new (void)
 {
+  static const char *const zones[] = { "a", "b" };
   fixture_t *fixture = g_new0 (fixture_t, 1);
   upstream_set_options_t options = { 0 };
 
-  fixture->directory = directory_new (NULL);
+  fixture->directory
+      = engines_directory_new (NULL, ENGINES, zones, model.slots, NOW_MS);
   fixture->set = upstream_set_new (NULL, &options);
-  for (uint32_t i = 0; i < ENGINES; i++)
-    {
-      char id[16];
-      char address[32];
-      directory_statement_t said = { .id = id,
-                                     .address = address,
-                                     .zone = i % 2 == 0 ? "a" : "b",
-                                     .service = "engines",
-                                     .born_ms = 1,
-                                     .sequence = 1,
-                                     .slots = 16 };
-
-      snprintf (id, sizeof id, "engine-%u", i);
-      snprintf (address, sizeof address, "10.0.0.%u:80", i + 1);
-      directory_put (fixture->directory, &said, NOW_MS);
-    }
   upstream_set_follow (fixture->set, fixture->directory, NOW_MS);
   for (uint32_t i = 0; i < ENGINES; i++)
     {
