gateway: refuse at once what no start can help

Seen on reading: a request without a route or a key waited for upstreams as well, a second at most, and the line that it waits had no id. Now only what may be served waits; each has its line with its id, and is counted. With the check put back before those of route and key the new test fails.

--- a/gateway-early.c
+++ b/gateway-early.c
@@ -1,4 +1,4 @@
-/* Requests that come before a starting instance can serve any. */
+/* Requests that come before a starting instance can serve them. */
 #include <event2/event.h>
 
 #include "base.h"
@@ -36,7 +36,9 @@
 }
 
 bool
-gateway_hold_early (gateway_t *gateway, caller_request_t *caller)
+gateway_hold_early (gateway_t *gateway,
+                    caller_request_t *caller,
+                    const char *request_id)
 {
   uint64_t now_ms = clock_mono_ms ();
   struct timeval wait;
@@ -49,7 +51,10 @@
       event_add (gateway->early_end, &wait);
     }
   g_ptr_array_add (gateway->early, caller);
-  log_info ("Request waits for the first configuration. held=%u after_ms=%ju",
+  metric_add (gateway->counters.early, 1);
+  log_info ("Request waits for a start to end. request=%s config=%ju held=%u "
+            "after_ms=%ju",
+            request_id, (uintmax_t)gateway_config_number (gateway),
             gateway->early->len, (uintmax_t)(now_ms - gateway->started_ms));
   return true;
 }
@@ -57,15 +62,20 @@
 void
 gateway_drop_early (gateway_t *gateway, caller_request_t *caller)
 {
-  g_ptr_array_remove (gateway->early, caller);
+  if (!g_ptr_array_remove (gateway->early, caller))
+    return;
+  metric_add (gateway->counters.gone, 1);
+  log_info ("A caller left before a start had ended. held=%u",
+            gateway->early->len);
 }
 
-/** Takes on or turns away all that wait, in the order in which they came. */
-static void
-take_all (gateway_t *gateway)
+void
+gateway_look_at_early (gateway_t *gateway)
 {
+  guint count = gateway->early->len;
+
   event_del (gateway->early_end);
-  while (gateway->early->len > 0)
+  for (guint i = 0; i < count; i++)
     {
       caller_request_t *caller = g_ptr_array_index (gateway->early, 0);
 
@@ -74,15 +84,8 @@
     }
 }
 
-void
-gateway_end_early (gateway_t *gateway)
-{
-  if (gateway->early->len > 0 && !is_early (gateway))
-    take_all (gateway);
-}
-
 void
 gateway_on_early_end (evutil_socket_t fd, short what, void *context)
 {
-  take_all (context);
+  gateway_look_at_early (context);
 }
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -1,7 +1,7 @@
 /**
  * @file gateway-internal.h
  * What the parts of a gateway share: gateway.c (requests in, ends),
- * gateway-early.c (those that come before the first configuration),
+ * gateway-early.c (those that come while the instance starts),
  * gateway-wait.c (those that wait), gateway-attempt.c (sending and failures),
  * gateway-parts.c (helpers and memory), gateway-relay.c (answers) and
  * gateway-metrics.c. For those only.
@@ -47,6 +47,7 @@
 {
   metric_t *requests;
   metric_t *answered;
+  metric_t *early; /* had to wait for a start to end */
   metric_t *gone;
   metric_t *broken;
   metric_t *refusals[ERROR_KIND_COUNT];
@@ -151,16 +152,19 @@
 
 /**
  * Keeps a request for the moment at which an instance that has just started
- * can serve it.
+ * has a configuration and upstreams enough.
  * @return false when that is not to be waited for
  */
-bool gateway_hold_early (gateway_t *gateway, caller_request_t *caller);
+bool gateway_hold_early (gateway_t *gateway,
+                         caller_request_t *caller,
+                         const char *request_id);
 
 /** Its caller is gone. */
 void gateway_drop_early (gateway_t *gateway, caller_request_t *caller);
 
-/** A configuration or upstreams have come: takes on those that wait for it. */
-void gateway_end_early (gateway_t *gateway);
+/** A configuration or upstreams have come: takes on, or turns away, those held
+ * that need not wait any more, in the order in which they came. */
+void gateway_look_at_early (gateway_t *gateway);
 
 /** The event of those that have waited for long enough. */
 void gateway_on_early_end (evutil_socket_t fd, short what, void *context);
--- a/gateway-metrics.c
+++ b/gateway-metrics.c
@@ -14,6 +14,9 @@
   counters->answered
       = metrics_counter (metrics, "lwm_gateway_answered_total",
                          "Answers of upstreams passed on in full.", NULL);
+  counters->early = metrics_counter (
+      metrics, "lwm_gateway_early_total",
+      "Requests that waited for the instance's start to end.", NULL);
   counters->gone
       = metrics_counter (metrics, "lwm_gateway_callers_gone_total",
                          "Requests whose caller closed first.", NULL);
--- a/gateway.c
+++ b/gateway.c
@@ -340,7 +340,8 @@
   gateway->options.protocol->read_terms (fields, &terms);
   if (gateway->config == NULL)
     {
-      turn_away (gateway, caller, &terms, ERROR_NO_CONFIGURATION);
+      if (!gateway_hold_early (gateway, caller, terms.id))
+        turn_away (gateway, caller, &terms, ERROR_NO_CONFIGURATION);
       return;
     }
   route = gateway_config_route (gateway->config, host != NULL ? host : "",
@@ -357,6 +358,8 @@
       turn_away (gateway, caller, &terms, ERROR_UNAUTHORIZED);
       return;
     }
+  if (gateway_hold_early (gateway, caller, terms.id))
+    return;
   request = request_new (gateway, caller, &terms);
   take_route (
       request, route,
@@ -374,8 +377,7 @@
   gateway_t *gateway = context;
 
   metric_add (gateway->counters.requests, 1);
-  if (!gateway_hold_early (gateway, caller))
-    gateway_take (gateway, caller);
+  gateway_take (gateway, caller);
 }
 
 static void
@@ -545,7 +547,7 @@
   talloc_free (gateway->config);
   gateway->config = talloc_steal (gateway, config);
   caller_server_set_limits (gateway->callers, &config->limits);
-  gateway_end_early (gateway);
+  gateway_look_at_early (gateway);
 }
 
 uint64_t
@@ -558,7 +560,7 @@
 gateway_follow (gateway_t *gateway, const directory_t *directory)
 {
   upstream_set_follow (gateway->set, directory, clock_mono_ms ());
-  gateway_end_early (gateway);
+  gateway_look_at_early (gateway);
   gateway_wake (gateway);
 }
 
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -490,6 +490,21 @@
   return have;
 }
 
+/** What could never be served is not kept waiting for upstreams. */
+static void
+test_early_refusals (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  configure (fixture);
+  ask (fixture, GET ("/nowhere/"));
+  WAIT (has (fixture, "HTTP/1.1 404"));
+  ask (fixture, GET ("/keyed/"));
+  WAIT (has (fixture, "HTTP/1.1 401"));
+  g_assert_true (metrics_have (fixture, "lwm_gateway_early_total 0\n"));
+  fixture_free (fixture);
+}
+
 static void
 test_stream (void)
 {
@@ -661,6 +676,7 @@
   g_test_add_func ("/gateway/refusals", test_refusals);
   g_test_add_func ("/gateway/early", test_early);
   g_test_add_func ("/gateway/early-few-upstreams", test_early_few_upstreams);
+  g_test_add_func ("/gateway/early-refusals", test_early_refusals);
   g_test_add_func ("/gateway/early-gone", test_early_gone);
   g_test_add_func ("/gateway/safe-again", test_safe_again);
   g_test_add_func ("/gateway/unsafe-once", test_unsafe_once);
