--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "lib-engines-internal.h"
+
 #define STEP_MS       2
 #define WAKE_EVERY_MS 20
 #define BEGIN_MS      100000 /* times of 0 mean never */
@@ -12,85 +14,6 @@
 /** An answer is longer than expected as often as it is shorter. */
 #define HINT_SPREAD 0.5
 
-typedef struct request request_t;
-
-/** What one engine has to read of a request. */
-typedef struct
-{
-  request_t *request;
-  double unread_ms;
-  double tokens;
-  bool is_part;
-  bool is_helper; /* another engine writes; takes no slot */
-  bool has_slot;
-} reading_t;
-
-struct request
-{
-  const engines_kind_t *kind;
-  uint32_t instance; /* that took it on */
-  uint32_t kind_index;
-  bool is_largest;
-  uint32_t prompt_tokens;
-  uint32_t answer_tokens; /* as its caller expects */
-  uint32_t events_left;
-  uint64_t asked_ms; /* first attempt */
-  uint64_t begun_ms;
-  uint64_t return_ms; /* asks again then, or 0 */
-  bool has_returned;
-  bool is_sent;
-  bool is_late;
-  uint32_t parts_left;
-  uint64_t first_ms;
-  uint64_t last_ms;
-  uint64_t jobs[1 + CHOICE_MAX_HELPERS];
-  uint32_t engines[1 + CHOICE_MAX_HELPERS];
-  uint32_t kv_tokens[1 + CHOICE_MAX_HELPERS];
-  uint32_t job_count;
-};
-
-typedef struct
-{
-  uint64_t key;
-  GPtrArray *writers;  /* request_t */
-  GPtrArray *readings; /* reading_t: oldest first */
-  double pass_end_ms;
-  GPtrArray *read_now; /* readings that this pass ends */
-} engine_t;
-
-/** What an instance tells the others. */
-typedef struct
-{
-  uint64_t due_ms;
-  uint32_t from;
-  enum
-  {
-    TOLD_BEGIN,
-    TOLD_PROGRESS,
-    TOLD_END
-  } what;
-  upstream_job_t job;
-  upstream_job_end_t how;
-} told_t;
-
-typedef struct
-{
-  const engines_load_t *load;
-  GRand *rand;    /* of arrivals: the same for all policies */
-  GRand *chances; /* of placement and returns */
-  directory_t *directory;
-  upstream_set_t *sets[ENGINES_MAX_INSTANCES]; /* what each instance knows */
-  uint32_t set_count;
-  GQueue told; /* told_t, oldest first */
-  engine_t *engines;
-  GPtrArray *requests; /* all that were asked */
-  GPtrArray *waiting;
-  uint64_t now_ms;
-  uint64_t last_job;
-  uint32_t shortest_gap_ms;
-  engines_result_t result;
-} world_t;
-
 static double
 draw_normal (GRand *rand)
 {
@@ -402,106 +325,16 @@
     }
 }
 
-/** Lets those in that waited for a slot, as many as there are. */
-static void
-give_slots (const world_t *world, engine_t *engine)
-{
-  uint32_t taken = engine->writers->len;
-
-  for (guint i = 0; i < engine->readings->len; i++)
-    {
-      const reading_t *reading = g_ptr_array_index (engine->readings, i);
-
-      taken += reading->has_slot && !reading->is_helper;
-    }
-  for (guint i = 0; i < engine->readings->len; i++)
-    {
-      reading_t *reading = g_ptr_array_index (engine->readings, i);
-
-      if (reading->has_slot)
-        continue;
-      reading->has_slot
-          = reading->is_helper || taken < world->load->model->slots;
-      taken += reading->has_slot && !reading->is_helper;
-    }
-}
-
-/** The next prompt to read: the newest part, then whole ones by age. */
-static reading_t *
-next_reading (engine_t *engine)
-{
-  reading_t *first = NULL;
-
-  for (guint i = 0; i < engine->readings->len; i++)
-    {
-      reading_t *reading = g_ptr_array_index (engine->readings, i);
-
-      if (reading->unread_ms <= 0 || !reading->has_slot)
-        continue;
-      if (reading->is_part)
-        first = reading;
-      else if (first == NULL)
-        first = reading;
-    }
-  return first;
-}
-
-/** Reads what the pass has room for; the time that takes. */
-static double
-read_in_pass (const world_t *world, engine_t *engine)
-{
-  double room_tokens = engine_pass_tokens (world->load->model);
-  double took_ms = 0;
-  reading_t *reading;
-
-  while (room_tokens >= 1 && (reading = next_reading (engine)) != NULL)
-    {
-      double rate = reading->tokens / reading->unread_ms;
-      double tokens = fmin (room_tokens, reading->tokens);
-      double read_ms = tokens / rate;
-
-      room_tokens -= tokens;
-      reading->tokens -= tokens;
-      reading->unread_ms -= read_ms;
-      took_ms += read_ms;
-      if (reading->tokens >= 0.5)
-        continue;
-      reading->unread_ms = 0;
-      g_ptr_array_add (engine->read_now, reading);
-    }
-  return took_ms;
-}
-
-static void
-begin_pass (world_t *world, engine_t *engine)
-{
-  double context_tokens = 0;
-  double pass_ms = 0;
-
-  for (guint i = 0; i < engine->writers->len; i++)
-    {
-      const request_t *request = g_ptr_array_index (engine->writers, i);
-
-      context_tokens += request->kv_tokens[0];
-    }
-  if (engine->writers->len > 0)
-    pass_ms = engine_pass_ms (world->load->model, engine->writers->len,
-                              context_tokens);
-  give_slots (world, engine);
-  pass_ms += read_in_pass (world, engine);
-  engine->pass_end_ms = pass_ms > 0 ? (double)world->now_ms + pass_ms : 0;
-}
-
-static void
-finish (world_t *world, request_t *request)
+void
+engines_finish (world_t *world, request_t *request)
 {
   for (uint32_t i = 0; i < request->job_count; i++)
     tell_end (world, request, request->jobs[i], UPSTREAM_JOB_GOOD);
   end_request (world, request, true);
 }
 
-static void
-write_event (world_t *world, request_t *request)
+void
+engines_write_event (world_t *world, request_t *request)
 {
   if (request->first_ms == 0)
     {
@@ -524,47 +357,6 @@
   request->events_left--;
 }
 
-static void
-end_pass (world_t *world, engine_t *engine)
-{
-  for (guint i = engine->writers->len; i-- > 0;)
-    {
-      request_t *request = g_ptr_array_index (engine->writers, i);
-
-      write_event (world, request);
-      if (request->events_left > 0)
-        continue;
-      g_ptr_array_remove_index (engine->writers, i);
-      finish (world, request);
-    }
-  for (guint i = 0; i < engine->read_now->len; i++)
-    {
-      reading_t *reading = g_ptr_array_index (engine->read_now, i);
-      request_t *request = reading->request;
-
-      if (--request->parts_left == 0)
-        g_ptr_array_add (world->engines[request->engines[0]].writers, request);
-      g_ptr_array_remove (engine->readings, reading);
-    }
-  g_ptr_array_set_size (engine->read_now, 0);
-  engine->pass_end_ms = 0;
-}
-
-static void
-run_engines (world_t *world)
-{
-  for (uint32_t i = 0; i < world->load->engines; i++)
-    {
-      engine_t *engine = &world->engines[i];
-
-      if (engine->pass_end_ms > 0
-          && engine->pass_end_ms <= (double)world->now_ms)
-        end_pass (world, engine);
-      if (engine->pass_end_ms == 0)
-        begin_pass (world, engine);
-    }
-}
-
 static request_t *
 request_new (world_t *world, uint32_t kind_index)
 {
@@ -675,7 +467,7 @@
       if (world.now_ms < end_ms)
         draw_arrivals (&world);
       tell_others (&world);
-      run_engines (&world);
+      engines_work (&world);
       if (world.now_ms % WAKE_EVERY_MS != 0)
         continue;
       take_returns (&world);
