t: known red: leave before an announcement was heard

Traced from the lines: the upstream had announced itself at one control instance only, which then stood still for 6.3 s. It said to another that it ends; that one knew nothing of it (known=0), acknowledged, and told nobody.

--- a/t/t8020-directory.c
+++ b/t/t8020-directory.c
@@ -150,6 +150,20 @@
   talloc_free (directory);
 }
 
+/** One that leaves before it was heard of here stays away, whatever comes. */
+static void
+test_leave_first (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t said = statement ("u", 100, 1);
+
+  directory_leave (directory, "u", 100, 1000);
+  directory_put (directory, &said, 1100);
+  g_assert_cmpint (entry_of (directory, "u", 100)->said.state, ==,
+                   DIRECTORY_GONE);
+  talloc_free (directory);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -160,5 +174,6 @@
   g_test_add_func ("/directory/address-used-again", test_address_used_again);
   g_test_add_func ("/directory/silence", test_silence);
   g_test_add_func ("/directory/own-standstill", test_own_standstill);
+  g_test_add_func ("/directory/leave-first", test_leave_first);
   return g_test_run ();
 }
