gateway: look at held requests once a change helps

Read again: each part of the directory that came while an instance starts took up every held request, logged that it waits and counted it anew, sixteen times with sixteen upstreams, where the metric's page says twice at most. Now upstreams are looked at only once there are enough; a configuration still turns away at once what it does not allow. What callers get is the same.

--- a/gateway-early.c
+++ b/gateway-early.c
@@ -84,6 +84,13 @@
     }
 }
 
+void
+gateway_end_early (gateway_t *gateway)
+{
+  if (gateway->early->len > 0 && !is_early (gateway))
+    gateway_look_at_early (gateway);
+}
+
 void
 gateway_on_early_end (evutil_socket_t fd, short what, void *context)
 {
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -162,10 +162,13 @@
 /** Its caller is gone. */
 void gateway_drop_early (gateway_t *gateway, caller_request_t *caller);
 
-/** A configuration or upstreams have come: takes on, or turns away, those held
- * that need not wait any more, in the order in which they came. */
+/** A configuration has come: takes on, or turns away, those held that need not
+ * wait any more, in the order in which they came. */
 void gateway_look_at_early (gateway_t *gateway);
 
+/** Upstreams have come: the same, once there are enough. */
+void gateway_end_early (gateway_t *gateway);
+
 /** The event of those that have waited for long enough. */
 void gateway_on_early_end (evutil_socket_t fd, short what, void *context);
 
--- a/gateway.c
+++ b/gateway.c
@@ -560,7 +560,7 @@
 gateway_follow (gateway_t *gateway, const directory_t *directory)
 {
   upstream_set_follow (gateway->set, directory, clock_mono_ms ());
-  gateway_look_at_early (gateway);
+  gateway_end_early (gateway);
   gateway_wake (gateway);
 }
 
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -253,6 +253,19 @@
   return strstr (fixture->answer->str, part) != NULL;
 }
 
+static bool
+metrics_have (const fixture_t *fixture, const char *text)
+{
+  struct evbuffer *out = evbuffer_new ();
+  bool have;
+
+  metrics_write (fixture->metrics, out);
+  evbuffer_add (out, "", 1);
+  have = strstr ((char *)evbuffer_pullup (out, -1), text) != NULL;
+  evbuffer_free (out);
+  return have;
+}
+
 static uint32_t
 requests (const fixture_t *fixture)
 {
@@ -377,6 +390,8 @@
   announce (fixture);
   WAIT (has (fixture, "body"));
   g_assert_cmpuint (fixture->upstreams[1].requests, ==, 0);
+  /* Once for the configuration and once for upstreams, not at each of these. */
+  g_assert_true (metrics_have (fixture, "lwm_gateway_early_total 2\n"));
   fixture_free (fixture);
 }
 
@@ -477,19 +492,6 @@
   fixture_free (fixture);
 }
 
-static bool
-metrics_have (const fixture_t *fixture, const char *text)
-{
-  struct evbuffer *out = evbuffer_new ();
-  bool have;
-
-  metrics_write (fixture->metrics, out);
-  evbuffer_add (out, "", 1);
-  have = strstr ((char *)evbuffer_pullup (out, -1), text) != NULL;
-  evbuffer_free (out);
-  return have;
-}
-
 /** What could never be served is not kept waiting for upstreams. */
 static void
 test_early_refusals (void)
