--- a/engine-memory.c
+++ b/engine-memory.c
@@ -54,6 +54,8 @@
   uint32_t tokens;
   uint32_t lease_ms; /* of the first order */
   uint32_t release_attempts;
+  uint32_t releases_sent;
+  uint64_t releasing_since_ms;
   engine_reservation_cb_t done;
   void *context;
   exchange_t *order; /* order in progress, or NULL */
@@ -152,8 +154,9 @@
       return;
     }
   metric_add (ticket->memory->released, 1);
-  log_info ("Released engine memory. ticket=%s status=%u", ticket->name,
-            status);
+  log_info ("Released engine memory. ticket=%s status=%u orders=%u took_ms=%ju",
+            ticket->name, status, ticket->releases_sent,
+            (uintmax_t)(clock_mono_ms () - ticket->releasing_since_ms));
   finish (ticket);
 }
 
@@ -266,6 +269,7 @@
 static void
 send_release (engine_reservation_t *ticket)
 {
+  ticket->releases_sent++;
   send_order (ticket, ticket->memory->options.protocol->write_release_order (
                           ticket->name));
 }
@@ -351,6 +355,7 @@
       return;
     }
   ticket->state = RESERVATION_RELEASING;
+  ticket->releasing_since_ms = clock_mono_ms ();
   if (ticket->order != NULL)
     exchange_cancel (ticket->order);
   ticket->order = NULL;
