engine-memory: repeat unanswered releases quickly

Callers saw no failure; engine memory stayed reserved for up to 5.6 s after its request (LEAK). A release that was not answered was repeated after 750 ms; while engines leave 8 orders in 10 unanswered, 64 in 100 such pairs have no effect. The first twelve are now sent at intervals of 150 ms; a connection that fails is still retried after 250 ms.

/engine-memory/unanswered-releases failed before (4512 ms with six unanswered orders, bound 1250 ms) and passes now.

--- a/engine-memory.c
+++ b/engine-memory.c
@@ -27,6 +27,10 @@
 #define ANSWER_TIMEOUT_MS    500
 #define RETRY_DELAY_MS       250
 #define MAX_RELEASE_ATTEMPTS 20
+/** The first orders that release are repeated at this interval, because engines
+ * may leave most of them unanswered and each is one more chance. */
+#define QUICK_RELEASE_INTERVAL_MS 150
+#define QUICK_RELEASES            12
 /** Interval at which a release is repeated while the order that reserves may
  * still be carried out. */
 #define LATE_ORDER_RELEASE_MS 2000
@@ -232,6 +236,13 @@
                                                 .on_end = on_end,
                                                 .on_failed = on_failed };
 
+static bool
+is_quick_release (const engine_reservation_t *ticket)
+{
+  return ticket->state == RESERVATION_RELEASING
+         && ticket->release_attempts < QUICK_RELEASES;
+}
+
 static void
 send_order (engine_reservation_t *ticket, char *body)
 {
@@ -251,7 +262,8 @@
   http_fields_add (scratch, &fields, "Host", ticket->address);
   http_fields_add (scratch, &fields, "Content-Type", "application/json");
   ticket->order = exchange_send (options->pool, &order);
-  set_timer (ticket, ANSWER_TIMEOUT_MS);
+  set_timer (ticket, is_quick_release (ticket) ? QUICK_RELEASE_INTERVAL_MS
+                                               : ANSWER_TIMEOUT_MS);
   g_free (body);
   talloc_free (scratch);
 }
@@ -284,7 +296,13 @@
       /* The engine does not answer, or the order was lost. */
       exchange_cancel (ticket->order);
       ticket->order = NULL;
-      handle_answer (ticket, 0);
+      if (is_quick_release (ticket))
+        {
+          ticket->release_attempts++;
+          send_release (ticket);
+        }
+      else
+        handle_answer (ticket, 0);
     }
   else if (ticket->state == RESERVATION_RELEASING)
     send_release (ticket);
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -25,6 +25,9 @@
 #define MEMORY_UNUSED_MS 9000
 /** Exceeds the time until an instance without heartbeats counts as lost. */
 #define PROCESS_PAUSE_MS 3000
+/** Time after which a silent instance of the own zone is taken for lost, with
+ * the interval at which that is checked. */
+#define INSTANCE_LOST_MS 2750
 /** Upper bound of the time in which an instance sends all its jobs again. */
 #define SHARE_INTERVAL_MS 1100
 
@@ -453,6 +456,25 @@
   orders_free (orders);
 }
 
+/* Guards against: memory that stays reserved after its request because an
+ * engine leaves most orders unanswered (LEAK). What remains of MEMORY_FREE_MS
+ * after an instance was taken for lost must suffice for many orders. */
+static void
+test_unanswered_releases (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  uint64_t since_ms = clock_mono_ms ();
+
+  orders->engine.silent = 6;
+  orders->engine.is_held = true;
+  engine_memory_release_orphan (orders->memory, 1, orders->address, 24);
+  WAIT (!orders->engine.is_held);
+  g_assert_cmpuint (clock_mono_ms () - since_ms, <,
+                    MEMORY_FREE_MS - INSTANCE_LOST_MS);
+  orders_free (orders);
+}
+
 /** Waits until the order was carried out late, and its memory given back. */
 static void
 expect_given_back (orders_t *orders)
@@ -519,6 +541,8 @@
   g_test_add_func ("/load-share/own-standstill", test_own_process_pause);
   g_test_add_func ("/engine-memory/tickets", test_reservations);
   g_test_add_func ("/engine-memory/lease", test_lease_follows_request);
+  g_test_add_func ("/engine-memory/unanswered-releases",
+                   test_unanswered_releases);
   g_test_add_func ("/engine-memory/late-order",
                    test_late_order_of_this_instance);
   g_test_add_func ("/engine-memory/late-order-of-lost-instance",
