load-share: report orphaned reservations to other placers

The instance that noticed the loss of an owner released the owner's reservations alone: it dropped their jobs from its reports at once, so when it failed as well, nobody else knew of them.

It now reports each orphan to the placer and stand-by of its zone and to the placers of the other zones, also when it does not report its zone to them, and all of them release it; releases are idempotent. A receiver that holds the request or is in contact with its owner ignores the report.

/load-share/orphan-reaches-other-zone failed before (other zone after 2752 to 3248 ms, bound 300 ms); /engine-memory/orphan-reported-twice failed before (two orders for two reports).

--- a/engine-memory.c
+++ b/engine-memory.c
@@ -72,6 +72,7 @@
   metric_t *requested;
   metric_t *refused;
   metric_t *released;
+  GHashTable *orphans; /* job id -> reservation of a lost instance */
   uint32_t open_count;
 };
 
@@ -83,6 +84,14 @@
   return memory->open_count;
 }
 
+static int
+free_memory (engine_memory_t *memory)
+{
+  talloc_free_children (memory);
+  g_hash_table_destroy (memory->orphans);
+  return 0;
+}
+
 engine_memory_t *
 engine_memory_new (void *parent, const engine_memory_options_t *options)
 {
@@ -90,6 +99,8 @@
   metrics_t *metrics = options->metrics;
 
   memory->options = *options;
+  memory->orphans = g_hash_table_new (g_int64_hash, g_int64_equal);
+  talloc_set_destructor (memory, free_memory);
   memory->requested
       = metrics_counter (metrics, "lwm_engine_memory_asked_total",
                          "Orders that reserve engine memory.", NULL);
@@ -111,6 +122,8 @@
     exchange_cancel (ticket->order);
   event_free (ticket->timer);
   ticket->memory->open_count--;
+  if (!ticket->is_own)
+    g_hash_table_remove (ticket->memory->orphans, &ticket->job_id);
   return 0;
 }
 
@@ -354,9 +367,12 @@
                               const char *address,
                               uint64_t job_id)
 {
-  engine_reservation_t *ticket
-      = reservation_new (memory, upstream, address, job_id);
+  engine_reservation_t *ticket;
 
+  if (g_hash_table_contains (memory->orphans, &job_id))
+    return;
+  ticket = reservation_new (memory, upstream, address, job_id);
+  g_hash_table_insert (memory->orphans, &ticket->job_id, ticket);
   log_info ("Releasing engine memory reserved by a lost instance. ticket=%s "
             "address=%s",
             ticket->name, address);
--- a/engine-memory.h
+++ b/engine-memory.h
@@ -64,6 +64,7 @@
 
 /**
  * Releases the reservation of a job whose instance can no longer do so itself.
+ * Does nothing while an earlier call for the same job is in progress.
  */
 void engine_memory_release_orphan (engine_memory_t *memory,
                                    uint64_t upstream,
--- a/load-batch.c
+++ b/load-batch.c
@@ -12,6 +12,7 @@
   GArray *begun;      /* upstream_job_t */
   GArray *answering;  /* uint64_t */
   GArray *ended;      /* Lwm__ShareEnded */
+  GArray *orphans;    /* Lwm__ShareOrphan */
   GArray *observed;   /* Lwm__ShareObservation */
   GPtrArray *targets; /* placer_peer_t */
   struct event *timer;
@@ -24,6 +25,7 @@
   g_array_free (batch->begun, TRUE);
   g_array_free (batch->answering, TRUE);
   g_array_free (batch->ended, TRUE);
+  g_array_free (batch->orphans, TRUE);
   g_array_free (batch->observed, TRUE);
   g_ptr_array_free (batch->targets, TRUE);
   return 0;
@@ -109,6 +111,8 @@
   update.n_answering = batch->answering->len;
   update.ended = point_to_elements (batch->ended);
   update.n_ended = batch->ended->len;
+  update.orphans = point_to_elements (batch->orphans);
+  update.n_orphans = batch->orphans->len;
   update.observed = point_to_elements (batch->observed);
   update.n_observed = batch->observed->len;
   if (whole)
@@ -121,9 +125,11 @@
   g_array_set_size (batch->begun, 0);
   g_array_set_size (batch->answering, 0);
   g_array_set_size (batch->ended, 0);
+  g_array_set_size (batch->orphans, 0);
   g_array_set_size (batch->observed, 0);
   g_free (update.begun);
   g_free (update.ended);
+  g_free (update.orphans);
   g_free (update.observed);
   g_array_free (messages, TRUE);
 }
@@ -177,6 +183,19 @@
   schedule_batch (batch);
 }
 
+void
+load_batch_add_orphan (load_batch_t *batch, uint64_t job_id, uint64_t upstream)
+{
+  Lwm__ShareOrphan orphan = LWM__SHARE_ORPHAN__INIT;
+
+  if (batch->targets->len == 0)
+    return;
+  orphan.id = job_id;
+  orphan.upstream = upstream;
+  g_array_append_val (batch->orphans, orphan);
+  schedule_batch (batch);
+}
+
 void
 load_batch_add_observation (load_batch_t *batch,
                             const Lwm__ShareObservation *observation)
@@ -217,6 +236,7 @@
   batch->begun = g_array_new (FALSE, FALSE, sizeof (upstream_job_t));
   batch->answering = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   batch->ended = g_array_new (FALSE, FALSE, sizeof (Lwm__ShareEnded));
+  batch->orphans = g_array_new (FALSE, FALSE, sizeof (Lwm__ShareOrphan));
   batch->observed = g_array_new (FALSE, FALSE, sizeof (Lwm__ShareObservation));
   batch->targets = g_ptr_array_new ();
   batch->timer = event_new (options->base, -1, 0, on_batch, batch);
--- a/load-batch.h
+++ b/load-batch.h
@@ -43,6 +43,8 @@
 void load_batch_add_first_event (load_batch_t *batch, uint64_t job_id);
 void
 load_batch_add_ended (load_batch_t *batch, uint64_t job_id, Lwm__ShareEnd how);
+void
+load_batch_add_orphan (load_batch_t *batch, uint64_t job_id, uint64_t upstream);
 void load_batch_add_observation (load_batch_t *batch,
                                  const Lwm__ShareObservation *observation);
 
--- a/load-share.c
+++ b/load-share.c
@@ -155,36 +155,84 @@
   upstream_set_drop_jobs (share->options.set, is_dropped, &drop);
 }
 
-/** The job of an instance that was lost. */
+/** Collects the jobs of a lost instance that have reservations. */
 typedef struct
 {
   const load_share_t *share;
   uint64_t source;
-} lost_t;
+  GArray *orphans; /* upstream_job_t */
+} orphan_search_t;
 
 static void
-report_if_orphan (const upstream_job_t *job, void *context)
+collect_orphan (const upstream_job_t *job, void *context)
 {
-  const lost_t *lost = context;
-  const load_share_options_t *options = &lost->share->options;
+  orphan_search_t *search = context;
 
-  if (job->source != lost->source || !job->has_reservation
-      || options->on_orphan == NULL)
+  if (job->source != search->source || !job->has_reservation)
     return;
   /* Jobs that another instance reports have that one as their source. In the
    * own zone, the instance that holds the request may live and report anew. */
-  if (job->owner != lost->source
-      && g_hash_table_contains (lost->share->senders, &job->owner))
+  if (job->owner != search->source
+      && g_hash_table_contains (search->share->senders, &job->owner))
     return;
-  options->on_orphan (job, options->context);
+  g_array_append_val (search->orphans, *job);
+}
+
+static void
+release_orphan (const load_share_t *share, const upstream_job_t *job)
+{
+  const load_share_options_t *options = &share->options;
+
+  if (options->on_orphan != NULL)
+    options->on_orphan (job, options->context);
+}
+
+/**
+ * Reports orphans to the instances that choose upstreams, in this zone and in
+ * others, whether or not this one reports its zone to them.
+ */
+static void
+announce_orphans (load_share_t *share, const GArray *orphans)
+{
+  GPtrArray *zone_targets = load_batch_targets (share->zone);
+
+  if (zone_targets->len == 0)
+    placer_ranking_zone_targets (share->options.ranking, clock_mono_ms (),
+                                 zone_targets);
+  for (guint i = 0; i < orphans->len; i++)
+    {
+      const upstream_job_t *job = &g_array_index (orphans, upstream_job_t, i);
+
+      load_batch_add_orphan (share->own, job->id, job->upstream);
+      load_batch_add_orphan (share->zone, job->id, job->upstream);
+    }
+  load_batch_flush (share->own);
+  load_batch_flush (share->zone);
+  load_share_update_targets (share);
+}
+
+/** Releases the reservations that a lost instance left, here and at others:
+ * this instance may fail before its orders have been carried out. */
+static void
+release_orphans (load_share_t *share, uint64_t source)
+{
+  orphan_search_t search
+      = { .share = share,
+          .source = source,
+          .orphans = g_array_new (FALSE, FALSE, sizeof (upstream_job_t)) };
+
+  upstream_set_each_job (share->options.set, collect_orphan, &search);
+  for (guint i = 0; i < search.orphans->len; i++)
+    release_orphan (share, &g_array_index (search.orphans, upstream_job_t, i));
+  if (search.orphans->len > 0)
+    announce_orphans (share, search.orphans);
+  g_array_free (search.orphans, TRUE);
 }
 
 /** Removes the jobs that an instance reported, which has timed out. */
 static void
 forget_sender (load_share_t *share, const sender_t *sender)
 {
-  lost_t lost = { .share = share, .source = sender->incarnation };
-
   log_info ("Lost contact with an entry instance. incarnation=%ju zone=%s",
             (uintmax_t)sender->incarnation,
             sender->zone != NULL ? sender->zone : "-");
@@ -192,7 +240,7 @@
    * tell whether the lost one's stand-by has taken over. */
   if (sender->is_own_zone
       || placer_ranking_is_placer (share->options.ranking, clock_mono_ms ()))
-    upstream_set_each_job (share->options.set, report_if_orphan, &lost);
+    release_orphans (share, sender->incarnation);
   drop_source (share, sender->incarnation, UINT64_MAX);
   if (share->options.on_lost != NULL)
     share->options.on_lost (sender->incarnation, share->options.context);
@@ -353,6 +401,26 @@
     }
 }
 
+/** Releases reservations that another instance found orphaned, unless this one
+ * holds the request or is in contact with the instance that does. */
+static void
+import_orphans (load_share_t *share, const Lwm__ShareUpdate *update)
+{
+  for (size_t i = 0; i < update->n_orphans; i++)
+    {
+      const Lwm__ShareOrphan *orphan = update->orphans[i];
+      const upstream_job_t *known
+          = upstream_set_job (share->options.set, orphan->id);
+      upstream_job_t job = { .id = orphan->id, .upstream = orphan->upstream };
+
+      if (known != NULL
+          && (known->owner == 0
+              || g_hash_table_contains (share->senders, &known->owner)))
+        continue;
+      release_orphan (share, &job);
+    }
+}
+
 /** Passes changes of the own zone on to other zones. */
 static void
 forward_changes (load_share_t *share, const Lwm__ShareUpdate *update)
@@ -362,6 +430,9 @@
                           update->ended[i]->how);
   for (size_t i = 0; i < update->n_answering; i++)
     load_batch_add_first_event (share->zone, update->answering[i]);
+  for (size_t i = 0; i < update->n_orphans; i++)
+    load_batch_add_orphan (share->zone, update->orphans[i]->id,
+                           update->orphans[i]->upstream);
   for (size_t i = 0; i < update->n_observed; i++)
     load_batch_add_observation (share->zone, update->observed[i]);
 }
@@ -383,6 +454,7 @@
     import_job (share, sender, update->begun[i], now_ms);
   for (size_t i = 0; i < update->n_answering; i++)
     upstream_set_progress (set, update->answering[i], now_ms);
+  import_orphans (share, update);
   import_observations (share, update);
   if (sender->is_own_zone)
     forward_changes (share, update);
--- a/load-share.h
+++ b/load-share.h
@@ -37,7 +37,8 @@
   upstream_set_t *set;
   /** The jobs of other instances have changed; may be NULL. */
   void (*on_change) (void *context);
-  /** An instance timed out and has left reserved memory; may be NULL. */
+  /** A lost instance has left reserved memory, with the id and upstream of the
+   * job; may be NULL. May be called several times for the same job. */
   void (*on_orphan) (const upstream_job_t *job, void *context);
   /** An instance timed out; may be NULL. */
   void (*on_lost) (uint64_t incarnation, void *context);
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -28,6 +28,8 @@
 /** Time after which a silent instance of the own zone is taken for lost, with
  * the interval at which that is checked. */
 #define INSTANCE_LOST_MS 2750
+/** Bound of the time in which an instance tells others of an orphan. */
+#define ORPHAN_REPORT_MS 300
 /** Upper bound of the time in which an instance sends all its jobs again. */
 #define SHARE_INTERVAL_MS 1100
 
@@ -79,12 +81,12 @@
 }
 
 static void
-open_instance (fixture_t *fixture, instance_t *instance)
+open_instance_in (fixture_t *fixture, instance_t *instance, const char *zone)
 {
   upstream_set_options_t set = { 0 };
   zone_placement_options_t options = { .base = fixture->base,
                                        .listen = instance->listen,
-                                       .zone = "z",
+                                       .zone = zone,
                                        .find_service = find_service,
                                        .on_orphan = on_orphan,
                                        .context = instance };
@@ -97,6 +99,12 @@
   g_assert_nonnull (instance->placement);
 }
 
+static void
+open_instance (fixture_t *fixture, instance_t *instance)
+{
+  open_instance_in (fixture, instance, "z");
+}
+
 static fixture_t *
 fixture_new (void)
 {
@@ -232,6 +240,41 @@
   fixture_free (fixture);
 }
 
+/* Guards against: memory that stays reserved because the one instance that
+ * knows of an orphan fails as well (LEAK). The placer of another zone must
+ * release it too, at the same time. */
+static void
+test_orphan_reaches_other_zone (void)
+{
+  fixture_t *fixture = fixture_new ();
+  struct event_base *base = fixture->base;
+  instance_t far = { 0 };
+  char *zone = (char *)"y";
+  char *addresses[3] = { fixture->one.listen, fixture->other.listen };
+  char *zones[3] = { (char *)"z", (char *)"z", zone };
+  uint64_t id;
+  uint64_t found_ms;
+
+  open_instance_in (fixture, &far, zone);
+  addresses[2] = far.listen;
+  zone_placement_add_instances (fixture->one.placement, addresses, zones, 3);
+  zone_placement_add_instances (fixture->other.placement, addresses, zones, 3);
+  zone_placement_add_instances (far.placement, addresses, zones, 3);
+  id = begin_job (fixture, &fixture->one, true);
+  WAIT (upstream_set_job (fixture->other.set, id + 1) != NULL);
+  WAIT (upstream_set_job (far.set, id + 1) != NULL);
+  talloc_free (fixture->one.placement);
+  fixture->one.placement = NULL;
+  WAIT (fixture->other.orphan == id + 1);
+  found_ms = clock_mono_ms ();
+  WAIT (far.orphan == id + 1);
+  g_assert_cmpuint (clock_mono_ms () - found_ms, <, ORPHAN_REPORT_MS);
+  talloc_free (far.placement);
+  talloc_free (far.metrics);
+  talloc_free (far.set);
+  fixture_free (fixture);
+}
+
 /* Both instances are paused for longer than the heartbeat timeout. Each must
  * read its backlog before it treats the other as lost and the other's
  * reservation as orphaned. */
@@ -475,6 +518,21 @@
   orders_free (orders);
 }
 
+/** Two instances may report the same orphan; it is released once. */
+static void
+test_orphan_reported_twice (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  uint64_t since_ms = clock_mono_ms ();
+
+  engine_memory_release_orphan (orders->memory, 1, orders->address, 25);
+  engine_memory_release_orphan (orders->memory, 1, orders->address, 25);
+  WAIT (clock_mono_ms () > since_ms + 1000);
+  g_assert_cmpuint (orders->engine.releases, ==, 1);
+  orders_free (orders);
+}
+
 /** Waits until the order was carried out late, and its memory given back. */
 static void
 expect_given_back (orders_t *orders)
@@ -538,11 +596,15 @@
   g_test_add_func ("/load-share/jobs", test_jobs_reach_other_instance);
   g_test_add_func ("/load-share/count", test_instances_are_counted_once);
   g_test_add_func ("/load-share/lost-instance", test_lost_instance);
+  g_test_add_func ("/load-share/orphan-reaches-other-zone",
+                   test_orphan_reaches_other_zone);
   g_test_add_func ("/load-share/own-standstill", test_own_process_pause);
   g_test_add_func ("/engine-memory/tickets", test_reservations);
   g_test_add_func ("/engine-memory/lease", test_lease_follows_request);
   g_test_add_func ("/engine-memory/unanswered-releases",
                    test_unanswered_releases);
+  g_test_add_func ("/engine-memory/orphan-reported-twice",
+                   test_orphan_reported_twice);
   g_test_add_func ("/engine-memory/late-order",
                    test_late_order_of_this_instance);
   g_test_add_func ("/engine-memory/late-order-of-lost-instance",
--- a/zone-placement.h
+++ b/zone-placement.h
@@ -36,7 +36,7 @@
   bool (*find_service) (const char *name,
                         placer_service_t *service,
                         void *context);
-  /** An instance timed out and has left reserved memory. */
+  /** A lost instance has left reserved memory, see load_share_options_t. */
   void (*on_orphan) (const upstream_job_t *job, void *context);
   void *context;
   metrics_t *metrics;
