load-share: notice that an instance started again

Callers saw no failure; engine memory stayed reserved after its request (LEAK). A whole update names the sender's address: earlier incarnations of an instance of the same zone at that address are now forgotten at once, with their orphans released.

--- a/load-share.c
+++ b/load-share.c
@@ -40,6 +40,7 @@
   uint64_t heard_ms;
   bool is_own_zone;
   char *zone;
+  char *address; /* at which it listens, or NULL while it is unknown */
 } sender_t;
 
 struct load_share
@@ -64,6 +65,7 @@
   sender_t *sender = data;
 
   g_free (sender->zone);
+  g_free (sender->address);
   g_free (sender);
 }
 
@@ -487,6 +489,27 @@
   share->view_heard_ms = now_ms;
 }
 
+/** Forgets earlier incarnations of an instance of the own zone: another one
+ * listens at their address. */
+static void
+forget_earlier_incarnations (load_share_t *share, const sender_t *newer)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, share->senders);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const sender_t *sender = value;
+
+      if (sender == newer || !sender->is_own_zone
+          || g_strcmp0 (sender->address, newer->address) != 0)
+        continue;
+      forget_sender (share, sender);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
 /** Stores what a whole update says of its sender. */
 static void
 update_sender (load_share_t *share,
@@ -502,6 +525,11 @@
       g_free (sender->zone);
       sender->zone = g_strdup (update->zone);
     }
+  if (sender->address == NULL && sender->is_own_zone)
+    {
+      sender->address = g_strdup (update->address);
+      forget_earlier_incarnations (share, sender);
+    }
   if (update->is_zone && peer != NULL)
     placer_ranking_on_acting (peer, now_ms);
 }
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -28,6 +28,9 @@
 /** Time after which a silent instance of the own zone is taken for lost, with
  * the interval at which that is checked. */
 #define INSTANCE_LOST_MS 2750
+/** Bound of the time until others know that an instance has started again. It
+ * reports itself within SHARE_INTERVAL_MS. */
+#define RESTART_NOTICED_MS (SHARE_INTERVAL_MS + 300)
 /** Bound of the time in which an instance tells others of an orphan. */
 #define ORPHAN_REPORT_MS 300
 /** Upper bound of the time in which an instance sends all its jobs again. */
@@ -80,8 +83,22 @@
   return g_str_equal (name, "s");
 }
 
+#define WAIT(condition)                                                        \
+  do                                                                           \
+    {                                                                          \
+      uint64_t end_ms = clock_mono_ms () + WAIT_TIMEOUT_MS;                    \
+      while (!(condition) && clock_mono_ms () < end_ms)                        \
+        {                                                                      \
+          event_base_loop (base, EVLOOP_NONBLOCK);                             \
+          g_usleep (500);                                                      \
+        }                                                                      \
+      g_assert_true (condition);                                               \
+    }                                                                          \
+  while (0)
+
+/** Starts an instance that listens on its address. */
 static void
-open_instance_in (fixture_t *fixture, instance_t *instance, const char *zone)
+start_instance (fixture_t *fixture, instance_t *instance, const char *zone)
 {
   upstream_set_options_t set = { 0 };
   zone_placement_options_t options = { .base = fixture->base,
@@ -91,14 +108,26 @@
                                        .on_orphan = on_orphan,
                                        .context = instance };
 
-  choose_free_address (instance->listen);
   instance->set = options.set = upstream_set_new (NULL, &set);
   upstream_set_sync (instance->set, fixture->directory, clock_mono_ms ());
   instance->metrics = options.metrics = metrics_new (NULL);
-  instance->placement = zone_placement_new (NULL, &options);
+  /* The library closes the listening socket of an earlier one in its own
+   * thread. */
+  for (uint32_t i = 0; i < 100 && instance->placement == NULL; i++)
+    {
+      g_usleep (10000);
+      instance->placement = zone_placement_new (NULL, &options);
+    }
   g_assert_nonnull (instance->placement);
 }
 
+static void
+open_instance_in (fixture_t *fixture, instance_t *instance, const char *zone)
+{
+  choose_free_address (instance->listen);
+  start_instance (fixture, instance, zone);
+}
+
 static void
 open_instance (fixture_t *fixture, instance_t *instance)
 {
@@ -145,19 +174,6 @@
   g_free (fixture);
 }
 
-#define WAIT(condition)                                                        \
-  do                                                                           \
-    {                                                                          \
-      uint64_t end_ms = clock_mono_ms () + WAIT_TIMEOUT_MS;                    \
-      while (!(condition) && clock_mono_ms () < end_ms)                        \
-        {                                                                      \
-          event_base_loop (base, EVLOOP_NONBLOCK);                             \
-          g_usleep (500);                                                      \
-        }                                                                      \
-      g_assert_true (condition);                                               \
-    }                                                                          \
-  while (0)
-
 /** Begins the job of a request; with @a reserves, a helper reserves memory for
  * it, whose job has the next id. */
 static uint64_t
@@ -240,6 +256,34 @@
   fixture_free (fixture);
 }
 
+/* Guards against: memory that stays reserved because an instance that ended and
+ * started again is waited for although it has said that it is a new one
+ * (LEAK). */
+static void
+test_restarted_instance (void)
+{
+  fixture_t *fixture = fixture_new ();
+  struct event_base *base = fixture->base;
+  uint64_t id = begin_job (fixture, &fixture->one, true);
+  instance_t *one = &fixture->one;
+  char *addresses[2] = { one->listen, fixture->other.listen };
+  char *zones[2] = { (char *)"z", (char *)"z" };
+  uint64_t ended_ms = clock_mono_ms () + SHARE_INTERVAL_MS;
+
+  WAIT (clock_mono_ms () > ended_ms);
+  g_assert_nonnull (upstream_set_job (fixture->other.set, id + 1));
+  talloc_free (one->placement);
+  one->placement = NULL;
+  talloc_free (one->metrics);
+  talloc_free (one->set);
+  ended_ms = clock_mono_ms ();
+  start_instance (fixture, one, "z");
+  zone_placement_add_instances (one->placement, addresses, zones, 2);
+  WAIT (fixture->other.orphan == id + 1);
+  g_assert_cmpuint (clock_mono_ms () - ended_ms, <, RESTART_NOTICED_MS);
+  fixture_free (fixture);
+}
+
 /* Guards against: memory that stays reserved because the one instance that
  * knows of an orphan fails as well (LEAK). The placer of another zone must
  * release it too, at the same time. */
@@ -596,6 +640,7 @@
   g_test_add_func ("/load-share/jobs", test_jobs_reach_other_instance);
   g_test_add_func ("/load-share/count", test_instances_are_counted_once);
   g_test_add_func ("/load-share/lost-instance", test_lost_instance);
+  g_test_add_func ("/load-share/restarted-instance", test_restarted_instance);
   g_test_add_func ("/load-share/orphan-reaches-other-zone",
                    test_orphan_reaches_other_zone);
   g_test_add_func ("/load-share/own-standstill", test_own_process_pause);
