engine-memory: repeat releases quickly until the memory is free

After twelve quick orders the next ones came at 750 ms. The quick ones now cover 3.9 s, the time after which memory counts as leaked.

/engine-memory/many-unanswered-releases failed before (7589 ms, bound 4000 ms).

--- a/engine-memory.c
+++ b/engine-memory.c
@@ -26,11 +26,12 @@
 #define RENEW_INTERVAL_MS    2500
 #define ANSWER_TIMEOUT_MS    500
 #define RETRY_DELAY_MS       250
-#define MAX_RELEASE_ATTEMPTS 20
+#define MAX_RELEASE_ATTEMPTS 36
 /** The first orders that release are repeated at this interval, because engines
- * may leave most of them unanswered and each is one more chance. */
+ * may leave most of them unanswered and each is one more chance. They cover the
+ * time after which the memory counts as leaked. */
 #define QUICK_RELEASE_INTERVAL_MS 150
-#define QUICK_RELEASES            12
+#define QUICK_RELEASES            26
 /** Interval at which a release is repeated while the order that reserves may
  * still be carried out. */
 #define LATE_ORDER_RELEASE_MS 2000
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -562,6 +562,26 @@
   orders_free (orders);
 }
 
+/* Guards against: memory that stays reserved after a request that ended earlier
+ * than predicted, because the orders that release it become rare while its
+ * lease goes on (LEAK). */
+static void
+test_many_unanswered_releases (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  engine_reservation_t *ticket = reserve (orders, 26);
+  uint64_t since_ms;
+
+  orders->engine.silent = 20;
+  WAIT (orders->held == 1);
+  since_ms = clock_mono_ms ();
+  engine_memory_release (ticket);
+  WAIT (orders->released == 26);
+  g_assert_cmpuint (clock_mono_ms () - since_ms, <, MEMORY_FREE_MS);
+  orders_free (orders);
+}
+
 /** Two instances may report the same orphan; it is released once. */
 static void
 test_orphan_reported_twice (void)
@@ -648,6 +668,8 @@
   g_test_add_func ("/engine-memory/lease", test_lease_follows_request);
   g_test_add_func ("/engine-memory/unanswered-releases",
                    test_unanswered_releases);
+  g_test_add_func ("/engine-memory/many-unanswered-releases",
+                   test_many_unanswered_releases);
   g_test_add_func ("/engine-memory/orphan-reported-twice",
                    test_orphan_reported_twice);
   g_test_add_func ("/engine-memory/late-order",
