control: log the load of an instance

The lines of a control instance did not say what it did while it stood still, nor where its memory went. A line now states, when many messages passed or the loop was held up, the processor time, the longest time between two ticks, the messages, bytes and watches, and the resident memory; two counters go with it.

--- a/control-internal.h
+++ b/control-internal.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "control-directory.h"
+#include "control-load.h"
 #include "control-peers.h"
 #include "control-server.h"
 #include "mq.h"
@@ -37,6 +38,8 @@
   metric_t *snapshots_received;
   metric_t *malformed;
   metric_t *no_room;
+  metric_t *watches;
+  metric_t *dropped;
 } control_counters_t;
 
 typedef struct control_requests control_requests_t;
@@ -74,6 +77,7 @@
   uint64_t leader;    /* incarnation of the leader that was logged last */
   uint64_t term;      /* term that was logged last */
   control_counters_t counters;
+  control_load_t load;
 };
 
 /** Registers the replica's metrics. */
--- a/control-report.c
+++ b/control-report.c
@@ -115,6 +115,11 @@
       metrics, "lwm_control_no_room_total",
       "times the disk was full and the replica took no part in the group",
       NULL);
+  counters->watches = metrics_counter (metrics, "lwm_control_watches_total",
+                                       "Requests of clients that watch.", NULL);
+  counters->dropped = metrics_counter (
+      metrics, "lwm_control_dropped_total",
+      "Messages not sent because the receiver's queue was full or gone.", NULL);
   counters->snapshots_received
       = metrics_counter (metrics, "lwm_control_snapshots_received_total",
                          "Snapshots installed from a leader.", NULL);
--- a/control-server.c
+++ b/control-server.c
@@ -95,6 +95,8 @@
 
   if (sent)
     count_sent_message (server, size_bytes);
+  else
+    metric_add (server->counters.dropped, 1);
 }
 
 /** Packs a message to another replica.
@@ -178,6 +180,8 @@
   frames[1].size_bytes = size_bytes;
   if (mq_send (server->router, frames, 2))
     count_sent_message (server, size_bytes);
+  else
+    metric_add (server->counters.dropped, 1);
   g_free (data);
 }
 
@@ -389,12 +393,29 @@
                 lwm__control_command__pack (&command, data));
 }
 
+static void
+record_load (control_server_t *server, uint64_t now_ms)
+{
+  const control_counters_t *counters = &server->counters;
+  control_load_totals_t totals
+      = { .messages_in = (uint64_t)metric_value (counters->messages_in),
+          .bytes_in = (uint64_t)metric_value (counters->bytes_in),
+          .messages_out = (uint64_t)metric_value (counters->messages_out),
+          .bytes_out = (uint64_t)metric_value (counters->bytes_out),
+          .watches = (uint64_t)metric_value (counters->watches),
+          .dropped = (uint64_t)metric_value (counters->dropped) };
+
+  control_load_tick (&server->load, &totals,
+                     control_watch_count (server->watch), now_ms);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
   control_server_t *server = arg;
   uint64_t now_ms = clock_mono_ms ();
 
+  record_load (server, now_ms);
   control_directory_tick (server->directory, now_ms);
   if (!server->disk_is_full)
     {
--- a/control-watch.c
+++ b/control-watch.c
@@ -159,6 +159,7 @@
       = request->epoch == control_directory_epoch (server->directory);
   void *scratch = talloc_new (watch);
 
+  metric_add (server->counters.watches, 1);
   if (watcher != NULL)
     update_watcher (watch, watcher, request);
   record_instance (watch, request->address, request->zone);
