control-client: ask slow instances less often, not more

A client repeated a watch each 100 ms until it had a configuration, answered or not, and while instances answered that they may be behind, it asked the next one at once and so all of them in turn.

A watch without a usable answer is now repeated after 0.25 s at the earliest, doubling to 2 s, with jitter, also after a change of the source. An instance that may be behind sends its revision to the clients that asked as soon as it is current, so that they need not ask.

--- a/control-client-internal.h
+++ b/control-client-internal.h
@@ -25,11 +25,13 @@
   mq_t *mq;
   uint64_t unanswered_since_ms; /* time of oldest unanswered message, or 0 */
   uint64_t sent_ms;             /* time of the last message sent */
+  uint64_t watch_sent_ms;       /* time of the last watch, or 0 */
   uint64_t watch_due_ms;
-  uint64_t epoch;            /* epoch of the directory last received */
-  uint64_t version;          /* version of the directory last received */
-  uint64_t watchers_version; /* version of the watchers last received */
-  bool is_own_zone;          /* in the availability zone of the client */
+  uint32_t fruitless_watches; /* sent in a row without a usable answer */
+  uint64_t epoch;             /* epoch of the directory last received */
+  uint64_t version;           /* version of the directory last received */
+  uint64_t watchers_version;  /* version of the watchers last received */
+  bool is_own_zone;           /* in the availability zone of the client */
 } control_peer_t;
 
 typedef struct
--- a/control-client-watch.c
+++ b/control-client-watch.c
@@ -1,15 +1,49 @@
 #include <string.h>
+#include <sys/param.h>
 #include <talloc.h>
 
 #include "base.h"
 #include "control-client-internal.h"
 
 #define WATCH_INTERVAL_MS 1000
-#define FIRST_WATCH_MS    100  /* watch interval while no revision is known */
-#define WATCH_TIMEOUT_MS  2500 /* source timeout: next peer becomes source */
-#define REJECT_STALE_MS   2000 /* see is_watch_answer_usable() */
-#define MAX_BEHIND_MS     100  /* tolerated lag: the source may push later */
-#define KEEP_SOURCE_MS    5000 /* a new source is kept at least this long */
+/** Time until a watch is repeated that had no usable answer; it doubles with
+ * each repetition. All clients of a fleet may wait at the same time, so the
+ * slower the instances are, the less often they are asked. */
+#define FIRST_REPEAT_MS  250
+#define MAX_REPEAT_MS    2000
+#define WATCH_TIMEOUT_MS 2500 /* source timeout: next peer becomes source */
+#define REJECT_STALE_MS  2000 /* see is_watch_answer_usable() */
+#define MAX_BEHIND_MS    100  /* tolerated lag: the source may push later */
+#define KEEP_SOURCE_MS   5000 /* a new source is kept at least this long */
+
+/** Returns a time that differs by up to an eighth, so that clients that started
+ * together do not ask at the same moment. */
+static uint64_t
+add_jitter (uint64_t wait_ms)
+{
+  return wait_ms - wait_ms / 8 + random_id () % (wait_ms / 4 + 1);
+}
+
+/** Returns how long a watch to a peer is not repeated. */
+static uint64_t
+repeat_delay_ms (const control_peer_t *peer)
+{
+  uint32_t doublings = MIN (peer->fruitless_watches, 4);
+
+  return MIN ((uint64_t)FIRST_REPEAT_MS << doublings, MAX_REPEAT_MS);
+}
+
+/** Schedules a watch as early as its peer may be asked again. */
+static void
+watch_soon (control_peer_t *peer)
+{
+  uint64_t earliest_ms
+      = peer->watch_sent_ms > 0
+            ? peer->watch_sent_ms + add_jitter (repeat_delay_ms (peer))
+            : 0;
+
+  peer->watch_due_ms = MIN (peer->watch_due_ms, earliest_ms);
+}
 
 /** Makes a peer the revision source, and schedules a watch request to it. */
 static void
@@ -18,7 +52,7 @@
   client->source = index;
   client->source_heard_ms = client->source_since_ms = clock_mono_ms ();
   client->behind_since_ms = 0;
-  client->peers[index]->watch_due_ms = 0;
+  watch_soon (client->peers[index]);
 }
 
 /** Makes the next peer the revision source. */
@@ -62,8 +96,8 @@
       peer->version = part->version;
     }
   else
-    /* An earlier message was lost: ask again without delay. */
-    peer->watch_due_ms = 0;
+    /* An earlier message was lost. */
+    watch_soon (peer);
   if (part->watchers_version > 0)
     peer->watchers_version = part->watchers_version;
   if (client->options.zone != NULL && *part->zone != '\0')
@@ -106,6 +140,8 @@
                                control_peer_t *peer,
                                const Lwm__ControlAnswer *answer)
 {
+  if (!answer->stale)
+    peer->fruitless_watches = 0;
   if (answer->revision != NULL && is_watch_answer_usable (client, answer))
     {
       control_client_accept_revision (client, answer->revision);
@@ -136,8 +172,10 @@
   size_t size_bytes;
   uint8_t *data;
 
+  peer->watch_sent_ms = now_ms;
   peer->watch_due_ms
-      = now_ms + (client->known > 0 ? WATCH_INTERVAL_MS : FIRST_WATCH_MS);
+      = now_ms + add_jitter (MAX (repeat_delay_ms (peer), WATCH_INTERVAL_MS));
+  peer->fruitless_watches++;
   what.known = client->known;
   what.no_config = !is_source || client->options.on_revision == NULL;
   what.directory = client->options.on_directory != NULL;
--- a/control-internal.h
+++ b/control-internal.h
@@ -66,6 +66,7 @@
   /* The disk is full. The replica takes no part in the group, like a replica
    * behind a network partition, until it can save its state. */
   bool disk_is_full;
+  bool was_stale;           /* after the last pass of the loop */
   uint64_t applied;         /* index of the last applied log entry */
   uint64_t snapshot_index;  /* last log entry in the snapshot */
   uint64_t snapshot_due_ms; /* earliest next snapshot, after a full disk */
@@ -154,7 +155,8 @@
                             const Lwm__ControlWatch *request);
 
 /** Pushes the last revision to the clients that watch the configuration, and
- * its number to the other clients. */
+ * its number to the other clients. Does nothing while this replica may be
+ * behind; it is called again when that ends. */
 void control_watch_push (control_watch_t *watch);
 
 /**
--- a/control-server.c
+++ b/control-server.c
@@ -346,6 +346,18 @@
   talloc_free (voters);
 }
 
+/** Sends the revision to the clients that watched while this replica may have
+ * been behind. */
+static void
+push_when_current (control_server_t *server)
+{
+  bool is_stale = control_server_is_stale (server);
+
+  if (server->was_stale && !is_stale)
+    control_watch_push (server->watch);
+  server->was_stale = is_stale;
+}
+
 /** Saves and sends the results of one loop pass, and applies committed
  * entries. */
 static void
@@ -368,6 +380,7 @@
   log_leader_change (server);
   control_requests_check_role (server->requests);
   control_requests_answer_reads (server->requests);
+  push_when_current (server);
   control_disk_snapshot (server, clock_mono_ms ());
 }
 
--- a/control-watch.c
+++ b/control-watch.c
@@ -16,7 +16,9 @@
 /** A client that watches the configuration, the directory or both. */
 typedef struct
 {
-  uint64_t known; /* revision last sent to the client, or known to it */
+  /* Revision last sent to the client, or known to it. A revision that was sent
+   * while this replica may have been behind is sent again. */
+  uint64_t known;
   uint64_t expires_ms;
   bool wants_config;
   bool wants_directory;
@@ -138,8 +140,10 @@
 {
   control_server_t *server = watch->server;
 
-  watcher->known
-      = MAX (request->known, statemachine_revision (server->machine)->number);
+  watcher->known = request->known;
+  if (!control_server_is_stale (server))
+    watcher->known
+        = MAX (watcher->known, statemachine_revision (server->machine)->number);
   watcher->expires_ms = clock_mono_ms () + WATCHER_TIMEOUT_MS;
   watcher->wants_config = !request->no_config;
   watcher->wants_directory = request->directory;
@@ -201,6 +205,8 @@
   gpointer key;
   gpointer value;
 
+  if (control_server_is_stale (server))
+    return;
   expire_watchers (watch);
   g_hash_table_iter_init (&iter, watch->watchers);
   while (g_hash_table_iter_next (&iter, &key, &value))
