load-share: believe that an instance is lost that was not heard lately

Its placer ignored the report that an instance is lost when it knew that instance, as every placer does of one that reported its zone itself, and then waited for its own timeout of 3.5 s (LEAK). The report is now ignored only if an update of the instance came within 1.5 s.

The test waits until the two have agreed on who reports the zone, and plays both cases.

--- a/load-share.c
+++ b/load-share.c
@@ -22,6 +22,9 @@
  * PLACER_RANKING_ACK_TIMEOUT_MS, a check and a whole update at the latest. */
 #define SENDER_TIMEOUT_MS      2500
 #define ZONE_SENDER_TIMEOUT_MS 3500
+/** Time without an update after which a report that an instance is lost is
+ * believed; longer than the interval of whole updates. */
+#define CONTACT_MS 1500
 /** Time for which an instance that placed a request for another one reports its
  * zone's jobs. */
 #define ACTING_MS 3000
@@ -403,10 +406,21 @@
     }
 }
 
+/** Returns whether an update of an instance came lately. */
+static bool
+is_in_contact (const load_share_t *share, uint64_t incarnation, uint64_t now_ms)
+{
+  const sender_t *sender = g_hash_table_lookup (share->senders, &incarnation);
+
+  return sender != NULL && sender->heard_ms + CONTACT_MS > now_ms;
+}
+
 /** Releases reservations that another instance found orphaned, unless this one
  * holds the request or is in contact with the instance that does. */
 static void
-import_orphans (load_share_t *share, const Lwm__ShareUpdate *update)
+import_orphans (load_share_t *share,
+                const Lwm__ShareUpdate *update,
+                uint64_t now_ms)
 {
   for (size_t i = 0; i < update->n_orphans; i++)
     {
@@ -416,8 +430,7 @@
       upstream_job_t job = { .id = orphan->id, .upstream = orphan->upstream };
 
       if (known != NULL
-          && (known->owner == 0
-              || g_hash_table_contains (share->senders, &known->owner)))
+          && (known->owner == 0 || is_in_contact (share, known->owner, now_ms)))
         continue;
       release_orphan (share, &job);
     }
@@ -456,7 +469,7 @@
     import_job (share, sender, update->begun[i], now_ms);
   for (size_t i = 0; i < update->n_answering; i++)
     upstream_set_progress (set, update->answering[i], now_ms);
-  import_orphans (share, update);
+  import_orphans (share, update, now_ms);
   import_observations (share, update);
   if (sender->is_own_zone)
     forward_changes (share, update);
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -31,6 +31,8 @@
 /** Bound of the time until others know that an instance has started again. It
  * reports itself within SHARE_INTERVAL_MS. */
 #define RESTART_NOTICED_MS (SHARE_INTERVAL_MS + 300)
+/** Time in which instances that started together agree on their placer. */
+#define SETTLE_MS 4000
 /** Bound of the time in which an instance tells others of an orphan. */
 #define ORPHAN_REPORT_MS 300
 /** Upper bound of the time in which an instance sends all its jobs again. */
@@ -288,15 +290,17 @@
  * knows of an orphan fails as well (LEAK). The placer of another zone must
  * release it too, at the same time. */
 static void
-test_orphan_reaches_other_zone (void)
+expect_orphan_in_other_zone (fixture_t *fixture,
+                             instance_t *owner,
+                             instance_t *survivor)
 {
-  fixture_t *fixture = fixture_new ();
   struct event_base *base = fixture->base;
   instance_t far = { 0 };
   char *zone = (char *)"y";
   char *addresses[3] = { fixture->one.listen, fixture->other.listen };
   char *zones[3] = { (char *)"z", (char *)"z", zone };
   uint64_t id;
+  uint64_t settled_ms;
   uint64_t found_ms;
 
   open_instance_in (fixture, &far, zone);
@@ -304,12 +308,15 @@
   zone_placement_add_instances (fixture->one.placement, addresses, zones, 3);
   zone_placement_add_instances (fixture->other.placement, addresses, zones, 3);
   zone_placement_add_instances (far.placement, addresses, zones, 3);
-  id = begin_job (fixture, &fixture->one, true);
-  WAIT (upstream_set_job (fixture->other.set, id + 1) != NULL);
-  WAIT (upstream_set_job (far.set, id + 1) != NULL);
-  talloc_free (fixture->one.placement);
-  fixture->one.placement = NULL;
-  WAIT (fixture->other.orphan == id + 1);
+  id = begin_job (fixture, owner, true);
+  WAIT (upstream_set_job (survivor->set, id + 1) != NULL);
+  /* One of the two reports the zone by then, and the other does not. */
+  settled_ms = clock_mono_ms () + SETTLE_MS;
+  WAIT (clock_mono_ms () > settled_ms);
+  g_assert_nonnull (upstream_set_job (far.set, id + 1));
+  talloc_free (owner->placement);
+  owner->placement = NULL;
+  WAIT (survivor->orphan == id + 1);
   found_ms = clock_mono_ms ();
   WAIT (far.orphan == id + 1);
   g_assert_cmpuint (clock_mono_ms () - found_ms, <, ORPHAN_REPORT_MS);
@@ -319,6 +326,17 @@
   fixture_free (fixture);
 }
 
+/** The lost instance may have reported its zone to others, or not. */
+static void
+test_orphan_reaches_other_zone (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  expect_orphan_in_other_zone (fixture, &fixture->one, &fixture->other);
+  fixture = fixture_new ();
+  expect_orphan_in_other_zone (fixture, &fixture->other, &fixture->one);
+}
+
 /* Both instances are paused for longer than the heartbeat timeout. Each must
  * read its backlog before it treats the other as lost and the other's
  * reservation as orphaned. */
