--- a/t/t0008-mq.c
+++ b/t/t0008-mq.c
@@ -4,14 +4,13 @@
  */
 #include <event2/event.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <stdio.h>
-#include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
 #include <zmq.h>
 
 #include "base.h"
+#include "lib-address.h"
 #include "mq.h"
 
 #define CIRCULATING_MESSAGES 4000
@@ -30,20 +29,6 @@
   uint32_t received;
 } flood_t;
 
-static void
-choose_free_address (char text[32])
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, size), ==, 0);
-  getsockname (fd, (struct sockaddr *)&address, &size);
-  snprintf (text, 32, "127.0.0.1:%u", ntohs (address.sin_port));
-  close (fd);
-}
-
 static void
 send_one (flood_t *flood)
 {
--- a/t/t5130-control-watch.c
+++ b/t/t5130-control-watch.c
@@ -5,9 +5,7 @@
  */
 #include <event2/event.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <stdio.h>
-#include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
 #include <zmq.h>
@@ -15,6 +13,7 @@
 #include "base.h"
 #include "control-client.h"
 #include "control.pb-c.h"
+#include "lib-address.h"
 #include "mq.h"
 
 #define INSTANCES 3
@@ -40,20 +39,6 @@
   control_client_t *client;
 } fleet_t;
 
-static void
-choose_free_address (char text[32])
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, size), ==, 0);
-  getsockname (fd, (struct sockaddr *)&address, &size);
-  snprintf (text, 32, "127.0.0.1:%u", ntohs (address.sin_port));
-  close (fd);
-}
-
 static void
 answer_stale (instance_t *instance, const mq_frame_t *client)
 {
--- a/t/t8073-zone-placement.c
+++ b/t/t8073-zone-placement.c
@@ -7,13 +7,12 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <talloc.h>
 
 #include "base.h"
+#include "lib-address.h"
 #include "lib-engines.h"
 #include "logging.h"
 #include "zone-placement.h"
@@ -86,20 +85,6 @@
   instance->orphan = job->id;
 }
 
-static void
-choose_free_address (char text[32])
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, size), ==, 0);
-  getsockname (fd, (struct sockaddr *)&address, &size);
-  snprintf (text, 32, "127.0.0.1:%u", ntohs (address.sin_port));
-  close (fd);
-}
-
 /** Each instance has a loop of its own, so that one can stand still. */
 static void
 open_instance (fixture_t *fixture, uint32_t index)
--- /dev/null
+++ b/t/t8075-engine-memory.c
@@ -0,0 +1,372 @@
+/*
+ * Memory reserved at engines: it must be released when its request ends, also
+ * when the engine leaves orders unanswered or carries them out late.
+ */
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base.h"
+#include "engine-memory.h"
+#include "lib-address.h"
+#include "logging.h"
+#include "zone-placement.h"
+
+#define WAIT_TIMEOUT_MS 20000
+/** Times after which memory counts as leaked: after its last use, and when it
+ * was never used. */
+#define MEMORY_FREE_MS   4000
+#define MEMORY_UNUSED_MS 9000
+/** Time after which a silent instance of the own zone is taken for lost, with
+ * the interval at which that is checked. */
+#define INSTANCE_LOST_MS 2750
+
+#define WAIT(condition)                                                        \
+  do                                                                           \
+    {                                                                          \
+      uint64_t end_ms = clock_mono_ms () + WAIT_TIMEOUT_MS;                    \
+      while (!(condition) && clock_mono_ms () < end_ms)                        \
+        {                                                                      \
+          event_base_loop (base, EVLOOP_NONBLOCK);                             \
+          g_usleep (500);                                                      \
+        }                                                                      \
+      g_assert_true (condition);                                               \
+    }                                                                          \
+  while (0)
+
+/** An engine that takes orders. */
+typedef struct
+{
+  struct event_base *base;
+  uint32_t reserves;
+  uint32_t releases;
+  uint32_t silent; /* number of first releases without an answer */
+  int status;
+  /* The engine leaves reserving orders unanswered and carries them out after
+   * this time; 0: it answers them at once. */
+  uint32_t late_ms;
+  bool is_held;
+  uint32_t lease_ms; /* of the last order that reserves */
+} engine_t;
+
+static void
+on_late_order (evutil_socket_t fd, short what, void *context)
+{
+  engine_t *engine = context;
+
+  engine->is_held = true;
+}
+
+static void
+on_order (struct evhttp_request *request, void *context)
+{
+  engine_t *engine = context;
+  struct evbuffer *in = evhttp_request_get_input_buffer (request);
+  char text[200] = "";
+  struct timeval late = timeval_from_ms (engine->late_ms);
+
+  evbuffer_copyout (in, text, sizeof text - 1);
+  if (strstr (text, "release") != NULL)
+    {
+      if (++engine->releases <= engine->silent)
+        return;
+      engine->is_held = false;
+    }
+  else
+    {
+      engine->reserves++;
+      g_assert_cmpint (sscanf (text, "reserve %*s %*u %u", &engine->lease_ms),
+                       ==, 1);
+      if (engine->late_ms > 0)
+        {
+          event_base_once (engine->base, -1, EV_TIMEOUT, on_late_order, engine,
+                           &late);
+          return;
+        }
+      engine->is_held = engine->status == 200;
+    }
+  evhttp_send_reply (request, engine->status, "Answer", NULL);
+}
+
+static char *
+write_reserve_order (const char *ticket, uint32_t tokens, uint32_t hold_ms)
+{
+  return g_strdup_printf ("reserve %s %u %u", ticket, tokens, hold_ms);
+}
+
+static char *
+write_release_order (const char *ticket)
+{
+  return g_strdup_printf ("release %s", ticket);
+}
+
+static void
+on_reservation (engine_reservation_t *ticket, bool is_held, void *context)
+{
+  *(int *)context = is_held ? 1 : 0;
+}
+
+static void
+on_released (uint64_t job_id, void *context)
+{
+  *(uint64_t *)context = job_id;
+}
+
+static const gateway_protocol_t protocol
+    = { .write_reserve_order = write_reserve_order,
+        .write_release_order = write_release_order,
+        .order_target = "/order" };
+
+typedef struct
+{
+  struct event_base *base;
+  struct evhttp *http;
+  void *parent;
+  engine_t engine;
+  engine_memory_t *memory;
+  char address[32];
+  int held;          /* 1: granted, 0: not granted, -1: no answer yet */
+  uint64_t released; /* job whose reservation was released last */
+} orders_t;
+
+static orders_t *
+orders_new (void)
+{
+  orders_t *orders = g_new0 (orders_t, 1);
+  exchange_pool_options_t pool = { .connect_timeout_ms = 500 };
+  engine_memory_options_t options = { .protocol = &protocol,
+                                      .on_released = on_released,
+                                      .context = &orders->released };
+  char ip[32];
+  int port;
+
+  orders->base = pool.base = options.base = event_base_new ();
+  orders->http = evhttp_new (orders->base);
+  orders->parent = talloc_new (NULL);
+  orders->engine = (engine_t){ .base = orders->base, .status = 200 };
+  orders->held = -1;
+  choose_free_address (orders->address);
+  g_assert_cmpint (sscanf (orders->address, "%31[^:]:%d", ip, &port), ==, 2);
+  g_assert_cmpint (evhttp_bind_socket (orders->http, ip, (uint16_t)port), ==,
+                   0);
+  evhttp_set_gencb (orders->http, on_order, &orders->engine);
+  options.pool = exchange_pool_new (orders->parent, &pool);
+  options.metrics = metrics_new (orders->parent);
+  orders->memory = engine_memory_new (orders->parent, &options);
+  return orders;
+}
+
+static void
+orders_free (orders_t *orders)
+{
+  talloc_free (orders->parent);
+  evhttp_free (orders->http);
+  event_base_free (orders->base);
+  g_free (orders);
+}
+
+/** Reserves memory for a job that is predicted to use it for some time. */
+static engine_reservation_t *
+reserve_for (orders_t *orders, uint64_t job_id, uint32_t expected_ms)
+{
+  engine_reservation_options_t ask = { .upstream = 1,
+                                       .address = orders->address,
+                                       .job_id = job_id,
+                                       .tokens = 9,
+                                       .expected_ms = expected_ms,
+                                       .done = on_reservation,
+                                       .context = &orders->held };
+
+  orders->held = -1;
+  return engine_memory_reserve (orders->memory, &ask);
+}
+
+static engine_reservation_t *
+reserve (orders_t *orders, uint64_t job_id)
+{
+  return reserve_for (orders, job_id, 1000);
+}
+
+/** An engine that carries out the release late, or never gets it, must not
+ * count the memory as leaked: the lease ends soon after the predicted end. */
+static void
+test_lease_follows_request (void)
+{
+  static const uint32_t expected_ms[] = { 0, 1000, 3100, 60000 };
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (expected_ms); i++)
+    {
+      engine_reservation_t *ticket
+          = reserve_for (orders, 50 + i, expected_ms[i]);
+
+      WAIT (orders->held == 1);
+      g_assert_cmpuint (orders->engine.lease_ms, <=,
+                        expected_ms[i] + MEMORY_FREE_MS);
+      g_assert_cmpuint (orders->engine.lease_ms, <=, MEMORY_UNUSED_MS);
+      g_assert_cmpuint (orders->engine.lease_ms, >=,
+                        MIN (expected_ms[i], 8000));
+      engine_memory_release (ticket);
+      WAIT (orders->released == 50 + i);
+    }
+  orders_free (orders);
+}
+
+/** A release is repeated until it is answered; a refused reservation needs no
+ * release. */
+static void
+test_reservations (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  engine_reservation_t *ticket = reserve (orders, 21);
+
+  orders->engine.silent = 1;
+  WAIT (orders->held == 1);
+  engine_memory_release (ticket);
+  WAIT (orders->engine.releases == 2);
+  WAIT (orders->released == 21);
+  orders->engine.status = 409;
+  ticket = reserve (orders, 22);
+  WAIT (orders->held == 0);
+  engine_memory_release (ticket);
+  g_assert_cmpuint (orders->released, ==, 22);
+  orders->engine.status = 200;
+  engine_memory_release_orphan (orders->memory, 1, orders->address, 23);
+  WAIT (orders->engine.releases == 3);
+  orders_free (orders);
+}
+
+/* Guards against: memory that stays reserved after its request because an
+ * engine leaves most orders unanswered (LEAK). What remains of MEMORY_FREE_MS
+ * after an instance was taken for lost must suffice for many orders. */
+static void
+test_unanswered_releases (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  uint64_t since_ms = clock_mono_ms ();
+
+  orders->engine.silent = 6;
+  orders->engine.is_held = true;
+  engine_memory_release_orphan (orders->memory, 1, orders->address, 24);
+  WAIT (!orders->engine.is_held);
+  g_assert_cmpuint (clock_mono_ms () - since_ms, <,
+                    MEMORY_FREE_MS - INSTANCE_LOST_MS);
+  orders_free (orders);
+}
+
+/* Guards against: memory that stays reserved after a request that ended earlier
+ * than predicted, because the orders that release it become rare while its
+ * lease goes on (LEAK). */
+static void
+test_many_unanswered_releases (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  engine_reservation_t *ticket = reserve (orders, 26);
+  uint64_t since_ms;
+
+  orders->engine.silent = 20;
+  WAIT (orders->held == 1);
+  since_ms = clock_mono_ms ();
+  engine_memory_release (ticket);
+  WAIT (orders->released == 26);
+  g_assert_cmpuint (clock_mono_ms () - since_ms, <, MEMORY_FREE_MS);
+  orders_free (orders);
+}
+
+/** Two instances may report the same orphan; it is released once. */
+static void
+test_orphan_reported_twice (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  uint64_t since_ms = clock_mono_ms ();
+
+  engine_memory_release_orphan (orders->memory, 1, orders->address, 25);
+  engine_memory_release_orphan (orders->memory, 1, orders->address, 25);
+  WAIT (clock_mono_ms () > since_ms + 1000);
+  g_assert_cmpuint (orders->engine.releases, ==, 1);
+  orders_free (orders);
+}
+
+/** Waits until the order was carried out late, and its memory given back. */
+static void
+expect_given_back (orders_t *orders)
+{
+  struct event_base *base = orders->base;
+
+  WAIT (orders->engine.is_held);
+  g_assert_cmpuint (orders->engine.releases, >, 0);
+  WAIT (!orders->engine.is_held);
+}
+
+/** The engine leaves the order unanswered and carries it out seconds later,
+ * after a release that it has answered. */
+static void
+test_late_order_of_this_instance (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  engine_reservation_t *ticket;
+
+  orders->engine.late_ms = 3000;
+  ticket = reserve (orders, 31);
+  WAIT (orders->held == 0);
+  engine_memory_release (ticket);
+  WAIT (orders->engine.releases == 1);
+  g_assert_cmpuint (orders->released, ==, 0);
+  expect_given_back (orders);
+  orders_free (orders);
+}
+
+/** The instance that sent the order dies while it is unanswered, and the engine
+ * carries it out after another instance has released it. */
+static void
+test_late_order_of_lost_instance (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  exchange_pool_options_t pool = { .base = base, .connect_timeout_ms = 500 };
+  engine_memory_options_t survivor = { .base = base, .protocol = &protocol };
+
+  orders->engine.late_ms = 3000;
+  reserve (orders, 41);
+  WAIT (orders->engine.reserves == 1);
+  talloc_free (orders->parent);
+  orders->parent = talloc_new (NULL);
+  survivor.pool = exchange_pool_new (orders->parent, &pool);
+  survivor.metrics = metrics_new (orders->parent);
+  engine_memory_release_orphan (engine_memory_new (orders->parent, &survivor),
+                                1, orders->address, 41);
+  WAIT (orders->engine.releases == 1);
+  expect_given_back (orders);
+  orders_free (orders);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  base_init ("t8075-engine-memory");
+  logging_init (LOGGING_ERROR);
+  g_test_add_func ("/engine-memory/tickets", test_reservations);
+  g_test_add_func ("/engine-memory/lease", test_lease_follows_request);
+  g_test_add_func ("/engine-memory/unanswered-releases",
+                   test_unanswered_releases);
+  g_test_add_func ("/engine-memory/many-unanswered-releases",
+                   test_many_unanswered_releases);
+  g_test_add_func ("/engine-memory/orphan-reported-twice",
+                   test_orphan_reported_twice);
+  g_test_add_func ("/engine-memory/late-order",
+                   test_late_order_of_this_instance);
+  g_test_add_func ("/engine-memory/late-order-of-lost-instance",
+                   test_late_order_of_lost_instance);
+  return g_test_run ();
+}
