--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -203,6 +203,9 @@
 {
   if (request->may_have_run && !is_repeatable (request))
     return false;
+  /* It may have crashed its upstream, and would crash the next one. */
+  if (has_run && gateway_quarantine_level (request) != QUARANTINE_CLEAR)
+    return false;
   if (request->possible_runs >= request->route.attempts
       || request->attempt_count >= GATEWAY_MAX_ATTEMPTS)
     return false;
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -67,6 +67,7 @@
   zone_placement_t *placement;
   engine_memory_t *memory;
   retry_t *retry;
+  quarantine_t *quarantine;
   pause_detector_t process_pause; /* detects pauses of this process */
   GPtrArray *open;                /* gateway_request_t */
   uint64_t started_ms;
@@ -179,6 +180,9 @@
 /** Records the times of a request that was answered in full. */
 void gateway_observe_times (const gateway_request_t *request, uint64_t now_ms);
 
+/** Returns what is known of upstreams that crashed on parts of the prompt. */
+quarantine_level_t gateway_quarantine_level (const gateway_request_t *request);
+
 /** Asks for an upstream, sends the request to it, or refuses the request. */
 void gateway_place (gateway_request_t *request);
 
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -41,6 +41,7 @@
           .zone = gateway->options.zone,
           .zone_cost_ms = gateway->options.zone_cost_ms,
           .set = gateway->set,
+          .quarantine = gateway->quarantine,
           .find_service = find_service,
           .on_orphan = on_orphan,
           .context = gateway,
@@ -59,6 +60,7 @@
           .target_ms = request->route.target_ms,
           .gap_target_ms = request->route.gap_target_ms,
           .priority = request->route.priority,
+          .parts = request->terms.parts,
           .arrived_ms = request->arrived_ms,
           .deadline_ms = request->deadline_ms,
           .avoid_count = MIN (request->attempt_count, PLACEMENT_MAX_AVOID) };
@@ -112,6 +114,38 @@
   gateway_refuse (request, kind, gateway_add_jitter_ms (retry_ms));
 }
 
+quarantine_level_t
+gateway_quarantine_level (const gateway_request_t *request)
+{
+  return quarantine_level (request->gateway->quarantine, &request->terms.parts);
+}
+
+/** Ends a request that would crash its upstream. */
+static void
+refuse_quarantined (gateway_request_t *request)
+{
+  if (request->is_reply_begun)
+    gateway_abort (request, "quarantined");
+  else if (request->may_have_run)
+    gateway_refuse (request, ERROR_UPSTREAM_FAILED, 0);
+  else
+    gateway_refuse (request, ERROR_QUARANTINED,
+                    quarantine_remaining_ms (request->gateway->quarantine,
+                                             &request->terms.parts,
+                                             clock_mono_ms ()));
+}
+
+/** Ends the jobs of a request that was placed but is not sent. */
+static void
+drop_placement (gateway_request_t *request,
+                const placement_request_t *placed,
+                const placement_answer_t *answer)
+{
+  for (uint64_t i = 0; i <= answer->helper_count; i++)
+    zone_placement_end (request->gateway->placement, placed->id + i,
+                        UPSTREAM_JOB_NEUTRAL);
+}
+
 static void
 on_placed (const placement_request_t *placed,
            const placement_answer_t *answer,
@@ -129,10 +163,16 @@
       return;
     }
   request->ask = NULL;
-  if (answer->kind == PLACEMENT_SEND)
-    gateway_start_attempt (request, placed, answer);
-  else
+  if (answer->kind != PLACEMENT_SEND)
     refuse_unplaced (request, answer);
+  else if (gateway_quarantine_level (request) == QUARANTINE_BLOCKED)
+    {
+      /* It was queued while others crashed. */
+      drop_placement (request, placed, answer);
+      refuse_quarantined (request);
+    }
+  else
+    gateway_start_attempt (request, placed, answer);
 }
 
 void
@@ -142,6 +182,12 @@
 
   if (request->ask != NULL)
     zone_ask_cancel (request->ask);
+  request->ask = NULL;
+  if (gateway_quarantine_level (request) == QUARANTINE_BLOCKED)
+    {
+      refuse_quarantined (request);
+      return;
+    }
   request->ask = zone_placement_ask (request->gateway->placement, &placement,
                                      on_placed, request);
 }
@@ -154,8 +200,12 @@
   gateway_request_t *request = context;
 
   request->ask = NULL;
-  if (answer->kind == PLACEMENT_SEND)
+  if (answer->kind != PLACEMENT_SEND)
+    return;
+  if (gateway_quarantine_level (request) == QUARANTINE_CLEAR)
     gateway_move_attempt (request, placed, answer);
+  else
+    drop_placement (request, placed, answer);
 }
 
 void
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -56,13 +56,22 @@
 
 /** Ends a failed attempt; the rest of its answer is not relayed. */
 static void
-fail_attempt (gateway_request_t *request, retry_reason_t reason, bool has_run)
+fail_attempt_as (gateway_request_t *request,
+                 upstream_job_end_t how,
+                 retry_reason_t reason,
+                 bool has_run)
 {
   request->has_head = false;
-  gateway_end_attempt (request, UPSTREAM_JOB_FAILED);
+  gateway_end_attempt (request, how);
   gateway_on_attempt_failed (request, reason, has_run);
 }
 
+static void
+fail_attempt (gateway_request_t *request, retry_reason_t reason, bool has_run)
+{
+  fail_attempt_as (request, UPSTREAM_JOB_FAILED, reason, has_run);
+}
+
 /** Records the first event of an attempt. The ratio of its time to the
  * predicted time is the engine's slowness. */
 static void
@@ -273,8 +282,13 @@
                                             [EXCHANGE_NO_ANSWER] = RETRY_ERROR,
                                             [EXCHANGE_BROKEN] = RETRY_BROKEN };
 
+  bool is_broken = how != EXCHANGE_NOT_SENT
+                   && (!request->has_head || request->attempt_events == 0);
+
   request->exchange = NULL;
-  fail_attempt (request, reasons[how], how != EXCHANGE_NOT_SENT);
+  fail_attempt_as (request,
+                   is_broken ? UPSTREAM_JOB_BROKEN : UPSTREAM_JOB_FAILED,
+                   reasons[how], how != EXCHANGE_NOT_SENT);
 }
 
 const exchange_callbacks_t gateway_relay_callbacks = { .on_head = on_head,
--- a/gateway.c
+++ b/gateway.c
@@ -348,6 +348,7 @@
 
   pause_detector_update (&gateway->process_pause, GATEWAY_TICK_MS, now_ms);
   upstream_set_tick (gateway->set, now_ms);
+  quarantine_tick (gateway->quarantine, now_ms);
 }
 
 static void
@@ -369,6 +370,26 @@
     zone_placement_end (gateway->placement, job_id, UPSTREAM_JOB_NEUTRAL);
 }
 
+static void
+on_job_answered (const upstream_job_t *job, uint64_t now_ms, void *context)
+{
+  gateway_t *gateway = context;
+
+  if (!job->is_part)
+    quarantine_add_answer (gateway->quarantine, &job->parts, job->upstream,
+                           now_ms);
+}
+
+static void
+on_job_broken (const upstream_job_t *job, uint64_t now_ms, void *context)
+{
+  gateway_t *gateway = context;
+
+  if (job->parts.count > 0)
+    quarantine_add_crash (gateway->quarantine, &job->parts, job->upstream,
+                          now_ms);
+}
+
 static int
 free_gateway (gateway_t *gateway)
 {
@@ -405,8 +426,10 @@
 gateway_new (void *parent, const gateway_options_t *options)
 {
   gateway_t *gateway = talloc_zero (parent, gateway_t);
-  upstream_set_options_t set
-      = { .on_gone = on_upstream_gone, .context = gateway };
+  upstream_set_options_t set = { .on_gone = on_upstream_gone,
+                                 .on_answer = on_job_answered,
+                                 .on_broken = on_job_broken,
+                                 .context = gateway };
   exchange_pool_options_t pool = { .base = options->base,
                                    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                    .idle_timeout_ms = IDLE_TIMEOUT_MS };
@@ -431,6 +454,7 @@
   gateway->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gateway);
   talloc_set_destructor (gateway, free_gateway);
   event_add (gateway->tick, &interval);
+  gateway->quarantine = quarantine_new (gateway, options->metrics);
   gateway->set = upstream_set_new (gateway, &set);
   gateway->pool = exchange_pool_new (gateway, &pool);
   memory.pool = gateway->pool;
--- a/gateway.h
+++ b/gateway.h
@@ -33,6 +33,7 @@
   uint32_t answer_tokens; /**< upper bound; 0 if the request states none */
   bool has_last_event;
   uint64_t last_event; /**< id of the event after which the stream resumes */
+  prompt_parts_t parts;
 } gateway_request_info_t;
 
 /** Values sent to an upstream in addition to the caller's own fields. */
--- /dev/null
+++ b/load-share-internal.h
@@ -0,0 +1,62 @@
+/**
+ * @file load-share-internal.h
+ * Types and functions shared by load-share.c (sends updates, notices lost
+ * instances) and load-share-receive.c (applies the updates of others). No other
+ * file includes this header.
+ */
+#ifndef LOAD_SHARE_INTERNAL_H
+#define LOAD_SHARE_INTERNAL_H
+
+#include <glib.h>
+
+#include "load-batch.h"
+#include "load-share.h"
+#include "pause-detector.h"
+
+struct event;
+
+/** Time without updates after which a view is taken for incomplete; every
+ * instance reports its jobs once within it. */
+#define LOAD_VIEW_TIMEOUT_MS 2500
+
+/** Another instance that sends updates. */
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t heard_ms;
+  bool is_own_zone;
+  char *zone;
+  char *address; /* at which it listens, or NULL while it is unknown */
+} load_sender_t;
+
+struct load_share
+{
+  load_share_options_t options;
+  GHashTable *senders;    /* incarnation -> load_sender_t */
+  load_batch_t *own;      /* changes of this instance, for its zone */
+  load_batch_t *zone;     /* changes of the zone, for other zones */
+  uint64_t acted_ms;      /* when this instance last placed for another one */
+  uint64_t view_since_ms; /* since when updates have come without a gap, or 0 */
+  uint64_t view_heard_ms; /* when the last update of the own zone came */
+  pause_detector_t pauses; /* pauses of this process */
+  struct event *tick;      /* sends all jobs */
+  struct event *check;     /* looks for lost instances */
+  metric_t *bytes_out;
+  metric_t *messages_out;
+};
+
+/** Removes the jobs that an instance reported and that were sent earlier. */
+void load_share_drop_source (load_share_t *share,
+                             uint64_t source,
+                             uint64_t sent_before_ms);
+
+/** Removes the jobs that a lost instance reported, and has its orphaned
+ * reservations released. The caller removes it from the table. */
+void load_share_forget_sender (load_share_t *share,
+                               const load_sender_t *sender);
+
+/** Releases the reservation of a job whose instance is lost. */
+void load_share_release_orphan (const load_share_t *share,
+                                const upstream_job_t *job);
+
+#endif
--- a/load-share.c
+++ b/load-share.c
@@ -1,13 +1,9 @@
-#include "load-share.h"
-
 #include <event2/event.h>
-#include <glib.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "base.h"
-#include "load-batch.h"
-#include "pause-detector.h"
+#include "load-share-internal.h"
 #define LOG_PART "load-share"
 #include "logging.h"
 
@@ -22,50 +18,16 @@
  * PLACER_RANKING_ACK_TIMEOUT_MS, a check and a whole update at the latest. */
 #define SENDER_TIMEOUT_MS      2500
 #define ZONE_SENDER_TIMEOUT_MS 3500
-/** Time without an update after which a report that an instance is lost is
- * believed; longer than the interval of whole updates. */
-#define CONTACT_MS 1500
 /** Time for which an instance that placed a request for another one reports its
  * zone's jobs. */
 #define ACTING_MS 3000
-/** Time without updates after which a view is taken for incomplete; every
- * instance reports its jobs once within it. */
-#define VIEW_TIMEOUT_MS 2500
-#define COMPLETE_MS     1200
-/** A job younger than this may have been placed after its owner sent the update
- * that does not list it. */
-#define YOUNG_JOB_MS 250
-
-/** Another instance that sends updates. */
-typedef struct
-{
-  uint64_t incarnation;
-  uint64_t heard_ms;
-  bool is_own_zone;
-  char *zone;
-  char *address; /* at which it listens, or NULL while it is unknown */
-} sender_t;
-
-struct load_share
-{
-  load_share_options_t options;
-  GHashTable *senders;    /* incarnation -> sender_t */
-  load_batch_t *own;      /* changes of this instance, for its zone */
-  load_batch_t *zone;     /* changes of the zone, for other zones */
-  uint64_t acted_ms;      /* when this instance last placed for another one */
-  uint64_t view_since_ms; /* since when updates have come without a gap, or 0 */
-  uint64_t view_heard_ms; /* when the last update of the own zone came */
-  pause_detector_t pauses; /* pauses of this process */
-  struct event *tick;      /* sends all jobs */
-  struct event *check;     /* looks for lost instances */
-  metric_t *bytes_out;
-  metric_t *messages_out;
-};
+/** Time after which a view without a gap is complete. */
+#define COMPLETE_MS 1200
 
 static void
 free_sender (gpointer data)
 {
-  sender_t *sender = data;
+  load_sender_t *sender = data;
 
   g_free (sender->zone);
   g_free (sender->address);
@@ -106,7 +68,7 @@
 static bool
 is_own_zone_source (const load_share_t *share, uint64_t source)
 {
-  const sender_t *sender = g_hash_table_lookup (share->senders, &source);
+  const load_sender_t *sender = g_hash_table_lookup (share->senders, &source);
 
   return source == 0 || (sender != NULL && sender->is_own_zone);
 }
@@ -152,8 +114,10 @@
   return job->source == drop->source && job->sent_ms < drop->sent_before_ms;
 }
 
-static void
-drop_source (load_share_t *share, uint64_t source, uint64_t sent_before_ms)
+void
+load_share_drop_source (load_share_t *share,
+                        uint64_t source,
+                        uint64_t sent_before_ms)
 {
   drop_t drop = { .source = source, .sent_before_ms = sent_before_ms };
 
@@ -183,8 +147,8 @@
   g_array_append_val (search->orphans, *job);
 }
 
-static void
-release_orphan (const load_share_t *share, const upstream_job_t *job)
+void
+load_share_release_orphan (const load_share_t *share, const upstream_job_t *job)
 {
   const load_share_options_t *options = &share->options;
 
@@ -228,15 +192,15 @@
 
   upstream_set_each_job (share->options.set, collect_orphan, &search);
   for (guint i = 0; i < search.orphans->len; i++)
-    release_orphan (share, &g_array_index (search.orphans, upstream_job_t, i));
+    load_share_release_orphan (
+        share, &g_array_index (search.orphans, upstream_job_t, i));
   if (search.orphans->len > 0)
     announce_orphans (share, search.orphans);
   g_array_free (search.orphans, TRUE);
 }
 
-/** Removes the jobs that an instance reported, which has timed out. */
-static void
-forget_sender (load_share_t *share, const sender_t *sender)
+void
+load_share_forget_sender (load_share_t *share, const load_sender_t *sender)
 {
   log_info ("Lost contact with an entry instance. incarnation=%ju zone=%s",
             (uintmax_t)sender->incarnation,
@@ -246,7 +210,7 @@
   if (sender->is_own_zone
       || placer_ranking_is_placer (share->options.ranking, clock_mono_ms ()))
     release_orphans (share, sender->incarnation);
-  drop_source (share, sender->incarnation, UINT64_MAX);
+  load_share_drop_source (share, sender->incarnation, UINT64_MAX);
   if (share->options.on_lost != NULL)
     share->options.on_lost (sender->incarnation, share->options.context);
 }
@@ -263,7 +227,7 @@
   g_hash_table_iter_init (&iter, share->senders);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const sender_t *sender = value;
+      const load_sender_t *sender = value;
       uint64_t since_ms
           = pause_detector_silent_since_ms (&share->pauses, sender->heard_ms);
 
@@ -272,7 +236,7 @@
                                      : ZONE_SENDER_TIMEOUT_MS)
           > now_ms)
         continue;
-      forget_sender (share, sender);
+      load_share_forget_sender (share, sender);
       g_hash_table_iter_remove (&iter);
     }
 }
@@ -325,271 +289,11 @@
     send_whole (share, true);
 }
 
-static sender_t *
-find_or_add_sender (load_share_t *share, uint64_t incarnation)
-{
-  sender_t *sender = g_hash_table_lookup (share->senders, &incarnation);
-
-  if (sender != NULL)
-    return sender;
-  sender = g_new0 (sender_t, 1);
-  sender->incarnation = incarnation;
-  g_hash_table_insert (share->senders, &sender->incarnation, sender);
-  log_info ("First update from an entry instance. incarnation=%ju",
-            (uintmax_t)incarnation);
-  return sender;
-}
-
-/** Records who reports a job that is known. What this instance holds, or its
- * owner reported itself, is not taken over. */
-static void
-update_source (load_share_t *share, const upstream_job_t *reported)
-{
-  const upstream_job_t *known
-      = upstream_set_job (share->options.set, reported->id);
-
-  if (known == NULL || known->owner == 0
-      || (known->source == known->owner
-          && g_hash_table_contains (share->senders, &known->owner)))
-    return;
-  upstream_set_source (share->options.set, reported->id, reported->source);
-}
-
-/** Records a job that another instance reported. */
-static void
-import_job (load_share_t *share,
-            const sender_t *sender,
-            const Lwm__ShareJob *message,
-            uint64_t now_ms)
-{
-  upstream_job_t job
-      = { .id = message->id,
-          .owner = message->owner != 0 ? message->owner : sender->incarnation,
-          .source = sender->incarnation,
-          .upstream = message->upstream,
-          .prompt_tokens = message->prompt_tokens,
-          .read_tokens = message->read_tokens,
-          .answer_tokens = message->answer_tokens,
-          .kv_tokens = message->kv_tokens,
-          .gap_target_ms = message->gap_target_ms,
-          .is_part = message->is_part,
-          .has_reservation = message->has_reservation };
-
-  job.value = upstream_job_value (job.prompt_tokens, job.answer_tokens);
-  job.sent_ms = now_ms - message->sent_ago_ms;
-  job.begun_ms = now_ms - message->begun_ago_ms;
-  job.due_ms = job.begun_ms + message->target_ms;
-  if (message->first_ago_ms > 0)
-    job.first_ms = job.last_ms = now_ms - message->first_ago_ms + 1;
-  if (!upstream_set_begin (share->options.set, &job))
-    update_source (share, &job);
-  else if (sender->is_own_zone)
-    load_batch_add_begun (share->zone, &job);
-}
-
-/** Applies observations of another instance. */
-static void
-import_observations (load_share_t *share, const Lwm__ShareUpdate *update)
-{
-  upstream_set_t *set = share->options.set;
-
-  for (size_t i = 0; i < update->n_observed; i++)
-    {
-      const Lwm__ShareObservation *observation = update->observed[i];
-
-      if (observation->call_ms > 0)
-        upstream_set_add_call_time (set, observation->upstream,
-                                    (double)observation->call_ms);
-      if (observation->slowness > 0)
-        upstream_set_add_slowness (set, observation->upstream,
-                                   (double)observation->slowness);
-    }
-}
-
-/** Returns whether an update of an instance came lately. */
-static bool
-is_in_contact (const load_share_t *share, uint64_t incarnation, uint64_t now_ms)
-{
-  const sender_t *sender = g_hash_table_lookup (share->senders, &incarnation);
-
-  return sender != NULL && sender->heard_ms + CONTACT_MS > now_ms;
-}
-
-/** Releases reservations that another instance found orphaned, unless this one
- * holds the request or is in contact with the instance that does. */
-static void
-import_orphans (load_share_t *share,
-                const Lwm__ShareUpdate *update,
-                uint64_t now_ms)
-{
-  for (size_t i = 0; i < update->n_orphans; i++)
-    {
-      const Lwm__ShareOrphan *orphan = update->orphans[i];
-      const upstream_job_t *known
-          = upstream_set_job (share->options.set, orphan->id);
-      upstream_job_t job = { .id = orphan->id, .upstream = orphan->upstream };
-
-      if (known != NULL
-          && (known->owner == 0 || is_in_contact (share, known->owner, now_ms)))
-        continue;
-      release_orphan (share, &job);
-    }
-}
-
-/** Passes changes of the own zone on to other zones. */
-static void
-forward_changes (load_share_t *share, const Lwm__ShareUpdate *update)
-{
-  for (size_t i = 0; i < update->n_ended; i++)
-    load_batch_add_ended (share->zone, update->ended[i]->id,
-                          update->ended[i]->how);
-  for (size_t i = 0; i < update->n_answering; i++)
-    load_batch_add_first_event (share->zone, update->answering[i]);
-  for (size_t i = 0; i < update->n_orphans; i++)
-    load_batch_add_orphan (share->zone, update->orphans[i]->id,
-                           update->orphans[i]->upstream);
-  for (size_t i = 0; i < update->n_observed; i++)
-    load_batch_add_observation (share->zone, update->observed[i]);
-}
-
-static void
-apply_update (load_share_t *share,
-              sender_t *sender,
-              const Lwm__ShareUpdate *update,
-              uint64_t now_ms)
-{
-  upstream_set_t *set = share->options.set;
-
-  for (size_t i = 0; i < update->n_ended; i++)
-    upstream_set_end (set, update->ended[i]->id,
-                      (upstream_job_end_t)update->ended[i]->how, now_ms);
-  if (update->whole)
-    drop_source (share, sender->incarnation, now_ms - YOUNG_JOB_MS);
-  for (size_t i = 0; i < update->n_begun; i++)
-    import_job (share, sender, update->begun[i], now_ms);
-  for (size_t i = 0; i < update->n_answering; i++)
-    upstream_set_progress (set, update->answering[i], now_ms);
-  import_orphans (share, update, now_ms);
-  import_observations (share, update);
-  if (sender->is_own_zone)
-    forward_changes (share, update);
-  if (share->options.on_change != NULL
-      && (update->n_ended > 0 || update->n_answering > 0))
-    share->options.on_change (share->options.context);
-}
-
-/** Acknowledges a whole update. */
-static void
-send_ack (load_share_t *share, uint64_t incarnation, uint32_t sent_ms)
-{
-  Lwm__ShareMessage message = LWM__SHARE_MESSAGE__INIT;
-  Lwm__ShareAck ack = LWM__SHARE_ACK__INIT;
-
-  ack.sent_ms = sent_ms;
-  ack.is_able = share->options.is_able (share->options.context);
-  message.what_case = LWM__SHARE_MESSAGE__WHAT_ACK;
-  message.ack = &ack;
-  share_link_reply (share->options.link, incarnation, &message);
-}
-
-/** Extends the time for which this instance has known its zone's jobs. */
-static void
-extend_view (load_share_t *share, uint64_t now_ms)
-{
-  if (share->view_since_ms == 0
-      || share->view_heard_ms + VIEW_TIMEOUT_MS < now_ms)
-    share->view_since_ms = now_ms;
-  share->view_heard_ms = now_ms;
-}
-
-/** Forgets earlier incarnations of an instance of the own zone: another one
- * listens at their address. */
-static void
-forget_earlier_incarnations (load_share_t *share, const sender_t *newer)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, share->senders);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const sender_t *sender = value;
-
-      if (sender == newer || !sender->is_own_zone
-          || g_strcmp0 (sender->address, newer->address) != 0)
-        continue;
-      forget_sender (share, sender);
-      g_hash_table_iter_remove (&iter);
-    }
-}
-
-/** Stores what a whole update says of its sender. */
-static void
-update_sender (load_share_t *share,
-               sender_t *sender,
-               const Lwm__ShareUpdate *update,
-               uint64_t now_ms)
-{
-  placer_peer_t *peer
-      = placer_ranking_find (share->options.ranking, update->address);
-
-  if (g_strcmp0 (sender->zone, update->zone) != 0)
-    {
-      g_free (sender->zone);
-      sender->zone = g_strdup (update->zone);
-    }
-  if (sender->address == NULL && sender->is_own_zone)
-    {
-      sender->address = g_strdup (update->address);
-      forget_earlier_incarnations (share, sender);
-    }
-  if (update->is_zone && peer != NULL)
-    placer_ranking_on_acting (peer, now_ms);
-}
-
-static void
-receive_update (load_share_t *share,
-                uint64_t incarnation,
-                const Lwm__ShareUpdate *update)
-{
-  uint64_t now_ms = clock_mono_ms ();
-  sender_t *sender = find_or_add_sender (share, incarnation);
-
-  sender->heard_ms = now_ms;
-  /* A sender reports either its own jobs within its zone, or those of its zone
-   * to other zones. */
-  sender->is_own_zone = !update->is_zone;
-  if (update->whole)
-    update_sender (share, sender, update, now_ms);
-  if (sender->is_own_zone)
-    extend_view (share, now_ms);
-  apply_update (share, sender, update, now_ms);
-  if (update->whole)
-    send_ack (share, incarnation, update->sent_ms);
-}
-
-void
-load_share_receive (load_share_t *share,
-                    const Lwm__ShareMessage *message,
-                    const char *address)
-{
-  uint64_t now_ms = clock_mono_ms ();
-  placer_peer_t *peer
-      = address != NULL ? placer_ranking_find (share->options.ranking, address)
-                        : NULL;
-
-  if (message->what_case == LWM__SHARE_MESSAGE__WHAT_UPDATE)
-    receive_update (share, message->sender, message->update);
-  else if (message->what_case == LWM__SHARE_MESSAGE__WHAT_ACK && peer != NULL)
-    placer_ranking_on_ack (peer, message->ack->is_able,
-                           (uint32_t)now_ms - message->ack->sent_ms, now_ms);
-}
-
 bool
 load_share_is_complete (const load_share_t *share, uint64_t now_ms)
 {
   return share->view_since_ms > 0
-         && share->view_heard_ms + VIEW_TIMEOUT_MS > now_ms
+         && share->view_heard_ms + LOAD_VIEW_TIMEOUT_MS > now_ms
          && share->view_since_ms + COMPLETE_MS <= now_ms;
 }
 
--- a/load-share.h
+++ b/load-share.h
@@ -20,6 +20,7 @@
 
 #include "metric.h"
 #include "placer-ranking.h"
+#include "quarantine.h"
 #include "share-link.h"
 #include "upstream-set.h"
 
@@ -35,6 +36,7 @@
   const char *zone;    /**< availability zone of this instance; kept */
   const char *address; /**< IP:PORT at which the link listens; kept */
   upstream_set_t *set;
+  quarantine_t *quarantine; /**< shared with others; may be NULL */
   /** The jobs of other instances have changed; may be NULL. */
   void (*on_change) (void *context);
   /** A lost instance has left reserved memory, with the id and upstream of the
--- a/placement-message.c
+++ b/placement-message.c
@@ -34,6 +34,8 @@
                          : 0;
   message->avoid = (uint64_t *)request->avoid;
   message->n_avoid = request->avoid_count;
+  message->parts = (uint64_t *)request->parts.ids;
+  message->n_parts = request->parts.count;
   message->is_move = request->is_move;
   message->silent_ms = request->silent_ms;
   message->current = (uint64_t *)request->current;
@@ -48,6 +50,7 @@
 {
   if (strlen (message->service) >= sizeof request->service
       || message->n_avoid > PLACEMENT_MAX_AVOID
+      || message->n_parts > PROMPT_MAX_PARTS
       || message->n_current > PLACEMENT_MAX_JOBS || message->id == 0)
     return false;
   *request = (placement_request_t){
@@ -61,6 +64,7 @@
     .arrived_ms = now_ms - MIN (message->waited_ms, MIN (now_ms, MAX_TIME_MS)),
     .deadline_ms = now_ms + MIN (message->left_ms, MAX_TIME_MS),
     .avoid_count = (uint32_t)message->n_avoid,
+    .parts.count = (uint32_t)message->n_parts,
     .is_move = message->is_move,
     .silent_ms = message->silent_ms,
     .current_count = (uint32_t)message->n_current,
@@ -68,6 +72,7 @@
   g_strlcpy (request->service, message->service, sizeof request->service);
   COPY_LIST (request->avoid, message->avoid, message->n_avoid);
   COPY_LIST (request->current, message->current, message->n_current);
+  COPY_LIST (request->parts.ids, message->parts, message->n_parts);
   return true;
 }
 
--- a/placer.c
+++ b/placer.c
@@ -76,6 +76,7 @@
           .answer_tokens = request->answer_tokens,
           .kv_tokens = request->prompt_tokens + request->answer_tokens,
           .gap_target_ms = request->gap_target_ms,
+          .parts = request->parts,
           .begun_ms = request->arrived_ms,
           .due_ms = request->arrived_ms + request->target_ms,
           .sent_ms = now_ms };
@@ -93,6 +94,7 @@
       job->id += i + 1;
       job->upstream = answer->helpers[i];
       job->is_part = true;
+      job->parts.count = 0;
       job->answer_tokens = 0;
       job->has_reservation = i < answer->memory_count;
       job->kv_tokens = job->has_reservation ? answer->memory_tokens[i] : 0;
--- /dev/null
+++ b/quarantine-message.c
@@ -0,0 +1,86 @@
+#include "quarantine-message.h"
+
+#include <sys/param.h>
+#include <talloc.h>
+
+/** Entries of one message. */
+#define MAX_SUSPECTS 32
+#define MAX_CLEARED  64
+
+typedef struct
+{
+  uint64_t now_ms;
+  Lwm__ShareAck *ack;
+} writer_t;
+
+static void
+write_suspect (const quarantine_suspect_t *suspect, void *context)
+{
+  writer_t *writer = context;
+  Lwm__ShareAck *ack = writer->ack;
+  Lwm__ShareSuspect *message;
+
+  if (ack->n_suspects == MAX_SUSPECTS)
+    return;
+  message = talloc (ack->suspects, Lwm__ShareSuspect);
+  lwm__share_suspect__init (message);
+  message->part = suspect->part;
+  message->crashes = (uint64_t *)suspect->crashes;
+  message->n_crashes = suspect->crash_count;
+  message->last_ago_ms = (uint32_t)(writer->now_ms - suspect->last_ms);
+  message->was_proven = suspect->was_proven;
+  ack->suspects[ack->n_suspects++] = message;
+}
+
+static void
+write_cleared (uint64_t part, uint64_t answered_ms, void *context)
+{
+  writer_t *writer = context;
+  Lwm__ShareAck *ack = writer->ack;
+  Lwm__ShareCleared *message;
+
+  if (ack->n_cleared == MAX_CLEARED)
+    return;
+  message = talloc (ack->cleared, Lwm__ShareCleared);
+  lwm__share_cleared__init (message);
+  message->part = part;
+  message->ago_ms = (uint32_t)(writer->now_ms - answered_ms);
+  ack->cleared[ack->n_cleared++] = message;
+}
+
+void
+quarantine_to_ack (const quarantine_t *quarantine,
+                   uint64_t now_ms,
+                   void *parent,
+                   Lwm__ShareAck *ack)
+{
+  writer_t writer = { .now_ms = now_ms, .ack = ack };
+
+  ack->suspects = talloc_array (parent, Lwm__ShareSuspect *, MAX_SUSPECTS);
+  ack->cleared = talloc_array (parent, Lwm__ShareCleared *, MAX_CLEARED);
+  quarantine_each_suspect (quarantine, write_suspect, &writer);
+  quarantine_each_cleared (quarantine, now_ms, write_cleared, &writer);
+}
+
+void
+quarantine_from_ack (quarantine_t *quarantine,
+                     const Lwm__ShareAck *ack,
+                     uint64_t now_ms)
+{
+  for (size_t i = 0; i < ack->n_cleared; i++)
+    quarantine_merge_answer (quarantine, ack->cleared[i]->part,
+                             now_ms - MIN (ack->cleared[i]->ago_ms, now_ms));
+  for (size_t i = 0; i < ack->n_suspects; i++)
+    {
+      const Lwm__ShareSuspect *message = ack->suspects[i];
+      quarantine_suspect_t suspect
+          = { .part = message->part,
+              .last_ms = now_ms - MIN (message->last_ago_ms, now_ms),
+              .was_proven = message->was_proven };
+
+      for (size_t j = 0; j < message->n_crashes && j < QUARANTINE_MAX_CRASHES;
+           j++)
+        suspect.crashes[suspect.crash_count++] = message->crashes[j];
+      quarantine_merge (quarantine, &suspect, now_ms);
+    }
+}
--- /dev/null
+++ b/quarantine.h
@@ -0,0 +1,102 @@
+/**
+ * @file quarantine.h
+ * Finds the part of a prompt on which upstreams crash (a query of death), and
+ * tells which requests must not be sent any more. No I/O; time is an argument.
+ *
+ * Evidence against a part: an upstream crashed before the answer began to a
+ * request that holds the part. Evidence for a part: an answer began on it,
+ * which withdraws what spoke against it before. A part is quarantined after
+ * crashes of several upstreams without an answer in between. Parts that
+ * occurred only in requests that also held a more suspect one are bystanders.
+ *
+ * Evidence is identified by the upstream's incarnation, so that reports of
+ * several instances on the same crash can be merged in any order. It ages, and
+ * a quarantined part may be tried again after some time. The memory is bounded,
+ * whatever callers send.
+ */
+#ifndef QUARANTINE_H
+#define QUARANTINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "metric.h"
+#include "prompt-parts.h"
+
+/** Crashes that are kept of one part. */
+#define QUARANTINE_MAX_CRASHES 8
+
+typedef struct quarantine quarantine_t;
+
+typedef enum
+{
+  QUARANTINE_CLEAR,
+  QUARANTINE_SUSPECT, /**< may be sent, but not again after a crash */
+  QUARANTINE_BLOCKED, /**< must not be sent */
+} quarantine_level_t;
+
+/** What speaks against a part. */
+typedef struct
+{
+  uint64_t part;
+  uint64_t crashes[QUARANTINE_MAX_CRASHES]; /**< keys of incarnations */
+  uint64_t crashed_ms[QUARANTINE_MAX_CRASHES];
+  uint32_t crash_count;
+  uint64_t last_ms; /**< time of the last crash */
+  bool was_proven;  /**< answers began on it shortly before the first crash */
+} quarantine_suspect_t;
+
+/** Creates an empty quarantine; freed with @a parent (talloc).
+ * @param metrics may be NULL */
+quarantine_t *quarantine_new (void *parent, metrics_t *metrics);
+
+/** Records that an upstream crashed before it began its answer to a request. */
+void quarantine_add_crash (quarantine_t *quarantine,
+                           const prompt_parts_t *parts,
+                           uint64_t upstream,
+                           uint64_t now_ms);
+
+/** Records that an upstream began its answer to a request. */
+void quarantine_add_answer (quarantine_t *quarantine,
+                            const prompt_parts_t *parts,
+                            uint64_t upstream,
+                            uint64_t now_ms);
+
+/** Returns what is known of a request's parts: the level of the worst one. */
+quarantine_level_t quarantine_level (const quarantine_t *quarantine,
+                                     const prompt_parts_t *parts);
+
+/** Returns the time until the blocked parts of a request may be tried again. */
+uint32_t quarantine_remaining_ms (const quarantine_t *quarantine,
+                                  const prompt_parts_t *parts,
+                                  uint64_t now_ms);
+
+/** Merges what another instance knows of a part. */
+void quarantine_merge (quarantine_t *quarantine,
+                       const quarantine_suspect_t *reported,
+                       uint64_t now_ms);
+
+/** Merges that an answer began on a part at @a answered_ms. */
+void quarantine_merge_answer (quarantine_t *quarantine,
+                              uint64_t part,
+                              uint64_t answered_ms);
+
+/** Calls @a each for what is known against parts. */
+void quarantine_each_suspect (const quarantine_t *quarantine,
+                              void (*each) (const quarantine_suspect_t *suspect,
+                                            void *context),
+                              void *context);
+
+/** Calls @a each for the parts that an answer cleared lately. */
+void quarantine_each_cleared (const quarantine_t *quarantine,
+                              uint64_t now_ms,
+                              void (*each) (uint64_t part,
+                                            uint64_t answered_ms,
+                                            void *context),
+                              void *context);
+
+/** Forgets what is old. The caller runs it a few times a second. */
+void quarantine_tick (quarantine_t *quarantine, uint64_t now_ms);
+
+#endif
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -14,6 +14,7 @@
 {
   const char *id = http_fields_find (fields, "X-Id");
   const char *last = http_fields_find (fields, "Last-Event-Id");
+  const char *parts = http_fields_find (fields, "X-Parts"); /* a digit each */
 
   terms->id = id != NULL ? id : "";
   terms->key = http_fields_find (fields, "X-Key");
@@ -21,6 +22,9 @@
   terms->deadline_ms = 8000;
   terms->has_last_event = last != NULL;
   terms->last_event = last != NULL ? strtoull (last, NULL, 10) : 0;
+  terms->parts.count = 0;
+  for (; parts != NULL && *parts >= '0' && *parts <= '9'; parts++)
+    terms->parts.ids[terms->parts.count++] = (uint64_t)*parts;
 }
 
 static void
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -1,33 +1,21 @@
 /*
- * Two entry instances of a zone share their jobs with each other. When one is
- * lost, the other must learn of the engine memory that it had reserved, and
- * release it, also when the order that reserves it is carried out late.
+ * Entry instances share their jobs with each other. When one is lost, the
+ * others must learn of the engine memory that it had reserved.
  */
-#include <event2/buffer.h>
 #include <event2/event.h>
-#include <event2/http.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <talloc.h>
 
 #include "base.h"
-#include "engine-memory.h"
+#include "lib-address.h"
 #include "logging.h"
 #include "zone-placement.h"
 
 #define WAIT_TIMEOUT_MS 20000
-/** Times after which memory counts as leaked: after its last use, and when it
- * was never used. */
-#define MEMORY_FREE_MS   4000
-#define MEMORY_UNUSED_MS 9000
 /** Exceeds the time until an instance without heartbeats counts as lost. */
 #define PROCESS_PAUSE_MS 3000
-/** Time after which a silent instance of the own zone is taken for lost, with
- * the interval at which that is checked. */
-#define INSTANCE_LOST_MS 2750
 /** Bound of the time until others know that an instance has started again. It
  * reports itself within SHARE_INTERVAL_MS. */
 #define RESTART_NOTICED_MS (SHARE_INTERVAL_MS + 300)
@@ -35,6 +23,8 @@
 #define SETTLE_MS 4000
 /** Bound of the time in which an instance tells others of an orphan. */
 #define ORPHAN_REPORT_MS 300
+/** Time in which all instances must know a part on which upstreams crash. */
+#define QUARANTINE_SHARED_MS 3000
 /** Upper bound of the time in which an instance sends all its jobs again. */
 #define SHARE_INTERVAL_MS 1100
 
@@ -45,6 +35,7 @@
   metrics_t *metrics;
   char listen[32];
   uint64_t orphan; /* id of the last orphaned job */
+  quarantine_t *quarantine;
 } instance_t;
 
 typedef struct
@@ -56,27 +47,30 @@
   instance_t other;
 } fixture_t;
 
-/** Writes a loopback address whose port was free at the time of the call. */
 static void
-choose_free_address (char text[32])
+on_orphan (const upstream_job_t *job, void *context)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, size), ==, 0);
-  getsockname (fd, (struct sockaddr *)&address, &size);
-  snprintf (text, 32, "127.0.0.1:%u", ntohs (address.sin_port));
-  close (fd);
+  instance_t *instance = context;
+
+  instance->orphan = job->id;
 }
 
 static void
-on_orphan (const upstream_job_t *job, void *context)
+on_answer (const upstream_job_t *job, uint64_t now_ms, void *context)
 {
   instance_t *instance = context;
 
-  instance->orphan = job->id;
+  quarantine_add_answer (instance->quarantine, &job->parts, job->upstream,
+                         now_ms);
+}
+
+static void
+on_broken (const upstream_job_t *job, uint64_t now_ms, void *context)
+{
+  instance_t *instance = context;
+
+  quarantine_add_crash (instance->quarantine, &job->parts, job->upstream,
+                        now_ms);
 }
 
 static bool
@@ -102,7 +96,8 @@
 static void
 start_instance (fixture_t *fixture, instance_t *instance, const char *zone)
 {
-  upstream_set_options_t set = { 0 };
+  upstream_set_options_t set
+      = { .on_answer = on_answer, .on_broken = on_broken, .context = instance };
   zone_placement_options_t options = { .base = fixture->base,
                                        .listen = instance->listen,
                                        .zone = zone,
@@ -110,7 +105,8 @@
                                        .on_orphan = on_orphan,
                                        .context = instance };
 
-  instance->set = options.set = upstream_set_new (NULL, &set);
+  instance->quarantine = options.quarantine = quarantine_new (NULL, NULL);
+  instance->set = options.set = upstream_set_new (instance->quarantine, &set);
   upstream_set_sync (instance->set, fixture->directory, clock_mono_ms ());
   instance->metrics = options.metrics = metrics_new (NULL);
   /* The library closes the listening socket of an earlier one in its own
@@ -169,8 +165,8 @@
   talloc_free (fixture->other.placement);
   talloc_free (fixture->one.metrics);
   talloc_free (fixture->other.metrics);
-  talloc_free (fixture->one.set);
-  talloc_free (fixture->other.set);
+  talloc_free (fixture->one.quarantine);
+  talloc_free (fixture->other.quarantine);
   talloc_free (fixture->directory);
   event_base_free (fixture->base);
   g_free (fixture);
@@ -277,7 +273,7 @@
   talloc_free (one->placement);
   one->placement = NULL;
   talloc_free (one->metrics);
-  talloc_free (one->set);
+  talloc_free (one->quarantine);
   ended_ms = clock_mono_ms ();
   start_instance (fixture, one, "z");
   zone_placement_add_instances (one->placement, addresses, zones, 2);
@@ -322,7 +318,7 @@
   g_assert_cmpuint (clock_mono_ms () - found_ms, <, ORPHAN_REPORT_MS);
   talloc_free (far.placement);
   talloc_free (far.metrics);
-  talloc_free (far.set);
+  talloc_free (far.quarantine);
   fixture_free (fixture);
 }
 
@@ -337,6 +333,84 @@
   expect_orphan_in_other_zone (fixture, &fixture->other, &fixture->one);
 }
 
+/** Adds an incarnation of an upstream that all know, and returns its key. */
+static uint64_t
+announce_upstream (fixture_t *fixture, instance_t *far, uint64_t born_ms)
+{
+  directory_statement_t said = { .id = "crashing",
+                                 .address = "10.0.0.2:80",
+                                 .zone = "z",
+                                 .service = "s",
+                                 .born_ms = born_ms,
+                                 .sequence = 1 };
+  size_t count;
+  const directory_entry_t *const *entries;
+  uint64_t key = 0;
+
+  directory_put (fixture->directory, &said, clock_mono_ms ());
+  entries = directory_entries (fixture->directory, &count);
+  for (size_t i = 0; i < count; i++)
+    if (entries[i]->said.born_ms == born_ms)
+      key = entries[i]->key;
+  upstream_set_sync (fixture->one.set, fixture->directory, clock_mono_ms ());
+  upstream_set_sync (fixture->other.set, fixture->directory, clock_mono_ms ());
+  upstream_set_sync (far->set, fixture->directory, clock_mono_ms ());
+  return key;
+}
+
+/** An upstream crashes on a request of an instance. */
+static void
+crash_upstream (fixture_t *fixture,
+                instance_t *owner,
+                uint64_t upstream,
+                const prompt_parts_t *parts)
+{
+  static uint64_t last_id = 900000;
+  placement_request_t request = { .id = last_id += PLACEMENT_MAX_JOBS,
+                                  .service = "s",
+                                  .arrived_ms = clock_mono_ms (),
+                                  .parts = *parts };
+  placement_answer_t answer = { .kind = PLACEMENT_SEND, .upstream = upstream };
+
+  zone_placement_begin (owner->placement, &request, &answer);
+  zone_placement_end (owner->placement, request.id, UPSTREAM_JOB_BROKEN);
+}
+
+/* Guards against: instances that go on sending requests on which upstreams
+ * crash at others (BUDGET). No instance sees more than two of the crashes. */
+static void
+test_quarantine_reaches_everyone (void)
+{
+  fixture_t *fixture = fixture_new ();
+  struct event_base *base = fixture->base;
+  instance_t far = { 0 };
+  instance_t *owners[] = { &fixture->one, &fixture->other, &fixture->one };
+  prompt_parts_t parts = { .ids = { 7 }, .count = 1 };
+  char *addresses[3] = { fixture->one.listen, fixture->other.listen };
+  char *zones[3] = { (char *)"z", (char *)"z", (char *)"y" };
+  uint64_t crashed_ms = clock_mono_ms () + SETTLE_MS;
+
+  open_instance_in (fixture, &far, zones[2]);
+  addresses[2] = far.listen;
+  zone_placement_add_instances (fixture->one.placement, addresses, zones, 3);
+  zone_placement_add_instances (fixture->other.placement, addresses, zones, 3);
+  zone_placement_add_instances (far.placement, addresses, zones, 3);
+  WAIT (clock_mono_ms () > crashed_ms);
+  for (uint64_t i = 0; i < G_N_ELEMENTS (owners); i++)
+    crash_upstream (fixture, owners[i],
+                    announce_upstream (fixture, &far, 1000 + i), &parts);
+  crashed_ms = clock_mono_ms ();
+  WAIT (quarantine_level (fixture->one.quarantine, &parts) == QUARANTINE_BLOCKED
+        && quarantine_level (fixture->other.quarantine, &parts)
+               == QUARANTINE_BLOCKED
+        && quarantine_level (far.quarantine, &parts) == QUARANTINE_BLOCKED);
+  g_assert_cmpuint (clock_mono_ms () - crashed_ms, <, QUARANTINE_SHARED_MS);
+  talloc_free (far.placement);
+  talloc_free (far.metrics);
+  talloc_free (far.quarantine);
+  fixture_free (fixture);
+}
+
 /* Both instances are paused for longer than the heartbeat timeout. Each must
  * read its backlog before it treats the other as lost and the other's
  * reservation as orphaned. */
@@ -357,318 +431,6 @@
   fixture_free (fixture);
 }
 
-/** An engine that takes orders. */
-typedef struct
-{
-  struct event_base *base;
-  uint32_t reserves;
-  uint32_t releases;
-  uint32_t silent; /* number of first releases without an answer */
-  int status;
-  /* The engine leaves reserving orders unanswered and carries them out after
-   * this time; 0: it answers them at once. */
-  uint32_t late_ms;
-  bool is_held;
-  uint32_t lease_ms; /* of the last order that reserves */
-} engine_t;
-
-static void
-on_late_order (evutil_socket_t fd, short what, void *context)
-{
-  engine_t *engine = context;
-
-  engine->is_held = true;
-}
-
-static void
-on_order (struct evhttp_request *request, void *context)
-{
-  engine_t *engine = context;
-  struct evbuffer *in = evhttp_request_get_input_buffer (request);
-  char text[200] = "";
-  struct timeval late = timeval_from_ms (engine->late_ms);
-
-  evbuffer_copyout (in, text, sizeof text - 1);
-  if (strstr (text, "release") != NULL)
-    {
-      if (++engine->releases <= engine->silent)
-        return;
-      engine->is_held = false;
-    }
-  else
-    {
-      engine->reserves++;
-      g_assert_cmpint (sscanf (text, "reserve %*s %*u %u", &engine->lease_ms),
-                       ==, 1);
-      if (engine->late_ms > 0)
-        {
-          event_base_once (engine->base, -1, EV_TIMEOUT, on_late_order, engine,
-                           &late);
-          return;
-        }
-      engine->is_held = engine->status == 200;
-    }
-  evhttp_send_reply (request, engine->status, "Answer", NULL);
-}
-
-static char *
-write_reserve_order (const char *ticket, uint32_t tokens, uint32_t hold_ms)
-{
-  return g_strdup_printf ("reserve %s %u %u", ticket, tokens, hold_ms);
-}
-
-static char *
-write_release_order (const char *ticket)
-{
-  return g_strdup_printf ("release %s", ticket);
-}
-
-static void
-on_reservation (engine_reservation_t *ticket, bool is_held, void *context)
-{
-  *(int *)context = is_held ? 1 : 0;
-}
-
-static void
-on_released (uint64_t job_id, void *context)
-{
-  *(uint64_t *)context = job_id;
-}
-
-static const gateway_protocol_t protocol
-    = { .write_reserve_order = write_reserve_order,
-        .write_release_order = write_release_order,
-        .order_target = "/order" };
-
-typedef struct
-{
-  struct event_base *base;
-  struct evhttp *http;
-  void *parent;
-  engine_t engine;
-  engine_memory_t *memory;
-  char address[32];
-  int held;          /* 1: granted, 0: not granted, -1: no answer yet */
-  uint64_t released; /* job whose reservation was released last */
-} orders_t;
-
-static orders_t *
-orders_new (void)
-{
-  orders_t *orders = g_new0 (orders_t, 1);
-  exchange_pool_options_t pool = { .connect_timeout_ms = 500 };
-  engine_memory_options_t options = { .protocol = &protocol,
-                                      .on_released = on_released,
-                                      .context = &orders->released };
-  char ip[32];
-  int port;
-
-  orders->base = pool.base = options.base = event_base_new ();
-  orders->http = evhttp_new (orders->base);
-  orders->parent = talloc_new (NULL);
-  orders->engine = (engine_t){ .base = orders->base, .status = 200 };
-  orders->held = -1;
-  choose_free_address (orders->address);
-  g_assert_cmpint (sscanf (orders->address, "%31[^:]:%d", ip, &port), ==, 2);
-  g_assert_cmpint (evhttp_bind_socket (orders->http, ip, (uint16_t)port), ==,
-                   0);
-  evhttp_set_gencb (orders->http, on_order, &orders->engine);
-  options.pool = exchange_pool_new (orders->parent, &pool);
-  options.metrics = metrics_new (orders->parent);
-  orders->memory = engine_memory_new (orders->parent, &options);
-  return orders;
-}
-
-static void
-orders_free (orders_t *orders)
-{
-  talloc_free (orders->parent);
-  evhttp_free (orders->http);
-  event_base_free (orders->base);
-  g_free (orders);
-}
-
-/** Reserves memory for a job that is predicted to use it for some time. */
-static engine_reservation_t *
-reserve_for (orders_t *orders, uint64_t job_id, uint32_t expected_ms)
-{
-  engine_reservation_options_t ask = { .upstream = 1,
-                                       .address = orders->address,
-                                       .job_id = job_id,
-                                       .tokens = 9,
-                                       .expected_ms = expected_ms,
-                                       .done = on_reservation,
-                                       .context = &orders->held };
-
-  orders->held = -1;
-  return engine_memory_reserve (orders->memory, &ask);
-}
-
-static engine_reservation_t *
-reserve (orders_t *orders, uint64_t job_id)
-{
-  return reserve_for (orders, job_id, 1000);
-}
-
-/** An engine that carries out the release late, or never gets it, must not
- * count the memory as leaked: the lease ends soon after the predicted end. */
-static void
-test_lease_follows_request (void)
-{
-  static const uint32_t expected_ms[] = { 0, 1000, 3100, 60000 };
-  orders_t *orders = orders_new ();
-  struct event_base *base = orders->base;
-
-  for (uint32_t i = 0; i < G_N_ELEMENTS (expected_ms); i++)
-    {
-      engine_reservation_t *ticket
-          = reserve_for (orders, 50 + i, expected_ms[i]);
-
-      WAIT (orders->held == 1);
-      g_assert_cmpuint (orders->engine.lease_ms, <=,
-                        expected_ms[i] + MEMORY_FREE_MS);
-      g_assert_cmpuint (orders->engine.lease_ms, <=, MEMORY_UNUSED_MS);
-      g_assert_cmpuint (orders->engine.lease_ms, >=,
-                        MIN (expected_ms[i], 8000));
-      engine_memory_release (ticket);
-      WAIT (orders->released == 50 + i);
-    }
-  orders_free (orders);
-}
-
-/** A release is repeated until it is answered; a refused reservation needs no
- * release. */
-static void
-test_reservations (void)
-{
-  orders_t *orders = orders_new ();
-  struct event_base *base = orders->base;
-  engine_reservation_t *ticket = reserve (orders, 21);
-
-  orders->engine.silent = 1;
-  WAIT (orders->held == 1);
-  engine_memory_release (ticket);
-  WAIT (orders->engine.releases == 2);
-  WAIT (orders->released == 21);
-  orders->engine.status = 409;
-  ticket = reserve (orders, 22);
-  WAIT (orders->held == 0);
-  engine_memory_release (ticket);
-  g_assert_cmpuint (orders->released, ==, 22);
-  orders->engine.status = 200;
-  engine_memory_release_orphan (orders->memory, 1, orders->address, 23);
-  WAIT (orders->engine.releases == 3);
-  orders_free (orders);
-}
-
-/* Guards against: memory that stays reserved after its request because an
- * engine leaves most orders unanswered (LEAK). What remains of MEMORY_FREE_MS
- * after an instance was taken for lost must suffice for many orders. */
-static void
-test_unanswered_releases (void)
-{
-  orders_t *orders = orders_new ();
-  struct event_base *base = orders->base;
-  uint64_t since_ms = clock_mono_ms ();
-
-  orders->engine.silent = 6;
-  orders->engine.is_held = true;
-  engine_memory_release_orphan (orders->memory, 1, orders->address, 24);
-  WAIT (!orders->engine.is_held);
-  g_assert_cmpuint (clock_mono_ms () - since_ms, <,
-                    MEMORY_FREE_MS - INSTANCE_LOST_MS);
-  orders_free (orders);
-}
-
-/* Guards against: memory that stays reserved after a request that ended earlier
- * than predicted, because the orders that release it become rare while its
- * lease goes on (LEAK). */
-static void
-test_many_unanswered_releases (void)
-{
-  orders_t *orders = orders_new ();
-  struct event_base *base = orders->base;
-  engine_reservation_t *ticket = reserve (orders, 26);
-  uint64_t since_ms;
-
-  orders->engine.silent = 20;
-  WAIT (orders->held == 1);
-  since_ms = clock_mono_ms ();
-  engine_memory_release (ticket);
-  WAIT (orders->released == 26);
-  g_assert_cmpuint (clock_mono_ms () - since_ms, <, MEMORY_FREE_MS);
-  orders_free (orders);
-}
-
-/** Two instances may report the same orphan; it is released once. */
-static void
-test_orphan_reported_twice (void)
-{
-  orders_t *orders = orders_new ();
-  struct event_base *base = orders->base;
-  uint64_t since_ms = clock_mono_ms ();
-
-  engine_memory_release_orphan (orders->memory, 1, orders->address, 25);
-  engine_memory_release_orphan (orders->memory, 1, orders->address, 25);
-  WAIT (clock_mono_ms () > since_ms + 1000);
-  g_assert_cmpuint (orders->engine.releases, ==, 1);
-  orders_free (orders);
-}
-
-/** Waits until the order was carried out late, and its memory given back. */
-static void
-expect_given_back (orders_t *orders)
-{
-  struct event_base *base = orders->base;
-
-  WAIT (orders->engine.is_held);
-  g_assert_cmpuint (orders->engine.releases, >, 0);
-  WAIT (!orders->engine.is_held);
-}
-
-/** The engine leaves the order unanswered and carries it out seconds later,
- * after a release that it has answered. */
-static void
-test_late_order_of_this_instance (void)
-{
-  orders_t *orders = orders_new ();
-  struct event_base *base = orders->base;
-  engine_reservation_t *ticket;
-
-  orders->engine.late_ms = 3000;
-  ticket = reserve (orders, 31);
-  WAIT (orders->held == 0);
-  engine_memory_release (ticket);
-  WAIT (orders->engine.releases == 1);
-  g_assert_cmpuint (orders->released, ==, 0);
-  expect_given_back (orders);
-  orders_free (orders);
-}
-
-/** The instance that sent the order dies while it is unanswered, and the engine
- * carries it out after another instance has released it. */
-static void
-test_late_order_of_lost_instance (void)
-{
-  orders_t *orders = orders_new ();
-  struct event_base *base = orders->base;
-  exchange_pool_options_t pool = { .base = base, .connect_timeout_ms = 500 };
-  engine_memory_options_t survivor = { .base = base, .protocol = &protocol };
-
-  orders->engine.late_ms = 3000;
-  reserve (orders, 41);
-  WAIT (orders->engine.reserves == 1);
-  talloc_free (orders->parent);
-  orders->parent = talloc_new (NULL);
-  survivor.pool = exchange_pool_new (orders->parent, &pool);
-  survivor.metrics = metrics_new (orders->parent);
-  engine_memory_release_orphan (engine_memory_new (orders->parent, &survivor),
-                                1, orders->address, 41);
-  WAIT (orders->engine.releases == 1);
-  expect_given_back (orders);
-  orders_free (orders);
-}
-
 int
 main (int argc, char **argv)
 {
@@ -681,18 +443,8 @@
   g_test_add_func ("/load-share/restarted-instance", test_restarted_instance);
   g_test_add_func ("/load-share/orphan-reaches-other-zone",
                    test_orphan_reaches_other_zone);
+  g_test_add_func ("/load-share/quarantine-reaches-everyone",
+                   test_quarantine_reaches_everyone);
   g_test_add_func ("/load-share/own-standstill", test_own_process_pause);
-  g_test_add_func ("/engine-memory/tickets", test_reservations);
-  g_test_add_func ("/engine-memory/lease", test_lease_follows_request);
-  g_test_add_func ("/engine-memory/unanswered-releases",
-                   test_unanswered_releases);
-  g_test_add_func ("/engine-memory/many-unanswered-releases",
-                   test_many_unanswered_releases);
-  g_test_add_func ("/engine-memory/orphan-reported-twice",
-                   test_orphan_reported_twice);
-  g_test_add_func ("/engine-memory/late-order",
-                   test_late_order_of_this_instance);
-  g_test_add_func ("/engine-memory/late-order-of-lost-instance",
-                   test_late_order_of_lost_instance);
   return g_test_run ();
 }
--- /dev/null
+++ b/t/t8080-quarantine.c
@@ -0,0 +1,257 @@
+/*
+ * Finds the part of prompts on which upstreams crash, among requests that share
+ * their other parts with sound ones.
+ */
+#include <glib.h>
+#include <talloc.h>
+
+#include "quarantine.h"
+
+#define COMMON_PART 1
+#define DEADLY_PART 2
+#define OTHER_PART  3
+#define HOUR_MS     (60u * 60 * 1000)
+
+static quarantine_t *quarantine;
+static uint64_t now_ms;
+
+static void
+set_up (void)
+{
+  quarantine = quarantine_new (NULL, NULL);
+  now_ms = HOUR_MS;
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (quarantine);
+}
+
+static prompt_parts_t
+parts_of (uint64_t first, uint64_t second)
+{
+  return (prompt_parts_t){ .ids = { first, second },
+                           .count = second != 0 ? 2 : 1 };
+}
+
+static void
+crash (uint64_t first, uint64_t second, uint64_t upstream)
+{
+  prompt_parts_t parts = parts_of (first, second);
+
+  quarantine_add_crash (quarantine, &parts, upstream, now_ms);
+}
+
+static void
+answer (uint64_t first, uint64_t second, uint64_t upstream)
+{
+  prompt_parts_t parts = parts_of (first, second);
+
+  quarantine_add_answer (quarantine, &parts, upstream, now_ms);
+}
+
+static quarantine_level_t
+level (uint64_t first, uint64_t second)
+{
+  prompt_parts_t parts = parts_of (first, second);
+
+  return quarantine_level (quarantine, &parts);
+}
+
+/* Guards against: requests of one kind that crash upstream after upstream
+ * (BUDGET), and sound ones that are refused because they share a part with them
+ * (LOST). */
+static void
+test_deadly_part_is_found (void)
+{
+  set_up ();
+  answer (COMMON_PART, 0, 100);
+  crash (COMMON_PART, DEADLY_PART, 101);
+  g_assert_cmpint (level (COMMON_PART, DEADLY_PART), ==, QUARANTINE_CLEAR);
+  crash (COMMON_PART, DEADLY_PART, 102);
+  g_assert_cmpint (level (COMMON_PART, DEADLY_PART), ==, QUARANTINE_SUSPECT);
+  crash (COMMON_PART, DEADLY_PART, 103);
+  g_assert_cmpint (level (COMMON_PART, DEADLY_PART), ==, QUARANTINE_BLOCKED);
+  g_assert_cmpint (level (COMMON_PART, OTHER_PART), ==, QUARANTINE_CLEAR);
+  answer (COMMON_PART, OTHER_PART, 104);
+  g_assert_cmpint (level (COMMON_PART, DEADLY_PART), ==, QUARANTINE_BLOCKED);
+  tear_down ();
+}
+
+/* Guards against: a key or first part that is refused altogether because its
+ * sound requests waited at upstreams that crashed (LOST). */
+static void
+test_common_part_stays_clear (void)
+{
+  set_up ();
+  answer (COMMON_PART, 0, 100);
+  for (uint64_t upstream = 101; upstream < 120; upstream++)
+    crash (COMMON_PART, DEADLY_PART, upstream);
+  g_assert_cmpint (level (COMMON_PART, DEADLY_PART), ==, QUARANTINE_BLOCKED);
+  g_assert_cmpint (level (COMMON_PART, OTHER_PART), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+/** Requests that were cut off by the crashes of another one. */
+static void
+test_bystander_is_no_suspect (void)
+{
+  set_up ();
+  for (uint64_t upstream = 101; upstream < 104; upstream++)
+    {
+      crash (DEADLY_PART, 0, upstream);
+      crash (OTHER_PART, 0, upstream);
+    }
+  crash (DEADLY_PART, 0, 104);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
+  g_assert_cmpint (level (OTHER_PART, 0), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+/** Upstreams that lose power or are replaced cut off different requests. */
+static void
+test_other_crashes_suspect_nobody (void)
+{
+  set_up ();
+  for (uint64_t upstream = 1; upstream <= 50; upstream++)
+    {
+      now_ms += 2000;
+      for (uint64_t i = 0; i < 4; i++)
+        crash (COMMON_PART, 1000 * upstream + i, upstream);
+      answer (COMMON_PART, 0, 500 + upstream);
+    }
+  g_assert_cmpint (level (COMMON_PART, 0), ==, QUARANTINE_CLEAR);
+  g_assert_cmpint (level (COMMON_PART, 50000), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+/** A connection that was reset shows no crash when its upstream answers on. */
+static void
+test_living_upstream_has_not_crashed (void)
+{
+  set_up ();
+  for (uint64_t upstream = 101; upstream < 104; upstream++)
+    crash (DEADLY_PART, 0, upstream);
+  now_ms += 2000;
+  answer (OTHER_PART, 0, 102);
+  answer (OTHER_PART, 0, 103);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+/** A part is blocked also when it was sound before. */
+static void
+test_part_that_becomes_deadly (void)
+{
+  set_up ();
+  answer (DEADLY_PART, 0, 100);
+  for (uint64_t upstream = 101; upstream < 106; upstream++)
+    crash (DEADLY_PART, 0, upstream);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_SUSPECT);
+  crash (DEADLY_PART, 0, 106);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
+  tear_down ();
+}
+
+/** Reports of the same crash count once, in any order. */
+static void
+test_reports_are_merged (void)
+{
+  quarantine_suspect_t one = { .part = DEADLY_PART,
+                               .crashes = { 101, 102 },
+                               .crash_count = 2,
+                               .last_ms = HOUR_MS };
+  quarantine_suspect_t other = { .part = DEADLY_PART,
+                                 .crashes = { 102, 103 },
+                                 .crash_count = 2,
+                                 .last_ms = HOUR_MS };
+
+  set_up ();
+  for (int i = 0; i < 3; i++)
+    quarantine_merge (quarantine, &one, now_ms);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_SUSPECT);
+  quarantine_merge (quarantine, &other, now_ms);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
+  quarantine_merge_answer (quarantine, DEADLY_PART, HOUR_MS - 1);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
+  quarantine_merge_answer (quarantine, DEADLY_PART, HOUR_MS + 1);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_CLEAR);
+  /* A late report of what the answer has disproved. */
+  quarantine_merge (quarantine, &one, now_ms);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+/** There is a way back: the part is tried again, and blocked by one crash. */
+static void
+test_quarantine_ends (void)
+{
+  prompt_parts_t parts = parts_of (DEADLY_PART, 0);
+
+  set_up ();
+  for (uint64_t upstream = 101; upstream < 104; upstream++)
+    crash (DEADLY_PART, 0, upstream);
+  g_assert_cmpuint (quarantine_remaining_ms (quarantine, &parts, now_ms), >, 0);
+  now_ms += quarantine_remaining_ms (quarantine, &parts, now_ms);
+  quarantine_tick (quarantine, now_ms);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_SUSPECT);
+  g_assert_cmpuint (quarantine_remaining_ms (quarantine, &parts, now_ms), ==,
+                    0);
+  crash (DEADLY_PART, 0, 104);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
+  now_ms += HOUR_MS;
+  quarantine_tick (quarantine, now_ms);
+  answer (DEADLY_PART, 0, 105);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+static void
+count_suspect (const quarantine_suspect_t *suspect, void *context)
+{
+  (*(uint32_t *)context)++;
+}
+
+/** Callers cannot fill the memory, nor push out what is blocked. */
+static void
+test_memory_is_bounded (void)
+{
+  uint32_t suspects = 0;
+
+  set_up ();
+  for (uint64_t upstream = 101; upstream < 104; upstream++)
+    crash (DEADLY_PART, 0, upstream);
+  for (uint64_t part = 1000; part < 50000; part++)
+    {
+      now_ms++;
+      crash (part, 0, 1000 + part % 7);
+      answer (100000 + part, 0, 99);
+    }
+  quarantine_each_suspect (quarantine, count_suspect, &suspects);
+  g_assert_cmpuint (suspects, <=, 256);
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
+  tear_down ();
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/quarantine/deadly-part-is-found",
+                   test_deadly_part_is_found);
+  g_test_add_func ("/quarantine/common-part-stays-clear",
+                   test_common_part_stays_clear);
+  g_test_add_func ("/quarantine/bystander-is-no-suspect",
+                   test_bystander_is_no_suspect);
+  g_test_add_func ("/quarantine/other-crashes-suspect-nobody",
+                   test_other_crashes_suspect_nobody);
+  g_test_add_func ("/quarantine/living-upstream-has-not-crashed",
+                   test_living_upstream_has_not_crashed);
+  g_test_add_func ("/quarantine/part-that-becomes-deadly",
+                   test_part_that_becomes_deadly);
+  g_test_add_func ("/quarantine/reports-are-merged", test_reports_are_merged);
+  g_test_add_func ("/quarantine/ends", test_quarantine_ends);
+  g_test_add_func ("/quarantine/memory-is-bounded", test_memory_is_bounded);
+  return g_test_run ();
+}
--- a/t/t8100-platform.c
+++ b/t/t8100-platform.c
@@ -282,6 +282,37 @@
   g_assert_cmpuint (terms.answer_tokens, ==, 0);
 }
 
+static gateway_request_info_t
+read_parts (const char *text)
+{
+  http_field_t item = { "Prefix-Hash", (char *)text };
+  http_fields_t caller = { .items = &item, .count = 1 };
+  gateway_request_info_t info = { 0 };
+
+  platform_protocol.read_request_info (&caller, &info);
+  return info;
+}
+
+/** The parts of a prompt are recognized by their names; the last one belongs to
+ * the request alone. */
+static void
+test_parts (void)
+{
+  gateway_request_info_t three = read_parts ("5c:800,91:410,e4:250");
+  gateway_request_info_t spaced = read_parts ("5c:1, 91:2, aa:3");
+
+  g_assert_cmpuint (three.parts.count, ==, 2);
+  g_assert_cmpuint (three.parts.ids[0], !=, three.parts.ids[1]);
+  g_assert_cmpuint (spaced.parts.count, ==, 2);
+  g_assert_cmpuint (spaced.parts.ids[0], ==, three.parts.ids[0]);
+  g_assert_cmpuint (spaced.parts.ids[1], ==, three.parts.ids[1]);
+  g_assert_cmpuint (read_parts ("5c:800").parts.count, ==, 0);
+  g_assert_cmpuint (read_parts ("").parts.count, ==, 0);
+  g_assert_cmpuint (read_parts (",,,").parts.count, ==, 0);
+  g_assert_cmpuint (read_parts ("a,b,c,d,e,f,g,h,i,j,k,l").parts.count, ==,
+                    PROMPT_MAX_PARTS);
+}
+
 /** Fields that a caller must not set itself are replaced. */
 static void
 test_fields (void)
@@ -466,6 +497,7 @@
   g_test_add_func ("/platform/leave", test_leave);
   g_test_add_func ("/platform/terms", test_request_info);
   g_test_add_func ("/platform/fields", test_fields);
+  g_test_add_func ("/platform/prompt-parts", test_parts);
   g_test_add_func ("/platform/config-by-steps", test_config_by_steps);
   g_test_add_func ("/platform/config-by-steps-unusual",
                    test_config_by_steps_unusual);
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -216,7 +216,11 @@
   if (job == NULL)
     return;
   if (job->first_ms == 0)
-    job->first_ms = now_ms;
+    {
+      job->first_ms = now_ms;
+      if (set->options.on_answer != NULL)
+        set->options.on_answer (job, now_ms, set->options.context);
+    }
   else if (job->gap_target_ms > 0 && now_ms > job->last_ms + job->gap_target_ms)
     job->is_late = true;
   job->last_ms = now_ms;
@@ -257,6 +261,8 @@
     member->full_until_ms = now_ms + FULL_BACKOFF_MS;
   if (how == UPSTREAM_JOB_DEAD && member->trust != UPSTREAM_EJECTED)
     eject_member (member, now_ms);
+  if (how == UPSTREAM_JOB_BROKEN)
+    how = UPSTREAM_JOB_FAILED;
   if (how != UPSTREAM_JOB_GOOD && how != UPSTREAM_JOB_FAILED)
     return;
   member->failure_share
@@ -285,6 +291,9 @@
 
   if (job == NULL)
     return;
+  if (how == UPSTREAM_JOB_BROKEN && job->first_ms == 0
+      && set->options.on_broken != NULL)
+    set->options.on_broken (job, now_ms, set->options.context);
   member = find_member (set, job->upstream);
   g_hash_table_remove (set->jobs, &job->id);
   g_ptr_array_remove (member->jobs, job);
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include "directory.h"
+#include "prompt-parts.h"
 
 typedef struct upstream_set upstream_set_t;
 
@@ -44,6 +45,7 @@
   bool is_part;         /**< prefills a part of a prompt for another upstream */
   bool has_reservation; /**< memory is reserved there under the name of
                              upstream_reservation_name() */
+  prompt_parts_t parts; /**< of the prompt; none for a part's job */
 } upstream_job_t;
 
 /** How a job ended, as far as this shows the state of the upstream. */
@@ -54,6 +56,8 @@
   UPSTREAM_JOB_REFUSED, /**< the upstream was full */
   UPSTREAM_JOB_DEAD,    /**< another upstream reported that this one is gone */
   UPSTREAM_JOB_NEUTRAL, /**< cancelled, or failed elsewhere */
+  UPSTREAM_JOB_BROKEN,  /**< failed, as its connection broke off without an
+                             event; the upstream may have crashed */
 } upstream_job_end_t;
 
 /** Whether an upstream gets requests, by its recent failures. */
@@ -90,6 +94,10 @@
 {
   /** An upstream may not be used any more; may be NULL. */
   void (*on_gone) (const upstream_member_t *member, void *context);
+  /** The answer to a job has begun; may be NULL. */
+  void (*on_answer) (const upstream_job_t *job, uint64_t now_ms, void *context);
+  /** A job was broken off before its answer began; may be NULL. */
+  void (*on_broken) (const upstream_job_t *job, uint64_t now_ms, void *context);
   void *context;
 } upstream_set_options_t;
 
--- a/zone-placement.c
+++ b/zone-placement.c
@@ -222,6 +222,7 @@
                                  .zone = options->zone,
                                  .address = options->listen,
                                  .set = options->set,
+                                 .quarantine = options->quarantine,
                                  .on_change = on_share_change,
                                  .on_orphan = on_orphan,
                                  .on_lost = on_lost,
--- a/zone-placement.h
+++ b/zone-placement.h
@@ -17,6 +17,7 @@
 
 #include "metric.h"
 #include "placer.h"
+#include "quarantine.h"
 
 struct event_base;
 
@@ -32,6 +33,7 @@
   const char *zone;   /**< availability zone of this instance; kept */
   uint32_t zone_cost_ms;
   upstream_set_t *set;
+  quarantine_t *quarantine; /**< shared with other instances; may be NULL */
   /** See placer_options_t. */
   bool (*find_service) (const char *name,
                         placer_service_t *service,
