upstream-set: honour upstreams that leave or ask for a pause

It travels to the placers with the other observations. A request that only pausing upstreams can serve waits for them or is refused with their time. Values of no sense have a bound and a line.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -52,6 +52,8 @@
   metric_t *held_at_startup;
   metric_t *gone; /* requests closed by the caller before the end */
   metric_t *broken;
+  metric_t *leaving; /* answers in which an upstream said that it leaves */
+  metric_t *paused;  /* answers in which an upstream asked for a pause */
   metric_t *refusals[ERROR_KIND_COUNT];
   metric_t *first_event_s[GATEWAY_CLASS_COUNT]; /* time to the first event */
   metric_t *answer_s[GATEWAY_CLASS_COUNT];      /* time to the answer's end */
@@ -108,6 +110,7 @@
 
   uint32_t possible_runs; /* failed attempts that an upstream may have run */
   uint32_t attempt_count; /* all attempts, including unconnected ones */
+  uint32_t rejected_placements; /* at upstreams that are not available here */
   uint64_t avoid[GATEWAY_MAX_ATTEMPTS]; /* upstreams tried before */
   bool may_have_run;
   zone_ask_t *ask; /* for an upstream, or to move a stalled attempt, or NULL */
--- a/gateway-metrics.c
+++ b/gateway-metrics.c
@@ -22,6 +22,12 @@
                          "Requests whose caller closed first.", NULL);
   counters->broken = metrics_counter (metrics, "lwm_gateway_broken_total",
                                       "Answers broken off midway.", NULL);
+  counters->leaving = metrics_counter (
+      metrics, "lwm_gateway_upstream_states_total",
+      "Answers in which an upstream limited its use.", "state=\"leaving\"");
+  counters->paused = metrics_counter (
+      metrics, "lwm_gateway_upstream_states_total",
+      "Answers in which an upstream limited its use.", "state=\"paused\"");
   for (int kind = 0; kind < ERROR_KIND_COUNT; kind++)
     {
       snprintf (labels, sizeof labels, "reason=\"%s\"",
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -11,7 +11,9 @@
 /** Limit on the size of an answer, which is relayed once it is complete. */
 #define MAX_BUFFERED_BYTES (8u * 1024 * 1024)
 /** Unsent bytes for a slow caller at which reading from its upstream pauses. */
-#define MAX_UNSENT_BYTES       (256u * 1024)
+#define MAX_UNSENT_BYTES (256u * 1024)
+/** Longest extension of a pause that an upstream asked for. */
+#define MAX_PAUSE_SPREAD_MS    1000
 #define FIRST_SERVER_ERROR     500
 #define STATUS_GATEWAY_TIMEOUT 504
 
@@ -141,6 +143,27 @@
   return true;
 }
 
+/** Records what the upstream says of itself. A pause is extended by chance, so
+ * that not all instances return at the same moment. */
+static void
+record_upstream_state (const gateway_request_t *request)
+{
+  const gateway_answer_info_t *answer = &request->answer;
+  gateway_t *gateway = request->gateway;
+  uint32_t pause_ms = answer->pause_ms;
+
+  if (pause_ms > 0)
+    pause_ms += (uint32_t)(random_id ()
+                           % (MIN (pause_ms / 4, MAX_PAUSE_SPREAD_MS) + 1));
+  if (answer->is_leaving)
+    metric_add (gateway->counters.leaving, 1);
+  if (pause_ms > 0)
+    metric_add (gateway->counters.paused, 1);
+  if (answer->is_leaving || pause_ms > 0)
+    zone_placement_report_state (gateway->placement, request->upstream_key,
+                                 answer->is_leaving, pause_ms);
+}
+
 static void
 on_head (exchange_t *exchange, void *context)
 {
@@ -160,6 +183,7 @@
   request->answer.request_id = request->answer.failed_helper = NULL;
   if (request->is_mismatched)
     return;
+  record_upstream_state (request);
   save_answer_head (request);
   if (is_stream (request))
     request->events = event_stream_new (request, on_event, request);
@@ -239,6 +263,10 @@
 
   if (request->answer.has_not_run || request->answer.is_misdirected)
     {
+      /* It may be tried again after its pause. */
+      if (request->answer.pause_ms > 0
+          && request->attempt_count <= GATEWAY_MAX_ATTEMPTS)
+        request->avoid[request->attempt_count - 1] = 0;
       gateway_end_attempt (request, request->answer.is_misdirected
                                         ? UPSTREAM_JOB_FAILED
                                         : UPSTREAM_JOB_REFUSED);
--- a/gateway.h
+++ b/gateway.h
@@ -56,6 +56,8 @@
   bool is_misdirected;       /**< the request was meant for another upstream */
   const char *request_id;    /**< id of the request it answers, or NULL */
   const char *failed_helper; /**< id or address of a failed helper, or NULL */
+  bool is_leaving;           /**< the upstream will stop */
+  uint32_t pause_ms; /**< the upstream wants no requests for this time, or 0 */
 } gateway_answer_info_t;
 
 /** Reads and writes the fields that callers and upstreams use. */
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -81,7 +81,9 @@
 
 /** Applies observations of another instance. */
 static void
-import_observations (load_share_t *share, const Lwm__ShareUpdate *update)
+import_observations (load_share_t *share,
+                     const Lwm__ShareUpdate *update,
+                     uint64_t now_ms)
 {
   upstream_set_t *set = share->options.set;
 
@@ -89,6 +91,11 @@
     {
       const Lwm__ShareObservation *observation = update->observed[i];
 
+      if (observation->is_leaving)
+        upstream_set_mark_leaving (set, observation->upstream);
+      if (observation->pause_ms > 0)
+        upstream_set_pause (set, observation->upstream,
+                            now_ms + observation->pause_ms);
       if (observation->call_ms > 0)
         upstream_set_add_call_time (set, observation->upstream,
                                     (double)observation->call_ms);
@@ -163,7 +170,7 @@
   for (size_t i = 0; i < update->n_answering; i++)
     upstream_set_progress (set, update->answering[i], now_ms);
   import_orphans (share, update, now_ms);
-  import_observations (share, update);
+  import_observations (share, update, now_ms);
   if (sender->is_own_zone)
     forward_changes (share, update);
   if (share->options.on_change != NULL
--- a/load-share.c
+++ b/load-share.c
@@ -395,6 +395,13 @@
   load_batch_add_ended (share->zone, job_id, (Lwm__ShareEnd)how);
 }
 
+static void
+add_observation (load_share_t *share, const Lwm__ShareObservation *observation)
+{
+  load_batch_add_observation (share->own, observation);
+  load_batch_add_observation (share->zone, observation);
+}
+
 void
 load_share_observe (load_share_t *share,
                     uint64_t upstream,
@@ -406,6 +413,19 @@
   observation.upstream = upstream;
   observation.call_ms = (float)call_ms;
   observation.slowness = (float)slowness;
-  load_batch_add_observation (share->own, &observation);
-  load_batch_add_observation (share->zone, &observation);
+  add_observation (share, &observation);
+}
+
+void
+load_share_report_state (load_share_t *share,
+                         uint64_t upstream,
+                         bool is_leaving,
+                         uint32_t pause_ms)
+{
+  Lwm__ShareObservation observation = LWM__SHARE_OBSERVATION__INIT;
+
+  observation.upstream = upstream;
+  observation.is_leaving = is_leaving;
+  observation.pause_ms = pause_ms;
+  add_observation (share, &observation);
 }
--- a/load-share.h
+++ b/load-share.h
@@ -98,4 +98,11 @@
                          double call_ms,
                          double slowness);
 
+/** Announces what an upstream said of itself in an answer.
+ * @param pause_ms time for which it wants no requests, or 0 */
+void load_share_report_state (load_share_t *share,
+                              uint64_t upstream,
+                              bool is_leaving,
+                              uint32_t pause_ms);
+
 #endif
--- a/t/t8100-platform.c
+++ b/t/t8100-platform.c
@@ -293,6 +293,33 @@
   return info;
 }
 
+static gateway_answer_info_t
+read_answer (uint32_t status, const char *name, const char *value)
+{
+  http_field_t item = { (char *)name, (char *)value };
+  http_fields_t fields = { .items = &item, .count = 1 };
+  gateway_answer_info_t answer = { 0 };
+
+  platform_protocol.read_answer_info (status, &fields, &answer);
+  return answer;
+}
+
+/** What upstreams say of themselves; values of no sense have a bound. */
+static void
+test_upstream_states (void)
+{
+  g_assert_true (read_answer (200, "Server-Leaving", "1").is_leaving);
+  g_assert_false (read_answer (200, "Server-Leaving", "0").is_leaving);
+  g_assert_cmpuint (read_answer (503, "Retry-After", "2").pause_ms, ==, 2000);
+  g_assert_cmpuint (read_answer (503, "Retry-After", "0.25").pause_ms, ==, 250);
+  g_assert_cmpuint (read_answer (200, "Retry-After", "2").pause_ms, ==, 0);
+  g_assert_cmpuint (read_answer (503, "Retry-After", "-2").pause_ms, ==, 0);
+  g_assert_cmpuint (read_answer (503, "Retry-After", "soon").pause_ms, ==, 0);
+  g_assert_cmpuint (read_answer (503, "Retry-After", "").pause_ms, ==, 0);
+  g_assert_cmpuint (read_answer (503, "Retry-After", "9e99").pause_ms, ==,
+                    3600 * 1000);
+}
+
 /** The parts of a prompt are recognized by their names; the last one belongs to
  * the request alone. */
 static void
@@ -498,6 +525,7 @@
   g_test_add_func ("/platform/terms", test_request_info);
   g_test_add_func ("/platform/fields", test_fields);
   g_test_add_func ("/platform/prompt-parts", test_parts);
+  g_test_add_func ("/platform/upstream-states", test_upstream_states);
   g_test_add_func ("/platform/config-by-steps", test_config_by_steps);
   g_test_add_func ("/platform/config-by-steps-unusual",
                    test_config_by_steps_unusual);
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -41,7 +41,8 @@
                               bool any_usable,
                               uint64_t now_ms)
 {
-  if (!member->is_usable || strcmp (member->service, request->service) != 0
+  if (!upstream_member_is_available (member, now_ms)
+      || strcmp (member->service, request->service) != 0
       || is_avoided (request, member->key))
     return false;
   if (any_usable)
@@ -146,6 +147,42 @@
              : choose_plain (set, request, any_usable, now_ms);
 }
 
+/** Returns when the first upstream of the service is free again of a pause that
+ * it asked for; 0 if there is none. */
+static uint64_t
+first_pause_end_ms (const upstream_set_t *set, const char *service)
+{
+  size_t count;
+  const upstream_member_t *const *members = upstream_set_members (set, &count);
+  uint64_t first_ms = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (members[i]->is_usable && !members[i]->is_leaving
+        && members[i]->paused_until_ms > 0
+        && strcmp (members[i]->service, service) == 0
+        && (first_ms == 0 || members[i]->paused_until_ms < first_ms))
+      first_ms = members[i]->paused_until_ms;
+  return first_ms;
+}
+
+/** Decides on a request that only upstreams in a pause can take: it waits if
+ * one of them returns in its time. */
+static void
+consider_pauses (const upstream_set_t *set,
+                 const choice_request_t *request,
+                 uint64_t now_ms,
+                 choice_t *choice)
+{
+  uint64_t end_ms = first_pause_end_ms (set, request->service);
+
+  if (choice->kind != CHOICE_NONE || end_ms <= now_ms)
+    return;
+  if (end_ms - now_ms < request->left_ms)
+    choice->kind = CHOICE_WAIT;
+  else
+    choice->retry_ms = (uint32_t)(end_ms - now_ms);
+}
+
 choice_t
 upstream_choose (const upstream_set_t *set,
                  const choice_request_t *request,
@@ -163,6 +200,7 @@
       = request->model != NULL && engine_choice_is_oversize (request)
             ? OVERSIZE_RETRY_MS
             : RETRY_MS;
+  consider_pauses (set, request, now_ms, &choice);
   return choice;
 }
 
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -350,6 +350,52 @@
     member->answer_ms += CALL_TIME_WEIGHT * (took_ms - member->answer_ms);
 }
 
+bool
+upstream_member_is_available (const upstream_member_t *member, uint64_t now_ms)
+{
+  return member->is_usable && !member->is_leaving
+         && member->paused_until_ms <= now_ms;
+}
+
+void
+upstream_set_mark_leaving (upstream_set_t *set, uint64_t key)
+{
+  upstream_member_t *member = find_member (set, key);
+
+  if (member == NULL || member->is_leaving)
+    return;
+  member->is_leaving = true;
+  log_info ("An upstream says that it leaves. upstream=%s address=%s",
+            member->id, member->address);
+  if (member->is_usable && set->options.on_gone != NULL)
+    set->options.on_gone (member, set->options.context);
+}
+
+void
+upstream_set_pause (upstream_set_t *set, uint64_t key, uint64_t until_ms)
+{
+  upstream_member_t *member = find_member (set, key);
+
+  if (member == NULL || member->paused_until_ms >= until_ms)
+    return;
+  if (member->paused_until_ms == 0)
+    log_info ("An upstream asks for a pause. upstream=%s address=%s "
+              "until_ms=%ju",
+              member->id, member->address, (uintmax_t)until_ms);
+  member->paused_until_ms = until_ms;
+}
+
+/** Ends a pause whose time is over. */
+static void
+check_pause (upstream_member_t *member, uint64_t now_ms)
+{
+  if (member->paused_until_ms == 0 || member->paused_until_ms > now_ms)
+    return;
+  log_info ("The pause of an upstream is over. upstream=%s address=%s",
+            member->id, member->address);
+  member->paused_until_ms = 0;
+}
+
 void
 upstream_set_add_slowness (upstream_set_t *set, uint64_t key, double factor)
 {
@@ -368,6 +414,7 @@
     {
       upstream_member_t *member = g_ptr_array_index (set->members, i);
 
+      check_pause (member, now_ms);
       member->slowness = 1.0 + (member->slowness - 1.0) * SLOWNESS_DECAY;
       if (member->trust == UPSTREAM_EJECTED
           && now_ms >= member->ejected_until_ms)
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -81,13 +81,16 @@
   bool is_silent; /**< its announcements are missing at the control instances */
   upstream_trust_t trust;
   uint64_t ejected_until_ms;
-  uint32_t ejections;     /**< consecutive ejections; each one lasts longer */
-  double failure_share;   /**< failures in its recent answers, smoothed */
-  double answer_ms;       /**< time of plain calls, smoothed; 0 if unknown */
-  double slowness;        /**< observed over predicted time to first events */
-  uint64_t full_until_ms; /**< end of the pause after a refusal as full */
-  uint64_t heard_ms;      /**< when its last good answer came */
-  GPtrArray *jobs;        /**< upstream_job_t, oldest first */
+  uint32_t ejections;       /**< consecutive ejections; each one lasts longer */
+  double failure_share;     /**< failures in its recent answers, smoothed */
+  double answer_ms;         /**< time of plain calls, smoothed; 0 if unknown */
+  double slowness;          /**< observed over predicted time to first events */
+  uint64_t full_until_ms;   /**< end of the pause after a refusal as full */
+  uint64_t heard_ms;        /**< when its last good answer came */
+  bool is_leaving;          /**< it said in an answer that it leaves; until its
+                                 incarnation ends, whatever the directory lists */
+  uint64_t paused_until_ms; /**< it asked for no requests until then */
+  GPtrArray *jobs;          /**< upstream_job_t, oldest first */
 } upstream_member_t;
 
 typedef struct
@@ -171,6 +174,19 @@
 void
 upstream_set_add_call_time (upstream_set_t *set, uint64_t key, double took_ms);
 
+/** Returns whether an upstream may be chosen: it is usable, does not leave and
+ * has not asked for a pause that still lasts. */
+bool upstream_member_is_available (const upstream_member_t *member,
+                                   uint64_t now_ms);
+
+/** Records that an upstream said in an answer that it leaves, and calls on_gone
+ * the first time. */
+void upstream_set_mark_leaving (upstream_set_t *set, uint64_t key);
+
+/** Records that an upstream asked for no requests until @a until_ms; an earlier
+ * time than is known has no effect. */
+void upstream_set_pause (upstream_set_t *set, uint64_t key, uint64_t until_ms);
+
 /**
  * Records that an engine's first event came after @a factor times the predicted
  * time.
--- a/zone-placement.c
+++ b/zone-placement.c
@@ -327,6 +327,21 @@
   load_share_end (placement->share, job_id, how);
 }
 
+void
+zone_placement_report_state (zone_placement_t *placement,
+                             uint64_t upstream,
+                             bool is_leaving,
+                             uint32_t pause_ms)
+{
+  upstream_set_t *set = placement->options.set;
+
+  if (is_leaving)
+    upstream_set_mark_leaving (set, upstream);
+  if (pause_ms > 0)
+    upstream_set_pause (set, upstream, clock_mono_ms () + pause_ms);
+  load_share_report_state (placement->share, upstream, is_leaving, pause_ms);
+}
+
 void
 zone_placement_observe (zone_placement_t *placement,
                         uint64_t upstream,
--- a/zone-placement.h
+++ b/zone-placement.h
@@ -112,6 +112,12 @@
                              double call_ms,
                              double slowness);
 
+/** Records what an upstream said of itself, see load_share_report_state(). */
+void zone_placement_report_state (zone_placement_t *placement,
+                                  uint64_t upstream,
+                                  bool is_leaving,
+                                  uint32_t pause_ms);
+
 /** Decides again on queued requests, after a change of the upstreams. */
 void zone_placement_recheck (zone_placement_t *placement);
 
