gateway: name an upstream that is not available here to the placer

A placer that lags could name the same leaving upstream again and again, until the request was refused. The upstream is now among those that the request avoids.

--- a/control-load.c
+++ b/control-load.c
@@ -1,10 +1,8 @@
 #include "control-load.h"
 
-#include <stdio.h>
 #include <sys/param.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
+#include "metric.h"
 #define LOG_PART "control"
 #include "logging.h"
 
@@ -15,30 +13,6 @@
 /** Time between two ticks that is worth a line. */
 #define HELD_UP_MS 500
 
-static uint64_t
-cpu_ms (void)
-{
-  struct rusage usage;
-
-  getrusage (RUSAGE_SELF, &usage);
-  return (uint64_t)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1000
-         + (uint64_t)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1000;
-}
-
-static uint64_t
-resident_kb (void)
-{
-  unsigned long pages = 0;
-  FILE *statm = fopen ("/proc/self/statm", "r");
-
-  if (statm == NULL)
-    return 0;
-  if (fscanf (statm, "%*u %lu", &pages) != 1)
-    pages = 0;
-  fclose (statm);
-  return pages * (uint64_t)sysconf (_SC_PAGESIZE) / 1024;
-}
-
 static void
 log_load (control_load_t *load,
           const control_load_totals_t *totals,
@@ -46,7 +20,7 @@
           uint64_t now_ms)
 {
   const control_load_totals_t *before = &load->logged;
-  uint64_t used_ms = cpu_ms ();
+  uint64_t used_ms = (uint64_t)(process_cpu_seconds () * 1000);
 
   log_info ("Load of this instance. for_ms=%ju cpu_ms=%ju held_up_ms=%ju "
             "messages_in=%ju bytes_in=%ju watches=%ju messages_out=%ju "
@@ -60,7 +34,7 @@
             (uintmax_t)(totals->messages_out - before->messages_out),
             (uintmax_t)(totals->bytes_out - before->bytes_out),
             (uintmax_t)(totals->dropped - before->dropped), watchers,
-            (uintmax_t)resident_kb ());
+            (uintmax_t)(process_resident_bytes () / 1024));
   load->logged = *totals;
   load->logged_ms = now_ms;
   load->logged_cpu_ms = used_ms;
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -109,8 +109,7 @@
   uint64_t attempt_due_ms; /* when the attempt counts as stalled, or 0 */
 
   uint32_t possible_runs; /* failed attempts that an upstream may have run */
-  uint32_t attempt_count; /* all attempts, including unconnected ones */
-  uint32_t rejected_placements; /* at upstreams that are not available here */
+  uint32_t attempt_count; /* all attempts, including those not sent */
   uint64_t avoid[GATEWAY_MAX_ATTEMPTS]; /* upstreams tried before */
   bool may_have_run;
   zone_ask_t *ask; /* for an upstream, or to move a stalled attempt, or NULL */
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -5,10 +5,6 @@
 #define LOG_PART "gateway"
 #include "logging.h"
 
-/** Placements at upstreams that are not available here after which a request is
- * refused. */
-#define MAX_REJECTED_PLACEMENTS 4
-
 static bool
 find_service (const char *name, placer_service_t *found, void *context)
 {
@@ -150,41 +146,40 @@
                         UPSTREAM_JOB_NEUTRAL);
 }
 
-/** Returns whether this instance may send to all upstreams of a placement. It
- * may know more of an upstream than the placer did. */
-static bool
-are_upstreams_available (const gateway_t *gateway,
-                         const placement_answer_t *answer)
+/** Returns the key of an upstream of a placement to which this instance may not
+ * send, or 0. It may know more of an upstream than the placer did. */
+static uint64_t
+find_unavailable (const gateway_t *gateway, const placement_answer_t *answer)
 {
   uint64_t now_ms = clock_mono_ms ();
-  const upstream_member_t *member
-      = upstream_set_find (gateway->set, answer->upstream);
 
-  if (!upstream_member_is_available (member, now_ms))
-    return false;
+  if (!upstream_member_is_available (
+          upstream_set_find (gateway->set, answer->upstream), now_ms))
+    return answer->upstream;
   for (uint32_t i = 0; i < answer->helper_count; i++)
-    {
-      member = upstream_set_find (gateway->set, answer->helpers[i]);
-      if (!upstream_member_is_available (member, now_ms))
-        return false;
-    }
-  return true;
+    if (!upstream_member_is_available (
+            upstream_set_find (gateway->set, answer->helpers[i]), now_ms))
+      return answer->helpers[i];
+  return 0;
 }
 
-/** Asks again for an upstream instead of one that is not available here. The
- * placer learns of it first. */
+/** Asks for another upstream than one that is not available here. */
 static void
 place_elsewhere (gateway_request_t *request,
                  const placement_request_t *placed,
-                 const placement_answer_t *answer)
+                 const placement_answer_t *answer,
+                 uint64_t unavailable)
 {
   static const placement_answer_t none = { .kind = PLACEMENT_NO_UPSTREAM };
 
   drop_placement (request, placed, answer);
-  if (++request->rejected_placements > MAX_REJECTED_PLACEMENTS)
-    refuse_unplaced (request, &none);
-  else
-    gateway_place (request);
+  if (request->attempt_count >= GATEWAY_MAX_ATTEMPTS)
+    {
+      refuse_unplaced (request, &none);
+      return;
+    }
+  request->avoid[request->attempt_count++] = unavailable;
+  gateway_place (request);
 }
 
 static void
@@ -193,6 +188,7 @@
            void *context)
 {
   gateway_request_t *request = context;
+  uint64_t unavailable;
 
   if (answer->kind == PLACEMENT_QUEUED)
     {
@@ -212,8 +208,8 @@
       drop_placement (request, placed, answer);
       refuse_quarantined (request);
     }
-  else if (!are_upstreams_available (request->gateway, answer))
-    place_elsewhere (request, placed, answer);
+  else if ((unavailable = find_unavailable (request->gateway, answer)) != 0)
+    place_elsewhere (request, placed, answer, unavailable);
   else
     gateway_start_attempt (request, placed, answer);
 }
@@ -246,7 +242,7 @@
   if (answer->kind != PLACEMENT_SEND)
     return;
   if (gateway_quarantine_level (request) == QUARANTINE_CLEAR
-      && are_upstreams_available (request->gateway, answer))
+      && find_unavailable (request->gateway, answer) == 0)
     gateway_move_attempt (request, placed, answer);
   else
     drop_placement (request, placed, answer);
--- a/metric.c
+++ b/metric.c
@@ -230,8 +230,8 @@
     write_family (g_ptr_array_index (metrics->families, i), out);
 }
 
-static double
-read_cpu_seconds (void *context)
+double
+process_cpu_seconds (void)
 {
   struct rusage usage;
 
@@ -240,8 +240,8 @@
          + (double)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
 }
 
-static double
-read_resident_bytes (void *context)
+double
+process_resident_bytes (void)
 {
   unsigned long size = 0;
   unsigned long resident = 0;
@@ -255,6 +255,18 @@
   return (double)resident * (double)sysconf (_SC_PAGESIZE);
 }
 
+static double
+read_cpu_seconds (void *context)
+{
+  return process_cpu_seconds ();
+}
+
+static double
+read_resident_bytes (void *context)
+{
+  return process_resident_bytes ();
+}
+
 void
 metrics_add_process (metrics_t *metrics)
 {
--- a/metric.h
+++ b/metric.h
@@ -75,6 +75,12 @@
 /** Appends all metrics to @a out in the Prometheus text format. */
 void metrics_write (const metrics_t *metrics, struct evbuffer *out);
 
+/** Returns the processor time that this process has used, in seconds. */
+double process_cpu_seconds (void);
+
+/** Returns the resident memory of this process, in bytes; 0 if unknown. */
+double process_resident_bytes (void);
+
 /** Adds gauges of this process: CPU seconds, resident bytes, start time. */
 void metrics_add_process (metrics_t *metrics);
 
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -10,10 +10,10 @@
 
 #include "base.h"
 #include "lib-address.h"
+#include "lib-wait.h"
 #include "logging.h"
 #include "zone-placement.h"
 
-#define WAIT_TIMEOUT_MS 20000
 /** Exceeds the time until an instance without heartbeats counts as lost. */
 #define PROCESS_PAUSE_MS 3000
 /** Bound of the time until others know that an instance has started again. It
@@ -79,19 +79,6 @@
   return g_str_equal (name, "s");
 }
 
-#define WAIT(condition)                                                        \
-  do                                                                           \
-    {                                                                          \
-      uint64_t end_ms = clock_mono_ms () + WAIT_TIMEOUT_MS;                    \
-      while (!(condition) && clock_mono_ms () < end_ms)                        \
-        {                                                                      \
-          event_base_loop (base, EVLOOP_NONBLOCK);                             \
-          g_usleep (500);                                                      \
-        }                                                                      \
-      g_assert_true (condition);                                               \
-    }                                                                          \
-  while (0)
-
 /** Starts an instance that listens on its address. */
 static void
 start_instance (fixture_t *fixture, instance_t *instance, const char *zone)
--- a/t/t8075-engine-memory.c
+++ b/t/t8075-engine-memory.c
@@ -13,10 +13,10 @@
 #include "base.h"
 #include "engine-memory.h"
 #include "lib-address.h"
+#include "lib-wait.h"
 #include "logging.h"
 #include "zone-placement.h"
 
-#define WAIT_TIMEOUT_MS 20000
 /** Times after which memory counts as leaked: after its last use, and when it
  * was never used. */
 #define MEMORY_FREE_MS   4000
@@ -25,19 +25,6 @@
  * the interval at which that is checked. */
 #define INSTANCE_LOST_MS 2750
 
-#define WAIT(condition)                                                        \
-  do                                                                           \
-    {                                                                          \
-      uint64_t end_ms = clock_mono_ms () + WAIT_TIMEOUT_MS;                    \
-      while (!(condition) && clock_mono_ms () < end_ms)                        \
-        {                                                                      \
-          event_base_loop (base, EVLOOP_NONBLOCK);                             \
-          g_usleep (500);                                                      \
-        }                                                                      \
-      g_assert_true (condition);                                               \
-    }                                                                          \
-  while (0)
-
 /** An engine that takes orders. */
 typedef struct
 {
