--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -184,7 +184,6 @@
 {
   Lwm__ShareMessage message = LWM__SHARE_MESSAGE__INIT;
   Lwm__ShareAck ack = LWM__SHARE_ACK__INIT;
-
   void *scratch = talloc_new (share);
 
   ack.sent_ms = sent_ms;
