attempt: repeat the cancel of a stream that has sent nothing yet

The stream of the next span may reach its engine after the cancel, which the engine confirms although it does not know the stream. It then runs to its end for nobody. The cancel of a stream without a token is now repeated, like the one of an orphan.

There is no test that forces the order.

--- a/attempt.c
+++ b/attempt.c
@@ -126,7 +126,13 @@
   if (request->attempt.upstream == NULL)
     return;
   close_connection (dispatch, request);
-  if (is_cancelled && request->kind == REQUEST_COMPLETION)
+  /* A stream that has sent nothing yet may reach the upstream after its cancel,
+   * which is repeated then. */
+  if (is_cancelled && request->kind == REQUEST_COMPLETION
+      && !request->attempt.has_tokens)
+    cancels_add_orphan (dispatch->cancels, CANCEL_STREAM, &target,
+                        request->attempt.id);
+  else if (is_cancelled && request->kind == REQUEST_COMPLETION)
     cancels_add (dispatch->cancels, CANCEL_STREAM, &target,
                  request->attempt.id);
   else
