--- a/upstream-set.h
+++ b/upstream-set.h
@@ -174,8 +174,8 @@
 void
 upstream_set_add_call_time (upstream_set_t *set, uint64_t key, double took_ms);
 
-/** Returns whether an upstream may be chosen: it is usable, does not leave and
- * has not asked for a pause that still lasts. */
+/** Returns whether new requests may go to an upstream: it is usable, does not
+ * leave and has not asked for a pause that still lasts. */
 bool upstream_member_is_available (const upstream_member_t *member,
                                    uint64_t now_ms);
 
