t: bursts of single kinds and tallies by size on simulated engines

The simulation counted the largest tenth of the last kind only, and all kinds had their bursts together. It now counts each tenth of each kind by the size of the prompt, and takes bursts of single kinds.

--- a/t/bench-placement.c
+++ b/t/bench-placement.c
@@ -13,55 +13,6 @@
 
 #define DEFAULT_SEEDS 2
 
-static const engine_model_t model = { .slots = 10,
-                                      .kv_tokens = 232000,
-                                      .steps_per_pass = 68,
-                                      .read_step_tokens = 2048,
-                                      .step_ms = 1.02,
-                                      .step_stream_ms = 0.00226,
-                                      .step_context_ms = 0.00431,
-                                      .read_tokens_s = 206000,
-                                      .read_pairs_ms = 0.138 };
-
-/** Kinds of requests, with rates for one engine. */
-static const engines_kind_t kinds_of_one_engine[] = {
-  { .name = "short",
-    .rate_s = 1.25,
-    .prompt_tokens = 4960,
-    .prompt_spread = 0.78,
-    .prompt_max_tokens = 23800,
-    .answer_events = 23,
-    .target_ms = 400,
-    .gap_target_ms = 250,
-    .deadline_ms = 10000,
-    .worth = 1.3,
-    .late_worth = 0.33 },
-  { .name = "medium",
-    .rate_s = 0.098,
-    .prompt_tokens = 45000,
-    .prompt_spread = 0.47,
-    .prompt_max_tokens = 110000,
-    .answer_events = 14,
-    .target_ms = 1500,
-    .gap_target_ms = 600,
-    .deadline_ms = 10000,
-    .worth = 2.9,
-    .late_worth = 0.73 },
-  { .name = "long",
-    .rate_s = 0.047,
-    .prompt_tokens = 190000,
-    .prompt_spread = 0.51,
-    .prompt_max_tokens = 600000,
-    .answer_events = 11,
-    .target_ms = 3000,
-    .gap_target_ms = 1000,
-    .deadline_ms = 15000,
-    .worth = 18,
-    .late_worth = 4.5 },
-};
-
-#define KINDS G_N_ELEMENTS (kinds_of_one_engine)
-
 /** Numbers of instances, with the engines and zones that go with them. */
 typedef struct
 {
@@ -201,23 +152,19 @@
 static void
 print_row (const fleet_t *fleet, way_t way, pattern_t pattern, uint32_t seeds)
 {
-  engines_kind_t kinds[KINDS];
-  engines_load_t load = { .model = &model,
+  engines_kind_t kinds[ENGINES_FLEET_KINDS];
+  engines_load_t load = { .model = &engines_fleet_model,
                           .engines = fleet->engines,
                           .instances = fleet->instances,
-                          .event_tokens = 68,
+                          .event_tokens = ENGINES_FLEET_EVENT_TOKENS,
                           .kinds = kinds,
-                          .kind_count = KINDS,
+                          .kind_count = ENGINES_FLEET_KINDS,
                           .swing = 0.55,
                           .swing_ms = 17000,
                           .length_ms = 34000 };
   row_t row = { .decide_ms = g_array_new (FALSE, FALSE, sizeof (double)) };
 
-  for (guint i = 0; i < KINDS; i++)
-    {
-      kinds[i] = kinds_of_one_engine[i];
-      kinds[i].rate_s *= fleet->engines;
-    }
+  engines_fleet_kinds (fleet->engines, kinds);
   set_way (&load, way, fleet);
   set_pattern (&load, pattern);
   for (load.seed = 1; load.seed <= seeds; load.seed++)
--- a/t/lib-engines-internal.h
+++ b/t/lib-engines-internal.h
@@ -27,7 +27,7 @@
   const engines_kind_t *kind;
   uint32_t instance; /* instance that received the request */
   uint32_t kind_index;
-  bool is_largest;
+  uint32_t tenth; /* of its kind, by the size of the prompt */
   uint32_t prompt_tokens;
   uint32_t answer_tokens; /* answer length that the caller estimates */
   uint32_t events_left;
--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -266,12 +266,11 @@
 {
   engines_tally_t *tallies[]
       = { &world->result.all, &world->result.kinds[request->kind_index],
-          &world->result.largest };
-  int tally_count = request->is_largest ? 3 : 2;
+          &world->result.tenths[request->kind_index][request->tenth] };
   double worth = calculate_request_value (request);
   double late = worth * request->kind->late_worth / request->kind->worth;
 
-  for (int i = 0; i < tally_count; i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (tallies); i++)
     {
       tallies[i]->asked++;
       tallies[i]->offered += worth;
@@ -439,6 +438,18 @@
   request->events_left--;
 }
 
+/** Returns the tenth of its kind to which a prompt belongs by its size. */
+static uint32_t
+find_tenth (const engines_kind_t *kind, double tokens)
+{
+  double spread = kind->prompt_spread;
+  double deviation
+      = (log (tokens / kind->prompt_tokens) + spread * spread / 2) / spread;
+  double quantile = erfc (-deviation / sqrt (2)) / 2;
+
+  return MIN ((uint32_t)(quantile * ENGINES_TENTHS), ENGINES_TENTHS - 1);
+}
+
 static request_t *
 request_new (world_t *world, uint32_t kind_index)
 {
@@ -458,29 +469,41 @@
   request->events_left = (uint32_t)fmax (events, 1);
   request->answer_tokens
       = (uint32_t)(request->events_left * hint * world->load->event_tokens);
-  /* The largest tenth: a tenth of a lognormal distribution lies above this
-   * quantile. */
-  request->is_largest
-      = kind_index + 1 == world->load->kind_count
-        && tokens > kind->prompt_tokens
-                        * exp (1.2816 * kind->prompt_spread
-                               - kind->prompt_spread * kind->prompt_spread / 2);
+  request->tenth = find_tenth (kind, tokens);
   request->first_attempt_ms = world->now_ms;
   g_ptr_array_add (world->requests, request);
   return request;
 }
 
+/** Returns the factor of the bursts of a kind on its rate. */
 static double
-current_rate_s (const world_t *world, const engines_kind_t *kind)
+burst_factor (const engines_load_t *load, uint32_t kind, uint64_t since_ms)
+{
+  double factor = 1;
+
+  for (uint32_t i = 0; i < load->burst_count; i++)
+    {
+      const engines_burst_t *burst = &load->bursts[i];
+
+      if (burst->kind == kind && since_ms >= burst->from_ms
+          && since_ms < burst->from_ms + burst->for_ms)
+        factor *= burst->factor;
+    }
+  return factor;
+}
+
+static double
+current_rate_s (const world_t *world, uint32_t kind_index)
 {
   const engines_load_t *load = world->load;
+  const engines_kind_t *kind = &load->kinds[kind_index];
   uint64_t since_ms = world->now_ms - START_TIME_MS;
   double turn = 2 * G_PI * (double)since_ms / load->swing_ms;
   double rate = kind->rate_s * (1 + load->swing * sin (turn));
 
   if (load->burst > 1 && since_ms % load->swing_ms < load->swing_ms / 5)
     rate *= load->burst;
-  return rate;
+  return rate * burst_factor (load, kind_index, since_ms);
 }
 
 static void
@@ -488,7 +511,7 @@
 {
   for (uint32_t i = 0; i < world->load->kind_count; i++)
     if (g_rand_double (world->rand)
-        < current_rate_s (world, &world->load->kinds[i]) * STEP_MS / 1000.0)
+        < current_rate_s (world, i) * STEP_MS / 1000.0)
       ask_for_decision (world, request_new (world, i));
 }
 
@@ -579,6 +602,26 @@
   return tally->offered > 0 ? tally->earned / tally->offered : 1;
 }
 
+double
+engines_served_share (const engines_tally_t *tally)
+{
+  return tally->asked > 0
+             ? (tally->in_time + tally->late) / (double)tally->asked
+             : 1;
+}
+
+void
+engines_add_tally (engines_tally_t *sum, const engines_tally_t *tally)
+{
+  sum->asked += tally->asked;
+  sum->in_time += tally->in_time;
+  sum->late += tally->late;
+  sum->refused += tally->refused;
+  sum->failed += tally->failed;
+  sum->offered += tally->offered;
+  sum->earned += tally->earned;
+}
+
 static void
 print_tally (const char *name, const engines_tally_t *tally)
 {
@@ -594,6 +637,7 @@
 {
   for (uint32_t i = 0; i < load->kind_count; i++)
     print_tally (load->kinds[i].name, &result->kinds[i]);
-  print_tally ("largest", &result->largest);
+  for (uint32_t i = 0; i < ENGINES_TENTHS; i++)
+    print_tally ("tenth", &result->tenths[load->kind_count - 1][i]);
   print_tally ("all", &result->all);
 }
--- a/t/lib-engines.h
+++ b/t/lib-engines.h
@@ -32,6 +32,15 @@
   double late_worth; /**< value of a late answer */
 } engines_kind_t;
 
+/** A time in which one kind of request arrives more or less often. */
+typedef struct
+{
+  uint32_t kind; /**< index */
+  uint32_t from_ms;
+  uint32_t for_ms;
+  double factor; /**< on its rate */
+} engines_burst_t;
+
 typedef struct
 {
   policy_t policy;
@@ -57,11 +66,26 @@
   double swing; /**< amplitude of the sine of the arrival rates, as a share */
   uint32_t swing_ms; /**< period of the sine of the arrival rates */
   uint32_t burst;    /**< factor on the rates for a fifth of the period */
+  const engines_burst_t *bursts; /**< of single kinds */
+  uint32_t burst_count;
   uint32_t length_ms;
   uint32_t seed;
 } engines_load_t;
 
+/** A fleet with short, medium and long prompts, of which a fifth are larger
+ * than the memory of an engine. */
+#define ENGINES_FLEET_KINDS        3
+#define ENGINES_FLEET_EVENT_TOKENS 68
+
+extern const engine_model_t engines_fleet_model;
+
+/** Sets the kinds of requests of a fleet with @a engines engines, the shortest
+ * prompts first. */
+void engines_fleet_kinds (uint32_t engines,
+                          engines_kind_t kinds[ENGINES_FLEET_KINDS]);
+
 #define ENGINES_MAX_KINDS     4
+#define ENGINES_TENTHS        10
 #define ENGINES_MAX_INSTANCES 300
 
 /** Counts the outcomes of a group of requests. */
@@ -80,13 +104,14 @@
 {
   engines_tally_t kinds[ENGINES_MAX_KINDS];
   engines_tally_t all;
-  engines_tally_t largest; /**< largest tenth of the last kind */
-  uint32_t placed;         /**< whole prompts sent to an engine */
-  uint32_t collisions;     /**< those that found no free slot there */
-  uint64_t messages;       /**< between instances */
-  GArray *decide_ms;       /**< double: time from arrival or retry to a decision
-                                on a request that did not wait; the caller frees it
-                                with engines_result_clear() */
+  /** Of each kind, by the size of the prompt: the smallest tenth first. */
+  engines_tally_t tenths[ENGINES_MAX_KINDS][ENGINES_TENTHS];
+  uint32_t placed;     /**< whole prompts sent to an engine */
+  uint32_t collisions; /**< those that found no free slot there */
+  uint64_t messages;   /**< between instances */
+  GArray *decide_ms;   /**< double: time from arrival or retry to a decision
+                            on a request that did not wait; the caller frees it
+                            with engines_result_clear() */
 } engines_result_t;
 
 /** Frees what a result owns. */
@@ -111,4 +136,10 @@
 /** Returns the earned share of the total value; 1 if there was no request. */
 double engines_earned_share (const engines_tally_t *tally);
 
+/** Returns the share of the requests that were served, in time or late. */
+double engines_served_share (const engines_tally_t *tally);
+
+/** Adds the counts of @a tally to @a sum. */
+void engines_add_tally (engines_tally_t *sum, const engines_tally_t *tally);
+
 #endif
