gateway: say whose loss lets a large prompt be refused

The line of the refusal now tells the loss of requests being decoded from that of requests that wait for their first event, and states the time waited and left. The placer passes the figures on.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -65,9 +65,12 @@
   double pass_ms;    /* duration of a pass without prefill */
   double tie_break_cost;
   /* The values below hold for the number of parts under evaluation. */
-  double others_loss; /* of other requests, in upstream_job_value() units */
-  double ready_ms;    /* time until its part is prefilled */
-  double rank;        /* sort key, lowest first */
+  /* Loss of other requests, in upstream_job_value() units. */
+  double others_loss;   /* of all of them: the ones below, and arrivals */
+  double decoding_loss; /* of those that it decodes */
+  double waiting_loss;  /* of those that wait there for their first event */
+  double ready_ms;      /* time until its part is prefilled */
+  double rank;          /* sort key, lowest first */
 } candidate_t;
 
 #define MAX_ENGINES 256
@@ -192,11 +195,12 @@
   double pause_ms
       = (engine->pass_ms + load->pass_prefill_ms + part_pass_ms) * slowness;
 
-  engine->others_loss = engine_load_decode_loss (engine->member, pause_ms)
+  engine->decoding_loss = engine_load_decode_loss (engine->member, pause_ms);
+  engine->waiting_loss = parts > 1 ? engine_load_prefill_loss (
+                             engine->member, load, read_ms * slowness, now_ms)
+                                   : 0;
+  engine->others_loss = engine->decoding_loss + engine->waiting_loss
                         + loss_of_arrivals (request, demand, pause_ms, read_ms);
-  if (parts > 1)
-    engine->others_loss += engine_load_prefill_loss (
-        engine->member, load, read_ms * slowness, now_ms);
   /* A part is prefilled before all whole prompts queued there. */
   engine->ready_ms = (parts > 1 ? 0 : load->backlog_ms) + read_ms * slowness;
   if (load->decoding + load->prefilling > 0)
@@ -436,6 +440,8 @@
   for (uint32_t i = 0; i < parts; i++)
     {
       choice.damage += engines[i].others_loss;
+      choice.damage_decoding += engines[i].decoding_loss;
+      choice.damage_waiting += engines[i].waiting_loss;
       choice.first_ms = fmax (choice.first_ms, engines[i].ready_ms);
       if (i > 0)
         choice.helpers[choice.helper_count++] = engines[i].member;
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -75,15 +75,18 @@
 log_unmeetable (const gateway_request_t *request,
                 const placement_answer_t *answer)
 {
-  log_info ("No engine can take the request in time. request=%s prompt=%u "
-            "parts=%u damage=%.0f value=%.0f blocked_percent=%.0f "
-            "filled_percent=%.0f usable=%u predicted_ms=%.0f",
-            request->terms.id, request->terms.prompt_tokens,
-            answer->helper_count + 1, answer->damage,
-            upstream_job_value (request->terms.prompt_tokens,
-                                request->terms.answer_tokens),
-            answer->blocked * 100, answer->filled * 100, answer->usable,
-            answer->first_ms);
+  log_info (
+      "No engine can take the request in time. request=%s prompt=%u "
+      "parts=%u damage=%.0f decoding=%.0f waiting=%.0f value=%.0f "
+      "blocked_percent=%.0f filled_percent=%.0f usable=%u "
+      "predicted_ms=%.0f waited_ms=%ju left_ms=%u",
+      request->terms.id, request->terms.prompt_tokens, answer->helper_count + 1,
+      answer->damage, answer->damage_decoding, answer->damage_waiting,
+      upstream_job_value (request->terms.prompt_tokens,
+                          request->terms.answer_tokens),
+      answer->blocked * 100, answer->filled * 100, answer->usable,
+      answer->first_ms, (uintmax_t)(clock_mono_ms () - request->arrived_ms),
+      gateway_remaining_ms (request));
 }
 
 /** Ends a request that was not placed. */
--- a/placement-message.c
+++ b/placement-message.c
@@ -91,6 +91,8 @@
   message->n_memory_tokens = answer->memory_count;
   message->first_ms = (float)answer->first_ms;
   message->damage = (float)answer->damage;
+  message->damage_decoding = (float)answer->damage_decoding;
+  message->damage_waiting = (float)answer->damage_waiting;
   message->loss = (float)answer->loss;
   message->blocked = (float)answer->blocked;
   message->filled = (float)answer->filled;
@@ -114,6 +116,8 @@
     .memory_count = (uint32_t)message->n_memory_tokens,
     .first_ms = (double)message->first_ms,
     .damage = (double)message->damage,
+    .damage_decoding = (double)message->damage_decoding,
+    .damage_waiting = (double)message->damage_waiting,
     .loss = (double)message->loss,
     .blocked = (double)message->blocked,
     .filled = (double)message->filled,
--- a/placer.c
+++ b/placer.c
@@ -141,6 +141,8 @@
                                 .memory_count = choice->memory_count,
                                 .first_ms = choice->first_ms,
                                 .damage = choice->damage,
+                                .damage_decoding = choice->damage_decoding,
+                                .damage_waiting = choice->damage_waiting,
                                 .loss = choice->loss,
                                 .blocked = choice->blocked,
                                 .filled = choice->filled,
--- a/placer.h
+++ b/placer.h
@@ -75,6 +75,8 @@
   uint32_t memory_count;
   double first_ms; /**< predicted time to the first event */
   double damage;   /**< see choice_t, as the values below */
+  double damage_decoding;
+  double damage_waiting;
   double loss;
   double blocked;
   double filled;
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -71,6 +71,11 @@
   uint32_t memory_count;
   double first_ms; /**< predicted time to the first event at @a member */
   double damage;   /**< the part of loss that falls on other requests */
+  /** Shares of @a damage, for a prompt that is too large for every single
+   * engine: of requests being decoded, and of those that wait for their first
+   * event. The rest falls on requests that are still to arrive. */
+  double damage_decoding;
+  double damage_waiting;
   /** Total predicted loss of value, of this request and of other requests, in
    * the unit of upstream_job_value(). For a plain service, the predicted time
    * of the call in ms. */
