--- a/t/t8072-placer.c
+++ b/t/t8072-placer.c
@@ -13,6 +13,8 @@
 #define SLOTS   2
 #define NOW_MS  100000
 #define QUEUED  300
+/** Tokens that one engine cannot read within the deadline of a long prompt. */
+#define TOO_LONG_FOR_ONE 450000
 /** Decisions that a small share of a core makes within the interval of two
  * passes. */
 #define MAX_PASS_DECISIONS 16
@@ -104,6 +106,18 @@
                                 .deadline_ms = NOW_MS + 10000 };
 }
 
+static placement_request_t
+make_long_request (fixture_t *fixture, uint32_t prompt_tokens)
+{
+  placement_request_t request = make_request (fixture, 1);
+
+  request.prompt_tokens = prompt_tokens;
+  request.target_ms = 3000;
+  request.gap_target_ms = 1000;
+  request.deadline_ms = NOW_MS + 15000;
+  return request;
+}
+
 /** Asks, and returns the last answer. */
 static placement_answer_t
 ask (fixture_t *fixture, const placement_request_t *request, uint64_t now_ms)
@@ -296,6 +310,51 @@
   fixture_free (fixture);
 }
 
+/* Guards against refusing at once what one engine cannot read before the
+ * deadline, although several engines together can. */
+static void
+test_largest_prompt_waits (void)
+{
+  fixture_t *fixture = fixture_new ();
+  placement_request_t request = make_long_request (fixture, TOO_LONG_FOR_ONE);
+
+  fill_slots (fixture);
+  g_assert_cmpfloat (engine_prefill_ms (&model, TOO_LONG_FOR_ONE), >,
+                     request.deadline_ms - NOW_MS);
+  g_assert_cmpint (ask (fixture, &request, NOW_MS).kind, ==, PLACEMENT_QUEUED);
+  for (uint32_t i = 0; i < ENGINES * SLOTS; i++)
+    upstream_set_end (fixture->set, PLACEMENT_MAX_JOBS * (1 + i),
+                      UPSTREAM_JOB_GOOD, NOW_MS + 500);
+  g_array_set_size (fixture->answers, 0);
+  placer_run (fixture->placer, NOW_MS + 500);
+  g_assert_cmpuint (fixture->answers->len, ==, 1);
+  g_assert_cmpint (g_array_index (fixture->answers, placement_answer_t, 0).kind,
+                   ==, PLACEMENT_SEND);
+  fixture_free (fixture);
+}
+
+/* Guards against counting the loss of a prompt once for each of the engines
+ * that read a part of it, which lets larger prompts appear too costly. */
+static void
+test_split_prompt_counts_once (void)
+{
+  fixture_t *fixture = fixture_new ();
+  placement_request_t split = make_long_request (fixture, 200000);
+  placement_request_t request = make_long_request (fixture, TOO_LONG_FOR_ONE);
+  placement_answer_t answer;
+
+  split.target_ms = 1500;
+  answer = ask (fixture, &split, NOW_MS);
+  g_assert_cmpint (answer.kind, ==, PLACEMENT_SEND);
+  g_assert_cmpuint (answer.helper_count, >, 0);
+  answer = ask (fixture, &request, NOW_MS);
+  g_assert_cmpfloat (answer.damage_waiting, >, 0);
+  g_assert_cmpfloat (
+      answer.damage_waiting, <=,
+      upstream_job_value (split.prompt_tokens, split.answer_tokens));
+  fixture_free (fixture);
+}
+
 /** A placer that does not know a service says so. */
 static void
 test_unknown_service (void)
@@ -348,6 +407,9 @@
   g_test_add_func ("/placer/lost-owner", test_lost_owner);
   g_test_add_func ("/placer/long-queue", test_long_queue);
   g_test_add_func ("/placer/move", test_move);
+  g_test_add_func ("/placer/largest-prompt-waits", test_largest_prompt_waits);
+  g_test_add_func ("/placer/split-prompt-counts-once",
+                   test_split_prompt_counts_once);
   g_test_add_func ("/placer/unknown-service", test_unknown_service);
   g_test_add_func ("/placer/parts", test_jobs_of_parts);
   return g_test_run ();
