upstream-choice: ask whether several engines can read a prompt in time

The bound is now the time that all parts together need. Other uses of engine_prefill_ms() were looked at: the placement of parts divides by their number already, and dispatch has spans of its own.

--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -183,6 +183,16 @@
     choice->retry_ms = (uint32_t)(end_ms - now_ms);
 }
 
+/** Returns the time to prefill the prompt if as many engines as possible read
+ * parts of it and do nothing else. */
+static double
+shortest_prefill_ms (const choice_request_t *request, uint32_t usable)
+{
+  uint32_t parts = CLAMP (usable, 1, 1 + CHOICE_MAX_HELPERS);
+
+  return engine_prefill_ms (request->model, request->prompt_tokens) / parts;
+}
+
 choice_t
 upstream_choose (const upstream_set_t *set,
                  const choice_request_t *request,
@@ -193,8 +203,7 @@
   if (choice.kind == CHOICE_NONE)
     choice = choose_among (set, request, true, now_ms);
   if (choice.kind == CHOICE_WAIT && request->model != NULL
-      && engine_prefill_ms (request->model, request->prompt_tokens)
-             > request->left_ms)
+      && shortest_prefill_ms (request, choice.usable) > request->left_ms)
     choice.kind = CHOICE_UNMEETABLE;
   choice.retry_ms
       = request->model != NULL && engine_choice_is_oversize (request)
