engine-choice: count a prompt once that several engines read

Cause: a prompt that 16 engines read is a job at each, with the value of the whole prompt, so that one request made late was counted once for each engine at which a part of it waits.

Jobs of parts now name the job that decodes, and the losses are summed by request, each with its largest. The same sum chose the parts of prompts that one engine can hold (evaluate_split), which is mended with it.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -65,10 +65,11 @@
   double pass_ms;    /* duration of a pass without prefill */
   double tie_break_cost;
   /* The values below hold for the number of parts under evaluation. */
-  /* Loss of other requests, in upstream_job_value() units. */
-  double others_loss;   /* of all of them: the ones below, and arrivals */
-  double decoding_loss; /* of those that it decodes */
-  double waiting_loss;  /* of those that wait there for their first event */
+  double pause_ms;      /* longest pass while it prefills its part */
+  double part_ms;       /* prefill time of a part before queued prompts, or 0 */
+  double arriving_loss; /* of requests that are still to arrive */
+  double others_loss;   /* of all other requests, as above in
+                           upstream_job_value() units */
   double ready_ms;      /* time until its part is prefilled */
   double rank;          /* sort key, lowest first */
 } candidate_t;
@@ -180,6 +181,32 @@
   return upstream_job_value (request->prompt_tokens, request->answer_tokens);
 }
 
+/** The loss of other requests, in upstream_job_value() units. */
+typedef struct
+{
+  request_losses_t decoding; /* of those that are being decoded */
+  request_losses_t waiting;  /* of those that wait for their first event */
+  double arriving;           /* of those that are still to arrive */
+} damage_t;
+
+/** Adds the loss of other requests through a part at @a engine. */
+static void
+add_damage (const candidate_t *engine, uint64_t now_ms, damage_t *damage)
+{
+  engine_load_add_decode_losses (engine->member, engine->pause_ms,
+                                 &damage->decoding);
+  if (engine->part_ms > 0)
+    engine_load_add_prefill_losses (engine->member, &engine->load,
+                                    engine->part_ms, now_ms, &damage->waiting);
+  damage->arriving += engine->arriving_loss;
+}
+
+static double
+total_damage (const damage_t *damage)
+{
+  return damage->decoding.sum + damage->waiting.sum + damage->arriving;
+}
+
 /** Sets the loss of other requests and the end time for one part. */
 static void
 evaluate_part (const choice_request_t *request,
@@ -192,16 +219,16 @@
 {
   const load_estimate_t *load = &engine->load;
   double slowness = engine->member->slowness;
-  double pause_ms
-      = (engine->pass_ms + load->pass_prefill_ms + part_pass_ms) * slowness;
+  damage_t damage = { 0 };
 
-  engine->decoding_loss = engine_load_decode_loss (engine->member, pause_ms);
-  engine->waiting_loss = parts > 1 ? engine_load_prefill_loss (
-                             engine->member, load, read_ms * slowness, now_ms)
-                                   : 0;
-  engine->others_loss = engine->decoding_loss + engine->waiting_loss
-                        + loss_of_arrivals (request, demand, pause_ms, read_ms);
+  engine->pause_ms
+      = (engine->pass_ms + load->pass_prefill_ms + part_pass_ms) * slowness;
   /* A part is prefilled before all whole prompts queued there. */
+  engine->part_ms = parts > 1 ? read_ms * slowness : 0;
+  engine->arriving_loss
+      = loss_of_arrivals (request, demand, engine->pause_ms, read_ms);
+  add_damage (engine, now_ms, &damage);
+  engine->others_loss = total_damage (&damage);
   engine->ready_ms = (parts > 1 ? 0 : load->backlog_ms) + read_ms * slowness;
   if (load->decoding + load->prefilling > 0)
     engine->ready_ms
@@ -318,7 +345,8 @@
 {
   double value = request_value (request);
   double loss = PART_COST_SHARE * (parts - 1) * value;
-  double others_loss = 0;
+  damage_t damage = { 0 };
+  double others_loss;
   double ready_ms = 0;
   int decoder;
   uint32_t taken = 1;
@@ -329,18 +357,19 @@
   decoder = find_least_loss_decoder (request, engines, count, value);
   if (decoder < 0)
     return;
-  others_loss = engines[decoder].others_loss;
+  add_damage (&engines[decoder], now_ms, &damage);
   ready_ms = engines[decoder].ready_ms;
   for (uint32_t i = 0; i < count && taken < parts; i++)
     if ((int)i != decoder)
       {
-        others_loss += engines[i].others_loss;
+        add_damage (&engines[i], now_ms, &damage);
         ready_ms = fmax (ready_ms, engines[i].ready_ms);
         taken++;
       }
   ready_ms += engines[decoder].pass_ms;
   if (strcmp (engines[decoder].member->zone, request->zone) != 0)
     ready_ms += request->zone_cost_ms;
+  others_loss = total_damage (&damage);
   loss += others_loss + value * engines[decoder].tie_break_cost
           + own_delay_loss (request, ready_ms, value);
   if (taken < parts || (best->member != NULL && loss >= best->loss))
@@ -429,6 +458,7 @@
                    choice_t *best)
 {
   choice_t choice = { .kind = CHOICE_SEND, .usable = best->usable };
+  damage_t damage = { 0 };
   double value = request_value (request);
   uint32_t holders;
 
@@ -439,14 +469,15 @@
   sort_by_part_cost (request, engines + holders, count - holders, value);
   for (uint32_t i = 0; i < parts; i++)
     {
-      choice.damage += engines[i].others_loss;
-      choice.damage_decoding += engines[i].decoding_loss;
-      choice.damage_waiting += engines[i].waiting_loss;
+      add_damage (&engines[i], now_ms, &damage);
       choice.first_ms = fmax (choice.first_ms, engines[i].ready_ms);
       if (i > 0)
         choice.helpers[choice.helper_count++] = engines[i].member;
     }
   choice.first_ms += engines[0].pass_ms + RESERVATION_ROUND_TRIP_MS;
+  choice.damage = total_damage (&damage);
+  choice.damage_decoding = damage.decoding.sum;
+  choice.damage_waiting = damage.waiting.sum;
   choice.loss = choice.damage + PART_COST_SHARE * (parts - 1) * value
                 + own_delay_loss (request, choice.first_ms, value);
   choice.member = engines[0].member;
--- a/engine-load.c
+++ b/engine-load.c
@@ -77,13 +77,6 @@
          / job->prompt_tokens;
 }
 
-/** Returns whether the prompt is split over several engines. */
-static bool
-is_prompt_split (const upstream_job_t *job)
-{
-  return job->read_tokens < job->prompt_tokens;
-}
-
 /**
  * Counts all jobs, their memory and the decoding requests. Sets @a free_ms to
  * the time of the latest first event, up to which the engine was prefilling.
@@ -174,7 +167,7 @@
         {
           const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
 
-          if (is_prompt_split (job) == (whole == 1)
+          if (upstream_job_is_split (job) == (whole == 1)
               || !add_job_to_queue (&queue, job))
             continue;
           load.prefilling++;
@@ -187,20 +180,20 @@
   return load;
 }
 
-double
-engine_load_decode_loss (const upstream_member_t *member, double pause_ms)
+void
+engine_load_add_decode_losses (const upstream_member_t *member,
+                               double pause_ms,
+                               request_losses_t *losses)
 {
-  double loss = 0;
-
   for (guint i = 0; i < member->jobs->len; i++)
     {
       const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
 
       if (job->first_ms > 0 && !job->is_late && job->gap_target_ms > 0)
-        loss += job->value
-                * engine_load_pause_loss (pause_ms, job->gap_target_ms);
+        request_losses_add (
+            losses, job,
+            job->value * engine_load_pause_loss (pause_ms, job->gap_target_ms));
     }
-  return loss;
 }
 
 /**
@@ -218,24 +211,24 @@
                              FIRST_EVENT_RAMP_END * target_ms);
 }
 
-double
-engine_load_prefill_loss (const upstream_member_t *member,
-                          const load_estimate_t *load,
-                          double part_ms,
-                          uint64_t now_ms)
+void
+engine_load_add_prefill_losses (const upstream_member_t *member,
+                                const load_estimate_t *load,
+                                double part_ms,
+                                uint64_t now_ms,
+                                request_losses_t *losses)
 {
   double done_ms = (double)now_ms + load->backlog_ms
                    + load->decode_ms * PASSES_TO_FIRST_EVENT;
-  double loss = 0;
 
   for (guint i = 0; i < member->jobs->len; i++)
     {
       const upstream_job_t *job = g_ptr_array_index (member->jobs, i);
 
       if (job->first_ms == 0 && job->due_ms > 0)
-        loss += job->value
-                * (first_event_loss (job, done_ms + part_ms)
-                   - first_event_loss (job, done_ms));
+        request_losses_add (losses, job,
+                            job->value
+                                * (first_event_loss (job, done_ms + part_ms)
+                                   - first_event_loss (job, done_ms)));
     }
-  return loss;
 }
--- a/engine-load.h
+++ b/engine-load.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "engine-model.h"
+#include "request-losses.h"
 #include "upstream-set.h"
 
 /** Share of a request's value that is lost when it is late. */
@@ -45,21 +46,23 @@
                                  double part_tokens);
 
 /**
- * Returns the loss of the decoding requests if a pass takes @a pause_ms, in
+ * Adds the losses of the decoding requests if a pass takes @a pause_ms, in
  * upstream_job_value() units. Requests that already had too long a pause are
  * not counted.
  */
-double engine_load_decode_loss (const upstream_member_t *member,
-                                double pause_ms);
+void engine_load_add_decode_losses (const upstream_member_t *member,
+                                    double pause_ms,
+                                    request_losses_t *losses);
 
 /**
- * Returns the loss of all requests still waiting for their first event if a
+ * Adds the losses of all requests still waiting for their first event if a
  * further part takes @a part_ms, in upstream_job_value() units.
  */
-double engine_load_prefill_loss (const upstream_member_t *member,
-                                 const load_estimate_t *load,
-                                 double part_ms,
-                                 uint64_t now_ms);
+void engine_load_add_prefill_losses (const upstream_member_t *member,
+                                     const load_estimate_t *load,
+                                     double part_ms,
+                                     uint64_t now_ms,
+                                     request_losses_t *losses);
 
 /** Returns 0 up to @a from, 1 from @a to on, and linear values between. */
 double engine_load_ramp (double value, double from, double to);
--- a/load-batch.c
+++ b/load-batch.c
@@ -36,6 +36,7 @@
 {
   lwm__share_job__init (message);
   message->id = job->id;
+  message->request = job->is_part ? job->request : 0;
   message->owner = job->owner;
   message->upstream = job->upstream;
   message->prompt_tokens = job->prompt_tokens;
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -53,6 +53,7 @@
 {
   upstream_job_t job
       = { .id = message->id,
+          .request = message->request != 0 ? message->request : message->id,
           .owner = message->owner != 0 ? message->owner : sender->incarnation,
           .source = sender->incarnation,
           .upstream = message->upstream,
--- a/placer.c
+++ b/placer.c
@@ -68,6 +68,7 @@
 {
   upstream_job_t main_job
       = { .id = request->id,
+          .request = request->id,
           .owner = request->owner,
           .source = request->owner,
           .upstream = answer->upstream,
--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -213,6 +213,8 @@
   prefill_t *prefill = g_new0 (prefill_t, 1);
   uint32_t at = request->job_count++;
 
+  job.request = at == 0 ? job.id : request->jobs[0];
+
   if (!is_part)
     {
       world->result.placed++;
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -37,6 +37,12 @@
   return prompt_tokens + ANSWER_TOKEN_VALUE * answer_tokens;
 }
 
+bool
+upstream_job_is_split (const upstream_job_t *job)
+{
+  return job->read_tokens < job->prompt_tokens;
+}
+
 static int
 free_member (upstream_member_t *member)
 {
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -27,6 +27,8 @@
 typedef struct
 {
   uint64_t id;       /**< unique over all instances */
+  uint64_t request;  /**< id of the job that decodes the answer: the own one, or
+                          for a part that of another upstream */
   uint64_t owner;    /**< instance that holds the request, 0 for this one */
   uint64_t source;   /**< instance that reported the job, 0 for this one */
   uint64_t upstream; /**< key of the incarnation */
@@ -166,6 +168,9 @@
                                                  void *context),
                              void *context);
 
+/** Returns whether several upstreams prefill parts of the job's prompt. */
+bool upstream_job_is_split (const upstream_job_t *job);
+
 /** Writes the id under which memory is reserved for the job with @a job_id. */
 void upstream_reservation_name (uint64_t job_id,
                                 char name[UPSTREAM_RESERVATION_ID_BYTES]);
