engine-choice: let a prompt of several engines wait while it can be served

Callers of the largest prompts were refused after 1.2 s, with 13 s left (SHORT). Cause: such a prompt waits for a moment at which it costs others little, and the wait ended after two fifths of the target. In a burst of long prompts such moments come less often, while smaller prompts take each engine that is free: a wide job starves. It now waits as long as it can be served; once it is late, it may cost others half as much, as less of its own value is left.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -24,12 +24,11 @@
 #define WAIT_FIRST_EVENT_SHARE 0.35
 #define WAIT_ELAPSED_SHARE     0.6
 /** Limits for oversize prompts: the loss of other requests, as a share of the
- * value of the prompt; the engines that stay free of long prompts; and the wait
- * for these conditions, as a share of the target. */
-#define OVERSIZE_OTHERS_LOSS 0.25
-#define FREE_ENGINE_RATIO    1.6 /* free engines per fully decoding engine */
-#define IDLE_ARRIVALS_PER_S  0.3 /* per engine; fewer delay no request */
-#define OVERSIZE_WAIT_SHARE  0.4
+ * value of the prompt, and the engines that stay free of long prompts. */
+#define OVERSIZE_OTHERS_LOSS      0.25
+#define OVERSIZE_OTHERS_LOSS_LATE 0.125 /* once its target has passed */
+#define FREE_ENGINE_RATIO         1.6   /* per fully decoding engine */
+#define IDLE_ARRIVALS_PER_S       0.3   /* per engine; fewer delay no request */
 /** Cost of each helper, as a share of the value of the request: it may fail,
  * and other requests cannot use it meanwhile. */
 #define PART_COST_SHARE 0.001
@@ -486,19 +485,24 @@
 }
 
 /**
- * Returns whether an oversize prompt costs other requests too much. It takes as
- * much prefill as a hundred short prompts, so it runs only where it makes no
- * request late and leaves most engines to others.
+ * Returns whether an oversize prompt costs other requests too much now. It
+ * takes as much prefill as a hundred short prompts, so it runs only where it
+ * makes few requests late and leaves most engines to others. It waits for such
+ * a moment as long as it can be served, as others that fit sooner keep
+ * arriving. One that is late already has less value left to justify a cost.
  */
 static bool
 is_too_costly (const choice_request_t *request,
                const demand_t *demand,
                const choice_t *best)
 {
-  double value = request_value (request);
+  double most_loss
+      = request_value (request)
+        * (request->waited_ms < request->target_ms ? OVERSIZE_OTHERS_LOSS
+                                                   : OVERSIZE_OTHERS_LOSS_LATE);
   double taken = (best->helper_count + 1.0) / fmax (best->usable, 1);
 
-  return best->damage > OVERSIZE_OTHERS_LOSS * value
+  return best->damage > most_loss
          || (demand->arrivals_per_s > IDLE_ARRIVALS_PER_S
              && demand->blocked + taken
                     > 1 - FREE_ENGINE_RATIO * demand->filled);
@@ -625,9 +629,7 @@
   best.filled = demand.filled;
   if (best.member != NULL && engine_choice_is_oversize (request)
       && is_too_costly (request, &demand, &best))
-    best.kind = request->waited_ms < OVERSIZE_WAIT_SHARE * request->target_ms
-                    ? CHOICE_WAIT
-                    : CHOICE_UNMEETABLE;
+    best.kind = CHOICE_WAIT;
   else if (best.member != NULL)
     best.kind = should_wait (request, &best) ? CHOICE_WAIT : CHOICE_SEND;
   else if (best.usable > 0)
--- a/t/t8040-upstream-choice.c
+++ b/t/t8040-upstream-choice.c
@@ -386,8 +386,8 @@
   fixture_free (fixture);
 }
 
-/** At peak load a long prompt waits briefly and is then refused, because
- * serving it would delay many answers. */
+/** At peak load a prompt that would delay many answers waits as long as the
+ * engines can read it before its deadline, and is then refused at once. */
 static void
 test_oversize_prompt_at_peak (void)
 {
@@ -400,11 +400,12 @@
       start_job (fixture, fixture->keys[i], &brief, 1, false, true);
   g_assert_cmpint (upstream_choose (fixture->set, &request, NOW_MS).kind, ==,
                    CHOICE_WAIT);
-  request.waited_ms = (uint32_t)(0.3 * request.target_ms);
+  request.left_ms
+      = (uint32_t)(engine_prefill_ms (&model, HUGE_TOKENS) / ENGINES) + 1;
+  request.waited_ms = 15000 - request.left_ms;
   g_assert_cmpint (upstream_choose (fixture->set, &request, NOW_MS).kind, ==,
                    CHOICE_WAIT);
-  /* The time left until its target hardly suffices for the prefill. */
-  request.waited_ms = request.target_ms / 2;
+  request.left_ms--;
   g_assert_cmpint (upstream_choose (fixture->set, &request, NOW_MS).kind, ==,
                    CHOICE_UNMEETABLE);
   fixture_free (fixture);
