--- a/t/t8082-gateway-upstream-state.c
+++ b/t/t8082-gateway-upstream-state.c
@@ -26,6 +26,15 @@
   "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Pause-Ms: 60000\r\nContent-Length: " \
   "0\r\n\r\n"
 
+/** An upstream that takes one request a second. */
+#define LIMIT_ANSWER                                                           \
+  "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Limit: 1\r\nContent-Length: 4\r\n\r\n"  \
+  "body"
+#define LIMIT_WINDOW_S 4
+/** Requests that may reach it in the window: one and a half times the limit,
+ * and five. */
+#define LIMIT_ALLOWED (LIMIT_WINDOW_S * 3 / 2 + 5)
+
 static void
 answer_with (gateway_fixture_t *fixture,
              int upstream,
@@ -139,6 +148,25 @@
   gateway_fixture_free (fixture);
 }
 
+/* Guards against: more requests to an upstream than the limit that it names in
+ * its answers (LIMIT), here while another one can serve them all. */
+static void
+test_limit (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_ANSWER);
+  uint64_t until_ms = clock_mono_ms () + LIMIT_WINDOW_S * 1000;
+
+  answer_with (fixture, 0, ACT_TEXT, LIMIT_ANSWER);
+  while (clock_mono_ms () < until_ms)
+    {
+      call (fixture, GET ("/safe/"), "body");
+      wait_ms (fixture, 20);
+    }
+  g_assert_cmpuint (fixture->upstreams[1].requests, >, LIMIT_ALLOWED);
+  g_assert_cmpuint (fixture->upstreams[0].requests, <=, LIMIT_ALLOWED);
+  gateway_fixture_free (fixture);
+}
+
 /* Guards against: more requests to an upstream that has asked for a pause
  * (BUDGET). The refused request goes elsewhere, and the upstream is not
  * ejected.
@@ -216,6 +244,7 @@
   g_test_add_func ("/upstream-state/leaving", test_leaving);
   g_test_add_func ("/upstream-state/leaving-stream", test_leaving_stream);
   g_test_add_func ("/upstream-state/all-leave", test_all_leave);
+  g_test_add_func ("/upstream-state/limit", test_limit);
   g_test_add_func ("/upstream-state/pause", test_pause);
   g_test_add_func ("/upstream-state/two-pauses", test_two_pauses);
   g_test_add_func ("/upstream-state/all-pause", test_all_pause);
