upstream-limit: keep the rate that an upstream names

Cause: nothing read Server-Limit; the lines of the instances show that requests went on as before.

The limit becomes part of the state of an upstream. The placer of its own zone grants its requests, from a credit that starts empty and builds up at the named rate; every job that begins there counts. All others send it nothing, so that the sum over all instances holds without talk between zones, with two placers around a hand-over, and in a cut. An instance that was told does not send there unless the placer has counted the request. Whole updates repeat the limits. An answer without a limit ends it only if its request was sent after it was known, as answers overtake each other. When all upstreams are limited, as many requests wait as get a place in their time, and others are refused at once.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -540,7 +540,8 @@
 static bool
 is_usable_as_helper (const upstream_member_t *member)
 {
-  return member->trust == UPSTREAM_TRUSTED && !member->is_silent;
+  return member->trust == UPSTREAM_TRUSTED && !member->is_silent
+         && !upstream_limit_holds (&member->limit);
 }
 
 /** Fills in and counts the engines, possible helpers first. */
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -54,6 +54,7 @@
   metric_t *broken;
   metric_t *leaving; /* answers in which an upstream said that it leaves */
   metric_t *paused;  /* answers in which an upstream asked for a pause */
+  metric_t *limited; /* answers in which an upstream named a rate limit */
   metric_t *refusals[ERROR_KIND_COUNT];
   metric_t *first_event_s[GATEWAY_CLASS_COUNT]; /* time to the first event */
   metric_t *answer_s[GATEWAY_CLASS_COUNT];      /* time to the answer's end */
@@ -126,6 +127,7 @@
   uint32_t tickets_pending; /* tickets that are not held yet */
   uint64_t attempt_ms;      /* when the request was sent */
   double predicted_ms;
+  bool is_limited; /* counted within the rate limit of the upstream */
   bool has_head;
   bool is_mismatched;     /* the answer belongs to another request */
   bool has_invalid_event; /* the rest of the stream is ignored */
--- a/gateway-metrics.c
+++ b/gateway-metrics.c
@@ -25,6 +25,9 @@
   counters->leaving = metrics_counter (
       metrics, "lwm_gateway_upstream_states_total",
       "Answers in which an upstream limited its use.", "state=\"leaving\"");
+  counters->limited = metrics_counter (
+      metrics, "lwm_gateway_upstream_states_total",
+      "Answers in which an upstream limited its use.", "state=\"limited\"");
   counters->paused = metrics_counter (
       metrics, "lwm_gateway_upstream_states_total",
       "Answers in which an upstream limited its use.", "state=\"paused\"");
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -149,19 +149,26 @@
                         UPSTREAM_JOB_NEUTRAL);
 }
 
+/** Returns whether this instance knows no reason not to send to an upstream.
+ * @param is_granted the placer counted the request within its rate limit */
+static bool
+may_send_to (const gateway_t *gateway, uint64_t key, bool is_granted)
+{
+  const upstream_member_t *member = upstream_set_find (gateway->set, key);
+
+  return upstream_member_is_available (member, clock_mono_ms ())
+         && (is_granted || !upstream_limit_holds (&member->limit));
+}
+
 /** Returns the key of an upstream of a placement to which this instance may not
  * send, or 0. It may know more of an upstream than the placer did. */
 static uint64_t
 find_unavailable (const gateway_t *gateway, const placement_answer_t *answer)
 {
-  uint64_t now_ms = clock_mono_ms ();
-
-  if (!upstream_member_is_available (
-          upstream_set_find (gateway->set, answer->upstream), now_ms))
+  if (!may_send_to (gateway, answer->upstream, answer->is_limited))
     return answer->upstream;
   for (uint32_t i = 0; i < answer->helper_count; i++)
-    if (!upstream_member_is_available (
-            upstream_set_find (gateway->set, answer->helpers[i]), now_ms))
+    if (!may_send_to (gateway, answer->helpers[i], false))
       return answer->helpers[i];
   return 0;
 }
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -164,6 +164,29 @@
                                  answer->is_leaving, pause_ms);
 }
 
+/** Records the rate limit that the upstream names, or that it names none any
+ * more. Answers may overtake each other: one without a limit ends it only if
+ * its request was sent after the limit was known. */
+static void
+record_upstream_limit (const gateway_request_t *request)
+{
+  const gateway_answer_info_t *answer = &request->answer;
+  gateway_t *gateway = request->gateway;
+  const upstream_member_t *member
+      = upstream_set_find (gateway->set, request->upstream_key);
+
+  if (answer->limit_s > 0)
+    {
+      metric_add (gateway->counters.limited, 1);
+      zone_placement_report_limit (gateway->placement, request->upstream_key,
+                                   answer->limit_s, clock_mono_ms ());
+    }
+  else if (answer->is_signed && !answer->has_invalid_limit && member != NULL
+           && (request->is_limited || upstream_limit_holds (&member->limit)))
+    zone_placement_report_limit (gateway->placement, request->upstream_key, 0,
+                                 request->attempt_ms);
+}
+
 static void
 on_head (exchange_t *exchange, void *context)
 {
@@ -184,6 +207,7 @@
   if (request->is_mismatched)
     return;
   record_upstream_state (request);
+  record_upstream_limit (request);
   save_answer_head (request);
   if (is_stream (request))
     request->events = event_stream_new (request, on_event, request);
--- a/gateway.h
+++ b/gateway.h
@@ -58,6 +58,9 @@
   const char *failed_helper; /**< id or address of a failed helper, or NULL */
   bool is_leaving;           /**< the upstream will stop */
   uint32_t pause_ms; /**< the upstream wants no requests for this time, or 0 */
+  double limit_s;    /**< requests per second that it takes from all instances;
+                          0: it names no limit */
+  bool has_invalid_limit; /**< it names one that cannot be read */
 } gateway_answer_info_t;
 
 /** Reads and writes the fields that callers and upstreams use. */
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -97,6 +98,10 @@
       if (observation->pause_ms > 0)
         upstream_set_pause (set, observation->upstream,
                             now_ms + observation->pause_ms);
+      if (observation->has_limit)
+        upstream_set_limit (
+            set, observation->upstream, fmax ((double)observation->limit_s, 0),
+            now_ms - MIN (observation->limit_ago_ms, now_ms), now_ms);
       if (observation->call_ms > 0)
         upstream_set_add_call_time (set, observation->upstream,
                                     (double)observation->call_ms);
@@ -149,8 +154,10 @@
   for (size_t i = 0; i < update->n_orphans; i++)
     load_batch_add_orphan (share->zone, update->orphans[i]->id,
                            update->orphans[i]->upstream);
+  /* The own whole updates list all limits. */
   for (size_t i = 0; i < update->n_observed; i++)
-    load_batch_add_observation (share->zone, update->observed[i]);
+    if (!update->whole || !update->observed[i]->has_limit)
+      load_batch_add_observation (share->zone, update->observed[i]);
 }
 
 static void
--- a/load-share.c
+++ b/load-share.c
@@ -85,6 +85,38 @@
   g_array_append_val (collection->jobs, *job);
 }
 
+/** Returns whether the set knows of a limit of an upstream, or of its end. */
+static bool
+describe_limit (const upstream_member_t *member,
+                uint64_t now_ms,
+                Lwm__ShareObservation *observation)
+{
+  lwm__share_observation__init (observation);
+  if (member == NULL || member->limit.stated_ms == 0)
+    return false;
+  observation->upstream = member->key;
+  observation->has_limit = true;
+  observation->limit_s = (float)member->limit.rate_s;
+  observation->limit_ago_ms = (uint32_t)(now_ms - member->limit.stated_ms);
+  return true;
+}
+
+/** Adds all known limits, for receivers that missed the answers which named
+ * them. */
+static void
+add_limits (const load_share_t *share, load_batch_t *batch)
+{
+  uint64_t now_ms = clock_mono_ms ();
+  Lwm__ShareObservation observation;
+  size_t count;
+  const upstream_member_t *const *members
+      = upstream_set_members (share->options.set, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if (describe_limit (members[i], now_ms, &observation))
+      load_batch_add_observation (batch, &observation);
+}
+
 /** Sends all jobs to the receivers of the zone's batch, or of the own one. */
 static void
 send_whole (load_share_t *share, bool is_zone)
@@ -94,8 +126,11 @@
           .is_zone = is_zone,
           .jobs = g_array_new (FALSE, FALSE, sizeof (upstream_job_t)) };
 
+  load_batch_t *batch = is_zone ? share->zone : share->own;
+
   upstream_set_each_job (share->options.set, collect_job, &collection);
-  load_batch_send_whole (is_zone ? share->zone : share->own, collection.jobs);
+  add_limits (share, batch);
+  load_batch_send_whole (batch, collection.jobs);
   g_array_free (collection.jobs, TRUE);
 }
 
@@ -429,3 +464,13 @@
   observation.pause_ms = pause_ms;
   add_observation (share, &observation);
 }
+
+void
+load_share_report_limit (load_share_t *share, uint64_t upstream)
+{
+  Lwm__ShareObservation observation;
+
+  if (describe_limit (upstream_set_find (share->options.set, upstream),
+                      clock_mono_ms (), &observation))
+    add_observation (share, &observation);
+}
--- a/load-share.h
+++ b/load-share.h
@@ -105,4 +105,7 @@
                               bool is_leaving,
                               uint32_t pause_ms);
 
+/** Reports the rate limit of an upstream that the set knows, or its end. */
+void load_share_report_limit (load_share_t *share, uint64_t upstream);
+
 #endif
--- a/placement-message.c
+++ b/placement-message.c
@@ -98,6 +98,7 @@
   message->filled = (float)answer->filled;
   message->usable = answer->usable;
   message->retry_ms = answer->retry_ms;
+  message->is_limited = answer->is_limited;
 }
 
 bool
@@ -123,6 +124,7 @@
     .filled = (double)message->filled,
     .usable = message->usable,
     .retry_ms = message->retry_ms,
+    .is_limited = message->is_limited,
   };
   COPY_LIST (answer->helpers, message->helpers, message->n_helpers);
   COPY_LIST (answer->memory_tokens, message->memory_tokens,
--- a/placer.c
+++ b/placer.c
@@ -125,6 +125,8 @@
     .avoid = request->avoid,
     .avoid_count = request->avoid_count,
     .zone_cost_ms = placer->options.zone_cost_ms,
+    .queued = placer->queue->len,
+    .is_alone = request->is_alone,
     .random = (uint32_t)random_id (),
   };
 }
@@ -151,7 +153,10 @@
                                 .retry_ms = choice->retry_ms };
 
   if (choice->member != NULL)
-    answer.upstream = choice->member->key;
+    {
+      answer.upstream = choice->member->key;
+      answer.is_limited = upstream_limit_holds (&choice->member->limit);
+    }
   for (uint32_t i = 0; i < choice->helper_count; i++)
     answer.helpers[i] = choice->helpers[i]->key;
   memcpy (answer.memory_tokens, choice->memory_tokens,
--- a/placer.h
+++ b/placer.h
@@ -45,6 +45,7 @@
   /** The request has been sent and gets no events: it is never queued, and
    * placed only if its upstreams should have sent one. */
   bool is_move;
+  bool is_alone;      /**< see choice_request_t; not passed on to others */
   uint32_t silent_ms; /**< with is_move: time without an event */
   uint64_t current[PLACEMENT_MAX_JOBS]; /**< with is_move: its upstreams */
   uint32_t current_count;
@@ -82,6 +83,7 @@
   double filled;
   uint32_t usable;
   uint32_t retry_ms; /**< time to the next try of a request not placed */
+  bool is_limited;   /**< counted within the rate limit of the upstream */
 } placement_answer_t;
 
 /** What a placer must know of a service. */
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -55,11 +55,14 @@
                   gateway_answer_info_t *answer)
 {
   const char *pause = http_fields_find (fields, "X-Pause-Ms");
+  const char *limit = http_fields_find (fields, "X-Limit");
 
   answer->is_signed = http_fields_find (fields, "X-Signed") != NULL;
   answer->has_not_run = http_fields_find (fields, "X-Not-Run") != NULL;
   answer->request_id = http_fields_find (fields, "X-Id");
   answer->is_leaving = http_fields_find (fields, "X-Leaving") != NULL;
+  if (limit != NULL)
+    answer->limit_s = strtod (limit, NULL);
   if (pause != NULL)
     answer->pause_ms = (uint32_t)strtoul (pause, NULL, 10);
 }
--- a/t/t8100-platform.c
+++ b/t/t8100-platform.c
@@ -320,6 +320,36 @@
                     3600 * 1000);
 }
 
+/** A rate limit holds for the answers that name it. Values of no sense are told
+ * from none at all, which ends a limit. */
+static void
+test_upstream_limit (void)
+{
+  static const char *const invalid[]
+      = { "0", "-1", "nan", "inf", "many", "", "1,2" };
+  char *digits = g_strnfill (5000, '9');
+
+  g_assert_cmpfloat (read_answer (200, "Server-Limit", "1.1").limit_s, ==, 1.1);
+  g_assert_cmpfloat (read_answer (503, "Server-Limit", "20").limit_s, ==, 20);
+  g_assert_cmpfloat (read_answer (200, "Other", "1").limit_s, ==, 0);
+  g_assert_false (read_answer (200, "Other", "1").has_invalid_limit);
+  g_assert_cmpfloat (read_answer (200, "Server-Limit", "1e18").limit_s, ==,
+                     100000);
+  g_assert_cmpfloat (read_answer (200, "Server-Limit", "1e-9").limit_s, ==,
+                     0.01);
+  for (guint i = 0; i < G_N_ELEMENTS (invalid); i++)
+    {
+      gateway_answer_info_t answer
+          = read_answer (200, "Server-Limit", invalid[i]);
+
+      g_assert_true (answer.has_invalid_limit);
+      g_assert_cmpfloat (answer.limit_s, ==, 0);
+    }
+  g_assert_cmpfloat (read_answer (200, "Server-Limit", digits).limit_s, <=,
+                     100000);
+  g_free (digits);
+}
+
 /** The parts of a prompt are recognized by their names; the last one belongs to
  * the request alone. */
 static void
@@ -526,6 +556,7 @@
   g_test_add_func ("/platform/fields", test_fields);
   g_test_add_func ("/platform/prompt-parts", test_parts);
   g_test_add_func ("/platform/upstream-states", test_upstream_states);
+  g_test_add_func ("/platform/upstream-limit", test_upstream_limit);
   g_test_add_func ("/platform/config-by-steps", test_config_by_steps);
   g_test_add_func ("/platform/config-by-steps-unusual",
                    test_config_by_steps_unusual);
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -20,6 +20,7 @@
 #define MAX_JOBS_PER_SLOT  2.0
 #define SILENT_CALL_FACTOR 4.0
 #define RETRY_MS           250
+#define MAX_RETRY_MS       60000
 /**
  * Retry time of oversize prompts: engines finish their queued work within this
  * time once fewer long prompts arrive.
@@ -35,6 +36,24 @@
   return false;
 }
 
+/** Returns whether requests to an upstream with a limit are granted here: its
+ * own zone does so for all instances, so that the sum over all zones holds. */
+static bool
+grants_limit (const choice_request_t *request, const upstream_member_t *member)
+{
+  return !request->is_alone && strcmp (member->zone, request->zone) == 0;
+}
+
+static bool
+is_within_limit (const choice_request_t *request,
+                 const upstream_member_t *member,
+                 uint64_t now_ms)
+{
+  return !upstream_limit_holds (&member->limit)
+         || (grants_limit (request, member)
+             && upstream_limit_wait_ms (&member->limit, now_ms) == 0);
+}
+
 bool
 upstream_choice_is_candidate (const choice_request_t *request,
                               const upstream_member_t *member,
@@ -43,6 +62,7 @@
 {
   if (!upstream_member_is_available (member, now_ms)
       || strcmp (member->service, request->service) != 0
+      || !is_within_limit (request, member, now_ms)
       || is_avoided (request, member->key))
     return false;
   if (any_usable)
@@ -147,40 +167,67 @@
              : choose_plain (set, request, any_usable, now_ms);
 }
 
-/** Returns when the first upstream of the service is free again of a pause that
- * it asked for; 0 if there is none. */
-static uint64_t
-first_pause_end_ms (const upstream_set_t *set, const char *service)
+/** When upstreams that take no requests now take some again. */
+typedef struct
 {
-  size_t count;
-  const upstream_member_t *const *members = upstream_set_members (set, &count);
-  uint64_t first_ms = 0;
+  uint64_t first_ms; /* 0: none will */
+  bool has_pause;    /* of one that then takes any number */
+  double rate_s;     /* of those that take a limited number */
+} return_t;
 
-  for (size_t i = 0; i < count; i++)
-    if (members[i]->is_usable && !members[i]->is_leaving
-        && members[i]->paused_until_ms > 0
-        && strcmp (members[i]->service, service) == 0
-        && (first_ms == 0 || members[i]->paused_until_ms < first_ms))
-      first_ms = members[i]->paused_until_ms;
-  return first_ms;
+/** Adds an upstream that takes no requests now. */
+static void
+add_return (const choice_request_t *request,
+            const upstream_member_t *member,
+            uint64_t now_ms,
+            return_t *returns)
+{
+  uint64_t at_ms = MAX (member->paused_until_ms, now_ms);
+
+  if (!member->is_usable || member->is_leaving
+      || strcmp (member->service, request->service) != 0)
+    return;
+  if (upstream_limit_holds (&member->limit))
+    {
+      if (!grants_limit (request, member))
+        return;
+      at_ms += upstream_limit_wait_ms (&member->limit, now_ms);
+      returns->rate_s += member->limit.rate_s;
+    }
+  else if (member->paused_until_ms > now_ms)
+    returns->has_pause = true;
+  else
+    return;
+  if (returns->first_ms == 0 || at_ms < returns->first_ms)
+    returns->first_ms = at_ms;
 }
 
-/** Decides on a request that only upstreams in a pause can take: it waits if
- * one of them returns in its time. */
+/** Decides on a request that only upstreams in a pause, or at their limit, can
+ * take: it waits if one of them takes it in its time. */
 static void
-consider_pauses (const upstream_set_t *set,
-                 const choice_request_t *request,
-                 uint64_t now_ms,
-                 choice_t *choice)
+consider_returns (const upstream_set_t *set,
+                  const choice_request_t *request,
+                  uint64_t now_ms,
+                  choice_t *choice)
 {
-  uint64_t end_ms = first_pause_end_ms (set, request->service);
+  return_t returns = { 0 };
+  size_t count;
+  const upstream_member_t *const *members = upstream_set_members (set, &count);
+  uint64_t wait_ms;
 
-  if (choice->kind != CHOICE_NONE || end_ms <= now_ms)
+  if (choice->kind != CHOICE_NONE)
+    return;
+  for (size_t i = 0; i < count; i++)
+    add_return (request, members[i], now_ms, &returns);
+  if (returns.first_ms == 0)
     return;
-  if (end_ms - now_ms < request->left_ms)
+  wait_ms = returns.first_ms - now_ms;
+  if (!returns.has_pause)
+    wait_ms += (uint64_t)(request->queued / returns.rate_s * 1000);
+  if (wait_ms < request->left_ms)
     choice->kind = CHOICE_WAIT;
   else
-    choice->retry_ms = (uint32_t)(end_ms - now_ms);
+    choice->retry_ms = (uint32_t)MIN (wait_ms, MAX_RETRY_MS);
 }
 
 /** Returns the time to prefill the prompt if as many engines as possible read
@@ -209,7 +256,7 @@
       = request->model != NULL && engine_choice_is_oversize (request)
             ? OVERSIZE_RETRY_MS
             : RETRY_MS;
-  consider_pauses (set, request, now_ms, &choice);
+  consider_returns (set, request, now_ms, &choice);
   return choice;
 }
 
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -55,6 +55,10 @@
   const uint64_t *avoid;    /**< keys of upstreams that were tried before */
   size_t avoid_count;
   uint32_t zone_cost_ms; /**< time of a round trip to another zone */
+  uint32_t queued;       /**< requests that wait before this one */
+  /** Others may choose at the same time without knowing of this choice, so that
+   * no upstream with a rate limit is chosen. */
+  bool is_alone;
   uint32_t random;
 } choice_request_t;
 
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -200,6 +200,8 @@
   if (member == NULL || upstream_set_job (set, job->id) != NULL)
     return false;
   copy = talloc_memdup (member, job, sizeof *job);
+  if (!job->is_part)
+    upstream_limit_spend (&member->limit, job->sent_ms);
   g_ptr_array_add (member->jobs, copy);
   g_hash_table_insert (set->jobs, &copy->id, copy);
   return true;
@@ -391,6 +393,27 @@
   member->paused_until_ms = until_ms;
 }
 
+void
+upstream_set_limit (upstream_set_t *set,
+                    uint64_t key,
+                    double rate_s,
+                    uint64_t stated_ms,
+                    uint64_t now_ms)
+{
+  upstream_member_t *member = find_member (set, key);
+
+  if (member == NULL
+      || !upstream_limit_set (&member->limit, rate_s, stated_ms, now_ms))
+    return;
+  if (rate_s > 0)
+    log_info ("An upstream limits its requests. upstream=%s address=%s "
+              "rate_s=%.3f",
+              member->id, member->address, rate_s);
+  else
+    log_info ("The limit of an upstream has ended. upstream=%s address=%s",
+              member->id, member->address);
+}
+
 /** Ends a pause whose time is over. */
 static void
 check_pause (upstream_member_t *member, uint64_t now_ms)
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -17,6 +17,7 @@
 
 #include "directory.h"
 #include "prompt-parts.h"
+#include "upstream-limit.h"
 
 typedef struct upstream_set upstream_set_t;
 
@@ -92,6 +93,8 @@
   bool is_leaving;          /**< it said in an answer that it leaves; until its
                                  incarnation ends, whatever the directory lists */
   uint64_t paused_until_ms; /**< it asked for no requests until then */
+  upstream_limit_t limit;   /**< the rate that it named; each known job that
+                                 begins there is counted, but no parts */
   GPtrArray *jobs;          /**< upstream_job_t, oldest first */
 } upstream_member_t;
 
@@ -192,6 +195,14 @@
  * time than is known has no effect. */
 void upstream_set_pause (upstream_set_t *set, uint64_t key, uint64_t until_ms);
 
+/** Records the rate that an upstream named in an answer, see
+ * upstream_limit_set(). */
+void upstream_set_limit (upstream_set_t *set,
+                         uint64_t key,
+                         double rate_s,
+                         uint64_t stated_ms,
+                         uint64_t now_ms);
+
 /**
  * Records that an engine's first event came after @a factor times the predicted
  * time.
--- a/zone-ask.c
+++ b/zone-ask.c
@@ -140,6 +140,7 @@
       set_timer (ask, 0);
       return;
     }
+  ask->request.is_alone = false;
   ask->tries++;
   /* The placer must know of a failed attempt before it chooses again. */
   load_share_flush (ask->placement->share);
@@ -161,6 +162,7 @@
       pass_answer (ask, &keep);
       return;
     }
+  ask->request.is_alone = true;
   metric_add (ask->placement->counters.fallbacks[why], 1);
   log_info ("This instance chooses an upstream itself. ask=%ju why=%s",
             (uintmax_t)ask->request.id, zone_fallback_name (why));
--- a/zone-placement.c
+++ b/zone-placement.c
@@ -342,6 +342,17 @@
   load_share_report_state (placement->share, upstream, is_leaving, pause_ms);
 }
 
+void
+zone_placement_report_limit (zone_placement_t *placement,
+                             uint64_t upstream,
+                             double rate_s,
+                             uint64_t stated_ms)
+{
+  upstream_set_limit (placement->options.set, upstream, rate_s, stated_ms,
+                      clock_mono_ms ());
+  load_share_report_limit (placement->share, upstream);
+}
+
 void
 zone_placement_observe (zone_placement_t *placement,
                         uint64_t upstream,
--- a/zone-placement.h
+++ b/zone-placement.h
@@ -118,6 +118,12 @@
                                   bool is_leaving,
                                   uint32_t pause_ms);
 
+/** Records the rate limit that an upstream named, see upstream_limit_set(). */
+void zone_placement_report_limit (zone_placement_t *placement,
+                                  uint64_t upstream,
+                                  double rate_s,
+                                  uint64_t stated_ms);
+
 /** Decides again on queued requests, after a change of the upstreams. */
 void zone_placement_recheck (zone_placement_t *placement);
 
