engine-choice: let the cost that a large prompt may cause grow with its wait

The limit is now a tenth of the value at first, and grows to a quarter with the time that the prompt has waited, so that it does not starve. A plan that takes its engines for longer than the target of the request is not used while other requests arrive: what arrives meanwhile cannot be foreseen.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -24,11 +24,14 @@
 #define WAIT_FIRST_EVENT_SHARE 0.35
 #define WAIT_ELAPSED_SHARE     0.6
 /** Limits for oversize prompts: the loss of other requests, as a share of the
- * value of the prompt, and the engines that stay free of long prompts. */
-#define OVERSIZE_OTHERS_LOSS      0.25
-#define OVERSIZE_OTHERS_LOSS_LATE 0.125 /* once its target has passed */
-#define FREE_ENGINE_RATIO         1.6   /* per fully decoding engine */
-#define IDLE_ARRIVALS_PER_S       0.3   /* per engine; fewer delay no request */
+ * value of the prompt, which grows between two shares of the time that the
+ * prompt has; and the engines that stay free of long prompts. */
+#define OVERSIZE_OTHERS_LOSS      0.1
+#define OVERSIZE_OTHERS_LOSS_AGED 0.25
+#define AGING_BEGIN               0.2
+#define AGING_END                 0.7
+#define FREE_ENGINE_RATIO         1.6 /* per fully decoding engine */
+#define IDLE_ARRIVALS_PER_S       0.3 /* per engine; fewer delay no request */
 /** Cost of each helper, as a share of the value of the request: it may fail,
  * and other requests cannot use it meanwhile. */
 #define PART_COST_SHARE 0.001
@@ -446,6 +449,27 @@
   return missing <= 0;
 }
 
+/** Returns whether a prompt takes its engines for so long that the requests
+ * that arrive meanwhile cannot be foreseen. */
+static bool
+takes_long (const choice_request_t *request, const choice_t *choice)
+{
+  return choice->first_ms > request->target_ms;
+}
+
+/** Returns whether @a choice is better than @a best for an oversize prompt. */
+static bool
+is_better_oversize (const choice_request_t *request,
+                    const choice_t *choice,
+                    const choice_t *best)
+{
+  bool is_long = takes_long (request, choice);
+
+  if (is_long != takes_long (request, best))
+    return !is_long;
+  return choice->loss < best->loss;
+}
+
 /** Does the same as evaluate_split() for an oversize prompt. */
 static void
 evaluate_oversize (const choice_request_t *request,
@@ -480,31 +504,42 @@
   choice.loss = choice.damage + PART_COST_SHARE * (parts - 1) * value
                 + own_delay_loss (request, choice.first_ms, value);
   choice.member = engines[0].member;
-  if (best->member == NULL || choice.loss < best->loss)
+  if (best->member == NULL || is_better_oversize (request, &choice, best))
     *best = choice;
 }
 
+/** Returns the share of its value that an oversize prompt may cost others now.
+ * It grows with the time waited: what fits sooner keeps arriving, and would
+ * starve a prompt that needs many engines at the same moment. */
+static double
+most_others_loss (const choice_request_t *request)
+{
+  double time_ms = (double)request->waited_ms + request->left_ms;
+  double waited = request->waited_ms / fmax (time_ms, 1);
+
+  return OVERSIZE_OTHERS_LOSS
+         + (OVERSIZE_OTHERS_LOSS_AGED - OVERSIZE_OTHERS_LOSS)
+               * engine_load_ramp (waited, AGING_BEGIN, AGING_END);
+}
+
 /**
  * Returns whether an oversize prompt costs other requests too much now. It
- * takes as much prefill as a hundred short prompts, so it runs only where it
- * makes few requests late and leaves most engines to others. It waits for such
- * a moment as long as it can be served, as others that fit sooner keep
- * arriving. One that is late already has less value left to justify a cost.
+ * takes as much prefill as a hundred short prompts, so it waits for a moment at
+ * which it makes few requests late and leaves most engines to others.
  */
 static bool
 is_too_costly (const choice_request_t *request,
                const demand_t *demand,
                const choice_t *best)
 {
-  double most_loss
-      = request_value (request)
-        * (request->waited_ms < request->target_ms ? OVERSIZE_OTHERS_LOSS
-                                                   : OVERSIZE_OTHERS_LOSS_LATE);
+  double value = request_value (request);
   double taken = (best->helper_count + 1.0) / fmax (best->usable, 1);
 
-  return best->damage > most_loss
-         || (demand->arrivals_per_s > IDLE_ARRIVALS_PER_S
-             && demand->blocked + taken
+  if (best->damage > most_others_loss (request) * value)
+    return true;
+  return demand->arrivals_per_s > IDLE_ARRIVALS_PER_S
+         && (takes_long (request, best)
+             || demand->blocked + taken
                     > 1 - FREE_ENGINE_RATIO * demand->filled);
 }
 
--- a/t/t8040-upstream-choice.c
+++ b/t/t8040-upstream-choice.c
@@ -16,6 +16,8 @@
 #define SHORT_TOKENS        4960
 #define LONG_TOKENS         133000
 #define HUGE_TOKENS         300000
+#define LARGEST_TOKENS      511000
+#define QUIET_ENGINES       3
 #define SHORT_ANSWER_TOKENS 1376
 #define LONG_ANSWER_TOKENS  688
 #define NOW_MS              100000
@@ -411,6 +413,27 @@
   fixture_free (fixture);
 }
 
+/* Guards against giving a few engines to an oversize prompt for many seconds at
+ * the start of a burst of short ones, which then find too few engines: it is
+ * split over more engines or waits. */
+static void
+test_oversize_prompt_is_brief (void)
+{
+  fixture_t *fixture = fixture_new ();
+  choice_request_t brief = short_request ();
+  choice_request_t request = long_request (LARGEST_TOKENS);
+  choice_t choice;
+
+  for (uint32_t i = QUIET_ENGINES; i < ENGINES; i++)
+    start_job (fixture, fixture->keys[i], &brief, 1, false, true);
+  choice = upstream_choose (fixture->set, &request, NOW_MS);
+  if (choice.kind == CHOICE_SEND)
+    g_assert_cmpfloat (choice.first_ms, <=, request.target_ms);
+  else
+    g_assert_cmpint (choice.kind, ==, CHOICE_WAIT);
+  fixture_free (fixture);
+}
+
 /** A burst of long prompts while short ones are few: a third of the engines is
  * in prefill, another third decodes and has room, so the remaining engines also
  * take the prefill of the largest prompts. */
@@ -562,6 +585,7 @@
   g_test_add_func ("/choice/memory", test_full_engine_memory);
   g_test_add_func ("/choice/oversize", test_oversize_prompt);
   g_test_add_func ("/choice/oversize-at-crest", test_oversize_prompt_at_peak);
+  g_test_add_func ("/choice/oversize-is-brief", test_oversize_prompt_is_brief);
   g_test_add_func ("/choice/oversize-in-long-wave", test_oversize_in_long_wave);
   g_test_add_func ("/choice/failing",
                    test_failing_upstreams_get_trial_requests);
