upstream-choice: do not wait for a limited upstream that was tried

A request that had failed at the only upstreams of its service waited for them until its deadline when they named a limit, as they take requests again soon, but not this one. It is refused at once, as without a limit.

/upstream-limit/all-limited failed with the new lines (it waited) and passes.

--- a/t/t8043-upstream-limit.c
+++ b/t/t8043-upstream-limit.c
@@ -231,17 +231,26 @@
     .service = "engines", .zone = "a", .target_ms = 300, .left_ms = 3000
   };
   choice_t choice;
+  uint64_t keys[UPSTREAMS];
   size_t count;
 
   for (uint32_t i = 0; i < UPSTREAMS; i++)
-    set_limit (fixture, upstream_set_members (fixture->sets[0], &count)[i]->key,
-               1, START_MS);
+    {
+      keys[i] = upstream_set_members (fixture->sets[0], &count)[i]->key;
+      set_limit (fixture, keys[i], 1, START_MS);
+    }
   g_assert_cmpint (upstream_choose (fixture->sets[0], &request, START_MS).kind,
                    ==, CHOICE_WAIT);
   request.queued = 10;
   choice = upstream_choose (fixture->sets[0], &request, START_MS);
   g_assert_cmpint (choice.kind, ==, CHOICE_NONE);
   g_assert_cmpuint (choice.retry_ms, >=, request.left_ms);
+  /* Nor does it wait for upstreams that it has tried. */
+  request.queued = 0;
+  request.avoid = keys;
+  request.avoid_count = UPSTREAMS;
+  g_assert_cmpint (upstream_choose (fixture->sets[0], &request, START_MS).kind,
+                   ==, CHOICE_NONE);
   fixture_free (fixture);
 }
 
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -189,7 +189,7 @@
     return;
   if (upstream_limit_holds (&member->limit))
     {
-      if (!grants_limit (request, member))
+      if (!grants_limit (request, member) || is_avoided (request, member->key))
         return;
       at_ms += upstream_limit_wait_ms (&member->limit, now_ms);
       returns->rate_s += member->limit.rate_s;
