engine-choice: a file of its own for prompts that several engines hold

What concerns prompts beyond one engine's memory moves to engine-choice-oversize.c; engine-choice-internal.h has what both use. The sums of losses are emptied by their counts: zeroing 4 kB for each engine and number of parts cost a decision among 107 engines some 3 MB of writes.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -3,8 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "engine-choice-internal.h"
 #include "engine-load.h"
-#include "upstream-choice-internal.h"
 
 /** Bounds of the ramp for the loss through a late first event, as shares of the
  * target. */
@@ -23,22 +23,7 @@
 #define WAIT_OTHERS_LOSS       0.15
 #define WAIT_FIRST_EVENT_SHARE 0.35
 #define WAIT_ELAPSED_SHARE     0.6
-/** Limits for oversize prompts: the loss of other requests, as a share of the
- * value of the prompt, which grows between two shares of the time that the
- * prompt has; and the engines that stay free of long prompts. */
-#define OVERSIZE_OTHERS_LOSS      0.1
-#define OVERSIZE_OTHERS_LOSS_AGED 0.25
-#define AGING_BEGIN               0.2
-#define AGING_END                 0.7
-#define FREE_ENGINE_RATIO         1.6 /* per fully decoding engine */
-#define IDLE_ARRIVALS_PER_S       0.3 /* per engine; fewer delay no request */
-/** Cost of each helper, as a share of the value of the request: it may fail,
- * and other requests cannot use it meanwhile. */
-#define PART_COST_SHARE 0.001
-#define MIN_PART_TOKENS 3000
-/** A smaller reservation does not justify the cost of its order. */
-#define MIN_RESERVATION_TOKENS    2000.0
-#define RESERVATION_ROUND_TRIP_MS 12.0
+#define MIN_PART_TOKENS        3000
 /** Small preferences, as shares of the value of the request. An engine without
  * decoding requests can prefill a long prompt in one piece, so short requests
  * are kept together; a few more hardly lengthen the passes of an engine. */
@@ -54,29 +39,7 @@
 /** Largest share of the KV memory that is used. The rest stays free for answers
  * that are longer than expected. */
 #define MAX_KV_SHARE 0.96
-/** The same limit at engines where memory is reserved. */
-#define MAX_RESERVED_KV_SHARE 0.9
-
-/** One engine that may take a request, or a part of its prompt. */
-typedef struct
-{
-  const upstream_member_t *member;
-  load_estimate_t load;
-  bool is_accepting; /* has not refused a request as full just now */
-  bool can_hold;     /* has room for the whole request */
-  double pass_ms;    /* duration of a pass without prefill */
-  double tie_break_cost;
-  /* The values below hold for the number of parts under evaluation. */
-  double pause_ms;      /* longest pass while it prefills its part */
-  double part_ms;       /* prefill time of a part before queued prompts, or 0 */
-  double arriving_loss; /* of requests that are still to arrive */
-  double others_loss;   /* of all other requests, as above in
-                           upstream_job_value() units */
-  double ready_ms;      /* time until its part is prefilled */
-  double rank;          /* sort key, lowest first */
-} candidate_t;
-
-#define MAX_ENGINES 256
+#define MAX_ENGINES  256
 
 /** Returns whether the request fits now; an idle engine takes any size. */
 static bool
@@ -125,14 +88,6 @@
   return cost;
 }
 
-/** The work of all engines of a service. */
-typedef struct
-{
-  double arrivals_per_s; /* mean request rate per engine */
-  double blocked;        /* share of engines that delay decoding requests */
-  double filled;         /* share of all slots that is taken */
-} demand_t;
-
 /**
  * Returns the loss of requests that arrive during the prefill. They must use
  * another engine, which costs more the fewer engines are free.
@@ -177,23 +132,24 @@
   return demand;
 }
 
-static double
-request_value (const choice_request_t *request)
+double
+engine_choice_value (const choice_request_t *request)
 {
   return upstream_job_value (request->prompt_tokens, request->answer_tokens);
 }
 
-/** The loss of other requests, in upstream_job_value() units. */
-typedef struct
+void
+engine_choice_clear_damage (damage_t *damage)
 {
-  request_losses_t decoding; /* of those that are being decoded */
-  request_losses_t waiting;  /* of those that wait for their first event */
-  double arriving;           /* of those that are still to arrive */
-} damage_t;
+  request_losses_clear (&damage->decoding);
+  request_losses_clear (&damage->waiting);
+  damage->arriving = 0;
+}
 
-/** Adds the loss of other requests through a part at @a engine. */
-static void
-add_damage (const candidate_t *engine, uint64_t now_ms, damage_t *damage)
+void
+engine_choice_add_damage (const candidate_t *engine,
+                          uint64_t now_ms,
+                          damage_t *damage)
 {
   engine_load_add_decode_losses (engine->member, engine->pause_ms,
                                  &damage->decoding);
@@ -203,8 +159,8 @@
   damage->arriving += engine->arriving_loss;
 }
 
-static double
-total_damage (const damage_t *damage)
+double
+engine_choice_total_damage (const damage_t *damage)
 {
   return damage->decoding.sum + damage->waiting.sum + damage->arriving;
 }
@@ -221,7 +177,7 @@
 {
   const load_estimate_t *load = &engine->load;
   double slowness = engine->member->slowness;
-  damage_t damage = { 0 };
+  damage_t damage;
 
   engine->pause_ms
       = (engine->pass_ms + load->pass_prefill_ms + part_pass_ms) * slowness;
@@ -229,22 +185,22 @@
   engine->part_ms = parts > 1 ? read_ms * slowness : 0;
   engine->arriving_loss
       = loss_of_arrivals (request, demand, engine->pause_ms, read_ms);
-  add_damage (engine, now_ms, &damage);
-  engine->others_loss = total_damage (&damage);
+  engine_choice_clear_damage (&damage);
+  engine_choice_add_damage (engine, now_ms, &damage);
+  engine->others_loss = engine_choice_total_damage (&damage);
   engine->ready_ms = (parts > 1 ? 0 : load->backlog_ms) + read_ms * slowness;
   if (load->decoding + load->prefilling > 0)
     engine->ready_ms
         += (engine->pass_ms + load->pass_prefill_ms) / 2 * slowness;
 }
 
-/** Evaluates one of @a parts equal parts at each engine. */
-static void
-evaluate_engines (const choice_request_t *request,
-                  const demand_t *demand,
-                  candidate_t *engines,
-                  uint32_t count,
-                  uint32_t parts,
-                  uint64_t now_ms)
+void
+engine_choice_evaluate (const choice_request_t *request,
+                        const demand_t *demand,
+                        candidate_t *engines,
+                        uint32_t count,
+                        uint32_t parts,
+                        uint64_t now_ms)
 {
   double tokens = request->prompt_tokens;
   double read_ms = engine_prefill_ms (request->model, tokens) / parts;
@@ -275,28 +231,27 @@
   return (one > other) - (one < other);
 }
 
-/** Sorts by ascending rank. The sort is stable. */
-static void
-sort_by_rank (candidate_t *engines, uint32_t count)
+void
+engine_choice_sort_by_rank (candidate_t *engines, uint32_t count)
 {
   g_qsort_with_data (engines, (gint)count, sizeof *engines, compare_rank, NULL);
 }
 
-/** Sorts the engines by the cost of a part, lowest first. */
-static void
-sort_by_part_cost (const choice_request_t *request,
-                   candidate_t *engines,
-                   uint32_t count,
-                   double value)
+void
+engine_choice_sort_by_part_cost (const choice_request_t *request,
+                                 candidate_t *engines,
+                                 uint32_t count,
+                                 double value)
 {
   for (uint32_t i = 0; i < count; i++)
     engines[i].rank = part_cost (request, &engines[i], value);
-  sort_by_rank (engines, count);
+  engine_choice_sort_by_rank (engines, count);
 }
 
-/** Returns the loss of the request if its first event takes @a first_ms. */
-static double
-own_delay_loss (const choice_request_t *request, double first_ms, double value)
+double
+engine_choice_delay_loss (const choice_request_t *request,
+                          double first_ms,
+                          double value)
 {
   double loss = value * ENGINE_LATE_SHARE
                 * engine_load_ramp (first_ms + request->waited_ms,
@@ -324,7 +279,7 @@
     {
       const candidate_t *engine = &engines[i];
       double cost = engine->others_loss + value * engine->tie_break_cost
-                    + own_delay_loss (
+                    + engine_choice_delay_loss (
                         request, engine->ready_ms + engine->pass_ms, value);
 
       if (!engine->can_hold || (best >= 0 && cost >= least))
@@ -345,35 +300,36 @@
                 uint64_t now_ms,
                 choice_t *best)
 {
-  double value = request_value (request);
+  double value = engine_choice_value (request);
   double loss = PART_COST_SHARE * (parts - 1) * value;
-  damage_t damage = { 0 };
+  damage_t damage;
   double others_loss;
   double ready_ms = 0;
   int decoder;
   uint32_t taken = 1;
 
-  evaluate_engines (request, demand, engines, count, parts, now_ms);
+  engine_choice_evaluate (request, demand, engines, count, parts, now_ms);
   if (parts > 1)
-    sort_by_part_cost (request, engines, count, value);
+    engine_choice_sort_by_part_cost (request, engines, count, value);
   decoder = find_least_loss_decoder (request, engines, count, value);
   if (decoder < 0)
     return;
-  add_damage (&engines[decoder], now_ms, &damage);
+  engine_choice_clear_damage (&damage);
+  engine_choice_add_damage (&engines[decoder], now_ms, &damage);
   ready_ms = engines[decoder].ready_ms;
   for (uint32_t i = 0; i < count && taken < parts; i++)
     if ((int)i != decoder)
       {
-        add_damage (&engines[i], now_ms, &damage);
+        engine_choice_add_damage (&engines[i], now_ms, &damage);
         ready_ms = fmax (ready_ms, engines[i].ready_ms);
         taken++;
       }
   ready_ms += engines[decoder].pass_ms;
   if (strcmp (engines[decoder].member->zone, request->zone) != 0)
     ready_ms += request->zone_cost_ms;
-  others_loss = total_damage (&damage);
+  others_loss = engine_choice_total_damage (&damage);
   loss += others_loss + value * engines[decoder].tie_break_cost
-          + own_delay_loss (request, ready_ms, value);
+          + engine_choice_delay_loss (request, ready_ms, value);
   if (taken < parts || (best->member != NULL && loss >= best->loss))
     return;
   best->member = engines[decoder].member;
@@ -393,161 +349,11 @@
          > (double)request->model->kv_tokens * MAX_KV_SHARE;
 }
 
-/** Returns the free memory, less a margin for requests not known yet. */
-static double
-free_kv_tokens (const choice_request_t *request, const candidate_t *engine)
-{
-  double slots = engine->member->slots > 0 ? engine->member->slots
-                                           : request->model->slots;
-
-  if (engine->load.held + 1 > slots || !engine->is_accepting)
-    return 0;
-  return fmax ((double)request->model->kv_tokens * MAX_RESERVED_KV_SHARE
-                   - engine->load.kv_tokens,
-               0);
-}
-
-/** Sorts the engines by free memory, largest first. */
-static void
-sort_by_memory (const choice_request_t *request,
-                candidate_t *engines,
-                uint32_t count)
-{
-  for (uint32_t i = 0; i < count; i++)
-    engines[i].rank = -free_kv_tokens (request, &engines[i]);
-  sort_by_rank (engines, count);
-}
-
-/**
- * Distributes an oversize prompt over the engines with the most memory. The
- * first one decodes; the next ones hold what does not fit there.
- * @return whether @a parts engines have enough memory
- */
-static bool
-plan_reservations (const choice_request_t *request,
-                   candidate_t *engines,
-                   uint32_t count,
-                   uint32_t parts,
-                   choice_t *choice)
-{
-  double missing = (double)request->prompt_tokens + request->answer_tokens;
-
-  sort_by_memory (request, engines, count);
-  missing -= free_kv_tokens (request, &engines[0]);
-  for (uint32_t i = 1; i < parts && missing > 0
-                       && choice->memory_count < CHOICE_MAX_RESERVATIONS;
-       i++)
-    {
-      double taken = fmin (missing, free_kv_tokens (request, &engines[i]));
-
-      if (taken < MIN_RESERVATION_TOKENS)
-        taken = fmin (MIN_RESERVATION_TOKENS,
-                      free_kv_tokens (request, &engines[i]));
-      choice->memory_tokens[choice->memory_count++] = (uint32_t)ceil (taken);
-      missing -= taken;
-    }
-  return missing <= 0;
-}
-
-/** Returns whether a prompt takes its engines for so long that the requests
- * that arrive meanwhile cannot be foreseen. */
-static bool
-takes_long (const choice_request_t *request, const choice_t *choice)
-{
-  return choice->first_ms > request->target_ms;
-}
-
-/** Returns whether @a choice is better than @a best for an oversize prompt. */
-static bool
-is_better_oversize (const choice_request_t *request,
-                    const choice_t *choice,
-                    const choice_t *best)
-{
-  bool is_long = takes_long (request, choice);
-
-  if (is_long != takes_long (request, best))
-    return !is_long;
-  return choice->loss < best->loss;
-}
-
-/** Does the same as evaluate_split() for an oversize prompt. */
-static void
-evaluate_oversize (const choice_request_t *request,
-                   const demand_t *demand,
-                   candidate_t *engines,
-                   uint32_t count,
-                   uint32_t parts,
-                   uint64_t now_ms,
-                   choice_t *best)
-{
-  choice_t choice = { .kind = CHOICE_SEND, .usable = best->usable };
-  damage_t damage = { 0 };
-  double value = request_value (request);
-  uint32_t holders;
-
-  if (!plan_reservations (request, engines, count, parts, &choice))
-    return;
-  evaluate_engines (request, demand, engines, count, parts, now_ms);
-  holders = 1 + choice.memory_count;
-  sort_by_part_cost (request, engines + holders, count - holders, value);
-  for (uint32_t i = 0; i < parts; i++)
-    {
-      add_damage (&engines[i], now_ms, &damage);
-      choice.first_ms = fmax (choice.first_ms, engines[i].ready_ms);
-      if (i > 0)
-        choice.helpers[choice.helper_count++] = engines[i].member;
-    }
-  choice.first_ms += engines[0].pass_ms + RESERVATION_ROUND_TRIP_MS;
-  choice.damage = total_damage (&damage);
-  choice.damage_decoding = damage.decoding.sum;
-  choice.damage_waiting = damage.waiting.sum;
-  choice.loss = choice.damage + PART_COST_SHARE * (parts - 1) * value
-                + own_delay_loss (request, choice.first_ms, value);
-  choice.member = engines[0].member;
-  if (best->member == NULL || is_better_oversize (request, &choice, best))
-    *best = choice;
-}
-
-/** Returns the share of its value that an oversize prompt may cost others now.
- * It grows with the time waited: what fits sooner keeps arriving, and would
- * starve a prompt that needs many engines at the same moment. */
-static double
-most_others_loss (const choice_request_t *request)
-{
-  double time_ms = (double)request->waited_ms + request->left_ms;
-  double waited = request->waited_ms / fmax (time_ms, 1);
-
-  return OVERSIZE_OTHERS_LOSS
-         + (OVERSIZE_OTHERS_LOSS_AGED - OVERSIZE_OTHERS_LOSS)
-               * engine_load_ramp (waited, AGING_BEGIN, AGING_END);
-}
-
-/**
- * Returns whether an oversize prompt costs other requests too much now. It
- * takes as much prefill as a hundred short prompts, so it waits for a moment at
- * which it makes few requests late and leaves most engines to others.
- */
-static bool
-is_too_costly (const choice_request_t *request,
-               const demand_t *demand,
-               const choice_t *best)
-{
-  double value = request_value (request);
-  double taken = (best->helper_count + 1.0) / fmax (best->usable, 1);
-
-  if (best->damage > most_others_loss (request) * value)
-    return true;
-  return demand->arrivals_per_s > IDLE_ARRIVALS_PER_S
-         && (takes_long (request, best)
-             || demand->blocked + taken
-                    > 1 - FREE_ENGINE_RATIO * demand->filled);
-}
-
 /** Returns whether to wait, which costs nothing while the target is far off. */
 static bool
 should_wait (const choice_request_t *request, const choice_t *best)
 {
-  double value = request_value (request);
+  double value = engine_choice_value (request);
 
   return best->damage > WAIT_OTHERS_LOSS * value
          && best->first_ms < WAIT_FIRST_EVENT_SHARE * request->target_ms
@@ -638,8 +444,8 @@
           || request->prompt_tokens / part_count < MIN_PART_TOKENS)
         break;
       if (oversize)
-        evaluate_oversize (request, demand, engines, helper_count, part_count,
-                           now_ms, best);
+        engine_oversize_evaluate (request, demand, engines, helper_count,
+                                  part_count, now_ms, best);
       else
         evaluate_split (request, demand, engines, helper_count, part_count,
                         now_ms, best);
@@ -664,7 +470,7 @@
   best.blocked = demand.blocked;
   best.filled = demand.filled;
   if (best.member != NULL && engine_choice_is_oversize (request)
-      && is_too_costly (request, &demand, &best))
+      && engine_oversize_is_too_costly (request, &demand, &best))
     best.kind = CHOICE_WAIT;
   else if (best.member != NULL)
     best.kind = should_wait (request, &best) ? CHOICE_WAIT : CHOICE_SEND;
--- a/request-losses.c
+++ b/request-losses.c
@@ -1,5 +1,12 @@
 #include "request-losses.h"
 
+void
+request_losses_clear (request_losses_t *losses)
+{
+  losses->split_count = 0;
+  losses->sum = 0;
+}
+
 /** Returns the entry of a request, a new one if there is none; NULL when there
  * is no room. */
 static request_loss_t *
--- a/request-losses.h
+++ b/request-losses.h
@@ -20,7 +20,6 @@
   double loss;
 } request_loss_t;
 
-/** Empty when all fields are 0. */
 typedef struct
 {
   request_loss_t split[REQUEST_LOSSES_MAX];
@@ -28,6 +27,9 @@
   double sum;
 } request_losses_t;
 
+/** Empties a sum. */
+void request_losses_clear (request_losses_t *losses);
+
 /** Adds the loss of the request of @a job through one engine. */
 void request_losses_add (request_losses_t *losses,
                          const upstream_job_t *job,
