gateway: let long prompts that wait leave a stopping instance

The lines show the cause: since large prompts wait longer than a second, one can wait at an instance that was told to stop, be placed 0.45 s before the process ends, and reserve memory that nobody releases.

/upstream-state/long-prompt-leaves-stopping-instance failed before (the prompt was sent while stopping) and passes.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -77,6 +77,7 @@
   GPtrArray *startup_queue; /* caller_request_t that arrived too early */
   struct event *startup_timer;
   struct event *tick;
+  bool is_draining; /* the process will end */
   gateway_counters_t counters;
 };
 
@@ -151,6 +152,10 @@
   uint32_t longest_gap_ms; /* longest time between two events */
 };
 
+/** Refuses a long prompt that waits for engines while the process is about to
+ * end: another instance can serve it. */
+void gateway_refuse_waiting (gateway_request_t *request);
+
 /** Admits a request, holds it until the startup ends, or rejects it. */
 void gateway_admit (gateway_t *gateway, caller_request_t *caller);
 
--- a/gateway.c
+++ b/gateway.c
@@ -511,7 +511,10 @@
 void
 gateway_drain (gateway_t *gateway)
 {
+  gateway->is_draining = true;
   caller_server_drain (gateway->callers);
+  for (guint i = gateway->open->len; i-- > 0;)
+    gateway_refuse_waiting (g_ptr_array_index (gateway->open, i));
 }
 
 void
--- a/gateway.h
+++ b/gateway.h
@@ -130,7 +130,8 @@
 /** Returns the placement of the gateway, which owns it. */
 zone_placement_t *gateway_placement (gateway_t *gateway);
 
-/** Starts the shutdown: each answer from now on closes its connection. */
+/** Starts the shutdown: each answer from now on closes its connection, and long
+ * prompts do not wait for engines any more. */
 void gateway_drain (gateway_t *gateway);
 
 /** Stops accepting connections and closes those without an open request. */
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -14,9 +14,12 @@
 {
   const char *id = http_fields_find (fields, "X-Id");
   const char *last = http_fields_find (fields, "Last-Event-Id");
-  const char *parts = http_fields_find (fields, "X-Parts"); /* a digit each */
+  const char *prompt = http_fields_find (fields, "X-Prompt"); /* its tokens */
+  const char *parts = http_fields_find (fields, "X-Parts");   /* a digit each */
 
   terms->id = id != NULL ? id : "";
+  terms->prompt_tokens
+      = prompt != NULL ? (uint32_t)strtoul (prompt, NULL, 10) : 0;
   terms->key = http_fields_find (fields, "X-Key");
   terms->has_deadline = true;
   terms->deadline_ms = 8000;
--- a/t/t8082-gateway-upstream-state.c
+++ b/t/t8082-gateway-upstream-state.c
@@ -235,6 +235,31 @@
   gateway_fixture_free (fixture);
 }
 
+/* Guards against: a long prompt that waits at a process until it ends, and is
+ * placed just before, so that its caller gets no answer (LOST) and the memory
+ * that it reserves is not released (LEAK). */
+static void
+test_long_prompt_leaves_stopping_instance (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_TEXT);
+  zone_placement_t *placement = gateway_placement (fixture->gateway);
+
+  earn_retries (fixture);
+  answer_with (fixture, 0, ACT_TEXT, PAUSE_ANSWER);
+  answer_with (fixture, 1, ACT_TEXT, PAUSE_ANSWER);
+  gateway_fixture_send (fixture, "GET /safe/ HTTP/1.1\r\nHost: h\r\n"
+                                 "X-Id: r1\r\nX-Prompt: 100000\r\n\r\n");
+  GATEWAY_WAIT (gateway_fixture_requests (fixture) == 2);
+  GATEWAY_WAIT (zone_placement_queued (placement) == 1);
+  gateway_drain (fixture->gateway);
+  GATEWAY_WAIT (gateway_fixture_has_text (fixture, "HTTP/1.1 503"));
+  g_assert_true (gateway_fixture_has_text (fixture, "Retry-After: "));
+  g_assert_cmpuint (zone_placement_queued (placement), ==, 0);
+  g_assert_cmpuint (gateway_open_requests (fixture->gateway), ==, 0);
+  g_assert_cmpuint (gateway_fixture_requests (fixture), ==, 2);
+  gateway_fixture_free (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -248,5 +273,7 @@
   g_test_add_func ("/upstream-state/pause", test_pause);
   g_test_add_func ("/upstream-state/two-pauses", test_two_pauses);
   g_test_add_func ("/upstream-state/all-pause", test_all_pause);
+  g_test_add_func ("/upstream-state/long-prompt-leaves-stopping-instance",
+                   test_long_prompt_leaves_stopping_instance);
   return g_test_run ();
 }
