json: read all JSON with one strict reader

Cause: is_too_deep() was a second reader of JSON before json-glib's. It took a quotation mark in a comment for the start of a string and the brackets after it for its content; json-glib then recursed once for each bracket. The class: two readers of one text disagree somewhere.

Change: json-text.c is the only reader. It drives yajl, which knows no comments, single quotes or bare words and does not recurse, and stops at 64 levels itself. Weighed: jansson bounds its depth, but at a fixed 2048, and exports json_object_iter_next() as json-glib does, so that no file can include both; json-c shares json_object_get_type() in the same way; a strict check in front of json-glib would be a second reader again. Of yajl, Debian maintains the fixes.

--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,14 @@
 JOBS     ?= $(shell nproc)
 
 PACKAGES = build-essential pkg-config curl libevent-dev libzmq3-dev \
-	libprotobuf-c-dev libyaml-dev libjson-glib-dev liblog4c-dev \
+	libprotobuf-c-dev libyaml-dev libjson-glib-dev libyajl-dev liblog4c-dev \
 	libglib2.0-dev libxxhash-dev libtalloc-dev libssl-dev libhttp-parser-dev \
 	zlib1g-dev gnuplot-nox
 LINT_PACKAGES = clang clang-format clang-tidy libclang-rt-14-dev \
 	protobuf-c-compiler protobuf-compiler doxygen spin
 
 LIBS = libevent libevent_openssl libzmq libprotobuf-c yaml-0.1 \
-	json-glib-1.0 glib-2.0 gobject-2.0 libxxhash talloc openssl zlib
+	json-glib-1.0 yajl glib-2.0 gobject-2.0 libxxhash talloc openssl zlib
 
 CPPFLAGS += -D_GNU_SOURCE -iquote . -iquote generated
 CFLAGS   ?= -O2 -g
@@ -94,6 +94,8 @@
 
 $(BUILD)/t/t8074-share-corpus: $(BUILD)/fuzz/fuzz-share.o
 
+$(BUILD)/t/t0009-json-text: $(BUILD)/fuzz/fuzz-json.o
+
 $(BUILD)/t/%: $(BUILD)/t/%.o $(TEST_LIB) $(BUILD)/liblwm.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(PKG_LIBS)
 
@@ -168,6 +170,12 @@
 	$(BUILD)/fuzz/fuzz-share -seed=1 -max_total_time=$(FUZZ_SECONDS) \
 		-artifact_prefix=$(BUILD)/fuzz/ -print_final_stats=1 \
 		$(BUILD)/fuzz/found-share t/corpus-share
+	@mkdir -p $(BUILD)/fuzz/found-json
+	clang $(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS) -O1 -g $(FUZZ_FLAGS) \
+		-o $(BUILD)/fuzz/fuzz-json fuzz/fuzz-json.c $(LIB_SRC) $(PKG_LIBS)
+	$(BUILD)/fuzz/fuzz-json -seed=1 -max_total_time=$(FUZZ_SECONDS) \
+		-artifact_prefix=$(BUILD)/fuzz/ -print_final_stats=1 \
+		$(BUILD)/fuzz/found-json fuzz/corpus-json
 
 # Checks the bounded models in model/ exhaustively with spin.
 model:
--- a/fuzz/fuzz-platform.c
+++ b/fuzz/fuzz-platform.c
@@ -32,8 +32,8 @@
   return config;
 }
 
-/** Reads a configuration as a whole and in steps. Aborts when a text that is
- * valid as a whole is invalid in steps or differs in number or routes. */
+/** Reads a configuration as a whole and in steps. Aborts when only one of them
+ * accepts it, or when they differ in number or routes. */
 static void
 read_config (const uint8_t *data, size_t size)
 {
@@ -42,8 +42,10 @@
   gateway_config_t *whole = platform_config_read (parent, data, size, &why);
   gateway_config_t *stepwise = read_by_steps (parent, data, size);
 
+  if ((whole != NULL) != (stepwise != NULL))
+    abort ();
   if (whole != NULL
-      && (stepwise == NULL || stepwise->number != whole->number
+      && (stepwise->number != whole->number
           || stepwise->route_count != whole->route_count))
     abort ();
   talloc_free (parent);
--- a/http.c
+++ b/http.c
@@ -9,13 +9,10 @@
 #include <talloc.h>
 
 #include "base.h"
+#include "json-text.h"
 #include "settings.h"
 #include "tls.h"
 
-/* Bound of nested objects and lists; every message of this project has a lower
- * depth. */
-#define MAX_JSON_DEPTH 64
-
 /** A call in progress; a child of its owner. */
 typedef struct
 {
@@ -30,74 +27,11 @@
   JsonObject *body;
 } call_t;
 
-static bool
-is_too_deep (const char *text, size_t size_bytes)
-{
-  unsigned depth = 0;
-  bool in_string = false;
-
-  for (size_t i = 0; i < size_bytes; i++)
-    if (in_string && text[i] == '\\')
-      i++;
-    else if (text[i] == '"')
-      in_string = !in_string;
-    else if (in_string)
-      continue;
-    else if (text[i] == '[' || text[i] == '{')
-      {
-        if (++depth > MAX_JSON_DEPTH)
-          return true;
-      }
-    else if ((text[i] == ']' || text[i] == '}') && depth > 0)
-      depth--;
-  return false;
-}
-
-const char *
-http_json_error (const char *text, size_t size_bytes)
-{
-  if (size_bytes == 0)
-    return "the body is empty";
-  if (!g_utf8_validate (text, (gssize)size_bytes, NULL))
-    return "the body is not UTF-8";
-  if (is_too_deep (text, size_bytes))
-    return "the body is nested too deeply";
-  return NULL;
-}
-
 static JsonObject *
 parse_object (struct evbuffer *buffer, char **why)
 {
-  size_t length = evbuffer_get_length (buffer);
-  JsonParser *parser = json_parser_new ();
-  GError *error = NULL;
-  JsonObject *object = NULL;
-  const char *text = (const char *)evbuffer_pullup (buffer, -1);
-  const char *mistake = http_json_error (text, length);
-  JsonNode *root;
-
-  if (mistake != NULL)
-    {
-      *why = g_strdup (mistake);
-      goto out;
-    }
-  if (!json_parser_load_from_data (parser, text, (gssize)length, &error))
-    {
-      *why = g_strdup (error->message);
-      goto out;
-    }
-  root = json_parser_get_root (parser);
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    {
-      *why = g_strdup ("the body is not a JSON object");
-      goto out;
-    }
-  object = json_object_ref (json_node_get_object (root));
-
-out:
-  g_clear_error (&error);
-  g_object_unref (parser);
-  return object;
+  return json_text_read_object ((const char *)evbuffer_pullup (buffer, -1),
+                                evbuffer_get_length (buffer), why);
 }
 
 JsonObject *
@@ -277,14 +211,12 @@
 on_answer (struct evhttp_request *request, void *arg)
 {
   call_t *call = arg;
-  char *why = NULL;
 
   if (request != NULL && evhttp_request_get_response_code (request) > 0)
     {
       call->status = evhttp_request_get_response_code (request);
       call->body
-          = parse_object (evhttp_request_get_input_buffer (request), &why);
-      g_free (why);
+          = parse_object (evhttp_request_get_input_buffer (request), NULL);
     }
   event_active (call->finish, EV_TIMEOUT, 0);
 }
--- a/http.h
+++ b/http.h
@@ -23,14 +23,6 @@
  */
 JsonObject *http_body_object (struct evhttp_request *request, char **why);
 
-/**
- * Checks that a text is safe for the JSON parser: not empty, valid UTF-8 and of
- * bounded nesting depth. The parser recurses into nested values without a bound
- * of its own.
- * @return NULL when the text may be parsed, else a static error message
- */
-const char *http_json_error (const char *text, size_t size_bytes);
-
 /** Returns the value of header @a name, owned by the request, or NULL. */
 const char *http_header (struct evhttp_request *request, const char *name);
 
--- a/load-answer.c
+++ b/load-answer.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "http.h"
+#include "json-text.h"
 #include "prompt.h"
 
 #define STATUS_OK    200
@@ -100,21 +101,6 @@
   return kept > 0;
 }
 
-static JsonObject *
-parse_object (const char *text, gssize size_bytes)
-{
-  JsonParser *parser = json_parser_new ();
-  JsonObject *object = NULL;
-  JsonNode *root = NULL;
-
-  if (json_parser_load_from_data (parser, text, size_bytes, NULL))
-    root = json_parser_get_root (parser);
-  if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
-    object = json_object_ref (json_node_get_object (root));
-  g_object_unref (parser);
-  return object;
-}
-
 static JsonObject *
 object_member (JsonObject *object, const char *name)
 {
@@ -197,7 +183,7 @@
 
   if (strcmp (data, STREAM_END) == 0)
     return;
-  event = parse_object (data, (gssize)size_bytes);
+  event = json_text_read_object (data, size_bytes, NULL);
   if (event == NULL)
     {
       answer->is_wrong = true;
@@ -334,12 +320,12 @@
                     int status,
                     load_record_t *record)
 {
-  gssize size_bytes = (gssize)evbuffer_get_length (answer->partial);
+  size_t size_bytes = evbuffer_get_length (answer->partial);
   JsonObject *body = NULL;
 
   if (size_bytes > 0)
-    body = parse_object ((const char *)evbuffer_pullup (answer->partial, -1),
-                         size_bytes);
+    body = json_text_read_object (
+        (const char *)evbuffer_pullup (answer->partial, -1), size_bytes, NULL);
   if (status == STATUS_OK)
     record_call_result (answer, body, record);
   else
--- /dev/null
+++ b/t/t0009-json-text.c
@@ -0,0 +1,175 @@
+/* Checks that the reader of JSON accepts what the standard defines and nothing
+ * else, and that no text makes it recurse. */
+#include <glib.h>
+#include <string.h>
+
+#include "http.h"
+#include "json-text.h"
+#include "lib-corpus.h"
+
+#define HOSTILE_BYTES (600u * 1024)
+
+/* NOLINTNEXTLINE(readability-identifier-naming): libFuzzer defines the name */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static bool
+is_accepted (const char *text, size_t size_bytes)
+{
+  char *why = NULL;
+  JsonObject *object = json_text_read_object (text, size_bytes, &why);
+  bool is_object = object != NULL;
+
+  g_assert_true (is_object == (why == NULL));
+  g_clear_pointer (&object, json_object_unref);
+  g_free (why);
+  return is_object;
+}
+
+static void
+test_accepted (void)
+{
+  static const char *const texts[]
+      = { "{}",
+          " \t\r\n{ \"a\" : [ ] }\n",
+          "{\"a\":[null,true,false,-0,0.5,1e3,1E-3,9223372036854775807]}",
+          "{\"a\":\"\\\"\\\\\\/\\b\\f\\n\\r\\t\\u00e9\"}",
+          "{\"a\":\"/*[[[*/ // ' \"}",
+          "{\"\":{\"\":{}}}",
+          "{\"a\":18446744073709551616}",
+          "{\"a\":1e-400}",
+          "{\"a\":-1e999}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    if (!is_accepted (texts[i], strlen (texts[i])))
+      g_error ("refused: %s", texts[i]);
+}
+
+static void
+test_refused (void)
+{
+  static const char *const texts[] = { "",
+                                       " ",
+                                       "[]",
+                                       "1",
+                                       "\"a\"",
+                                       "null",
+                                       "{",
+                                       "}",
+                                       "{}}",
+                                       "{}{}",
+                                       "{} x",
+                                       "{\"a\"}",
+                                       "{\"a\":}",
+                                       "{\"a\":1,}",
+                                       "{,\"a\":1}",
+                                       "{\"a\":[1,]}",
+                                       "{\"a\":[,]}",
+                                       "{\"a\":[1}",
+                                       "{\"a\" 1}",
+                                       "{\"a\"=1}",
+                                       "{\"a\":1;\"b\":2}",
+                                       "{\"a\":1 \"b\":2}",
+                                       "{a:1}",
+                                       "{1:1}",
+                                       "{'a':1}",
+                                       "{\"a\":'b'}",
+                                       "{\"a\":b}",
+                                       "{\"a\":True}",
+                                       "{\"a\":nul}",
+                                       "{\"a\":NaN}",
+                                       "{\"a\":Infinity}",
+                                       "{\"a\":-Infinity}",
+                                       "{\"a\":01}",
+                                       "{\"a\":-}",
+                                       "{\"a\":+1}",
+                                       "{\"a\":.5}",
+                                       "{\"a\":1.}",
+                                       "{\"a\":1e}",
+                                       "{\"a\":0x10}",
+                                       "{\"a\":\"b}",
+                                       "{\"a\":\"\n\"}",
+                                       "{\"a\":\"\\x41\"}",
+                                       "{\"a\":\"\\u12\"}",
+                                       "{\"a\":\"\\u0000\"}",
+                                       "{\"a\\u0000b\":1}",
+                                       "{\"a\":\"\\udc00\"}",
+                                       "{\"a\":\"\xff\"}",
+                                       "{\"a\":/* */1}",
+                                       "{\"a\":1}//",
+                                       "# \n{\"a\":1}",
+                                       "{\"a\":\v1}",
+                                       "{\"a\":\f1}",
+                                       "\xef\xbb\xbf{}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    if (is_accepted (texts[i], strlen (texts[i])))
+      g_error ("accepted: %s", texts[i]);
+  g_assert_false (is_accepted ("{\0}", 3));
+  g_assert_false (is_accepted ("{}\0", 3));
+}
+
+static void
+test_values (void)
+{
+  static const char text[]
+      = "{\"whole\":9007199254740993,\"real\":2.0,\"text\":\"\\u00e9\","
+        "\"flag\":true,\"twice\":1,\"twice\":2}";
+  JsonObject *object = json_text_read_object (text, strlen (text), NULL);
+
+  g_assert_nonnull (object);
+  g_assert_cmpint (http_json_number_member (object, "whole", 0), ==,
+                   9007199254740993);
+  g_assert_cmpint (http_json_number_member (object, "real", -1), ==, -1);
+  g_assert_cmpstr (http_json_text_member (object, "text", ""), ==, "\u00e9");
+  g_assert_true (http_json_bool_member (object, "flag", false));
+  g_assert_cmpint (http_json_number_member (object, "twice", 0), ==, 2);
+  json_object_unref (object);
+}
+
+/** Returns @a start followed by opening brackets. */
+static GString *
+nest_after (const char *start)
+{
+  GString *text = g_string_new (start);
+
+  while (text->len < HOSTILE_BYTES)
+    g_string_append_c (text, '[');
+  return text;
+}
+
+/** Guards against a stack overflow by brackets that a check of the nesting took
+ * for a part of a comment or string. */
+static void
+test_hidden_depth (void)
+{
+  static const char *const starts[]
+      = { "{\"service\":",         "{\"service\":/*\"*/", "{\"service\"://\"\n",
+          "{\"service\":'\"',a:",  "{service\":",         "[",
+          "{\"a\":\"\\\\\",\"b\":" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (starts); i++)
+    {
+      GString *text = nest_after (starts[i]);
+
+      g_assert_false (is_accepted (text->str, text->len));
+      g_string_free (text, TRUE);
+    }
+}
+
+static void
+test_corpus (void)
+{
+  corpus_replay ("fuzz/corpus-json", 9, LLVMFuzzerTestOneInput);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/json-text/accepted", test_accepted);
+  g_test_add_func ("/json-text/refused", test_refused);
+  g_test_add_func ("/json-text/values", test_values);
+  g_test_add_func ("/json-text/hidden-depth", test_hidden_depth);
+  g_test_add_func ("/json-text/corpus", test_corpus);
+  return g_test_run ();
+}
--- a/t/t8100-platform.c
+++ b/t/t8100-platform.c
@@ -541,12 +541,89 @@
   talloc_free (parent);
 }
 
+/** Returns a message that is no JSON: a quotation mark in a comment hides its
+ * opening brackets from a check that does not know comments. */
+static GString *
+new_hidden_nesting (void)
+{
+  GString *text = g_string_new ("{\"service\":/*\"*/");
+
+  while (text->len < 600u * 1024)
+    g_string_append_c (text, '[');
+  return text;
+}
+
+/** Guards against the end of a process by a heartbeat, leave call or
+ * configuration whose nesting overflows the parser's stack. */
+static void
+test_hidden_nesting (void)
+{
+  void *parent = talloc_new (NULL);
+  GString *text = new_hidden_nesting ();
+  const uint8_t *bytes = (const uint8_t *)text->str;
+  directory_statement_t statement;
+
+  g_assert_false (
+      platform_announcement_read (parent, "u", bytes, text->len, &statement));
+  g_assert_cmpuint (platform_leave_born_ms (bytes, text->len), ==, 0);
+  g_assert_null (read_config (parent, text->str));
+  g_string_free (text, TRUE);
+  talloc_free (parent);
+}
+
+static GString *
+join_parts (const char *separator, char **parts)
+{
+  char *joined = g_strjoinv (separator, parts);
+  GString *text = g_string_new (joined);
+
+  g_free (joined);
+  return text;
+}
+
+/** Guards against the acknowledgement of a configuration that is no JSON. */
+static void
+test_config_loose (void)
+{
+  static const struct
+  {
+    const char *from;
+    const char *to;
+  } cases[] = { { "{\"version\"", "{/**/\"version\"" },
+                { "\"version\"", "version" },
+                { "\"kind\":\"unsafe\"", "\"kind\":'unsafe'" },
+                { "},{\"name\":\"q\"", "},,{\"name\":\"q\"" },
+                { "\"t\"}],\"services\"", "\"t\"},],\"services\"" },
+                { "\"t\"}],\"services\"", "\"t\"}},\"services\"" },
+                { "\"priority\":0", "\"priority\":00" } };
+  void *parent = talloc_new (NULL);
+  platform_config_reader_t *reader = platform_config_reader_new (parent);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char **parts = g_strsplit (good_config, cases[i].from, 2);
+      GString *text = join_parts (cases[i].to, parts);
+      uint32_t steps;
+
+      g_assert_cmpuint (g_strv_length (parts), ==, 2);
+      if (read_config (parent, text->str) != NULL)
+        g_error ("accepted as a whole: %s", text->str);
+      if (read_stepwise (reader, parent, text, &steps) != NULL)
+        g_error ("accepted in steps: %s", text->str);
+      g_string_free (text, TRUE);
+      g_strfreev (parts);
+    }
+  talloc_free (parent);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/platform/config", test_config);
   g_test_add_func ("/platform/config-refused", test_config_refused);
+  g_test_add_func ("/platform/hidden-nesting", test_hidden_nesting);
+  g_test_add_func ("/platform/config-loose", test_config_loose);
   g_test_add_func ("/platform/config-fractions", test_config_fractions);
   g_test_add_func ("/platform/config-torn", test_config_truncated);
   g_test_add_func ("/platform/config-large", test_config_large);
--- a/upstream-http-internal.h
+++ b/upstream-http-internal.h
@@ -15,7 +15,6 @@
 struct upstream_http
 {
   struct event_base *base;
-  JsonParser *parser; /**< parses stream events, one at a time */
 };
 
 /** Adds a string member unless @a value is NULL or empty. */
--- a/upstream-http.c
+++ b/upstream-http.c
@@ -13,6 +13,7 @@
 
 #include "base.h"
 #include "http.h"
+#include "json-text.h"
 #include "settings.h"
 #include "upstream-http-internal.h"
 
@@ -59,21 +60,12 @@
   upstream_end_t end;
 };
 
-static int
-free_http (upstream_http_t *http)
-{
-  g_object_unref (http->parser);
-  return 0;
-}
-
 upstream_http_t *
 upstream_http_new (void *parent, struct event_base *base)
 {
   upstream_http_t *http = talloc_zero (parent, upstream_http_t);
 
   http->base = base;
-  http->parser = json_parser_new ();
-  talloc_set_destructor (http, free_http);
   return http;
 }
 
@@ -178,22 +170,19 @@
 {
   static const char prefix[] = "data: ";
   const size_t prefix_length = sizeof prefix - 1;
-  JsonNode *root;
+  JsonObject *event;
 
   if (length <= prefix_length || strncmp (line, prefix, prefix_length) != 0)
     return;
-  if (http_json_error (line + prefix_length, length - prefix_length) != NULL
-      || !json_parser_load_from_data (call->http->parser, line + prefix_length,
-                                      (gssize)(length - prefix_length), NULL))
+  event = json_text_read_object (line + prefix_length, length - prefix_length,
+                                 NULL);
+  if (event == NULL)
     {
       end_call (call, UPSTREAM_BROKEN);
       return;
     }
-  root = json_parser_get_root (call->http->parser);
-  if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
-    handle_event (call, json_node_get_object (root));
-  else
-    end_call (call, UPSTREAM_BROKEN);
+  handle_event (call, event);
+  json_object_unref (event);
 }
 
 static bool
@@ -296,20 +285,16 @@
 static upstream_result_t
 classify_refusal (upstream_call_t *call)
 {
-  JsonParser *parser = json_parser_new ();
   upstream_result_t result = UPSTREAM_ERROR;
   const char *text = (const char *)evbuffer_pullup (call->input, -1);
-  gssize length = (gssize)evbuffer_get_length (call->input);
+  JsonObject *body
+      = json_text_read_object (text, evbuffer_get_length (call->input), NULL);
   const char *kind = "";
   bool not_run = false;
-  JsonNode *root;
 
-  if (text != NULL && http_json_error (text, (size_t)length) == NULL
-      && json_parser_load_from_data (parser, text, length, NULL)
-      && (root = json_parser_get_root (parser)) != NULL
-      && JSON_NODE_HOLDS_OBJECT (root))
+  if (body != NULL)
     {
-      JsonObject *object = json_node_get_object (root);
+      JsonObject *object = body;
       JsonNode *error = json_object_get_member (object, "error");
 
       if (error != NULL && JSON_NODE_HOLDS_OBJECT (error))
@@ -330,7 +315,7 @@
     result = strcmp (kind, "leaving") == 0 ? UPSTREAM_LEAVING : UPSTREAM_BUSY;
   else if (not_run)
     result = UPSTREAM_REFUSED;
-  g_object_unref (parser);
+  g_clear_pointer (&body, json_object_unref);
   return result;
 }
 
