--- a/control-disk.c
+++ b/control-disk.c
@@ -33,7 +33,8 @@
     }
   statemachine_restore (server->machine, snapshot->state);
   server->applied = server->snapshot_index = snapshot->index;
-  control_server_advance_clock (server);
+  control_server_advance_clock (server,
+                                statemachine_clock_ms (server->machine));
   metric_add (server->counters.snapshots_received, 1);
   log_info ("Installed a snapshot of the leader. index=%ju",
             (uintmax_t)snapshot->index);
--- /dev/null
+++ b/control-group-internal.h
@@ -0,0 +1,55 @@
+/**
+ * @file control-group-internal.h
+ * Shared by control-group.c (hellos, founding, presence) and
+ * control-group-change.c (changes of the members). No other file includes it.
+ */
+#ifndef CONTROL_GROUP_INTERNAL_H
+#define CONTROL_GROUP_INTERNAL_H
+
+#include "control-internal.h"
+#include "control-presence.h"
+
+#define HELLO_VALID_MS 3000 /* an older hello is ignored */
+#define MAX_JOINERS    32
+
+/** The last hello of a replica that is not a member. */
+typedef struct
+{
+  char *name;
+  char *address;
+  char *zone;
+  uint64_t incarnation;
+  uint64_t group;
+  bool join;
+  uint64_t heard_ms;
+} joiner_t;
+
+struct control_group
+{
+  control_server_t *server;
+  GPtrArray *joiners; /* joiner_t, children of group */
+  control_presence_t *presence;
+  uint64_t hello_due_ms;
+  uint64_t check_due_ms;
+  bool is_change_due; /* the members must be changed, as far as is known */
+  uint64_t leader_since_ms; /* 0 while this replica is not the leader */
+  uint64_t stopped_ms;      /* when this replica announced its end, or 0 */
+};
+
+/** Returns the joiner of that name, or NULL. */
+joiner_t *control_group_find_joiner (const control_group_t *group,
+                                     const char *name);
+
+/** Tells whether a member will have been in the group, and present, for the
+ * catch-up time in @a ahead_ms. */
+bool control_group_is_settled (const control_group_t *group,
+                               const Lwm__ControlMember *member,
+                               uint32_t ahead_ms,
+                               uint64_t now_ms);
+
+/** Makes the next membership change, if one is needed: adds or promotes a
+ * replica that asks to join, or removes a member. Called on the leader.
+ * @return whether one was needed, also if it could not be proposed yet */
+bool control_group_maintain_members (control_group_t *group, uint64_t now_ms);
+
+#endif
--- a/control-group.c
+++ b/control-group.c
@@ -1,41 +1,19 @@
-#include "control-internal.h"
-
 #include <string.h>
 #include <talloc.h>
 
 #include "base.h"
-#include "control-keeper.h"
+#include "control-group-internal.h"
 #include "members.h"
 #define LOG_PART "control"
 #include "logging.h"
 
-#define HELLO_INTERVAL_MS            300
-#define HELLO_VALID_MS               3000 /* an older hello is ignored */
-#define MAX_JOINERS                  32
-#define MAX_MEMBERS                  16
+#define HELLO_INTERVAL_MS 300
+/** Longest time for which a replica that is about to end waits for another one
+ * to take its vote. */
+#define HAND_OVER_MS 2000
+/** Time after which the process of a replica that announced its end is gone. */
+#define STOP_MS                      3000
 #define MEMBERSHIP_CHECK_INTERVAL_MS 200
-/** A member without messages for this long may have failed permanently. */
-#define MEMBER_TIMEOUT_MS 5000
-
-/** The last hello of a replica that is not a member. */
-typedef struct
-{
-  char *name;
-  char *address;
-  uint64_t incarnation;
-  uint64_t group;
-  bool join;
-  uint64_t heard_ms;
-} joiner_t;
-
-struct control_group
-{
-  control_server_t *server;
-  GPtrArray *joiners; /* joiner_t, children of group */
-  uint64_t hello_due_ms;
-  uint64_t check_due_ms;
-  uint64_t leader_since_ms; /* 0 while this replica is not the leader */
-};
 
 static int
 free_group (control_group_t *group)
@@ -48,9 +26,14 @@
 control_group_new (control_server_t *server)
 {
   control_group_t *group = talloc_zero (server, control_group_t);
+  control_presence_options_t options
+      = { .self = server->incarnation,
+          .absent_after_ms = server->options.election_timeout_ms,
+          .stop_ms = STOP_MS };
 
   group->server = server;
   group->joiners = g_ptr_array_new ();
+  group->presence = control_presence_new (group, &options);
   talloc_set_destructor (group, free_group);
   return group;
 }
@@ -77,8 +60,8 @@
   control_server_send_peer (group->server, &message, address, 0);
 }
 
-static joiner_t *
-find_joiner (const control_group_t *group, const char *name)
+joiner_t *
+control_group_find_joiner (const control_group_t *group, const char *name)
 {
   for (guint i = 0; i < group->joiners->len; i++)
     {
@@ -97,8 +80,10 @@
          != NULL;
 }
 
-void
-control_group_remove_joined (control_group_t *group)
+/** Forgets the hellos of replicas that are members now, so that an old hello
+ * does not add a member again. */
+static void
+remove_joined (control_group_t *group)
 {
   for (guint i = 0; i < group->joiners->len;)
     {
@@ -124,7 +109,7 @@
 static void
 record_joiner (control_group_t *group, const Lwm__ControlPeerMessage *message)
 {
-  joiner_t *joiner = find_joiner (group, message->name);
+  joiner_t *joiner = control_group_find_joiner (group, message->name);
 
   if (is_known_member (group, message->incarnation))
     return;
@@ -138,6 +123,8 @@
     return;
   talloc_free (joiner->address);
   joiner->address = talloc_strdup (joiner, message->address);
+  talloc_free (joiner->zone);
+  joiner->zone = talloc_strdup (joiner, message->zone);
   joiner->incarnation = message->incarnation;
   joiner->group = message->hello->group;
   joiner->join = message->hello->join;
@@ -149,6 +136,9 @@
                              const Lwm__ControlPeerMessage *message)
 {
   record_joiner (group, message);
+  /* A replica that is about to end asks nobody, so this one has returned. */
+  if (!message->hello->answer)
+    control_presence_returned (group->presence, message->incarnation);
   /* A joiner may know only one member. Replicas learn the addresses of the
    * other members from each hello. */
   for (size_t i = 0; i < message->hello->n_members; i++)
@@ -165,7 +155,7 @@
 static bool
 is_ready_for_group (const control_group_t *group, const char *name)
 {
-  const joiner_t *joiner = find_joiner (group, name);
+  const joiner_t *joiner = control_group_find_joiner (group, name);
 
   return joiner != NULL && joiner->group == 0 && !joiner->join
          && joiner->heard_ms + HELLO_VALID_MS >= clock_mono_ms ();
@@ -206,13 +196,17 @@
   for (size_t i = 0; i < count; i++)
     {
       Lwm__ControlMember member = LWM__CONTROL_MEMBER__INIT;
+      const joiner_t *joiner
+          = i == 0 ? NULL
+                   : control_group_find_joiner (group, initial_members[i].name);
 
       member.name = initial_members[i].name;
       member.address = initial_members[i].address;
       member.voter = true;
       member.incarnation
-          = i == 0 ? server->incarnation
-                   : find_joiner (group, initial_members[i].name)->incarnation;
+          = joiner == NULL ? server->incarnation : joiner->incarnation;
+      member.zone = joiner == NULL ? (char *)control_server_zone (server)
+                                   : joiner->zone;
       membership_add (membership, &member);
     }
   raft_found_group (server->raft, random_id (), membership, clock_mono_ms ());
@@ -221,91 +215,22 @@
   control_server_schedule_flush (server);
 }
 
-static control_keeper_replica_t
-describe_member (const control_group_t *group,
-                 const Lwm__ControlMember *member,
-                 uint64_t now_ms)
-{
-  control_server_t *server = group->server;
-  control_keeper_replica_t replica
-      = { .name = member->name,
-          .incarnation = member->incarnation,
-          .is_member = true,
-          .is_voter = member->voter,
-          .is_caught_up
-          = raft_is_caught_up (server->raft, member->incarnation, now_ms) };
-
-  /* A new leader has not received messages of the other members yet. */
-  replica.is_silent
-      = member->incarnation != server->incarnation
-        && now_ms >= group->leader_since_ms + MEMBER_TIMEOUT_MS
-        && !control_peers_heard_within (server->peers, member->incarnation,
-                                        now_ms, MEMBER_TIMEOUT_MS);
-  return replica;
-}
-
+/** Tells the other members, as their leader, which members are absent. */
 static void
-propose_change (control_group_t *group,
-                const control_keeper_replica_t *replica,
-                Lwm__ControlMemberChangeKind kind)
-{
-  Lwm__ControlMemberChange change = LWM__CONTROL_MEMBER_CHANGE__INIT;
-  Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
-  /* The change frees the members and thereby the replica's name. */
-  char *name = talloc_strdup (group, replica->name);
-
-  change.kind = kind;
-  change.name = name;
-  change.incarnation = replica->incarnation;
-  if (control_group_change (group, &change, &answer) > 0)
-    {
-      log_info ("Changing the group's members. kind=%d name=%s incarnation=%ju",
-                (int)kind, name, (uintmax_t)change.incarnation);
-      control_server_schedule_flush (group->server);
-    }
-  talloc_free (name);
-}
-
-/** Makes the next membership change: adds or promotes a replica that asks to
- * join, or removes a member that has failed. Called on the leader. */
-static void
-maintain_members (control_group_t *group, uint64_t now_ms)
+report_absences (control_group_t *group, uint64_t now_ms)
 {
   control_server_t *server = group->server;
   const Lwm__ControlMembership *members = raft_membership (server->raft);
-  control_keeper_replica_t replicas[MAX_MEMBERS + MAX_JOINERS];
-  size_t count = 0;
-  size_t joiner_count;
-  size_t which = 0;
-  void *scratch = talloc_new (group);
-  Lwm__ControlMember **joiners
-      = control_group_list_joiners (group, scratch, &joiner_count);
-
-  for (size_t i = 0; i < members->n_members && i < MAX_MEMBERS; i++)
-    replicas[count++] = describe_member (group, members->members[i], now_ms);
-  for (size_t i = 0; i < joiner_count && i < MAX_JOINERS; i++)
-    replicas[count++]
-        = (control_keeper_replica_t){ .name = joiners[i]->name,
-                                      .incarnation = joiners[i]->incarnation };
-  switch (control_keeper_next_step (replicas, count,
-                                    server->options.target_voters, &which))
-    {
-    case CONTROL_KEEPER_ADD:
-      propose_change (group, &replicas[which],
-                      LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_ADD);
-      break;
-    case CONTROL_KEEPER_PROMOTE:
-      propose_change (group, &replicas[which],
-                      LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_PROMOTE);
-      break;
-    case CONTROL_KEEPER_REMOVE:
-      propose_change (group, &replicas[which],
-                      LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_REMOVE);
-      break;
-    default:
-      break;
-    }
-  talloc_free (scratch);
+  Lwm__ControlPeerMessage message = LWM__CONTROL_PEER_MESSAGE__INIT;
+
+  message.absences = control_presence_absences (group->presence, group,
+                                                group->leader_since_ms, now_ms,
+                                                &message.n_absences);
+  for (size_t i = 0; message.n_absences > 0 && i < members->n_members; i++)
+    if (members->members[i]->incarnation != server->incarnation)
+      control_server_send_peer (server, &message, NULL,
+                                members->members[i]->incarnation);
+  talloc_free (message.absences);
 }
 
 static void
@@ -321,190 +246,124 @@
     }
   if (group->leader_since_ms == 0)
     group->leader_since_ms = now_ms;
-  if (now_ms < group->check_due_ms)
+  if (!raft_has_recent_contact (server->raft, now_ms))
     return;
-  group->check_due_ms = now_ms + MEMBERSHIP_CHECK_INTERVAL_MS;
-  if (raft_has_recent_contact (server->raft, now_ms))
-    maintain_members (group, now_ms);
+  if (now_ms >= group->check_due_ms)
+    {
+      group->check_due_ms = now_ms + MEMBERSHIP_CHECK_INTERVAL_MS;
+      group->is_change_due = true;
+      report_absences (group, now_ms);
+    }
+  /* The next change of a series is made as soon as the last is committed. */
+  if (group->is_change_due)
+    group->is_change_due = control_group_maintain_members (group, now_ms);
 }
 
-void
-control_group_tick (control_group_t *group, uint64_t now_ms)
+/** Sends a hello to the initial members, and to the present ones as far as this
+ * replica knows them: it may have been removed while it was cut off. */
+static void
+send_hellos (control_group_t *group)
 {
+  control_server_t *server = group->server;
+  const Lwm__ControlMembership *members = raft_membership (server->raft);
   size_t count;
   const control_initial_member_t *initial_members
-      = control_peers_initial_members (group->server->peers, &count);
+      = control_peers_initial_members (server->peers, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (initial_members[i].name, server->options.name) != 0)
+      send_hello (group, initial_members[i].address, false);
+  for (size_t i = 0; i < members->n_members; i++)
+    if (members->members[i]->incarnation != server->incarnation
+        && control_peers_address (server->peers, members->members[i]->name)
+               == NULL)
+      send_hello (group, members->members[i]->address, false);
+}
 
+void
+control_group_tick (control_group_t *group, uint64_t now_ms)
+{
   tick_membership (group, now_ms);
-  if (is_member (group) || now_ms < group->hello_due_ms)
+  if (is_member (group) || group->stopped_ms > 0 || now_ms < group->hello_due_ms)
     return;
   group->hello_due_ms = now_ms + HELLO_INTERVAL_MS;
   if (own_group_id (group) == 0 && can_found_group (group))
-    {
-      found_group (group);
-      return;
-    }
-  for (size_t i = 0; i < count; i++)
-    if (strcmp (initial_members[i].name, group->server->options.name) != 0)
-      send_hello (group, initial_members[i].address, false);
+    found_group (group);
+  else
+    send_hellos (group);
 }
 
-/** Returns the member with the change's incarnation. Without one, returns the
- * first learner of the change's name or, so that a resent change finds the
- * promoted learner, the last voter of that name. */
-static Lwm__ControlMember *
-find_learner (const Lwm__ControlMembership *members,
-              const Lwm__ControlMemberChange *change)
+void
+control_group_set_members (control_group_t *group)
 {
-  Lwm__ControlMember *found = NULL;
+  const Lwm__ControlMembership *members = raft_membership (group->server->raft);
 
-  if (change->incarnation != 0)
-    return membership_find (members, change->incarnation);
+  control_presence_set_members (group->presence, members, clock_mono_ms ());
   for (size_t i = 0; i < members->n_members; i++)
-    if (strcmp (members->members[i]->name, change->name) == 0
-        && (found == NULL || found->voter))
-      found = members->members[i];
-  return found;
-}
-
-static bool
-reject_change (Lwm__ControlAnswer *answer,
-               Lwm__ControlResult result,
-               char *detail)
-{
-  answer->result = result;
-  answer->detail = detail;
-  return false;
+    control_server_advance_clock (group->server, members->members[i]->since_ms);
+  remove_joined (group);
 }
 
-static bool
-add_learner (const control_group_t *group,
-             Lwm__ControlMembership *members,
-             const Lwm__ControlMemberChange *change,
-             Lwm__ControlAnswer *answer)
+void
+control_group_receive_presence (control_group_t *group,
+                                const Lwm__ControlPeerMessage *message)
 {
-  const joiner_t *joiner = find_joiner (group, change->name);
-  Lwm__ControlMember member = LWM__CONTROL_MEMBER__INIT;
+  uint64_t now_ms = clock_mono_ms ();
 
-  if (joiner == NULL
-      || (change->incarnation != 0
-          && change->incarnation != joiner->incarnation)
-      || joiner->heard_ms + HELLO_VALID_MS < clock_mono_ms ())
-    {
-      /* A joiner sends no more hellos once it is a member. A resent change then
-       * finds it among the members. */
-      const Lwm__ControlMember *existing
-          = membership_find_name (members, change->name);
-
-      if (existing != NULL && !existing->voter)
-        return reject_change (answer, LWM__CONTROL_RESULT__RESULT_SAME, "");
-      return reject_change (answer, LWM__CONTROL_RESULT__RESULT_NOT_FOUND,
-                            "no such replica has asked to join");
-    }
-  if (membership_find (members, joiner->incarnation) != NULL)
-    return reject_change (answer, LWM__CONTROL_RESULT__RESULT_SAME, "");
-  if (members->n_members >= MAX_MEMBERS)
-    return reject_change (answer, LWM__CONTROL_RESULT__RESULT_LIMIT,
-                          "the group has no room for another member");
-  member.name = joiner->name;
-  member.address = joiner->address;
-  member.incarnation = joiner->incarnation;
-  membership_add (members, &member);
-  return true;
+  control_presence_heard (group->presence, message->incarnation, now_ms);
+  for (size_t i = 0; i < message->n_absences; i++)
+    control_presence_report (group->presence, message->absences[i], now_ms);
+  if (!message->leaving)
+    return;
+  log_info ("Another replica is about to end. incarnation=%ju",
+            (uintmax_t)message->incarnation);
+  control_presence_leaving (group->presence, message->incarnation, now_ms);
+  raft_expect_election (group->server->raft, message->incarnation, now_ms);
 }
 
-static bool
-promote_learner (const control_group_t *group,
-                 Lwm__ControlMembership *members,
-                 const Lwm__ControlMemberChange *change,
-                 Lwm__ControlAnswer *answer)
+void
+control_group_stop (control_group_t *group)
 {
-  Lwm__ControlMember *member = find_learner (members, change);
-
-  if (member == NULL)
-    return reject_change (answer, LWM__CONTROL_RESULT__RESULT_NOT_FOUND,
-                          "no such member");
-  if (member->voter)
-    return reject_change (answer, LWM__CONTROL_RESULT__RESULT_SAME, "");
-  if (!raft_is_caught_up (group->server->raft, member->incarnation,
-                          clock_mono_ms ()))
-    return reject_change (answer, LWM__CONTROL_RESULT__RESULT_NOT_READY,
-                          "the learner has not caught up");
-  member->voter = true;
-  return true;
+  control_server_t *server = group->server;
+  const Lwm__ControlMembership *members = raft_membership (server->raft);
+  Lwm__ControlPeerMessage message = LWM__CONTROL_PEER_MESSAGE__INIT;
+
+  log_info ("This replica is about to end. leader=%d",
+            raft_status (server->raft).role == RAFT_LEADER);
+  group->stopped_ms = clock_mono_ms ();
+  raft_resign (server->raft, group->stopped_ms);
+  message.leaving = true;
+  for (size_t i = 0; i < members->n_members; i++)
+    if (members->members[i]->incarnation != server->incarnation)
+      control_server_send_peer (server, &message, NULL,
+                                members->members[i]->incarnation);
 }
 
+/** Tells whether a learner can take this replica's vote before its end. */
 static bool
-remove_member (Lwm__ControlMembership *members,
-               const Lwm__ControlMemberChange *change,
-               Lwm__ControlAnswer *answer)
+has_successor (const control_group_t *group, uint64_t now_ms)
 {
-  const Lwm__ControlMember *member
-      = membership_find (members, change->incarnation);
-
-  /* A name is not sufficient: a resent removal could match the replacement of
-   * the same name. */
-  if (change->incarnation == 0)
-    return reject_change (answer, LWM__CONTROL_RESULT__RESULT_BAD_REQUEST,
-                          "a removal must name the incarnation");
-  if (member == NULL)
-    return reject_change (answer, LWM__CONTROL_RESULT__RESULT_SAME, "");
-  if (member->voter && membership_voter_count (members) == 1)
-    return reject_change (answer, LWM__CONTROL_RESULT__RESULT_BAD_REQUEST,
-                          "the last voter cannot be removed");
-  membership_remove (members, member->incarnation);
-  return true;
-}
+  const control_server_t *server = group->server;
+  const Lwm__ControlMembership *members = raft_membership (server->raft);
+  const Lwm__ControlMember *self
+      = membership_find (members, server->incarnation);
 
-uint64_t
-control_group_change (control_group_t *group,
-                      const Lwm__ControlMemberChange *change,
-                      Lwm__ControlAnswer *answer)
-{
-  raft_t *raft = group->server->raft;
-  Lwm__ControlMembership *members
-      = membership_copy (group, raft_membership (raft));
-  uint64_t index = 0;
-  bool changed;
-
-  if (change->kind == LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_ADD)
-    changed = add_learner (group, members, change, answer);
-  else if (change->kind == LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_PROMOTE)
-    changed = promote_learner (group, members, change, answer);
-  else
-    changed = remove_member (members, change, answer);
-  if (changed)
-    {
-      index = raft_propose_membership (raft, members);
-      if (index == 0)
-        reject_change (answer, LWM__CONTROL_RESULT__RESULT_NOT_READY,
-                       "another change of members is under way");
-    }
-  talloc_free (members);
-  return index;
+  if (self == NULL || !self->voter)
+    return false;
+  for (size_t i = 0; i < members->n_members; i++)
+    if (!members->members[i]->voter
+        && control_group_is_settled (group, members->members[i], HAND_OVER_MS,
+                                     now_ms))
+      return true;
+  return false;
 }
 
-Lwm__ControlMember **
-control_group_list_joiners (const control_group_t *group,
-                            void *parent,
-                            size_t *count)
+bool
+control_group_has_stopped (const control_group_t *group)
 {
-  const Lwm__ControlMembership *members = raft_membership (group->server->raft);
-  Lwm__ControlMembership *waiting = membership_copy (parent, NULL);
+  uint64_t now_ms = clock_mono_ms ();
 
-  for (guint i = 0; i < group->joiners->len; i++)
-    {
-      const joiner_t *joiner = g_ptr_array_index (group->joiners, i);
-      Lwm__ControlMember member = LWM__CONTROL_MEMBER__INIT;
-
-      if (membership_find (members, joiner->incarnation) != NULL
-          || joiner->heard_ms + HELLO_VALID_MS < clock_mono_ms ())
-        continue;
-      member.name = joiner->name;
-      member.address = joiner->address;
-      member.incarnation = joiner->incarnation;
-      membership_add (waiting, &member);
-    }
-  *count = waiting->n_members;
-  return waiting->members;
+  return now_ms >= group->stopped_ms + HAND_OVER_MS
+         || group->server->options.target_voters == 0
+         || !has_successor (group, now_ms);
 }
--- a/control-internal.h
+++ b/control-internal.h
@@ -3,9 +3,9 @@
  * Interfaces shared by the source files that implement a control replica:
  * control-server.c (event loop, messages, applying entries), control-disk.c
  * (saving, snapshots), control-report.c (metrics, status), control-requests.c
- * (client requests), control-watch.c (clients that watch) and control-group.c
- * (founding, joining, membership). Other files include control-server.h
- * instead.
+ * (client requests), control-watch.c (clients that watch), control-group.c
+ * (founding, joining, stopping) and control-group-change.c (membership). Other
+ * files include control-server.h instead.
  */
 #ifndef CONTROL_INTERNAL_H
 #define CONTROL_INTERNAL_H
@@ -96,9 +96,9 @@
 /** Takes a snapshot if the log has grown enough since the last snapshot. */
 void control_disk_snapshot (control_server_t *server, uint64_t now_ms);
 
-/** Advances the control clock to the last time that a leader wrote into the
- * log, if that is later. */
-void control_server_advance_clock (control_server_t *server);
+/** Advances the control clock to a time that a leader wrote into the log, if
+ * that is later. */
+void control_server_advance_clock (control_server_t *server, uint64_t clock_ms);
 
 /** Returns the present time of the control clock, in ms. */
 uint64_t control_server_clock_ms (const control_server_t *server);
@@ -183,9 +183,22 @@
 void control_group_receive_hello (control_group_t *group,
                                   const Lwm__ControlPeerMessage *message);
 
-/** Forgets the hellos of replicas that are members now. To be called when the
- * members change, so that an old hello does not add a member again. */
-void control_group_remove_joined (control_group_t *group);
+/** To be called when the members have changed. */
+void control_group_set_members (control_group_t *group);
+
+/** Records that the sender of a message is present, and what it says of its own
+ * end and of absent members. */
+void control_group_receive_presence (control_group_t *group,
+                                     const Lwm__ControlPeerMessage *message);
+
+/** See control_server_stop(). */
+void control_group_stop (control_group_t *group);
+
+/** See control_server_has_stopped(). */
+bool control_group_has_stopped (const control_group_t *group);
+
+/** Returns the availability zone of this replica, "" when unknown. */
+const char *control_server_zone (const control_server_t *server);
 
 /**
  * Proposes to add, promote or remove one member.
--- a/control-keeper.c
+++ b/control-keeper.c
@@ -26,63 +26,183 @@
   return false;
 }
 
-/** Returns whether the replica at @a index counts as dead: it is silent, or a
- * later incarnation has replaced it. */
+/** Finds a member that a later incarnation has replaced. */
 static bool
-is_dead (const control_keeper_replica_t *replicas, size_t count, size_t index)
+find_replaced_member (const control_keeper_replica_t *replicas,
+                      size_t count,
+                      size_t *which)
 {
-  return replicas[index].is_silent || is_replaced (replicas, count, index);
+  for (size_t i = 0; i < count; i++)
+    if (replicas[i].is_member && is_replaced (replicas, count, i))
+      {
+        *which = i;
+        return true;
+      }
+  return false;
 }
 
 static bool
-has_dead_voter (const control_keeper_replica_t *replicas, size_t count)
+find_silent_member (const control_keeper_replica_t *replicas,
+                    size_t count,
+                    bool is_voter,
+                    size_t *which)
 {
   for (size_t i = 0; i < count; i++)
-    if (replicas[i].is_voter && is_dead (replicas, count, i))
-      return true;
+    if (replicas[i].is_member && replicas[i].is_voter == is_voter
+        && replicas[i].is_silent)
+      {
+        *which = i;
+        return true;
+      }
+  return false;
+}
+
+static bool
+find_leaving_voter (const control_keeper_replica_t *replicas,
+                    size_t count,
+                    size_t *which)
+{
+  for (size_t i = 0; i < count; i++)
+    if (replicas[i].is_voter && replicas[i].is_leaving)
+      {
+        *which = i;
+        return true;
+      }
   return false;
 }
 
-/** Finds the voter or learner to remove next. Members that were replaced by a
- * later incarnation are preferred. */
 static bool
-find_dead_member (const control_keeper_replica_t *replicas,
-                  size_t count,
-                  bool voter,
-                  size_t *which)
+is_ready_learner (const control_keeper_replica_t *replica)
+{
+  return replica->is_member && !replica->is_voter && replica->is_caught_up
+         && !replica->is_silent && !replica->is_leaving;
+}
+
+static uint32_t
+count_voters_in_zone (const control_keeper_replica_t *replicas,
+                      size_t count,
+                      const char *zone)
+{
+  uint32_t voters = 0;
+
+  for (size_t i = 0; i < count; i++)
+    voters += replicas[i].is_voter && strcmp (replicas[i].zone, zone) == 0;
+  return voters;
+}
+
+/** Finds a learner that can be promoted, in the zone with the fewest voters.
+ * One that has been up for long is preferred. */
+static bool
+find_learner (const control_keeper_replica_t *replicas,
+              size_t count,
+              size_t *which)
 {
-  bool found = false;
+  uint32_t least = UINT32_MAX;
 
   for (size_t i = 0; i < count; i++)
     {
-      const control_keeper_replica_t *replica = &replicas[i];
+      uint32_t voters
+          = count_voters_in_zone (replicas, count, replicas[i].zone);
+      bool is_better = voters < least
+                       || (voters == least && replicas[i].is_settled
+                           && !replicas[*which].is_settled);
 
-      if (!replica->is_member || replica->is_voter != voter
-          || !is_dead (replicas, count, i))
+      if (!is_ready_learner (&replicas[i]) || !is_better)
         continue;
-      if (!found || is_replaced (replicas, count, i))
-        *which = i;
-      found = true;
+      least = voters;
+      *which = i;
     }
-  return found;
+  return least != UINT32_MAX;
 }
 
-/** Finds a learner that can be promoted. */
+/** Returns whether there is a learner that can replace a voter of any zone. A
+ * new one beside a voter of its zone may be the successor of that voter, which
+ * is about to go. */
 static bool
-find_learner (const control_keeper_replica_t *replicas,
-              size_t count,
-              size_t *which)
+has_free_learner (const control_keeper_replica_t *replicas, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (is_ready_learner (&replicas[i])
+        && (replicas[i].is_settled
+            || count_voters_in_zone (replicas, count, replicas[i].zone) == 0))
+      return true;
+  return false;
+}
+
+static bool
+has_learner_in_zone (const control_keeper_replica_t *replicas,
+                     size_t count,
+                     const char *zone)
+{
+  for (size_t i = 0; i < count; i++)
+    if (is_ready_learner (&replicas[i]) && strcmp (replicas[i].zone, zone) == 0)
+      return true;
+  return false;
+}
+
+/** Finds a silent voter that a learner can replace: one of its own zone, which
+ * may be its successor, or one that is free. */
+static bool
+find_replaceable_voter (const control_keeper_replica_t *replicas,
+                        size_t count,
+                        size_t *which)
 {
   for (size_t i = 0; i < count; i++)
-    if (replicas[i].is_member && !replicas[i].is_voter
-        && replicas[i].is_caught_up && !replicas[i].is_silent)
+    if (replicas[i].is_voter && replicas[i].is_silent
+        && has_learner_in_zone (replicas, count, replicas[i].zone))
       {
         *which = i;
         return true;
       }
+  return has_free_learner (replicas, count)
+         && find_silent_member (replicas, count, true, which);
+}
+
+/** Returns whether the learner at @a index can take the vote of a voter of
+ * @a zone that is about to end, without leaving the voters less spread over the
+ * zones. */
+static bool
+is_successor (const control_keeper_replica_t *replicas,
+              size_t count,
+              size_t index,
+              const char *zone)
+{
+  const control_keeper_replica_t *learner = &replicas[index];
+
+  return is_ready_learner (learner) && learner->is_settled
+         && (strcmp (learner->zone, zone) == 0
+             || count_voters_in_zone (replicas, count, learner->zone)
+                    < count_voters_in_zone (replicas, count, zone));
+}
+
+/** Finds a learner that can take the vote of a voter which is about to end. */
+static bool
+find_successor (const control_keeper_replica_t *replicas,
+                size_t count,
+                size_t *which)
+{
+  for (size_t voter = 0; voter < count; voter++)
+    for (size_t i = 0; i < count; i++)
+      if (replicas[voter].is_voter && replicas[voter].is_leaving
+          && is_successor (replicas, count, i, replicas[voter].zone))
+        {
+          *which = i;
+          return true;
+        }
   return false;
 }
 
+/** Finds a voter that a group with more voters than intended can spare. A
+ * silent one may be back soon. */
+static bool
+find_surplus_voter (const control_keeper_replica_t *replicas,
+                    size_t count,
+                    size_t *which)
+{
+  return find_leaving_voter (replicas, count, which)
+         || find_silent_member (replicas, count, true, which);
+}
+
 /** Finds a replica that asks to join. */
 static bool
 find_joiner (const control_keeper_replica_t *replicas,
@@ -106,13 +226,19 @@
 {
   uint32_t voters = count_voters (replicas, count);
 
-  if (voters > target_voters && find_dead_member (replicas, count, true, which))
+  if (find_replaced_member (replicas, count, which)
+      && (voters > 1 || !replicas[*which].is_voter))
+    return CONTROL_KEEPER_REMOVE;
+  if (voters > target_voters && find_surplus_voter (replicas, count, which))
+    return CONTROL_KEEPER_REMOVE;
+  if (voters < target_voters && find_learner (replicas, count, which))
+    return CONTROL_KEEPER_PROMOTE;
+  if (voters == target_voters
+      && find_replaceable_voter (replicas, count, which))
     return CONTROL_KEEPER_REMOVE;
-  if ((voters < target_voters
-       || (voters == target_voters && has_dead_voter (replicas, count)))
-      && find_learner (replicas, count, which))
+  if (voters == target_voters && find_successor (replicas, count, which))
     return CONTROL_KEEPER_PROMOTE;
-  if (find_dead_member (replicas, count, false, which))
+  if (find_silent_member (replicas, count, false, which))
     return CONTROL_KEEPER_REMOVE;
   if (find_joiner (replicas, count, which))
     return CONTROL_KEEPER_ADD;
--- a/control-keeper.h
+++ b/control-keeper.h
@@ -4,9 +4,21 @@
  * that the group keeps its number of voters without an operator. No I/O.
  *
  * A replica that lost its disk restarts with a new incarnation and its old
- * name. The new incarnation is added and the old one is removed. A voter that
- * stopped for good is removed only after another replica has replaced it, so a
- * group whose members are only down keeps them.
+ * name. The old incarnation never returns and is removed at once, before the
+ * new one gets a vote: otherwise the new one, when it is lost in turn, would
+ * leave two dead voters in the group.
+ *
+ * A voter that stopped for good is removed only if a learner is ready to
+ * replace it, so a group whose members are only down keeps them. It is removed
+ * first and the learner promoted next, for the same reason.
+ *
+ * A voter that announced its planned stop still votes until it ends. A learner
+ * that has been up for long is promoted first, so that the group never has
+ * fewer voters than intended; it is of the same availability zone, or of one
+ * with fewer voters. A new learner may be lost again at any moment; it gets its
+ * vote after the end of the old one.
+ *
+ * t/t8051-control-keeper-states.c walks through all states of small groups.
  */
 #ifndef CONTROL_KEEPER_H
 #define CONTROL_KEEPER_H
@@ -19,11 +31,14 @@
 typedef struct
 {
   const char *name;
+  const char *zone; /**< availability zone, "" when unknown */
   uint64_t incarnation;
   bool is_member;
   bool is_voter;
   bool is_silent;    /**< no message for a long time */
+  bool is_leaving;   /**< it has announced that it is about to end */
   bool is_caught_up; /**< a learner that has nearly all log entries */
+  bool is_settled;   /**< a learner that has been caught up for long */
 } control_keeper_replica_t;
 
 /** The change of membership to make next. */
--- a/control-server.c
+++ b/control-server.c
@@ -51,16 +51,20 @@
 }
 
 void
-control_server_advance_clock (control_server_t *server)
+control_server_advance_clock (control_server_t *server, uint64_t clock_ms)
 {
-  uint64_t clock_ms = statemachine_clock_ms (server->machine);
-
   if (clock_ms <= control_server_clock_ms (server))
     return;
   server->clock_base_ms = clock_ms;
   server->clock_mono_ms = clock_mono_ms ();
 }
 
+const char *
+control_server_zone (const control_server_t *server)
+{
+  return server->options.zone != NULL ? server->options.zone : "";
+}
+
 static uint8_t *
 pack_message (const Lwm__ControlMessage *message, size_t *size_bytes)
 {
@@ -114,6 +118,7 @@
     {
       message->name = (char *)server->options.name;
       message->address = server->address;
+      message->zone = (char *)control_server_zone (server);
     }
   outer.what_case = LWM__CONTROL_MESSAGE__WHAT_PEER;
   outer.peer = message;
@@ -201,6 +206,7 @@
                                message->name, message->address);
   control_peers_mark_heard (server->peers, message->incarnation,
                             clock_mono_ms ());
+  control_group_receive_presence (server->group, message);
   if (message->hello != NULL && *message->name != '\0')
     control_group_receive_hello (server->group, message);
   if (message->raft != NULL && message->raft->from == message->incarnation
@@ -245,7 +251,8 @@
   if (command == NULL)
     die ("log entry %ju is malformed", (uintmax_t)entry->index);
   statemachine_apply (server->machine, entry->index, command, &answer);
-  control_server_advance_clock (server);
+  control_server_advance_clock (server,
+                                statemachine_clock_ms (server->machine));
   control_requests_complete (server->requests, entry->index, entry->term,
                              &answer);
   lwm__control_command__free_unpacked (command, NULL);
@@ -284,7 +291,7 @@
   if (index == server->members_index)
     return;
   server->members_index = index;
-  control_group_remove_joined (server->group);
+  control_group_set_members (server->group);
   for (size_t i = 0; i < members->n_members; i++)
     control_peers_set_address (server->peers, members->members[i]->incarnation,
                                members->members[i]->name,
@@ -575,3 +582,15 @@
 {
   return control_directory_leave (server->directory, id, born_ms);
 }
+
+void
+control_server_stop (control_server_t *server)
+{
+  control_group_stop (server->group);
+}
+
+bool
+control_server_has_stopped (const control_server_t *server)
+{
+  return control_group_has_stopped (server->group);
+}
--- a/control-server.h
+++ b/control-server.h
@@ -44,6 +44,9 @@
    * members change by command only.
    */
   uint32_t target_voters;
+  /** Time after the start or return of a replica in which no other replica is
+   * lost; 0 for the default. */
+  uint32_t catch_up_ms;
   metrics_t *metrics;
 } control_server_options_t;
 
@@ -66,6 +69,15 @@
                                    const char *id,
                                    uint64_t born_ms);
 
+/** Announces to the other replicas that this one is about to end. They elect
+ * another leader, and give its vote to a learner of its availability zone. The
+ * replica takes part until it is freed. */
+void control_server_stop (control_server_t *server);
+
+/** Tells, after control_server_stop(), whether there is no reason to wait any
+ * longer: the vote is given away, nobody can take it, or the time is over. */
+bool control_server_has_stopped (const control_server_t *server);
+
 /** Returns the present status, freed with @a parent (talloc). It points into
  * the server's state and is valid until the server runs again. */
 Lwm__ControlStatus *control_server_status (control_server_t *server,
--- a/members.c
+++ b/members.c
@@ -11,6 +11,8 @@
   lwm__control_member__init (copy);
   copy->name = talloc_strdup (copy, member->name);
   copy->address = talloc_strdup (copy, member->address);
+  copy->zone = talloc_strdup (copy, member->zone);
+  copy->since_ms = member->since_ms;
   copy->incarnation = member->incarnation;
   copy->voter = member->voter;
   return copy;
--- a/node-control.c
+++ b/node-control.c
@@ -23,7 +23,9 @@
 /** Callers try another instance after a second without an answer, so the answer
  * must be sent before that. */
 #define CALL_TIMEOUT_MS 900
+#define MS_PER_S        1000.0
 #define EXIT_DELAY_MS   300
+#define EXIT_CHECK_MS   50
 
 struct node_control
 {
@@ -191,17 +193,24 @@
 {
   node_control_t *control = context;
 
-  daemon_exit (control->daemon, EXIT_CODE_OK);
+  struct timeval delay = timeval_from_ms (EXIT_CHECK_MS);
+
+  if (control_server_has_stopped (control->server))
+    daemon_exit (control->daemon, EXIT_CODE_OK);
+  else
+    event_add (control->exit_timer, &delay);
 }
 
-/** Delays the exit so that open calls are answered first. The group answers
- * within a few disk syncs. */
+/** Delays the exit so that open calls are answered first, and so that another
+ * replica can take the vote of this one. The group answers within a few disk
+ * syncs. */
 static void
 on_stop (void *context)
 {
   node_control_t *control = context;
-  struct timeval delay = { .tv_usec = EXIT_DELAY_MS * 1000 };
+  struct timeval delay = timeval_from_ms (EXIT_DELAY_MS);
 
+  control_server_stop (control->server);
   event_add (control->exit_timer, &delay);
 }
 
@@ -248,6 +257,7 @@
           .snapshot_entries = SNAPSHOT_ENTRIES,
           .announce_ms = settings->announce_ms,
           .target_voters = 2 * MAX (settings->lost_machines, 1) + 1,
+          .catch_up_ms = (uint32_t)(settings->catch_up_s * MS_PER_S),
           .metrics = daemon_metrics (control->daemon) };
 
   options.members = initial_members (control, settings, &options.member_count);
--- a/raft-internal.h
+++ b/raft-internal.h
@@ -42,6 +42,7 @@
   uint64_t group;
   bool vote_unsaved; /**< term, vote or group is not durable yet */
   uint64_t leader;
+  bool leader_ends; /**< the leader has announced its end */
   uint64_t heard_leader_ms;
   uint64_t deadline_ms;       /**< when the next election starts; 0 before the
                                    first tick */
--- a/raft.c
+++ b/raft.c
@@ -201,6 +201,7 @@
     }
   raft->role = RAFT_FOLLOWER;
   raft->leader = leader;
+  raft->leader_ends = false;
   raft_internal_reset_election_timer (raft);
 }
 
@@ -275,6 +276,17 @@
   return rank;
 }
 
+/** Sets the next election to @a least_ms from now and a delay by this replica's
+ * rank, so that replicas that begin at the same time do not split the votes. */
+static void
+set_ranked_deadline (raft_t *raft, uint32_t least_ms)
+{
+  uint32_t step_ms = raft->options.heartbeat_ms / 2;
+  uint32_t rank_ms = MIN (voter_rank (raft), MAX_START_DELAY_STEPS) * step_ms;
+
+  set_election_deadline (raft, least_ms + rank_ms, step_ms / 4);
+}
+
 /**
  * Sets the first election after a start to a little more than one heartbeat
  * from now. This is enough, since an existing leader is heard within a
@@ -285,11 +297,7 @@
 static void
 set_start_deadline (raft_t *raft)
 {
-  uint32_t step_ms = raft->options.heartbeat_ms / 2;
-  uint32_t rank_ms = MIN (voter_rank (raft), MAX_START_DELAY_STEPS) * step_ms;
-
-  set_election_deadline (raft, raft->options.heartbeat_ms + rank_ms,
-                         step_ms / 4);
+  set_ranked_deadline (raft, raft->options.heartbeat_ms);
 }
 
 void
@@ -304,6 +312,24 @@
     start_pre_vote (raft);
 }
 
+void
+raft_resign (raft_t *raft, uint64_t now_ms)
+{
+  raft->now_ms = now_ms;
+  if (raft->role == RAFT_LEADER)
+    raft_internal_become_follower (raft, raft->term, 0);
+}
+
+void
+raft_expect_election (raft_t *raft, uint64_t id, uint64_t now_ms)
+{
+  raft->now_ms = now_ms;
+  if (raft->role != RAFT_FOLLOWER || raft->leader != id)
+    return;
+  raft->leader_ends = true;
+  set_ranked_deadline (raft, 0);
+}
+
 bool
 raft_has_recent_contact (const raft_t *raft, uint64_t now_ms)
 {
@@ -388,8 +414,9 @@
              || (message->kind == LWM__RAFT_KIND__RAFT_PRE_VOTE_ANSWER
                  && !message->reject);
 
-  /* A replica that hears a leader ignores vote requests (thesis, 4.2.3). */
-  if (is_request_for_votes (message)
+  /* A replica that hears a leader ignores vote requests (thesis, 4.2.3), unless
+   * the leader itself has asked for an election (3.10). */
+  if (is_request_for_votes (message) && !raft->leader_ends
       && raft_has_recent_contact (raft, raft->now_ms))
     return false;
   if (message->term > raft->term && !pre)
@@ -409,7 +436,8 @@
   if (raft->role != RAFT_FOLLOWER || raft->leader != message->from)
     raft_internal_become_follower (raft, message->term, message->from);
   raft->heard_leader_ms = raft->now_ms;
-  raft_internal_reset_election_timer (raft);
+  if (!raft->leader_ends)
+    raft_internal_reset_election_timer (raft);
 }
 
 static void
--- a/raft.h
+++ b/raft.h
@@ -129,6 +129,14 @@
 /** Advances the time and starts elections, heartbeats and quorum checks. */
 void raft_tick (raft_t *raft, uint64_t now_ms);
 
+/** Gives up the leadership, if this replica is the leader. It takes part in the
+ * next election only after the election timeout. */
+void raft_resign (raft_t *raft, uint64_t now_ms);
+
+/** Records that @a id is about to end. If it is the leader, another one is
+ * elected soon; until then this replica still follows it. */
+void raft_expect_election (raft_t *raft, uint64_t id, uint64_t now_ms);
+
 /** Handles a message; one for another replica or group is ignored. */
 void
 raft_receive (raft_t *raft, const Lwm__RaftMessage *message, uint64_t now_ms);
--- /dev/null
+++ b/t/lib-nodes.c
@@ -0,0 +1,155 @@
+#include "lib-nodes.h"
+
+#include <string.h>
+
+static const char config[]
+    = "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"%s\","
+      "\"path-prefix\":\"/a/\",\"kind\":\"safe\",\"timeout-ms\":3000,"
+      "\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}]}";
+
+static void
+choose_addresses (nodes_t *nodes)
+{
+  const char *port = strrchr (cluster_address (nodes->cluster), ':');
+
+  nodes->port = atoi (port + 1);
+  for (uint32_t i = 0; i < NODES_MAX; i++)
+    {
+      nodes->ip[i] = cluster_ip (i);
+      nodes->zone[i] = "z";
+    }
+}
+
+char *
+nodes_write_settings (nodes_t *nodes, int index, bool found)
+{
+  GString *text = g_string_new (NULL);
+  char *name = g_strdup_printf ("node-%d", index);
+  char *file = g_strdup_printf ("%s.yaml", name);
+  char *path;
+
+  g_string_append_printf (
+      text,
+      "instance: %s\nzone: %s\naddress: %s\nfirst_port: %d\nlast_port: %d\n"
+      "callers: \"%s:%d\"\nstatus: \"%s:%d\"\ncontrol: \"%s:%d\"\n"
+      "found: %s\n"
+      "log_level: info\nannounce_ms: 1000\nstop_timeout_s: 4\ncatch_up_s: "
+      "4\nlost_machines: 1\n"
+      "retry_share: 0.2\nspare_retries: 100\nkeeps_state: %s\nseeds: [",
+      name, nodes->zone[index], nodes->ip[index], nodes->port + 1,
+      nodes->port + 9, nodes->ip[index], nodes->port + 3, nodes->ip[index],
+      nodes->port + 2, nodes->ip[index], nodes->port, found ? "true" : "false",
+      index != NODES_ENTRY ? "true" : "false");
+  for (int i = 0; i < NODES_CONTROLS; i++)
+    g_string_append_printf (text, "%s\"%s:%d\"", i > 0 ? ", " : "",
+                            nodes->ip[nodes->seeds[i]], nodes->port);
+  g_string_append (text, "]\n");
+  if (index != NODES_ENTRY)
+    g_string_append_printf (text, "data_folder: \"%s\"\n",
+                            cluster_subfolder (nodes->cluster, name));
+  cluster_write (nodes->cluster, file, text->str);
+  path = g_strdup_printf ("%s/%s", cluster_folder (nodes->cluster), file);
+  g_string_free (text, TRUE);
+  g_free (name);
+  g_free (file);
+  return path;
+}
+
+process_t *
+nodes_start (nodes_t *nodes, int index, bool found)
+{
+  char *path = nodes_write_settings (nodes, index, found);
+  process_t *process;
+
+  g_setenv ("LACEWINGMAST_NODE_FILE", path, TRUE);
+  process = nodes->process[index] = cluster_start (
+      nodes->cluster,
+      index != NODES_ENTRY ? "lwm-platform-control" : "lwm-platform-entry",
+      NULL);
+  g_unsetenv ("LACEWINGMAST_NODE_FILE");
+  g_assert_nonnull (process);
+  g_free (path);
+  return process;
+}
+
+char *
+nodes_address (const nodes_t *nodes, int index, int offset)
+{
+  return g_strdup_printf ("%s:%d", nodes->ip[index], nodes->port + offset);
+}
+
+int
+nodes_call (const nodes_t *nodes,
+            int index,
+            int offset,
+            const char *method,
+            const char *path,
+            const char *body)
+{
+  char *address = nodes_address (nodes, index, offset);
+  answer_t answer = cluster_call (address, method, path, body);
+  int status = answer.status;
+
+  cluster_answer_free (&answer);
+  g_free (address);
+  return status;
+}
+
+int
+nodes_put_config (const nodes_t *nodes, int index, int version)
+{
+  char *body = g_strdup_printf (config, version, nodes->ip[NODES_ENTRY]);
+  int status = nodes_call (nodes, index, 0, "POST", "/config/put", body);
+
+  g_free (body);
+  return status;
+}
+
+/** Returns the number of the configuration an instance reads, 0 for none. */
+int64_t
+nodes_read_version (const nodes_t *nodes, int index)
+{
+  char *address = nodes_address (nodes, index, 0);
+  answer_t answer = cluster_call (address, "GET", "/config/get", NULL);
+  int64_t version = answer.status == 200 && answer.json != NULL
+                        ? json_object_get_int_member (answer.json, "version")
+                        : 0;
+
+  cluster_answer_free (&answer);
+  g_free (address);
+  return version;
+}
+
+double
+nodes_metric (const nodes_t *nodes, int index, const char *name)
+{
+  char *address = nodes_address (nodes, index, 0);
+  double value = cluster_metric (address, name);
+
+  g_free (address);
+  return value;
+}
+
+nodes_t *
+nodes_new (int version)
+{
+  nodes_t *nodes = g_new0 (nodes_t, 1);
+
+  nodes->cluster = cluster_new ();
+  choose_addresses (nodes);
+  for (int i = 0; i < NODES_CONTROLS; i++)
+    nodes->seeds[i] = i;
+  for (int i = 0; i <= NODES_ENTRY; i++)
+    nodes_start (nodes, i, true);
+  CLUSTER_WAIT (nodes_put_config (nodes, 0, version) == 200);
+  return nodes;
+}
+
+void
+nodes_free (nodes_t *nodes)
+{
+  cluster_free (nodes->cluster);
+  for (int i = 0; i < NODES_MAX; i++)
+    g_free (nodes->ip[i]);
+  g_free (nodes);
+}
--- /dev/null
+++ b/t/lib-nodes.h
@@ -0,0 +1,63 @@
+/**
+ * @file lib-nodes.h
+ * Runs the programs of a platform as real processes for tests: a control group
+ * of three, which forms itself, one entry instance, and more control instances
+ * on demand. Each has its own loopback address, as all use the same ports.
+ */
+#ifndef LIB_NODES_H
+#define LIB_NODES_H
+
+#include "lib-cluster.h"
+
+/** Number of control instances that form the group. */
+#define NODES_CONTROLS 3
+/** Index of the entry instance; the indexes after it are further control
+ * instances. */
+#define NODES_ENTRY NODES_CONTROLS
+#define NODES_MAX   8
+
+typedef struct
+{
+  cluster_t *cluster;
+  char *ip[NODES_MAX];
+  const char *zone[NODES_MAX];
+  process_t *process[NODES_MAX]; /* NULL when it was not started */
+  int seeds[NODES_CONTROLS];     /* indexes of the control instances in the
+                                    settings */
+  int port;
+} nodes_t;
+
+/** Starts the group and the entry instance, and puts the configuration with the
+ * number @a version in force. */
+nodes_t *nodes_new (int version);
+void nodes_free (nodes_t *nodes);
+
+/** Writes the settings file of an instance; the caller frees its path. */
+char *nodes_write_settings (nodes_t *nodes, int index, bool found);
+
+/** Starts an instance and waits until it is ready. */
+process_t *nodes_start (nodes_t *nodes, int index, bool found);
+
+/** Returns an address of an instance, freed with g_free(). Offsets of ports: 0
+ * control, 2 status, 3 callers. */
+char *nodes_address (const nodes_t *nodes, int index, int offset);
+
+/** Makes a call to an instance; returns the status. */
+int nodes_call (const nodes_t *nodes,
+                int index,
+                int offset,
+                const char *method,
+                const char *path,
+                const char *body);
+
+/** Sends a configuration to a control instance; returns the status. */
+int nodes_put_config (const nodes_t *nodes, int index, int version);
+
+/** Returns the number of the configuration that an instance reads, 0 for
+ * none. */
+int64_t nodes_read_version (const nodes_t *nodes, int index);
+
+/** Returns a metric of a control instance, -1 for none. */
+double nodes_metric (const nodes_t *nodes, int index, const char *name);
+
+#endif
--- a/t/t5000-raft.c
+++ b/t/t5000-raft.c
@@ -343,6 +343,17 @@
   raft_compact (replica->raft, applied, 4, (const uint8_t *)"snapshot", 8);
 }
 
+/** The leader gives up its leadership, and the others hear of it. */
+static void
+stop_leading (replica_t *leader)
+{
+  raft_resign (leader->raft, net.now_ms);
+  for (size_t i = 0; i < net.count; i++)
+    if (net.replicas[i].raft != NULL && &net.replicas[i] != leader)
+      raft_expect_election (net.replicas[i].raft, leader->number + 1,
+                            net.now_ms);
+}
+
 static void
 inject_fault (void)
 {
@@ -350,7 +361,7 @@
   size_t other = (size_t)g_rand_int_range (net.random, 0, (gint32)net.count);
   replica_t *replica = &net.replicas[one];
 
-  switch (g_rand_int_range (net.random, 0, 6))
+  switch (g_rand_int_range (net.random, 0, 7))
     {
     case 0:
       if (replica->raft != NULL)
@@ -370,6 +381,10 @@
       for (size_t i = 0; i < net.count; i++)
         net.cut[one][i] = net.cut[i][one] = true;
       break;
+    case 5:
+      if (replica->raft != NULL)
+        stop_leading (replica);
+      break;
     default:
       if (replica->raft != NULL)
         compact (replica);
@@ -481,6 +496,32 @@
     }
 }
 
+/* Guards against: a group without a leader for an election timeout after each
+ * planned stop of a leader. */
+static void
+test_planned_stop_elects_soon (void)
+{
+  for (uint32_t seed = 1; seed <= 20; seed++)
+    {
+      replica_t *old;
+
+      set_up (seed, 3);
+      run_ms (2000);
+      net.most_delay_ms = 6;
+      net.repeat_percent = 0;
+      /* The announcement follows the leader's earlier messages. */
+      g_ptr_array_set_size (net.packets, 0);
+      old = find_leader ();
+      stop_leading (old);
+      for (uint32_t ms = 0; ms < ELECTION_MS && find_leader () == NULL;
+           ms += STEP_MS)
+        step ();
+      g_assert_nonnull (find_leader ());
+      g_assert_true (find_leader () != old);
+      tear_down ();
+    }
+}
+
 static void
 test_read_needs_a_quorum (void)
 {
@@ -591,6 +632,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/raft/planned-stop-elects-soon",
+                   test_planned_stop_elects_soon);
   g_test_add_func ("/raft/faults-keep-one-history",
                    test_faults_keep_one_history);
   g_test_add_func ("/raft/cut-off-replica-raises-no-term",
--- /dev/null
+++ b/t/t5003-control-presence.c
@@ -0,0 +1,160 @@
+/* Checks what a control replica knows of the presence of other members, also as
+ * a new leader. */
+#include <glib.h>
+#include <talloc.h>
+
+#include "control-presence.h"
+#include "members.h"
+
+#define SELF            1
+#define OTHER           2
+#define ABSENT_AFTER_MS 600
+#define STOP_MS         3000
+
+static control_presence_t *
+presence_new (void *parent)
+{
+  control_presence_options_t options = { .self = SELF,
+                                         .absent_after_ms = ABSENT_AFTER_MS,
+                                         .stop_ms = STOP_MS };
+  control_presence_t *presence = control_presence_new (parent, &options);
+  Lwm__ControlMembership *members = membership_copy (parent, NULL);
+
+  for (uint64_t id = SELF; id <= OTHER + 1; id++)
+    {
+      Lwm__ControlMember member = LWM__CONTROL_MEMBER__INIT;
+
+      member.name = (char *)"n";
+      member.incarnation = id;
+      membership_add (members, &member);
+    }
+  control_presence_set_members (presence, members, 400);
+  return presence;
+}
+
+static Lwm__ControlAbsence
+make_absence (uint64_t incarnation, uint64_t silent_ms, bool leaving)
+{
+  Lwm__ControlAbsence absence = LWM__CONTROL_ABSENCE__INIT;
+
+  absence.incarnation = incarnation;
+  absence.silent_ms = silent_ms;
+  absence.leaving = leaving;
+  return absence;
+}
+
+/* Guards against: a member that was just added counts as silent since the
+ * leader leads, and is removed at once. */
+static void
+test_new_member (void)
+{
+  void *parent = talloc_new (NULL);
+  control_presence_t *presence = presence_new (parent);
+
+  g_assert_cmpuint (control_presence_silent_ms (presence, OTHER, 100, 500), ==,
+                    100);
+  talloc_free (parent);
+}
+
+/** A leader counts silence from its beginning or the last message. */
+static void
+test_silence (void)
+{
+  void *parent = talloc_new (NULL);
+  control_presence_t *presence = presence_new (parent);
+
+  g_assert_cmpuint (control_presence_silent_ms (presence, OTHER, 1000, 1500),
+                    ==, 500);
+  control_presence_heard (presence, OTHER, 1400);
+  g_assert_cmpuint (control_presence_silent_ms (presence, OTHER, 1000, 1500),
+                    ==, 100);
+  g_assert_cmpuint (control_presence_silent_ms (presence, SELF, 1000, 9000), ==,
+                    0);
+  g_assert_cmpuint (control_presence_silent_ms (presence, 77, 1000, 9000), ==,
+                    0);
+  talloc_free (parent);
+}
+
+/* Guards against: a silence that begins anew with each leader, so that a lost
+ * voter is replaced too late (CONFIG). */
+static void
+test_silence_survives_leader (void)
+{
+  void *parent = talloc_new (NULL);
+  control_presence_t *presence = presence_new (parent);
+  Lwm__ControlAbsence absence = make_absence (OTHER, 1500, false);
+
+  control_presence_report (presence, &absence, 2000);
+  g_assert_cmpuint (control_presence_silent_ms (presence, OTHER, 2900, 3000),
+                    ==, 2500);
+  /* The report is too old for a later leader. */
+  g_assert_cmpuint (control_presence_silent_ms (presence, OTHER, 9000, 9100),
+                    ==, 100);
+  control_presence_heard (presence, OTHER, 3000);
+  g_assert_cmpuint (control_presence_silent_ms (presence, OTHER, 2900, 3100),
+                    ==, 100);
+  /* A report that was overtaken by a message of the member. */
+  control_presence_report (presence, &absence, 3200);
+  g_assert_cmpuint (control_presence_silent_ms (presence, OTHER, 2900, 3300),
+                    ==, 300);
+  talloc_free (parent);
+}
+
+static void
+test_leaving (void)
+{
+  void *parent = talloc_new (NULL);
+  control_presence_t *presence = presence_new (parent);
+  Lwm__ControlAbsence absence = make_absence (OTHER + 1, 0, true);
+
+  control_presence_leaving (presence, OTHER, 1000);
+  control_presence_heard (presence, OTHER, 1000 + STOP_MS);
+  g_assert_true (control_presence_is_leaving (presence, OTHER));
+  control_presence_heard (presence, OTHER, 1001 + STOP_MS);
+  g_assert_false (control_presence_is_leaving (presence, OTHER));
+  control_presence_leaving (presence, OTHER, 9000);
+  control_presence_returned (presence, OTHER);
+  g_assert_false (control_presence_is_leaving (presence, OTHER));
+  control_presence_report (presence, &absence, 9500);
+  g_assert_true (control_presence_is_leaving (presence, OTHER + 1));
+  talloc_free (parent);
+}
+
+/** A leader reports those who are silent or about to end; an absence counts for
+ * whoever hears of it. */
+static void
+test_absences (void)
+{
+  void *parent = talloc_new (NULL);
+  control_presence_t *presence = presence_new (parent);
+  Lwm__ControlAbsence **absences;
+  size_t count;
+
+  control_presence_heard (presence, OTHER, 5000);
+  control_presence_heard (presence, OTHER + 1, 5500);
+  absences = control_presence_absences (presence, parent, 1000, 5700, &count);
+  g_assert_cmpuint (count, ==, 1);
+  g_assert_cmpuint (absences[0]->incarnation, ==, OTHER);
+  g_assert_cmpuint (absences[0]->silent_ms, ==, 700);
+  g_assert_cmpuint (control_presence_present_ms (presence, OTHER, 6000), ==,
+                    300);
+  g_assert_cmpuint (control_presence_present_ms (presence, OTHER + 1, 6000), ==,
+                    UINT64_MAX);
+  control_presence_leaving (presence, OTHER + 1, 6000);
+  control_presence_absences (presence, parent, 1000, 6000, &count);
+  g_assert_cmpuint (count, ==, 2);
+  talloc_free (parent);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/control-presence/new-member", test_new_member);
+  g_test_add_func ("/control-presence/silence", test_silence);
+  g_test_add_func ("/control-presence/survives-leader",
+                   test_silence_survives_leader);
+  g_test_add_func ("/control-presence/leaving", test_leaving);
+  g_test_add_func ("/control-presence/absences", test_absences);
+  return g_test_run ();
+}
--- a/t/t8050-control-keeper.c
+++ b/t/t8050-control-keeper.c
@@ -8,6 +8,7 @@
 make_voter (const char *name, uint64_t incarnation)
 {
   return (control_keeper_replica_t){ .name = name,
+                                     .zone = name,
                                      .incarnation = incarnation,
                                      .is_member = true,
                                      .is_voter = true };
@@ -16,7 +17,9 @@
 static control_keeper_replica_t
 make_joiner (const char *name, uint64_t incarnation)
 {
-  return (control_keeper_replica_t){ .name = name, .incarnation = incarnation };
+  return (control_keeper_replica_t){ .name = name,
+                                     .zone = name,
+                                     .incarnation = incarnation };
 }
 
 static void
@@ -43,8 +46,8 @@
                    CONTROL_KEEPER_NOTHING);
 }
 
-/** After a lost disk, the new incarnation is added, then promoted, and then the
- * old incarnation is removed. */
+/* Guards against: a new incarnation that votes beside the dead one, so that its
+ * own loss leaves two dead voters of four (CONFIG). */
 static void
 test_lost_disk (void)
 {
@@ -54,22 +57,23 @@
   size_t which;
 
   g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_REMOVE);
+  g_assert_cmpuint (which, ==, 2);
+  replicas[2] = replicas[3];
+  g_assert_cmpint (control_keeper_next_step (replicas, 3, VOTERS, &which), ==,
                    CONTROL_KEEPER_ADD);
-  g_assert_cmpuint (which, ==, 3);
-  replicas[3].is_member = true;
-  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+  g_assert_cmpuint (which, ==, 2);
+  replicas[2].is_member = true;
+  g_assert_cmpint (control_keeper_next_step (replicas, 3, VOTERS, &which), ==,
                    CONTROL_KEEPER_NOTHING);
-  replicas[3].is_caught_up = true;
-  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+  replicas[2].is_caught_up = true;
+  g_assert_cmpint (control_keeper_next_step (replicas, 3, VOTERS, &which), ==,
                    CONTROL_KEEPER_PROMOTE);
-  g_assert_cmpuint (which, ==, 3);
-  replicas[3].is_voter = true;
-  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
-                   CONTROL_KEEPER_REMOVE);
   g_assert_cmpuint (which, ==, 2);
 }
 
-/** A permanently lost member is removed only after another has replaced it. */
+/** A permanently lost member is removed only when another can replace it, and
+ * before that one votes. */
 static void
 test_lost_member_is_replaced (void)
 {
@@ -80,7 +84,49 @@
 
   replicas[1].is_silent = true;
   replicas[3].is_member = true;
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_NOTHING);
   replicas[3].is_caught_up = true;
+  replicas[3].zone = "a";
+  /* It may be the successor of another machine that is about to go. */
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_NOTHING);
+  replicas[3].is_settled = true;
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_REMOVE);
+  g_assert_cmpuint (which, ==, 1);
+  replicas[3].is_settled = false;
+  replicas[3].zone = "b";
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_REMOVE);
+  g_assert_cmpuint (which, ==, 1);
+  replicas[1] = replicas[3];
+  g_assert_cmpint (control_keeper_next_step (replicas, 3, VOTERS, &which), ==,
+                   CONTROL_KEEPER_PROMOTE);
+  g_assert_cmpuint (which, ==, 1);
+}
+
+/** A voter that is about to end gives its vote to a learner of its zone, but
+ * not to one that may be lost again at any moment. */
+static void
+test_planned_stop (void)
+{
+  control_keeper_replica_t replicas[]
+      = { make_voter ("a", 1), make_voter ("b", 2), make_voter ("c", 3),
+          make_joiner ("d", 4) };
+  size_t which;
+
+  replicas[1].is_leaving = true;
+  replicas[3].is_member = replicas[3].is_caught_up = true;
+  replicas[3].is_settled = true;
+  replicas[3].zone = "a";
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_NOTHING);
+  replicas[3].zone = "b";
+  replicas[3].is_settled = false;
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_NOTHING);
+  replicas[3].is_settled = true;
   g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
                    CONTROL_KEEPER_PROMOTE);
   g_assert_cmpuint (which, ==, 3);
@@ -90,6 +136,19 @@
   g_assert_cmpuint (which, ==, 1);
 }
 
+/** A restart in place costs no vote: nobody is there to take it. */
+static void
+test_restart_in_place (void)
+{
+  control_keeper_replica_t replicas[]
+      = { make_voter ("a", 1), make_voter ("b", 2), make_voter ("c", 3) };
+  size_t which;
+
+  replicas[1].is_leaving = replicas[1].is_silent = true;
+  g_assert_cmpint (control_keeper_next_step (replicas, 3, VOTERS, &which), ==,
+                   CONTROL_KEEPER_NOTHING);
+}
+
 /** With more instances than voters, the surplus instances replicate without a
  * vote, and one becomes a voter when a voter is gone. */
 static void
@@ -116,6 +175,8 @@
   g_test_add_func ("/control-keeper/down", test_down_member_is_kept);
   g_test_add_func ("/control-keeper/lost-disk", test_lost_disk);
   g_test_add_func ("/control-keeper/exchanged", test_lost_member_is_replaced);
+  g_test_add_func ("/control-keeper/planned-stop", test_planned_stop);
+  g_test_add_func ("/control-keeper/restart-in-place", test_restart_in_place);
   g_test_add_func ("/control-keeper/spare", test_spare_votes_only_when_needed);
   return g_test_run ();
 }
