gateway: send a request again only on a new connection

Cause: all upstreams had turned it away for a second. After that it went to one of them again, on the connection that was kept; that upstream sent its refusal once more and then ran the request. Both sends bear the id of the same caller's attempt, so the id did not tell the copy from the answer: the request "had not run" and went to another upstream. Only routes of the kind "unsafe" had new connections.

Change: what decides is whether a wrong match can do harm. A request that may run once has a new connection, and any request has one at an upstream to which it was sent before.

--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -144,6 +144,31 @@
     gateway_send (request);
 }
 
+static bool
+was_sent_to (const gateway_request_t *request, uint64_t upstream_key)
+{
+  for (uint32_t i = 0; i < request->sent_count; i++)
+    if (request->sent_to[i] == upstream_key)
+      return true;
+  return false;
+}
+
+static void
+record_sent (gateway_request_t *request)
+{
+  if (request->sent_count < GATEWAY_MAX_ATTEMPTS)
+    request->sent_to[request->sent_count++] = request->upstream_key;
+}
+
+/** Tells whether an answer that was meant for an earlier request, or a
+ * connection that the upstream closes at this moment, could do harm. */
+static bool
+needs_new_connection (const gateway_request_t *request)
+{
+  return !is_repeatable (request)
+         || was_sent_to (request, request->upstream_key);
+}
+
 void
 gateway_send (gateway_request_t *request)
 {
@@ -155,13 +180,14 @@
           .method = caller_request_method (request->caller),
           .target = caller_request_target (request->caller),
           .fields = &fields,
-          .use_new_connection = request->route.kind == ROUTE_UNSAFE,
+          .use_new_connection = needs_new_connection (request),
           .callbacks = &gateway_relay_callbacks,
           .context = request };
 
   options.body = caller_request_body (request->caller, &options.body_bytes);
   options.always_send_length = strcmp (options.method, "GET") != 0
                                && strcmp (options.method, "HEAD") != 0;
+  record_sent (request);
   request->attempt_ms = clock_mono_ms ();
   request->exchange = exchange_send (request->gateway->pool, &options);
   request->attempt_due_ms = stall_time_ms (request);
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -113,6 +113,10 @@
   uint32_t possible_runs; /* failed attempts that an upstream may have run */
   uint32_t attempt_count; /* all attempts, including those not sent */
   uint64_t avoid[GATEWAY_MAX_ATTEMPTS]; /* upstreams tried before */
+  /* Upstreams to which the request was sent: their connections may carry a
+   * second answer to it. */
+  uint64_t sent_to[GATEWAY_MAX_ATTEMPTS];
+  uint32_t sent_count;
   bool may_have_run;
   zone_ask_t *ask; /* for an upstream, or to move a stalled attempt, or NULL */
 
@@ -130,7 +134,6 @@
   double predicted_ms;
   bool is_limited; /* counted within the rate limit of the upstream */
   bool has_head;
-  bool is_mismatched;     /* the answer belongs to another request */
   bool has_invalid_event; /* the rest of the stream is ignored */
   uint32_t attempt_events;
   gateway_answer_info_t answer;
--- a/t/lib-scripted.c
+++ b/t/lib-scripted.c
@@ -15,6 +15,7 @@
 {
   scripted_t *upstream;
   bool answered;
+  uint32_t answers;
   struct event *filler; /* timer of ACT_ENDLESS, or NULL */
   struct bufferevent *stream;
 } connection_t;
@@ -82,6 +83,23 @@
   event_add (connection->filler, &interval);
 }
 
+/** Answers with the id of the request, after the copy that is due. */
+static void
+send_after_copy (connection_t *connection, const char *request)
+{
+  const char *id = strstr (request, "X-Id: ");
+  char *head = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nX-Signed: 1\r\n%.*s\r\nContent-Length: 18\r\n\r\n"
+      "id: 1\ndata: body\n\n",
+      id != NULL ? (int)strcspn (id, "\r") : 0, id);
+
+  if (connection->answers > 1)
+    scripted_write (connection->stream, connection->upstream->text);
+  scripted_write (connection->stream, head);
+  connection->upstream->runs++;
+  g_free (head);
+}
+
 static void
 send_answer (connection_t *connection,
              struct bufferevent *stream,
@@ -90,6 +108,7 @@
   static const char head[] = "HTTP/1.1 200 OK\r\nX-Signed: 1\r\n";
 
   connection->answered = connection->upstream->act != ACT_NO_ANSWER;
+  connection->answers++;
   switch (connection->upstream->act)
     {
     case ACT_ANSWER:
@@ -145,6 +164,9 @@
     case ACT_TEXT_CUT:
       scripted_write (stream, connection->upstream->text);
       break;
+    case ACT_COPY:
+      send_after_copy (connection, request);
+      break;
     case ACT_ENDLESS:
       scripted_write (stream, connection->upstream->text);
       start_filler (connection);
@@ -183,6 +205,7 @@
     {
       evbuffer_drain (in, length);
       connection->upstream->requests++;
+      connection->upstream->latest = stream;
       g_string_assign (connection->upstream->last, text);
       send_answer (connection, stream, text);
     }
@@ -211,6 +234,7 @@
       evconnlistener_get_base (listener), fd, BEV_OPT_CLOSE_ON_FREE);
 
   connection->upstream = context;
+  connection->upstream->connections++;
   connection->stream = stream;
   bufferevent_setcb (stream, on_request_bytes, on_written, on_connection_event,
                      connection);
@@ -253,14 +277,24 @@
                                             upstream, upstream->address);
 }
 
+static void
+send_at_once (struct bufferevent *stream, const char *text)
+{
+  ssize_t sent = send (bufferevent_getfd (stream), text, strlen (text), 0);
+
+  g_assert_cmpint (sent, ==, (ssize_t)strlen (text));
+}
+
 void
 scripted_send_held (scripted_t *upstream)
 {
-  static const char rest[] = "f\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n";
-  ssize_t sent
-      = send (bufferevent_getfd (upstream->held), rest, strlen (rest), 0);
+  send_at_once (upstream->held, "f\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n");
+}
 
-  g_assert_cmpint (sent, ==, (ssize_t)strlen (rest));
+void
+scripted_send_latest (scripted_t *upstream, const char *text)
+{
+  send_at_once (upstream->latest, text);
 }
 
 void
--- a/t/lib-scripted.h
+++ b/t/lib-scripted.h
@@ -28,6 +28,8 @@
   ACT_NO_ANSWER,   /* reads the request and never answers */
   ACT_TEXT,        /* sends the field "text" */
   ACT_TEXT_CUT,    /* sends the field "text", then closes */
+  ACT_COPY,    /* as ACT_ANSWER, with the request's id; on a connection that has
+                  answered before, the field "text" comes first */
   ACT_ENDLESS, /* sends the field "text", then "filler" until it is closed */
 } act_t;
 
@@ -44,8 +46,11 @@
   struct bufferevent
       *held;         /* connection whose answer ACT_STREAM_HELD holds back */
   uint32_t requests; /* number of requests received */
-  uint32_t closed;   /* connections closed by the gateway before an answer */
-  GString *last;     /* last request received */
+  uint32_t runs;     /* number of answers of ACT_COPY */
+  uint32_t connections;
+  struct bufferevent *latest; /* connection of the last request */
+  uint32_t closed; /* connections closed by the gateway before an answer */
+  GString *last;   /* last request received */
 } scripted_t;
 
 /** Listens on a free loopback address; stopped with scripted_stop(). */
@@ -63,6 +68,10 @@
  */
 void scripted_send_held (scripted_t *upstream);
 
+/** Sends a text on the connection of the last request at once, bypassing the
+ * event loop. */
+void scripted_send_latest (scripted_t *upstream, const char *text);
+
 /** Writes a loopback address whose port was free at the time of the call. */
 void scripted_find_free_address (struct event_base *base, char text[32]);
 
