exchange: keep no connection whose last answer can't be told by an id

Cause: orders have no id and shared connections with the requests of callers; an answer without an id was taken for the right one. Between two orders the same copy makes memory look granted, refused or released that is not.

Change: each order has a connection of its own. On the platform, where upstreams repeat the id in each answer, an answer without one belongs to no request. Bytes that arrived while a connection was idle, also such as were not read yet, show that it is out of step: it is not used.

--- a/engine-memory.c
+++ b/engine-memory.c
@@ -270,6 +270,9 @@
                                .fields = &fields,
                                .body = (const uint8_t *)body,
                                .body_bytes = strlen (body),
+                               /* Answers to orders have no id. */
+                               .use_new_connection = true,
+                               .close_after = true,
                                .callbacks = &callbacks,
                                .context = ticket };
 
--- a/exchange.c
+++ b/exchange.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <talloc.h>
 
 #include "base.h"
@@ -31,6 +32,7 @@
   connection_t *connection;
   exchange_callbacks_t callbacks;
   void *context;
+  bool closes; /* the connection is not kept after the answer */
 };
 
 struct connection
@@ -139,7 +141,7 @@
 {
   struct bufferevent *stream = connection->stream;
 
-  return !connection->has_peer_closed
+  return !connection->has_peer_closed && !connection->exchange->closes
          && http_reader_keeps_alive (connection->reader)
          && evbuffer_get_length (bufferevent_get_input (stream)) == 0
          && evbuffer_get_length (bufferevent_get_output (stream)) == 0
@@ -282,6 +284,19 @@
   return connection;
 }
 
+/** Returns whether the upstream has sent bytes while the connection was idle,
+ * also such as the event loop has not read yet. */
+static bool
+has_received_bytes (const connection_t *connection)
+{
+  struct bufferevent *stream = connection->stream;
+  int waiting_bytes = 0;
+
+  return evbuffer_get_length (bufferevent_get_input (stream)) > 0
+         || (ioctl (bufferevent_getfd (stream), FIONREAD, &waiting_bytes) == 0
+             && waiting_bytes > 0);
+}
+
 /** Removes and returns the most recently used idle connection to @a owner, or
  * NULL if there is none. */
 static connection_t *
@@ -293,7 +308,8 @@
     {
       connection_t *connection = g_ptr_array_index (pool->idle, i);
 
-      if (connection->owner != owner || connection->idle_until_ms <= now_ms)
+      if (connection->owner != owner || connection->idle_until_ms <= now_ms
+          || has_received_bytes (connection))
         continue;
       g_ptr_array_remove_index (pool->idle, i);
       return connection;
@@ -379,6 +395,7 @@
   exchange->connection = connection;
   exchange->callbacks = *options->callbacks;
   exchange->context = options->context;
+  exchange->closes = options->close_after;
   connection->exchange = exchange;
   write_request (connection, options);
   return exchange;
@@ -396,6 +413,12 @@
     talloc_free (connection);
 }
 
+void
+exchange_close_after (exchange_t *exchange)
+{
+  exchange->closes = true;
+}
+
 void
 exchange_set_paused (exchange_t *exchange, bool is_paused)
 {
--- a/exchange.h
+++ b/exchange.h
@@ -5,7 +5,12 @@
  *
  * A connection is reused only if the request was sent in full, the answer ended
  * at its proper end with no bytes after it, and neither side asked to close.
- * Bytes after an answer belong to no request.
+ * Bytes after an answer belong to no request. Bytes that an upstream sends only
+ * after the next request cannot be told from its answer here: the id in an
+ * answer tells them apart. So an answer without an id must not leave a
+ * connection for others (close_after), and a request must not go out on a
+ * connection that may carry a second answer to the same request
+ * (use_new_connection).
  */
 #ifndef EXCHANGE_H
 #define EXCHANGE_H
@@ -67,6 +72,7 @@
   size_t body_bytes;
   bool always_send_length; /**< send Content-Length also for an empty body */
   bool use_new_connection; /**< do not reuse an idle connection */
+  bool close_after;        /**< do not keep the connection after the answer */
   const exchange_callbacks_t *callbacks;
   void *context;
 } exchange_options_t;
@@ -85,6 +91,9 @@
 /** Cancels an exchange and closes its connection; no callback follows. */
 void exchange_cancel (exchange_t *exchange);
 
+/** Closes the connection after the answer, like the option close_after. */
+void exchange_close_after (exchange_t *exchange);
+
 /** Pauses or resumes reading the answer. */
 void exchange_set_paused (exchange_t *exchange, bool is_paused);
 
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -43,15 +43,18 @@
   return request->route.kind == ROUTE_STREAM && request->status == 200;
 }
 
-/** Returns true if the answer belongs to another request, or is a successful
- * answer without an upstream's mark. */
+/** Returns true if the answer belongs to another request or to none, or is a
+ * successful answer without an upstream's mark. */
 static bool
 is_mismatched (const gateway_request_t *request)
 {
   const gateway_answer_info_t *answer = &request->answer;
+  const char *id = request->terms.id;
 
-  if (answer->request_id != NULL
-      && strcmp (answer->request_id, request->terms.id) != 0)
+  if (answer->request_id == NULL && *id != '\0'
+      && request->gateway->options.protocol->answers_have_id)
+    return true;
+  if (answer->request_id != NULL && strcmp (answer->request_id, id) != 0)
     return true;
   return request->status < 300 && !answer->is_signed;
 }
@@ -199,13 +202,18 @@
   request->answer = (gateway_answer_info_t){ 0 };
   request->gateway->options.protocol->read_answer_info (
       request->status, exchange_fields (exchange), &request->answer);
-  request->is_mismatched = is_mismatched (request);
+  if (is_mismatched (request))
+    {
+      /* The connection is out of step and is closed. */
+      fail_attempt (request, RETRY_CROSSED, true);
+      return;
+    }
   if (request->answer.failed_helper != NULL)
     gateway_report_dead_helper (request, request->answer.failed_helper);
+  if (request->answer.request_id == NULL)
+    exchange_close_after (exchange);
   /* The exchange owns these strings, and they are not needed any more. */
   request->answer.request_id = request->answer.failed_helper = NULL;
-  if (request->is_mismatched)
-    return;
   record_upstream_state (request);
   record_upstream_limit (request);
   save_answer_head (request);
@@ -231,7 +239,7 @@
 {
   gateway_request_t *request = context;
 
-  if (request->is_mismatched || request->has_invalid_event)
+  if (request->has_invalid_event)
     return;
   if (request->events != NULL)
     {
@@ -318,9 +326,7 @@
   gateway_request_t *request = context;
 
   request->exchange = NULL;
-  if (request->is_mismatched)
-    fail_attempt (request, RETRY_CROSSED, true);
-  else if (request->events != NULL)
+  if (request->events != NULL)
     end_stream (request);
   else
     end_call (request);
--- a/gateway.h
+++ b/gateway.h
@@ -89,6 +89,8 @@
    * ticket; freed with g_free(). */
   char *(*write_release_order) (const char *ticket);
   const char *order_target; /**< path to which orders are sent */
+  /** Upstreams repeat the id of a request in each answer to it. */
+  bool answers_have_id;
 } gateway_protocol_t;
 
 typedef struct gateway gateway_t;
--- a/t/t8075-engine-memory.c
+++ b/t/t8075-engine-memory.c
@@ -3,6 +3,7 @@
  * when the engine leaves orders unanswered or carries them out late.
  */
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <glib.h>
@@ -115,16 +116,26 @@
   void *parent;
   engine_t engine;
   engine_memory_t *memory;
+  exchange_pool_t *pool;
+  uint32_t connections; /* accepted by the engine */
   char address[32];
   int held;          /* 1: granted, 0: not granted, -1: no answer yet */
   uint64_t released; /* job whose reservation was released last */
 } orders_t;
 
+static struct bufferevent *
+count_connection (struct event_base *base, void *context)
+{
+  ((orders_t *)context)->connections++;
+  return bufferevent_socket_new (base, -1, 0);
+}
+
 static orders_t *
 orders_new (void)
 {
   orders_t *orders = g_new0 (orders_t, 1);
-  exchange_pool_options_t pool = { .connect_timeout_ms = 500 };
+  exchange_pool_options_t pool
+      = { .connect_timeout_ms = 500, .idle_timeout_ms = 5000 };
   engine_memory_options_t options = { .protocol = &protocol,
                                       .on_released = on_released,
                                       .context = &orders->released };
@@ -141,7 +152,8 @@
   g_assert_cmpint (evhttp_bind_socket (orders->http, ip, (uint16_t)port), ==,
                    0);
   evhttp_set_gencb (orders->http, on_order, &orders->engine);
-  options.pool = exchange_pool_new (orders->parent, &pool);
+  evhttp_set_bevcb (orders->http, count_connection, orders);
+  options.pool = orders->pool = exchange_pool_new (orders->parent, &pool);
   options.metrics = metrics_new (orders->parent);
   orders->memory = engine_memory_new (orders->parent, &options);
   return orders;
@@ -229,6 +241,28 @@
   orders_free (orders);
 }
 
+/* Guards against: the second copy of an answer to an order, which has no id, is
+ * taken for the answer to the next request or order on the connection (MIXED,
+ * LEAK). */
+static void
+test_orders_use_own_connections (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      engine_reservation_t *ticket = reserve (orders, i);
+
+      WAIT (orders->held == 1);
+      g_assert_cmpuint (orders->connections, ==, 2 * i - 1);
+      engine_memory_release (ticket);
+      WAIT (orders->released == i);
+      g_assert_cmpuint (orders->connections, ==, 2 * i);
+    }
+  orders_free (orders);
+}
+
 /* Guards against: memory that stays reserved after its request because an
  * engine leaves most orders unanswered (LEAK). What remains of MEMORY_FREE_MS
  * after an instance was taken for lost must suffice for many orders. */
@@ -343,6 +377,8 @@
   g_test_init (&argc, &argv, NULL);
   base_init ("t8075-engine-memory");
   logging_init (LOGGING_ERROR);
+  g_test_add_func ("/engine-memory/orders-use-own-connections",
+                   test_orders_use_own_connections);
   g_test_add_func ("/engine-memory/tickets", test_reservations);
   g_test_add_func ("/engine-memory/lease", test_lease_follows_request);
   g_test_add_func ("/engine-memory/unanswered-releases",
