control: let a voter that was replaced while it was away join again

Seen: found on the way, while the silence of a voter was looked at. A voter that stands still or is cut off while a learner is ready is removed. When it is back, it never returned to the group: it answered reads with 503 until it lost its disk.

Cause: it takes itself for a member, so it sends no hello and waits for a leader; the leader no longer knows it, and the others ignore its votes as they hear the leader.

Change: a replica without contact to a leader asks the members to join, like one that is none.

Evidence: on /node-replaced/while-frozen fails with "'!is_voter (nodes, frozen)' should be TRUE" after 20 s; it passes now: the replica is a learner, and takes the vote of the next one that is lost.

--- a/control-group.c
+++ b/control-group.c
@@ -283,8 +283,11 @@
 void
 control_group_tick (control_group_t *group, uint64_t now_ms)
 {
+  bool is_connected = is_member (group)
+                      && raft_has_recent_contact (group->server->raft, now_ms);
+
   tick_membership (group, now_ms);
-  if (is_member (group) || group->stopped_ms > 0 || now_ms < group->hello_due_ms)
+  if (is_connected || group->stopped_ms > 0 || now_ms < group->hello_due_ms)
     return;
   group->hello_due_ms = now_ms + HELLO_INTERVAL_MS;
   if (own_group_id (group) == 0 && can_found_group (group))
--- a/t/t8201-node-replaced.c
+++ b/t/t8201-node-replaced.c
@@ -112,11 +112,40 @@
   nodes_free (nodes);
 }
 
+/* Guards against: a voter that was replaced while it stood still never returns
+ * to the group, as it takes itself for a member (CONFIG). */
+static void
+test_replaced_while_frozen (void)
+{
+  nodes_t *nodes = nodes_new (5);
+  int place;
+  int frozen;
+
+  cluster_allow_self_kills (nodes->cluster);
+  nodes_start (nodes, FIRST_SPARE, false);
+  cluster_sleep_ms (CATCH_UP_MS);
+  CLUSTER_WAIT (find_seed (nodes, true) >= 0);
+  place = find_seed (nodes, false);
+  frozen = nodes->seeds[place];
+  process_signal (nodes->process[frozen], SIGSTOP);
+  CLUSTER_WAIT (is_voter (nodes, FIRST_SPARE));
+  nodes->seeds[place] = FIRST_SPARE;
+  process_signal (nodes->process[frozen], SIGCONT);
+  CLUSTER_WAIT (!is_voter (nodes, frozen));
+  /* It takes the place of the next one that is lost. */
+  place = find_seed (nodes, false);
+  process_signal (nodes->process[nodes->seeds[place]], SIGKILL);
+  CLUSTER_WAIT (is_voter (nodes, frozen));
+  CLUSTER_WAIT (nodes_put_config (nodes, frozen, 6) == 200);
+  nodes_free (nodes);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/node-replaced/in-a-row", test_replaced_in_a_row);
   g_test_add_func ("/node-replaced/handed-over", test_vote_is_handed_over);
+  g_test_add_func ("/node-replaced/while-frozen", test_replaced_while_frozen);
   return g_test_run ();
 }
