exchange: keep the newest idle connections

Cause: when as many connections were idle as allowed, the one just used was closed and older ones were kept, which expire first.

Change: the oldest is closed instead. The new one is the one that can be used for longest.

--- a/exchange.c
+++ b/exchange.c
@@ -122,18 +122,26 @@
   return MIN (seconds, 3600) * 1000;
 }
 
-static uint32_t
-count_idle_connections (const exchange_pool_t *pool, uint64_t owner)
+/** Closes the oldest idle connection to @a owner if there are as many as
+ * allowed: the newest one can be used for longest. */
+static void
+make_room_for_idle (exchange_pool_t *pool, uint64_t owner)
 {
+  connection_t *oldest = NULL;
   uint32_t count = 0;
 
   for (guint i = 0; i < pool->idle->len; i++)
     {
-      const connection_t *other = g_ptr_array_index (pool->idle, i);
+      connection_t *connection = g_ptr_array_index (pool->idle, i);
 
-      count += other->owner == owner;
+      if (connection->owner != owner)
+        continue;
+      if (oldest == NULL)
+        oldest = connection;
+      count++;
     }
-  return count;
+  if (count >= MAX_IDLE_CONNECTIONS)
+    talloc_free (oldest);
 }
 
 static bool
@@ -145,9 +153,7 @@
          && http_reader_keeps_alive (connection->reader)
          && evbuffer_get_length (bufferevent_get_input (stream)) == 0
          && evbuffer_get_length (bufferevent_get_output (stream)) == 0
-         && keep_alive_ms (connection) > IDLE_MARGIN_MS
-         && count_idle_connections (connection->pool, connection->owner)
-                < MAX_IDLE_CONNECTIONS;
+         && keep_alive_ms (connection) > IDLE_MARGIN_MS;
 }
 
 static void
@@ -167,6 +173,7 @@
   connection->idle_until_ms
       = clock_mono_ms () + keep_alive_ms (connection) - IDLE_MARGIN_MS;
   http_reader_reset (connection->reader);
+  make_room_for_idle (connection->pool, connection->owner);
   g_ptr_array_add (connection->pool->idle, connection);
 }
 
--- a/t/t8083-gateway-late-answers.c
+++ b/t/t8083-gateway-late-answers.c
@@ -183,6 +183,57 @@
   gateway_fixture_free (fixture);
 }
 
+/** Sends several requests at once, each on a connection of its own, and waits
+ * for their answers. */
+static void
+send_at_once (gateway_fixture_t *fixture,
+              exchange_pool_t *pool,
+              const exchange_options_t *options,
+              uint32_t requests)
+{
+  exchange_count_t *count = options->context;
+
+  count->ends = 0;
+  for (uint32_t i = 0; i < requests; i++)
+    exchange_send (pool, options);
+  GATEWAY_WAIT (count->ends == requests);
+}
+
+/* Guards against: the connection that was used last is closed and an older one
+ * kept when there are as many idle ones as allowed. */
+static void
+test_newest_connection_is_kept (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_new ();
+  scripted_t *upstream = &fixture->upstreams[0];
+  exchange_pool_options_t pool_options = { .base = fixture->base,
+                                           .connect_timeout_ms = 500,
+                                           .idle_timeout_ms = 5000 };
+  exchange_pool_t *pool = exchange_pool_new (NULL, &pool_options);
+  exchange_count_t count = { 0 };
+  http_fields_t fields = { 0 };
+  exchange_options_t options = { .address = upstream->address,
+                                 .owner = 1,
+                                 .method = "GET",
+                                 .target = "/",
+                                 .fields = &fields,
+                                 .use_new_connection = true,
+                                 .callbacks = &counting,
+                                 .context = &count };
+  struct bufferevent *newest;
+
+  let_both (fixture, ACT_TEXT, ANSWER_WITH_ID);
+  send_at_once (fixture, pool, &options, 12);
+  send_at_once (fixture, pool, &options, 1);
+  newest = upstream->latest;
+  options.use_new_connection = false;
+  send_at_once (fixture, pool, &options, 1);
+  g_assert_true (upstream->latest == newest);
+  g_assert_cmpuint (upstream->connections, ==, 13);
+  talloc_free (pool);
+  gateway_fixture_free (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -193,5 +244,7 @@
   g_test_add_func ("/late-answers/connection-is-kept", test_connection_is_kept);
   g_test_add_func ("/late-answers/bytes-before-request",
                    test_bytes_before_request);
+  g_test_add_func ("/late-answers/newest-connection-is-kept",
+                   test_newest_connection_is_kept);
   return g_test_run ();
 }
