callers: tell an answer that is complete from one that is written

"Request ended. how=answered" is written when the end of an answer is put into the connection's buffer, and the last line of a process counts requests, not bytes.

Change: a connection that ends with a complete answer in its buffer, or in the kernel beside unread bytes of the caller, writes a line with the request's id, why it ended, and both amounts; counters tell answers that were written from those that were cut. gateway_has_ended() is the one question that a stopping process asks; its answer is as before. No change of what callers see.

--- a/caller-server.c
+++ b/caller-server.c
@@ -6,8 +6,10 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <glib.h>
+#include <linux/sockios.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
@@ -29,6 +31,18 @@
 
 typedef struct connection connection_t;
 
+/** Why a connection ends. */
+typedef enum
+{
+  END_BY_SERVER, /**< the server is freed */
+  END_ANSWERED,  /**< its last answer is written */
+  END_IDLE,      /**< it is closed as idle */
+  END_ABORTED,   /**< the answer was abandoned */
+  END_TIMEOUT,
+  END_BY_CALLER,
+  END_FAILED,
+} connection_end_t;
+
 struct caller_request
 {
   connection_t *connection;
@@ -45,7 +59,10 @@
   http_reader_t *reader;
   GByteArray *body;
   caller_request_t request;
-  bool is_open; /* a request is being answered */
+  bool is_open;    /* a request is being answered */
+  char *last_id;   /* of the last request, or NULL */
+  bool has_answer; /* an answer is complete and may not be written yet */
+  connection_end_t end;
   bool is_too_large;
   bool close_after_reply; /* close the connection after the current answer */
   bool is_read_paused;    /* the caller has sent too much ahead */
@@ -58,13 +75,75 @@
   GHashTable *connections; /* connection_t, as a set */
   uint32_t open_requests;
   bool is_draining;
+  metric_t *answers_written;
+  metric_t *answers_cut;
 };
 
+static const char *
+end_name (connection_end_t end)
+{
+  static const char *const names[] = { [END_BY_SERVER] = "server_ended",
+                                       [END_ANSWERED] = "answered",
+                                       [END_IDLE] = "idle",
+                                       [END_ABORTED] = "aborted",
+                                       [END_TIMEOUT] = "timeout",
+                                       [END_BY_CALLER] = "caller_closed",
+                                       [END_FAILED] = "failed" };
+
+  return names[end];
+}
+
+/** Returns a number that the kernel knows of the connection's socket, 0 if it
+ * cannot tell. */
+static uint32_t
+socket_bytes (const connection_t *connection, unsigned long request)
+{
+  int bytes = 0;
+
+  if (ioctl (bufferevent_getfd (connection->stream), request, &bytes) != 0)
+    return 0;
+  return bytes > 0 ? (uint32_t)bytes : 0;
+}
+
+static size_t
+unsent_bytes (const connection_t *connection)
+{
+  return evbuffer_get_length (bufferevent_get_output (connection->stream));
+}
+
+/** Records the end of a connection whose last answer is complete but may not
+ * have reached the caller: bytes of it are left here or in the kernel, which
+ * drops them if the caller's own bytes are unread. */
+static void
+record_undelivered (const connection_t *connection)
+{
+  size_t unsent = unsent_bytes (connection);
+  uint32_t unacked = socket_bytes (connection, SIOCOUTQ);
+  uint32_t unread = socket_bytes (connection, FIONREAD);
+
+  if (unsent > 0)
+    metric_add (connection->server->answers_cut, 1);
+  if (unsent > 0 || (unacked > 0 && unread > 0))
+    log_warn ("Connection ended before its answer was delivered. request=%s "
+              "end=%s unsent_bytes=%zu unacked_bytes=%u unread_bytes=%u",
+              connection->last_id != NULL ? connection->last_id : "-",
+              end_name (connection->end), unsent, unacked, unread);
+}
+
+static void
+end_connection (connection_t *connection, connection_end_t end)
+{
+  connection->end = end;
+  talloc_free (connection);
+}
+
 static int
 free_connection (connection_t *connection)
 {
   caller_server_t *server = connection->server;
 
+  if (connection->has_answer && !connection->is_open)
+    record_undelivered (connection);
   if (connection->is_open)
     server->open_requests--;
   g_hash_table_remove (server->connections, connection);
@@ -192,10 +271,21 @@
   connection_t *connection = context;
   caller_server_t *server = connection->server;
 
+  if (connection->has_answer)
+    metric_add (server->answers_written, 1);
+  connection->has_answer = false;
   if (connection->is_open)
     server->options.on_drained (&connection->request, server->options.context);
   else if (connection->close_after_reply)
-    talloc_free (connection);
+    end_connection (connection, END_ANSWERED);
+}
+
+static connection_end_t
+end_from_event (short what)
+{
+  if ((what & BEV_EVENT_TIMEOUT) != 0)
+    return END_TIMEOUT;
+  return (what & BEV_EVENT_EOF) != 0 ? END_BY_CALLER : END_FAILED;
 }
 
 static void
@@ -206,7 +296,7 @@
 
   if (connection->is_open)
     server->options.on_gone (&connection->request, server->options.context);
-  talloc_free (connection);
+  end_connection (connection, end_from_event (what));
 }
 
 static void
@@ -262,6 +352,15 @@
 
   server->options = *options;
   server->connections = g_hash_table_new (NULL, NULL);
+  server->answers_written
+      = metrics_counter (options->metrics, "lwm_callers_answers_written_total",
+                         "Complete answers, of upstreams or our own, written "
+                         "to the caller's connection.",
+                         NULL);
+  server->answers_cut = metrics_counter (
+      options->metrics, "lwm_callers_answers_cut_total",
+      "Complete answers whose connection ended before they were written.",
+      NULL);
   talloc_set_destructor (server, free_server);
   if (evutil_parse_sockaddr_port (options->listen, (struct sockaddr *)&address,
                                   &address_bytes)
@@ -311,7 +410,7 @@
           && !http_reader_has_begun (connection->reader)
           && evbuffer_get_length (bufferevent_get_input (connection->stream))
                  == 0)
-        talloc_free (connection);
+        end_connection (connection, END_IDLE);
     }
   g_list_free (connections);
 }
@@ -365,6 +464,15 @@
   return request->data;
 }
 
+void
+caller_request_set_id (caller_request_t *request, const char *id)
+{
+  connection_t *connection = request->connection;
+
+  talloc_free (connection->last_id);
+  connection->last_id = talloc_strdup (connection, id);
+}
+
 void
 caller_reply_begin (caller_request_t *request,
                     uint32_t status,
@@ -415,6 +523,7 @@
 finish_request (connection_t *connection)
 {
   connection->is_open = false;
+  connection->has_answer = true;
   connection->server->open_requests--;
   connection->request = (caller_request_t){ .connection = connection };
   g_byte_array_set_size (connection->body, 0);
@@ -446,12 +555,11 @@
 void
 caller_reply_abort (caller_request_t *request)
 {
-  talloc_free (request->connection);
+  end_connection (request->connection, END_ABORTED);
 }
 
 size_t
 caller_reply_pending_bytes (const caller_request_t *request)
 {
-  return evbuffer_get_length (
-      bufferevent_get_output (request->connection->stream));
+  return unsent_bytes (request->connection);
 }
--- a/caller-server.h
+++ b/caller-server.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "http-reader.h"
+#include "metric.h"
 
 struct event_base;
 
@@ -43,6 +44,7 @@
   /** All data written to the caller has been sent. */
   void (*on_drained) (caller_request_t *request, void *context);
   void *context;
+  metrics_t *metrics;
 } caller_server_options_t;
 
 /**
@@ -86,6 +88,9 @@
 void caller_request_set_data (caller_request_t *request, void *data);
 void *caller_request_data (const caller_request_t *request);
 
+/** Sets the id of the request in log lines about its connection. */
+void caller_request_set_id (caller_request_t *request, const char *id);
+
 /**
  * Sends the head of the answer.
  * @param fields header fields without hop-by-hop fields
--- a/gateway.c
+++ b/gateway.c
@@ -270,6 +270,7 @@
   gateway_request_t *request;
 
   gateway->options.protocol->read_request_info (fields, &terms);
+  caller_request_set_id (caller, terms.id);
   if (gateway->config == NULL)
     {
       if (!gateway_hold_at_startup (gateway, caller, terms.id))
@@ -413,7 +414,8 @@
                                       .on_request = on_request,
                                       .on_gone = on_gone,
                                       .on_drained = on_drained,
-                                      .context = gateway };
+                                      .context = gateway,
+                                      .metrics = gateway->options.metrics };
 
   talloc_free (empty);
   if (!gateway_open_placement (gateway))
@@ -529,3 +531,9 @@
 {
   return caller_server_open_requests (gateway->callers);
 }
+
+bool
+gateway_has_ended (const gateway_t *gateway)
+{
+  return caller_server_open_requests (gateway->callers) == 0;
+}
--- a/gateway.h
+++ b/gateway.h
@@ -142,4 +142,8 @@
 /** Returns the number of open requests. */
 uint32_t gateway_open_requests (const gateway_t *gateway);
 
+/** Returns whether the gateway, after gateway_close(), owes its callers nothing
+ * more: the process may end. */
+bool gateway_has_ended (const gateway_t *gateway);
+
 #endif
--- a/node-entry.c
+++ b/node-entry.c
@@ -220,7 +220,7 @@
   if (passed_ms < ACCEPT_WHILE_STOPPING_MS)
     return;
   gateway_close (entry->gateway);
-  if (gateway_open_requests (entry->gateway) > 0
+  if (!gateway_has_ended (entry->gateway)
       && passed_ms + EXIT_MARGIN_MS < limit_ms)
     return;
   log_info ("Stopped. open_requests=%u took_ms=%ju",
