--- /dev/null
+++ b/t/t8063-gateway-stop.c
@@ -0,0 +1,230 @@
+/*
+ * Stops a gateway while callers still read answers, send requests or wait: what
+ * was accepted is delivered or refused.
+ */
+#include <errno.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "lib-gateway.h"
+#include "logging.h"
+
+/** Size of an answer that is larger than all buffers of the kernel. */
+#define LARGE_ANSWER_BYTES (12u * 1024 * 1024)
+#define LARGE_EVENT_BYTES  (64u * 1024)
+#define LARGE_BODY_BYTES   (7u * 1024 * 1024)
+/** Read by a slow caller in one turn of the loop. */
+#define READ_BYTES         (64u * 1024)
+#define SMALL_WINDOW_BYTES 8192
+
+/** A caller with a socket of its own, which reads only when it is told to. */
+typedef struct
+{
+  gateway_fixture_t *fixture;
+  int fd;
+  GString *answer;
+  bool has_end;   /* the gateway has shut its sending side */
+  bool was_reset; /* the connection ended in another way */
+} caller_t;
+
+static caller_t *
+caller_new (gateway_fixture_t *fixture)
+{
+  caller_t *caller = g_new0 (caller_t, 1);
+  struct sockaddr_in address;
+  int size = sizeof address;
+  int window = SMALL_WINDOW_BYTES;
+
+  evutil_parse_sockaddr_port (fixture->listen, (struct sockaddr *)&address,
+                              &size);
+  caller->fixture = fixture;
+  caller->answer = g_string_new (NULL);
+  caller->fd = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (caller->fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+  g_assert_cmpint (
+      connect (caller->fd, (struct sockaddr *)&address, (socklen_t)size), ==,
+      0);
+  evutil_make_socket_nonblocking (caller->fd);
+  return caller;
+}
+
+static void
+caller_free (caller_t *caller)
+{
+  close (caller->fd);
+  g_string_free (caller->answer, TRUE);
+  g_free (caller);
+}
+
+/** Sends what the socket takes; returns the number of bytes. */
+static size_t
+caller_send (caller_t *caller, const char *text, size_t size_bytes)
+{
+  ssize_t sent = send (caller->fd, text, size_bytes, MSG_NOSIGNAL);
+
+  return sent > 0 ? (size_t)sent : 0;
+}
+
+/** Reads once, if anything is there. Returns whether the answer is over. */
+static bool
+caller_read (caller_t *caller)
+{
+  char piece[READ_BYTES];
+  ssize_t got = recv (caller->fd, piece, sizeof piece, 0);
+
+  if (got > 0)
+    g_string_append_len (caller->answer, piece, got);
+  else if (got == 0)
+    caller->has_end = true;
+  else if (errno != EAGAIN)
+    caller->was_reset = true;
+  return caller->has_end || caller->was_reset;
+}
+
+static bool
+caller_has_text (caller_t *caller, const char *text)
+{
+  caller_read (caller);
+  return strstr (caller->answer->str, text) != NULL;
+}
+
+static bool
+ends_with (const caller_t *caller, const char *text)
+{
+  return g_str_has_suffix (caller->answer->str, text);
+}
+
+/** An answer of one piece, or a stream of events, larger than all buffers. */
+static char *
+large_answer (void)
+{
+  GString *text = g_string_new (NULL);
+  char *body = g_strnfill (LARGE_BODY_BYTES, 'x');
+
+  g_string_printf (text,
+                   "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: %u\r\n"
+                   "\r\n%s",
+                   LARGE_BODY_BYTES, body);
+  g_free (body);
+  return g_string_free (text, FALSE);
+}
+
+static char *
+large_stream (void)
+{
+  GString *text = g_string_new ("HTTP/1.1 200 OK\r\nX-Signed: 1\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n");
+  char *data = g_strnfill (LARGE_EVENT_BYTES, 'x');
+
+  for (uint32_t id = 1; text->len < LARGE_ANSWER_BYTES; id++)
+    {
+      char *event = g_strdup_printf ("id: %u\ndata: %s\n\n", id, data);
+
+      g_string_append_printf (text, "%zx\r\n%s\r\n", strlen (event), event);
+      g_free (event);
+    }
+  g_string_append (text, "0\r\n\r\n");
+  g_free (data);
+  return g_string_free (text, FALSE);
+}
+
+/** Ends the gateway as the process does when it has nothing more to do. */
+static void
+end_gateway (gateway_fixture_t *fixture)
+{
+  TALLOC_FREE (fixture->gateway);
+}
+
+/** Stops the gateway step by step, as its process does, until it has ended;
+ * the caller reads a little in each step. */
+static void
+stop_while_reading (gateway_fixture_t *fixture, caller_t *caller)
+{
+  uint64_t limit_ms = clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS;
+
+  while (!gateway_has_ended (fixture->gateway) && clock_mono_ms () < limit_ms)
+    {
+      gateway_close (fixture->gateway);
+      event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+      caller_read (caller);
+    }
+  end_gateway (fixture);
+  GATEWAY_WAIT (caller_read (caller));
+}
+
+/** A stop that ends the process while an answer is in its own buffer: an answer
+ * that became complete in the turn of the loop in which nothing was open. */
+static void
+test_answer_of_last_turn (void)
+{
+  gateway_fixture_t *fixture
+      = gateway_fixture_ready (ACT_STREAM_HELD, ACT_FAIL);
+  caller_t *caller = caller_new (fixture);
+
+  caller_send (caller, GET ("/stream/"), strlen (GET ("/stream/")));
+  GATEWAY_WAIT (fixture->upstreams[0].held != NULL);
+  GATEWAY_WAIT (caller_has_text (caller, "data: x"));
+  gateway_drain (fixture->gateway);
+  scripted_send_held (&fixture->upstreams[0]);
+  while (gateway_open_requests (fixture->gateway) > 0)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  stop_while_reading (fixture, caller);
+  g_assert_true (ends_with (caller, "0\r\n\r\n"));
+  caller_free (caller);
+  gateway_fixture_free (fixture);
+}
+
+static void
+check_slow_reader (const char *text, const char *request, bool drains_first)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_TEXT);
+  caller_t *caller = caller_new (fixture);
+  const char *body = strstr (text, "\r\n\r\n");
+  const char *received;
+
+  fixture->upstreams[0].text = fixture->upstreams[1].text = text;
+  if (drains_first)
+    gateway_drain (fixture->gateway);
+  caller_send (caller, request, strlen (request));
+  GATEWAY_WAIT (caller_has_text (caller, "\r\n\r\n"));
+  gateway_drain (fixture->gateway);
+  stop_while_reading (fixture, caller);
+  received = strstr (caller->answer->str, "\r\n\r\n");
+  g_assert_cmpuint (strlen (received), ==, strlen (body));
+  g_assert_false (caller->was_reset);
+  caller_free (caller);
+  gateway_fixture_free (fixture);
+}
+
+/** A stop that ends the process, or takes the connection for idle, while a
+ * caller still reads an answer that is complete in the process. */
+static void
+test_slow_reader (void)
+{
+  char *answer = large_answer ();
+  char *stream = large_stream ();
+
+  check_slow_reader (answer, GET ("/safe/"), true);
+  check_slow_reader (answer, GET ("/safe/"), false);
+  check_slow_reader (stream, GET ("/stream/"), true);
+  check_slow_reader (stream, GET ("/stream/"), false);
+  g_free (answer);
+  g_free (stream);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  base_init ("t8063-gateway-stop");
+  logging_init (LOGGING_ERROR);
+  g_test_add_func ("/gateway-stop/answer-of-last-turn",
+                   test_answer_of_last_turn);
+  g_test_add_func ("/gateway-stop/slow-reader", test_slow_reader);
+  return g_test_run ();
+}
