callers: end no connection while a part of its answer is unsent

Cause: an answer counted as delivered once it was in the process's own buffer. Four ways led from there to a cut: the process ended when no request was open; a connection was closed as idle at a stop; its idle timeout ran out; its caller shut the sending side after its request. The first two also hit small answers, which become complete in the turn of the event loop in which the stop looks.

Evidence: /gateway-stop/answer-of-last-turn (no final chunk) and /gateway-stop/slow-reader (2,195,384 of 7,340,036 bytes) failed before; so did /caller-server/idle-timeout (2,342,868 of 7,340,032) and /caller-server/shut-while-reading (2,211,796).

Change: one question, is_busy(), decides for all four whether a connection still owes its caller something. A stopping process ends once none does, or at its stop timeout.

--- a/caller-server.c
+++ b/caller-server.c
@@ -111,6 +111,14 @@
   return evbuffer_get_length (bufferevent_get_output (connection->stream));
 }
 
+/** Returns whether the connection still owes its caller an answer or a part of
+ * one. */
+static bool
+is_busy (const connection_t *connection)
+{
+  return connection->is_open || unsent_bytes (connection) > 0;
+}
+
 /** Records the end of a connection whose last answer is complete but may not
  * have reached the caller: bytes of it are left here or in the kernel, which
  * drops them if the caller's own bytes are unread. */
@@ -296,6 +304,14 @@
 
   if (connection->is_open)
     server->options.on_gone (&connection->request, server->options.context);
+  else if ((what & (BEV_EVENT_EOF | BEV_EVENT_TIMEOUT)) != 0
+           && unsent_bytes (connection) > 0)
+    {
+      /* No other request comes, but the last answer is still being read. */
+      connection->close_after_reply = true;
+      bufferevent_disable (stream, EV_READ);
+      return;
+    }
   end_connection (connection, end_from_event (what));
 }
 
@@ -406,15 +422,29 @@
     {
       connection_t *connection = item->data;
 
-      if (!connection->is_open && !connection->close_after_reply
+      if (!is_busy (connection) && !connection->close_after_reply
           && !http_reader_has_begun (connection->reader)
           && evbuffer_get_length (bufferevent_get_input (connection->stream))
-                 == 0)
+                 == 0
+          && socket_bytes (connection, FIONREAD) == 0)
         end_connection (connection, END_IDLE);
     }
   g_list_free (connections);
 }
 
+bool
+caller_server_is_busy (const caller_server_t *server)
+{
+  GHashTableIter iterator;
+  void *connection;
+
+  g_hash_table_iter_init (&iterator, server->connections);
+  while (g_hash_table_iter_next (&iterator, &connection, NULL))
+    if (is_busy (connection))
+      return true;
+  return false;
+}
+
 uint32_t
 caller_server_open_requests (const caller_server_t *server)
 {
--- a/caller-server.h
+++ b/caller-server.h
@@ -66,9 +66,14 @@
 /** Closes the listening socket: callers then try another instance at once. */
 void caller_server_close_listener (caller_server_t *server);
 
-/** Closes the connections without an open or partly received request. */
+/** Closes the connections without an open or partly received request and
+ * without a part of an answer that is still to be written. */
 void caller_server_close_idle (caller_server_t *server);
 
+/** Returns whether a request is being answered, or an answer is complete but
+ * not written to its connection yet: one that is closed now would lose it. */
+bool caller_server_is_busy (const caller_server_t *server);
+
 /** Returns the number of requests that are being answered. */
 uint32_t caller_server_open_requests (const caller_server_t *server);
 
--- a/gateway.c
+++ b/gateway.c
@@ -535,5 +535,5 @@
 bool
 gateway_has_ended (const gateway_t *gateway)
 {
-  return caller_server_open_requests (gateway->callers) == 0;
+  return !caller_server_is_busy (gateway->callers);
 }
--- a/t/t8063-gateway-stop.c
+++ b/t/t8063-gateway-stop.c
@@ -2,15 +2,11 @@
  * Stops a gateway while callers still read answers, send requests or wait: what
  * was accepted is delivered or refused.
  */
-#include <errno.h>
 #include <event2/event.h>
-#include <event2/util.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <talloc.h>
-#include <unistd.h>
 
+#include "lib-caller.h"
 #include "lib-gateway.h"
 #include "logging.h"
 
@@ -22,77 +18,6 @@
 #define READ_BYTES         (64u * 1024)
 #define SMALL_WINDOW_BYTES 8192
 
-/** A caller with a socket of its own, which reads only when it is told to. */
-typedef struct
-{
-  gateway_fixture_t *fixture;
-  int fd;
-  GString *answer;
-  bool has_end;   /* the gateway has shut its sending side */
-  bool was_reset; /* the connection ended in another way */
-} caller_t;
-
-static caller_t *
-caller_new (gateway_fixture_t *fixture)
-{
-  caller_t *caller = g_new0 (caller_t, 1);
-  struct sockaddr_in address;
-  int size = sizeof address;
-  int window = SMALL_WINDOW_BYTES;
-
-  evutil_parse_sockaddr_port (fixture->listen, (struct sockaddr *)&address,
-                              &size);
-  caller->fixture = fixture;
-  caller->answer = g_string_new (NULL);
-  caller->fd = socket (AF_INET, SOCK_STREAM, 0);
-  setsockopt (caller->fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-  g_assert_cmpint (
-      connect (caller->fd, (struct sockaddr *)&address, (socklen_t)size), ==,
-      0);
-  evutil_make_socket_nonblocking (caller->fd);
-  return caller;
-}
-
-static void
-caller_free (caller_t *caller)
-{
-  close (caller->fd);
-  g_string_free (caller->answer, TRUE);
-  g_free (caller);
-}
-
-/** Sends what the socket takes; returns the number of bytes. */
-static size_t
-caller_send (caller_t *caller, const char *text, size_t size_bytes)
-{
-  ssize_t sent = send (caller->fd, text, size_bytes, MSG_NOSIGNAL);
-
-  return sent > 0 ? (size_t)sent : 0;
-}
-
-/** Reads once, if anything is there. Returns whether the answer is over. */
-static bool
-caller_read (caller_t *caller)
-{
-  char piece[READ_BYTES];
-  ssize_t got = recv (caller->fd, piece, sizeof piece, 0);
-
-  if (got > 0)
-    g_string_append_len (caller->answer, piece, got);
-  else if (got == 0)
-    caller->has_end = true;
-  else if (errno != EAGAIN)
-    caller->was_reset = true;
-  return caller->has_end || caller->was_reset;
-}
-
-static bool
-caller_has_text (caller_t *caller, const char *text)
-{
-  caller_read (caller);
-  return strstr (caller->answer->str, text) != NULL;
-}
-
 static bool
 ends_with (const caller_t *caller, const char *text)
 {
@@ -164,7 +89,7 @@
 {
   gateway_fixture_t *fixture
       = gateway_fixture_ready (ACT_STREAM_HELD, ACT_FAIL);
-  caller_t *caller = caller_new (fixture);
+  caller_t *caller = caller_new (fixture->listen);
 
   caller_send (caller, GET ("/stream/"), strlen (GET ("/stream/")));
   GATEWAY_WAIT (fixture->upstreams[0].held != NULL);
@@ -183,7 +108,7 @@
 check_slow_reader (const char *text, const char *request, bool drains_first)
 {
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_TEXT);
-  caller_t *caller = caller_new (fixture);
+  caller_t *caller = caller_new (fixture->listen);
   const char *body = strstr (text, "\r\n\r\n");
   const char *received;
 
