callers: shut only the sending side after the last answer

Callers lost the end of an answer, or an error, on a connection that is closed after it, while bytes that they had sent were unread.

Cause: closing a socket with unread bytes resets the connection, and the reset discards what the kernel has not delivered. This happened after 400 and 413 while the caller still wrote, and after each answer with "Connection: close" whose caller had sent more: at a planned stop that is each answer.

Change: after the last answer only the sending side is shut; what comes is discarded until the caller closes, is silent for a second, or five seconds have passed without the caller taking more of its answer.

--- a/caller-server.c
+++ b/caller-server.c
@@ -24,6 +24,12 @@
  * current request is answered. */
 #define MAX_PIPELINED_BYTES (64u * 1024)
 #define BODY_TIMEOUT_MS     10000
+/** Time without a byte from the caller, and longest time of all, for which a
+ * connection is read on after its last answer. A connection that is closed with
+ * unread bytes is reset, and the reset takes what the caller has not got yet.
+ */
+#define LINGER_SILENCE_MS 1000
+#define LINGER_MAX_MS     5000
 
 /** Detects an unreachable caller, whose request need not be answered. */
 static const socket_watch_t caller_watch
@@ -66,6 +72,9 @@
   bool is_too_large;
   bool close_after_reply; /* close the connection after the current answer */
   bool is_read_paused;    /* the caller has sent too much ahead */
+  bool is_lingering; /* the sending side is shut; what comes is discarded */
+  uint64_t linger_until_ms;
+  uint32_t unacked_bytes; /* while lingering, when last looked */
 };
 
 struct caller_server
@@ -116,7 +125,8 @@
 static bool
 is_busy (const connection_t *connection)
 {
-  return connection->is_open || unsent_bytes (connection) > 0;
+  return connection->is_open || connection->is_lingering
+         || unsent_bytes (connection) > 0;
 }
 
 /** Records the end of a connection whose last answer is complete but may not
@@ -258,13 +268,58 @@
     }
 }
 
+/** Shuts the sending side after the last answer and reads on until the caller
+ * closes, so that nothing of the answer is lost. */
+static void
+begin_lingering (connection_t *connection)
+{
+  struct evbuffer *in = bufferevent_get_input (connection->stream);
+
+  connection->is_lingering = true;
+  connection->linger_until_ms = clock_mono_ms () + LINGER_MAX_MS;
+  connection->unacked_bytes = socket_bytes (connection, SIOCOUTQ);
+  shutdown (bufferevent_getfd (connection->stream), SHUT_WR);
+  evbuffer_drain (in, evbuffer_get_length (in));
+  set_read_timeout (connection, LINGER_SILENCE_MS);
+  bufferevent_enable (connection->stream, EV_READ);
+}
+
+/** Gives a lingering connection more time if its caller has received more of
+ * the answer since the last look, else ends it. */
+static void
+check_lingering (connection_t *connection)
+{
+  uint32_t unacked = socket_bytes (connection, SIOCOUTQ);
+
+  if (unacked >= connection->unacked_bytes)
+    {
+      end_connection (connection, END_ANSWERED);
+      return;
+    }
+  connection->unacked_bytes = unacked;
+  connection->linger_until_ms = clock_mono_ms () + LINGER_MAX_MS;
+  bufferevent_enable (connection->stream, EV_READ);
+}
+
+static void
+discard_input (connection_t *connection)
+{
+  struct evbuffer *in = bufferevent_get_input (connection->stream);
+
+  evbuffer_drain (in, evbuffer_get_length (in));
+  if (clock_mono_ms () >= connection->linger_until_ms)
+    check_lingering (connection);
+}
+
 static void
 on_readable (struct bufferevent *stream, void *context)
 {
   connection_t *connection = context;
   struct evbuffer *in = bufferevent_get_input (stream);
 
-  if (!connection->is_open)
+  if (connection->is_lingering)
+    discard_input (connection);
+  else if (!connection->is_open)
     read_requests (connection);
   else if (evbuffer_get_length (in) > MAX_PIPELINED_BYTES)
     {
@@ -284,8 +339,8 @@
   connection->has_answer = false;
   if (connection->is_open)
     server->options.on_drained (&connection->request, server->options.context);
-  else if (connection->close_after_reply)
-    end_connection (connection, END_ANSWERED);
+  else if (connection->close_after_reply && !connection->is_lingering)
+    begin_lingering (connection);
 }
 
 static connection_end_t
@@ -302,6 +357,11 @@
   connection_t *connection = context;
   caller_server_t *server = connection->server;
 
+  if (connection->is_lingering && (what & BEV_EVENT_TIMEOUT) != 0)
+    {
+      check_lingering (connection);
+      return;
+    }
   if (connection->is_open)
     server->options.on_gone (&connection->request, server->options.context);
   else if ((what & (BEV_EVENT_EOF | BEV_EVENT_TIMEOUT)) != 0
--- a/caller-server.h
+++ b/caller-server.h
@@ -4,7 +4,9 @@
  *
  * A connection has at most one open request. The answer is sent in pieces; an
  * aborted answer never looks complete to the caller. The server reports a
- * closed connection at once, also while its request waits.
+ * closed connection at once, also while its request waits. After the last
+ * answer of a connection only the sending side is shut, and what the caller
+ * still sends is read for a while.
  */
 #ifndef CALLER_SERVER_H
 #define CALLER_SERVER_H
@@ -70,8 +72,9 @@
  * without a part of an answer that is still to be written. */
 void caller_server_close_idle (caller_server_t *server);
 
-/** Returns whether a request is being answered, or an answer is complete but
- * not written to its connection yet: one that is closed now would lose it. */
+/** Returns whether a request is being answered, an answer is not written to its
+ * connection yet, or a caller may not have received the last answer: one that
+ * is closed now could lose it. */
 bool caller_server_is_busy (const caller_server_t *server);
 
 /** Returns the number of requests that are being answered. */
--- a/t/lib-caller.c
+++ b/t/lib-caller.c
@@ -41,6 +41,8 @@
 {
   ssize_t sent = send (caller->fd, text, size_bytes, MSG_NOSIGNAL);
 
+  if (sent < 0 && errno != EAGAIN)
+    caller->was_reset = true;
   return sent > 0 ? (size_t)sent : 0;
 }
 
