gateway: answer each request that still waits when the process stops

Cause: only long prompts were refused at a stop. What waited for the end of a pause, a place or memory, or was at an upstream at the last moment, was freed with the gateway.

Change: one rule for all queues, in a file of its own: when the listener closes, nothing waits any more, except a stream that has begun, which can only go on here; 0.7 s before the stop timeout each open request is ended with an error that tells what may have run.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -4,8 +4,9 @@
  * gateway.c (admits and ends requests), gateway-startup.c (requests that arrive
  * while the instance starts), gateway-place.c (finding upstreams),
  * gateway-attempt.c (sending and retries), gateway-helpers.c
- * (helpers and reserved memory), gateway-relay.c (answers) and
- * gateway-metrics.c. No other file includes this header.
+ * (helpers and reserved memory), gateway-relay.c (answers), gateway-stop.c (the
+ * end of the process) and gateway-metrics.c. No other file includes this
+ * header.
  */
 #ifndef GATEWAY_INTERNAL_H
 #define GATEWAY_INTERNAL_H
@@ -78,6 +79,7 @@
   struct event *startup_timer;
   struct event *tick;
   bool is_draining; /* the process will end */
+  bool is_closed;   /* no connection is accepted, and no request waits */
   gateway_counters_t counters;
 };
 
@@ -155,9 +157,9 @@
   uint32_t longest_gap_ms; /* longest time between two events */
 };
 
-/** Refuses a long prompt that waits for engines while the process is about to
- * end: another instance can serve it. */
-void gateway_refuse_waiting (gateway_request_t *request);
+/** Refuses a request that waits while the process stops, if it may not wait any
+ * more: another instance can serve it. */
+void gateway_refuse_if_stopping (gateway_request_t *request);
 
 /** Admits a request, holds it until the startup ends, or rejects it. */
 void gateway_admit (gateway_t *gateway, caller_request_t *caller);
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -192,20 +192,6 @@
   gateway_place (request);
 }
 
-void
-gateway_refuse_waiting (gateway_request_t *request)
-{
-  static const placement_answer_t none = { .kind = PLACEMENT_NO_UPSTREAM };
-
-  if (request->ask == NULL || request->exchange != NULL
-      || !zone_ask_is_queued (request->ask)
-      || request->terms.prompt_tokens <= GATEWAY_LONG_PROMPT_TOKENS)
-    return;
-  zone_ask_cancel (request->ask);
-  request->ask = NULL;
-  refuse_unplaced (request, &none);
-}
-
 static void
 on_placed (const placement_request_t *placed,
            const placement_answer_t *answer,
@@ -221,8 +207,7 @@
                 request->terms.id, request->service,
                 request->terms.prompt_tokens,
                 zone_placement_queued (request->gateway->placement));
-      if (request->gateway->is_draining)
-        gateway_refuse_waiting (request);
+      gateway_refuse_if_stopping (request);
       return;
     }
   request->ask = NULL;
--- a/gateway.c
+++ b/gateway.c
@@ -510,30 +510,8 @@
   return gateway->placement;
 }
 
-void
-gateway_drain (gateway_t *gateway)
-{
-  gateway->is_draining = true;
-  caller_server_drain (gateway->callers);
-  for (guint i = gateway->open->len; i-- > 0;)
-    gateway_refuse_waiting (g_ptr_array_index (gateway->open, i));
-}
-
-void
-gateway_close (gateway_t *gateway)
-{
-  caller_server_close_listener (gateway->callers);
-  caller_server_close_idle (gateway->callers);
-}
-
 uint32_t
 gateway_open_requests (const gateway_t *gateway)
 {
   return caller_server_open_requests (gateway->callers);
 }
-
-bool
-gateway_has_ended (const gateway_t *gateway)
-{
-  return !caller_server_is_busy (gateway->callers);
-}
--- a/gateway.h
+++ b/gateway.h
@@ -136,9 +136,16 @@
  * prompts do not wait for engines any more. */
 void gateway_drain (gateway_t *gateway);
 
-/** Stops accepting connections and closes those without an open request. */
+/** Stops accepting connections, closes those without an open request, and
+ * refuses the requests that wait: from now on none does, except a stream that
+ * has begun. Called again, it closes the connections that are idle by then. */
 void gateway_close (gateway_t *gateway);
 
+/** Ends each open request now, before the process has to: with an error where
+ * no answer has begun, which says that the request has not run only if that is
+ * certain. */
+void gateway_end_open (gateway_t *gateway);
+
 /** Returns the number of open requests. */
 uint32_t gateway_open_requests (const gateway_t *gateway);
 
--- a/node-entry.c
+++ b/node-entry.c
@@ -22,8 +22,10 @@
 /** Time after a stop request in which new connections are still accepted,
  * because callers continue to connect until they learn of another instance. */
 #define ACCEPT_WHILE_STOPPING_MS 2600
-/** Part of the stop timeout that is reserved for the exit of the process. */
-#define EXIT_MARGIN_MS 400
+/** Parts of the stop timeout that are reserved: for the last answers to
+ * requests that are still open, and for the exit of the process. */
+#define LAST_ANSWERS_MARGIN_MS 700
+#define EXIT_MARGIN_MS         400
 /** Cost of a round trip to another zone. */
 #define ZONE_COST_MS 12
 
@@ -208,7 +210,7 @@
 }
 
 /** Ends the process once callers have had time to move to another instance and
- * every open request is answered, or shortly before the stop timeout. */
+ * have their answers, or shortly before the stop timeout. */
 static void
 exit_if_drained (node_entry_t *entry, uint64_t now_ms)
 {
@@ -220,6 +222,8 @@
   if (passed_ms < ACCEPT_WHILE_STOPPING_MS)
     return;
   gateway_close (entry->gateway);
+  if (passed_ms + LAST_ANSWERS_MARGIN_MS >= limit_ms)
+    gateway_end_open (entry->gateway);
   if (!gateway_has_ended (entry->gateway)
       && passed_ms + EXIT_MARGIN_MS < limit_ms)
     return;
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -263,3 +263,22 @@
   fixture->upstreams[1].act = second;
   return fixture;
 }
+
+void
+gateway_fixture_call (gateway_fixture_t *fixture,
+                      const char *request,
+                      const char *expected)
+{
+  gateway_fixture_send (fixture, request);
+  GATEWAY_WAIT (gateway_fixture_has_text (fixture, expected));
+  GATEWAY_WAIT (gateway_open_requests (fixture->gateway) == 0);
+}
+
+void
+gateway_fixture_earn_retries (gateway_fixture_t *fixture)
+{
+  fixture->upstreams[0].act = fixture->upstreams[1].act = ACT_ANSWER;
+  for (int i = 0; i < 15; i++)
+    gateway_fixture_call (fixture, GET ("/safe/"), "body");
+  fixture->upstreams[0].requests = fixture->upstreams[1].requests = 0;
+}
--- a/t/lib-gateway.h
+++ b/t/lib-gateway.h
@@ -47,6 +47,16 @@
 /** Sends a request over the caller's connection, opened if it is closed. */
 void gateway_fixture_send (gateway_fixture_t *fixture, const char *request);
 
+/** Sends a request and waits until its answer contains a text and nothing is
+ * open. */
+void gateway_fixture_call (gateway_fixture_t *fixture,
+                           const char *request,
+                           const char *expected);
+
+/** Serves requests from which the service has retries to spend, and forgets
+ * that they reached the upstreams. */
+void gateway_fixture_earn_retries (gateway_fixture_t *fixture);
+
 /** Returns whether the answer so far contains a text. */
 bool gateway_fixture_has_text (const gateway_fixture_t *fixture,
                                const char *part);
--- a/t/t8063-gateway-stop.c
+++ b/t/t8063-gateway-stop.c
@@ -14,6 +14,8 @@
 #define LARGE_ANSWER_BYTES (12u * 1024 * 1024)
 #define LARGE_EVENT_BYTES  (64u * 1024)
 #define LARGE_BODY_BYTES   (7u * 1024 * 1024)
+/** As in the fields of the upstreams' answers. */
+#define PAUSE_MS 4000
 /** Read by a slow caller in one turn of the loop. */
 #define READ_BYTES         (64u * 1024)
 #define SMALL_WINDOW_BYTES 8192
@@ -142,6 +144,56 @@
   g_free (stream);
 }
 
+/** A stop that drops a request which waits in a queue, without an answer: here
+ * for the end of a pause of all upstreams. */
+static void
+test_waiting_request (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_TEXT);
+  caller_t *caller = caller_new (fixture->listen);
+  uint64_t begun_ms;
+
+  gateway_fixture_earn_retries (fixture);
+  fixture->upstreams[0].act = fixture->upstreams[1].act = ACT_TEXT;
+  fixture->upstreams[0].text = fixture->upstreams[1].text
+      = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Pause-Ms: 4000\r\n"
+        "Content-Length: 0\r\n\r\n";
+  caller_send (caller, GET ("/safe/"), strlen (GET ("/safe/")));
+  GATEWAY_WAIT (zone_placement_queued (gateway_placement (fixture->gateway))
+                == 1);
+  begun_ms = clock_mono_ms ();
+  gateway_drain (fixture->gateway);
+  stop_while_reading (fixture, caller);
+  g_assert_cmpuint (clock_mono_ms () - begun_ms, <, PAUSE_MS / 2);
+  g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
+  g_assert_nonnull (strstr (caller->answer->str, "\"not_run\":true"));
+  caller_free (caller);
+  gateway_fixture_free (fixture);
+}
+
+/** The process has to end while an upstream works on a request: its caller gets
+ * no answer. The answer may not say that the request has not run. */
+static void
+test_open_at_the_end (void)
+{
+  gateway_fixture_t *fixture
+      = gateway_fixture_ready (ACT_NO_ANSWER, ACT_NO_ANSWER);
+  caller_t *caller = caller_new (fixture->listen);
+
+  caller_send (caller, POST ("/unsafe/"), strlen (POST ("/unsafe/")));
+  GATEWAY_WAIT (gateway_fixture_requests (fixture) == 1);
+  gateway_drain (fixture->gateway);
+  gateway_close (fixture->gateway);
+  event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+  g_assert_false (gateway_has_ended (fixture->gateway));
+  gateway_end_open (fixture->gateway);
+  stop_while_reading (fixture, caller);
+  g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 502 "));
+  g_assert_nonnull (strstr (caller->answer->str, "\"not_run\":\"unknown\""));
+  caller_free (caller);
+  gateway_fixture_free (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -151,5 +203,7 @@
   g_test_add_func ("/gateway-stop/answer-of-last-turn",
                    test_answer_of_last_turn);
   g_test_add_func ("/gateway-stop/slow-reader", test_slow_reader);
+  g_test_add_func ("/gateway-stop/waiting-request", test_waiting_request);
+  g_test_add_func ("/gateway-stop/open-at-the-end", test_open_at_the_end);
   return g_test_run ();
 }
--- a/t/t8082-gateway-upstream-state.c
+++ b/t/t8082-gateway-upstream-state.c
@@ -45,25 +45,6 @@
   fixture->upstreams[upstream].text = text;
 }
 
-static void
-call (gateway_fixture_t *fixture, const char *request, const char *expected)
-{
-  gateway_fixture_send (fixture, request);
-  GATEWAY_WAIT (gateway_fixture_has_text (fixture, expected));
-  GATEWAY_WAIT (gateway_open_requests (fixture->gateway) == 0);
-}
-
-/** Serves requests from which the service has retries to spend. */
-static void
-earn_retries (gateway_fixture_t *fixture)
-{
-  answer_with (fixture, 0, ACT_ANSWER, NULL);
-  answer_with (fixture, 1, ACT_ANSWER, NULL);
-  for (int i = 0; i < 15; i++)
-    call (fixture, GET ("/safe/"), "body");
-  fixture->upstreams[0].requests = fixture->upstreams[1].requests = 0;
-}
-
 static void
 wait_ms (gateway_fixture_t *fixture, uint32_t ms)
 {
@@ -95,7 +76,7 @@
 
   answer_with (fixture, 0, ACT_ANSWER, NULL);
   for (int i = 0; i < 4; i++)
-    call (fixture, GET ("/safe/"), "body");
+    gateway_fixture_call (fixture, GET ("/safe/"), "body");
   g_assert_cmpuint (fixture->upstreams[0].requests, ==, before);
 }
 
@@ -107,14 +88,14 @@
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_ANSWER);
 
   answer_with (fixture, 0, ACT_TEXT, LEAVING_ANSWER);
-  call (fixture, GET ("/safe/"), "body");
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
   g_assert_cmpuint (fixture->upstreams[0].requests, ==, 1);
   expect_no_more_requests (fixture);
   announce_first (fixture, 0, 9);
   expect_no_more_requests (fixture);
   /* Another incarnation at the same address is a new upstream. */
   announce_first (fixture, 5, 1);
-  call (fixture, GET ("/safe/"), "body");
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
   g_assert_cmpuint (fixture->upstreams[0].requests, ==, 2);
   gateway_fixture_free (fixture);
 }
@@ -126,7 +107,7 @@
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT_CUT, ACT_STREAM);
 
   answer_with (fixture, 0, ACT_TEXT_CUT, LEAVING_STREAM);
-  call (fixture, POST ("/stream/"), "data: a");
+  gateway_fixture_call (fixture, POST ("/stream/"), "data: a");
   g_assert_cmpuint (fixture->upstreams[1].requests, ==, 0);
   answer_with (fixture, 1, ACT_ANSWER, NULL);
   expect_no_more_requests (fixture);
@@ -141,9 +122,9 @@
 
   answer_with (fixture, 0, ACT_TEXT, LEAVING_ANSWER);
   answer_with (fixture, 1, ACT_TEXT, LEAVING_ANSWER);
-  call (fixture, GET ("/safe/"), "body");
-  call (fixture, GET ("/safe/"), "body");
-  call (fixture, GET ("/safe/"), "HTTP/1.1 503");
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
+  gateway_fixture_call (fixture, GET ("/safe/"), "HTTP/1.1 503");
   g_assert_cmpuint (gateway_fixture_requests (fixture), ==, 2);
   gateway_fixture_free (fixture);
 }
@@ -159,7 +140,7 @@
   answer_with (fixture, 0, ACT_TEXT, LIMIT_ANSWER);
   while (clock_mono_ms () < until_ms)
     {
-      call (fixture, GET ("/safe/"), "body");
+      gateway_fixture_call (fixture, GET ("/safe/"), "body");
       wait_ms (fixture, 20);
     }
   g_assert_cmpuint (fixture->upstreams[1].requests, >, LIMIT_ALLOWED);
@@ -178,7 +159,7 @@
   uint64_t paused_ms;
 
   answer_with (fixture, 0, ACT_TEXT, PAUSE_ANSWER);
-  call (fixture, GET ("/safe/"), "body");
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
   paused_ms = clock_mono_ms ();
   g_assert_cmpuint (fixture->upstreams[0].requests, ==, 1);
   wait_ms (fixture, PAUSE_MS / 2);
@@ -186,7 +167,7 @@
   g_assert_cmpuint (clock_mono_ms (), <, paused_ms + PAUSE_MS);
   /* It returns a little later than it asked for, not with all others. */
   wait_ms (fixture, PAUSE_MS * 3 / 2);
-  call (fixture, GET ("/safe/"), "body");
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
   g_assert_cmpuint (fixture->upstreams[0].requests, ==, 2);
   gateway_fixture_free (fixture);
 }
@@ -197,11 +178,11 @@
 {
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_ANSWER);
 
-  earn_retries (fixture);
+  gateway_fixture_earn_retries (fixture);
   answer_with (fixture, 0, ACT_TEXT, PAUSE_ANSWER);
-  call (fixture, GET ("/safe/"), "body");
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
   wait_ms (fixture, PAUSE_MS * 3 / 2);
-  call (fixture, GET ("/safe/"), "body");
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
   g_assert_cmpuint (fixture->upstreams[0].requests, ==, 2);
   expect_no_more_requests (fixture);
   gateway_fixture_free (fixture);
@@ -215,7 +196,7 @@
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_TEXT);
   const char *after;
 
-  earn_retries (fixture);
+  gateway_fixture_earn_retries (fixture);
   answer_with (fixture, 0, ACT_TEXT, PAUSE_ANSWER);
   answer_with (fixture, 1, ACT_TEXT, PAUSE_ANSWER);
   gateway_fixture_send (fixture, GET ("/safe/"));
@@ -228,7 +209,7 @@
   wait_ms (fixture, PAUSE_MS);
   answer_with (fixture, 0, ACT_TEXT, LONG_PAUSE_ANSWER);
   answer_with (fixture, 1, ACT_TEXT, LONG_PAUSE_ANSWER);
-  call (fixture, GET ("/safe/"), "Retry-After: ");
+  gateway_fixture_call (fixture, GET ("/safe/"), "Retry-After: ");
   g_assert_true (gateway_fixture_has_text (fixture, "HTTP/1.1 503"));
   after = strstr (fixture->answer->str, "Retry-After: ");
   g_assert_cmpint (atoi (after + strlen ("Retry-After: ")), >=, 58);
@@ -244,7 +225,7 @@
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_TEXT);
   zone_placement_t *placement = gateway_placement (fixture->gateway);
 
-  earn_retries (fixture);
+  gateway_fixture_earn_retries (fixture);
   answer_with (fixture, 0, ACT_TEXT, PAUSE_ANSWER);
   answer_with (fixture, 1, ACT_TEXT, PAUSE_ANSWER);
   gateway_fixture_send (fixture, "GET /safe/ HTTP/1.1\r\nHost: h\r\n"
