gateway: let a body that is still coming at a stop be completed

Callers whose request bodies arrive slowly lost their connections 2.6 s after SIGTERM without an answer, five seconds before the instance had to end.

Cause: a request counted only once it was whole, so nothing was open and the process ended.

Evidence: /gateway-stop/body-still-coming and /gateway-stop/body-too-late (the former fails without the change: the gateway has ended).

Change: a partly received request keeps its connection.

--- a/caller-server.c
+++ b/caller-server.c
@@ -120,13 +120,24 @@
   return evbuffer_get_length (bufferevent_get_output (connection->stream));
 }
 
+/** Returns whether a part of a request has arrived that is not refused yet. */
+static bool
+is_receiving (const connection_t *connection)
+{
+  return !connection->is_open && !connection->close_after_reply
+         && (http_reader_has_begun (connection->reader)
+             || evbuffer_get_length (bufferevent_get_input (connection->stream))
+                    > 0
+             || socket_bytes (connection, FIONREAD) > 0);
+}
+
 /** Returns whether the connection still owes its caller an answer or a part of
  * one. */
 static bool
 is_busy (const connection_t *connection)
 {
   return connection->is_open || connection->is_lingering
-         || unsent_bytes (connection) > 0;
+         || unsent_bytes (connection) > 0 || is_receiving (connection);
 }
 
 /** Records the end of a connection whose last answer is complete but may not
@@ -482,16 +493,24 @@
     {
       connection_t *connection = item->data;
 
-      if (!is_busy (connection) && !connection->close_after_reply
-          && !http_reader_has_begun (connection->reader)
-          && evbuffer_get_length (bufferevent_get_input (connection->stream))
-                 == 0
-          && socket_bytes (connection, FIONREAD) == 0)
+      if (!is_busy (connection) && !connection->close_after_reply)
         end_connection (connection, END_IDLE);
     }
   g_list_free (connections);
 }
 
+void
+caller_server_refuse_partial (caller_server_t *server)
+{
+  GHashTableIter iterator;
+  void *item;
+
+  g_hash_table_iter_init (&iterator, server->connections);
+  while (g_hash_table_iter_next (&iterator, &item, NULL))
+    if (is_receiving (item))
+      reject_request (item, "503 Service Unavailable");
+}
+
 bool
 caller_server_is_busy (const caller_server_t *server)
 {
--- a/caller-server.h
+++ b/caller-server.h
@@ -72,9 +72,13 @@
  * without a part of an answer that is still to be written. */
 void caller_server_close_idle (caller_server_t *server);
 
-/** Returns whether a request is being answered, an answer is not written to its
- * connection yet, or a caller may not have received the last answer: one that
- * is closed now could lose it. */
+/** Refuses each request that is partly received, with status 503; its
+ * connection is then closed. */
+void caller_server_refuse_partial (caller_server_t *server);
+
+/** Returns whether a request is being received or answered, an answer is not
+ * written to its connection yet, or a caller may not have received the last
+ * answer: one that is closed now could lose it. */
 bool caller_server_is_busy (const caller_server_t *server);
 
 /** Returns the number of requests that are being answered. */
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -80,6 +80,7 @@
   struct event *tick;
   bool is_draining; /* the process will end */
   bool is_closed;   /* no connection is accepted, and no request waits */
+  bool refuses_new; /* no request is admitted */
   gateway_counters_t counters;
 };
 
--- a/gateway-stop.c
+++ b/gateway-stop.c
@@ -74,6 +74,13 @@
   refuse_waiting (gateway);
 }
 
+void
+gateway_refuse_new (gateway_t *gateway)
+{
+  gateway->refuses_new = true;
+  caller_server_refuse_partial (gateway->callers);
+}
+
 void
 gateway_end_open (gateway_t *gateway)
 {
--- a/gateway.c
+++ b/gateway.c
@@ -271,6 +271,11 @@
 
   gateway->options.protocol->read_request_info (fields, &terms);
   caller_request_set_id (caller, terms.id);
+  if (gateway->refuses_new)
+    {
+      reject_request (gateway, caller, &terms, ERROR_STOPPING);
+      return;
+    }
   if (gateway->config == NULL)
     {
       if (!gateway_hold_at_startup (gateway, caller, terms.id))
--- a/gateway.h
+++ b/gateway.h
@@ -141,6 +141,10 @@
  * has begun. Called again, it closes the connections that are idle by then. */
 void gateway_close (gateway_t *gateway);
 
+/** Refuses the requests that are still being received, and each new one: too
+ * little time is left to serve them. */
+void gateway_refuse_new (gateway_t *gateway);
+
 /** Ends each open request now, before the process has to: with an error where
  * no answer has begun, which says that the request has not run only if that is
  * certain. */
--- a/t/t8063-gateway-stop.c
+++ b/t/t8063-gateway-stop.c
@@ -194,6 +194,58 @@
   gateway_fixture_free (fixture);
 }
 
+static const char chunked_head[]
+    = "POST /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nhe";
+
+/** Stops the gateway while the body of a request is still coming. */
+static caller_t *
+stop_while_receiving (gateway_fixture_t *fixture)
+{
+  caller_t *caller = caller_new (fixture->listen);
+
+  caller_send (caller, chunked_head, strlen (chunked_head));
+  /* Another caller's answer shows that the loop has read the first one's. */
+  gateway_fixture_call (fixture, GET ("/safe/"), "body");
+  gateway_drain (fixture->gateway);
+  gateway_close (fixture->gateway);
+  event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+  return caller;
+}
+
+/** A stop that cuts a request whose body is still coming, though there is time
+ * to serve it. */
+static void
+test_body_still_coming (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
+  caller_t *caller = stop_while_receiving (fixture);
+
+  g_assert_false (gateway_has_ended (fixture->gateway));
+  caller_send (caller, "ll\r\n0\r\n\r\n", strlen ("ll\r\n0\r\n\r\n"));
+  stop_while_reading (fixture, caller);
+  g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 200 "));
+  g_assert_true (ends_with (caller, "body"));
+  caller_free (caller);
+  gateway_fixture_free (fixture);
+}
+
+/** A stop that cuts a request whose body is still coming, without an answer,
+ * when no time is left to serve it. */
+static void
+test_body_too_late (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
+  caller_t *caller = stop_while_receiving (fixture);
+
+  gateway_refuse_new (fixture->gateway);
+  stop_while_reading (fixture, caller);
+  g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
+  g_assert_true (caller->has_end);
+  caller_free (caller);
+  gateway_fixture_free (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -205,5 +257,7 @@
   g_test_add_func ("/gateway-stop/slow-reader", test_slow_reader);
   g_test_add_func ("/gateway-stop/waiting-request", test_waiting_request);
   g_test_add_func ("/gateway-stop/open-at-the-end", test_open_at_the_end);
+  g_test_add_func ("/gateway-stop/body-still-coming", test_body_still_coming);
+  g_test_add_func ("/gateway-stop/body-too-late", test_body_too_late);
   return g_test_run ();
 }
