gateway: pass nothing on at a stop that the process may have to cut

A connection stays open after SIGTERM if the head of its answer went out before; a body in chunks may be whole at any time.

Change: once the listener is closed, a request is admitted only if its deadline is before the end; else it is refused at once. The search for requests that may not wait any more begins anew after each that it ends, as the end of one may end others.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -78,9 +78,9 @@
   GPtrArray *startup_queue; /* caller_request_t that arrived too early */
   struct event *startup_timer;
   struct event *tick;
-  bool is_draining; /* the process will end */
-  bool is_closed;   /* no connection is accepted, and no request waits */
-  bool refuses_new; /* no request is admitted */
+  bool is_draining;    /* the process will end */
+  bool is_closed;      /* no connection is accepted, and no request waits */
+  uint64_t stop_at_ms; /* while draining: when open requests will be ended */
   gateway_counters_t counters;
 };
 
@@ -162,6 +162,10 @@
  * more: another instance can serve it. */
 void gateway_refuse_if_stopping (gateway_request_t *request);
 
+/** Returns whether a request came so late in a stop that it might not be
+ * answered before the end. */
+bool gateway_is_too_late (const gateway_request_t *request);
+
 /** Admits a request, holds it until the startup ends, or rejects it. */
 void gateway_admit (gateway_t *gateway, caller_request_t *caller);
 
--- a/gateway-stop.c
+++ b/gateway-stop.c
@@ -31,7 +31,8 @@
 {
   bool may_have_run = request->may_have_run || request->exchange != NULL;
 
-  gateway_end_attempt (request, UPSTREAM_JOB_NEUTRAL);
+  if (request->exchange != NULL || request->job_id != 0)
+    gateway_end_attempt (request, UPSTREAM_JOB_NEUTRAL);
   if (request->is_reply_begun)
     gateway_abort (request, "stopping");
   else if (may_have_run)
@@ -41,24 +42,50 @@
                     gateway_add_jitter_ms (GATEWAY_RETRY_AFTER_MS));
 }
 
+static bool
+must_leave (const gateway_request_t *request)
+{
+  return is_waiting (request) && !may_wait (request);
+}
+
 void
 gateway_refuse_if_stopping (gateway_request_t *request)
 {
-  if (is_waiting (request) && !may_wait (request))
+  if (must_leave (request))
     end_request (request);
 }
 
+/** Refuses the requests that may not wait any more. The end of one may end
+ * others, so the search begins anew after each. */
 static void
 refuse_waiting (gateway_t *gateway)
 {
-  for (guint i = gateway->open->len; i-- > 0;)
-    gateway_refuse_if_stopping (g_ptr_array_index (gateway->open, i));
+  guint i = 0;
+
+  while (i < gateway->open->len)
+    {
+      gateway_request_t *request = g_ptr_array_index (gateway->open, i++);
+
+      if (!must_leave (request))
+        continue;
+      end_request (request);
+      i = 0;
+    }
+}
+
+bool
+gateway_is_too_late (const gateway_request_t *request)
+{
+  const gateway_t *gateway = request->gateway;
+
+  return gateway->is_closed && request->deadline_ms > gateway->stop_at_ms;
 }
 
 void
-gateway_drain (gateway_t *gateway)
+gateway_drain (gateway_t *gateway, uint64_t end_ms)
 {
   gateway->is_draining = true;
+  gateway->stop_at_ms = end_ms;
   caller_server_drain (gateway->callers);
   refuse_waiting (gateway);
 }
@@ -75,9 +102,8 @@
 }
 
 void
-gateway_refuse_new (gateway_t *gateway)
+gateway_refuse_partial (gateway_t *gateway)
 {
-  gateway->refuses_new = true;
   caller_server_refuse_partial (gateway->callers);
 }
 
--- a/gateway.c
+++ b/gateway.c
@@ -271,11 +271,6 @@
 
   gateway->options.protocol->read_request_info (fields, &terms);
   caller_request_set_id (caller, terms.id);
-  if (gateway->refuses_new)
-    {
-      reject_request (gateway, caller, &terms, ERROR_STOPPING);
-      return;
-    }
   if (gateway->config == NULL)
     {
       if (!gateway_hold_at_startup (gateway, caller, terms.id))
@@ -304,6 +299,12 @@
                                                     (uint32_t)random_id ()),
                        customer);
   set_deadline (request);
+  if (gateway_is_too_late (request))
+    {
+      gateway_refuse (request, ERROR_STOPPING,
+                      gateway_add_jitter_ms (GATEWAY_RETRY_AFTER_MS));
+      return;
+    }
   retry_record_request (gateway->retry, request->service, clock_mono_ms ());
   gateway_set_timer (request);
   gateway_place (request);
--- a/gateway.h
+++ b/gateway.h
@@ -132,18 +132,22 @@
 /** Returns the placement of the gateway, which owns it. */
 zone_placement_t *gateway_placement (gateway_t *gateway);
 
-/** Starts the shutdown: each answer from now on closes its connection, and long
- * prompts do not wait for engines any more. */
-void gateway_drain (gateway_t *gateway);
+/**
+ * Starts the shutdown: each answer from now on closes its connection, and long
+ * prompts do not wait for engines any more.
+ * @param end_ms when gateway_end_open() will be called, on the steady clock
+ */
+void gateway_drain (gateway_t *gateway, uint64_t end_ms);
 
 /** Stops accepting connections, closes those without an open request, and
  * refuses the requests that wait: from now on none does, except a stream that
- * has begun. Called again, it closes the connections that are idle by then. */
+ * has begun, and a new one is admitted only if its deadline is before the end.
+ * Called again, it closes the connections that are idle by then. */
 void gateway_close (gateway_t *gateway);
 
-/** Refuses the requests that are still being received, and each new one: too
- * little time is left to serve them. */
-void gateway_refuse_new (gateway_t *gateway);
+/** Refuses the requests that are still being received: too little time is left
+ * to serve them. */
+void gateway_refuse_partial (gateway_t *gateway);
 
 /** Ends each open request now, before the process has to: with an error where
  * no answer has begun, which says that the request has not run only if that is
--- a/node-entry.c
+++ b/node-entry.c
@@ -22,9 +22,9 @@
 /** Time after a stop request in which new connections are still accepted,
  * because callers continue to connect until they learn of another instance. */
 #define ACCEPT_WHILE_STOPPING_MS 2600
-/** Share of the stop timeout after which no request is admitted: later ones
- * could not be served before the process ends. */
-#define ADMIT_SHARE 0.5
+/** Share of the stop timeout in which a request that is partly received may be
+ * completed. */
+#define RECEIVE_SHARE 0.5
 /** Parts of the stop timeout that are reserved: for the last answers to
  * requests that are still open, and for the exit of the process. */
 #define LAST_ANSWERS_MARGIN_MS 700
@@ -191,6 +191,16 @@
                       "this instance is not ready", NULL, 0);
 }
 
+/** Returns the time from a stop request in which the process has to end. */
+static uint64_t
+stop_timeout_ms (const node_entry_t *entry)
+{
+  const Lwm__NodeSettings *settings
+      = node_settings_get (entry->options.settings);
+
+  return (uint64_t)(settings->stop_timeout_s * 1000);
+}
+
 static void
 on_stop (void *context)
 {
@@ -199,7 +209,9 @@
   if (entry->stop_requested_ms > 0)
     return;
   entry->stop_requested_ms = clock_mono_ms ();
-  gateway_drain (entry->gateway);
+  gateway_drain (entry->gateway, entry->stop_requested_ms
+                                     + stop_timeout_ms (entry)
+                                     - LAST_ANSWERS_MARGIN_MS);
   log_info ("Stopping. open_requests=%u",
             gateway_open_requests (entry->gateway));
 }
@@ -217,16 +229,14 @@
 static void
 exit_if_drained (node_entry_t *entry, uint64_t now_ms)
 {
-  const Lwm__NodeSettings *settings
-      = node_settings_get (entry->options.settings);
-  uint64_t limit_ms = (uint64_t)(settings->stop_timeout_s * 1000);
+  uint64_t limit_ms = stop_timeout_ms (entry);
   uint64_t passed_ms = now_ms - entry->stop_requested_ms;
 
   if (passed_ms < ACCEPT_WHILE_STOPPING_MS)
     return;
   gateway_close (entry->gateway);
-  if ((double)passed_ms >= ADMIT_SHARE * (double)limit_ms)
-    gateway_refuse_new (entry->gateway);
+  if ((double)passed_ms >= RECEIVE_SHARE * (double)limit_ms)
+    gateway_refuse_partial (entry->gateway);
   if (passed_ms + LAST_ANSWERS_MARGIN_MS >= limit_ms)
     gateway_end_open (entry->gateway);
   if (!gateway_has_ended (entry->gateway)
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -259,7 +259,7 @@
 {
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
 
-  gateway_drain (fixture->gateway);
+  gateway_drain (fixture->gateway, clock_mono_ms ());
   gateway_fixture_send (fixture, GET ("/safe/"));
   GATEWAY_WAIT (fixture->caller_closed);
   g_assert_true (gateway_fixture_has_text (fixture, "body"));
--- a/t/t8063-gateway-stop.c
+++ b/t/t8063-gateway-stop.c
@@ -60,6 +60,13 @@
   return g_string_free (text, FALSE);
 }
 
+/** Starts a stop that leaves time for any deadline. */
+static void
+drain (gateway_fixture_t *fixture)
+{
+  gateway_drain (fixture->gateway, clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS);
+}
+
 /** Ends the gateway as the process does when it has nothing more to do. */
 static void
 end_gateway (gateway_fixture_t *fixture)
@@ -96,7 +103,7 @@
   caller_send (caller, GET ("/stream/"), strlen (GET ("/stream/")));
   GATEWAY_WAIT (fixture->upstreams[0].held != NULL);
   GATEWAY_WAIT (caller_has_text (caller, "data: x"));
-  gateway_drain (fixture->gateway);
+  drain (fixture);
   scripted_send_held (&fixture->upstreams[0]);
   while (gateway_open_requests (fixture->gateway) > 0)
     event_base_loop (fixture->base, EVLOOP_ONCE);
@@ -116,10 +123,10 @@
 
   fixture->upstreams[0].text = fixture->upstreams[1].text = text;
   if (drains_first)
-    gateway_drain (fixture->gateway);
+    drain (fixture);
   caller_send (caller, request, strlen (request));
   GATEWAY_WAIT (caller_has_text (caller, "\r\n\r\n"));
-  gateway_drain (fixture->gateway);
+  drain (fixture);
   stop_while_reading (fixture, caller);
   received = strstr (caller->answer->str, "\r\n\r\n");
   g_assert_cmpuint (strlen (received), ==, strlen (body));
@@ -162,7 +169,7 @@
   GATEWAY_WAIT (zone_placement_queued (gateway_placement (fixture->gateway))
                 == 1);
   begun_ms = clock_mono_ms ();
-  gateway_drain (fixture->gateway);
+  drain (fixture);
   stop_while_reading (fixture, caller);
   g_assert_cmpuint (clock_mono_ms () - begun_ms, <, PAUSE_MS / 2);
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
@@ -182,7 +189,7 @@
 
   caller_send (caller, POST ("/unsafe/"), strlen (POST ("/unsafe/")));
   GATEWAY_WAIT (gateway_fixture_requests (fixture) == 1);
-  gateway_drain (fixture->gateway);
+  drain (fixture);
   gateway_close (fixture->gateway);
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
   g_assert_false (gateway_has_ended (fixture->gateway));
@@ -207,7 +214,7 @@
   caller_send (caller, chunked_head, strlen (chunked_head));
   /* Another caller's answer shows that the loop has read the first one's. */
   gateway_fixture_call (fixture, GET ("/safe/"), "body");
-  gateway_drain (fixture->gateway);
+  drain (fixture);
   gateway_close (fixture->gateway);
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
   return caller;
@@ -238,7 +245,7 @@
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
   caller_t *caller = stop_while_receiving (fixture);
 
-  gateway_refuse_new (fixture->gateway);
+  gateway_refuse_partial (fixture->gateway);
   stop_while_reading (fixture, caller);
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
   g_assert_true (caller->has_end);
@@ -246,6 +253,52 @@
   gateway_fixture_free (fixture);
 }
 
+/** Sends a request on an open connection late in a stop.
+ * @param left_ms until the end of the gateway */
+static caller_t *
+send_late_request (gateway_fixture_t *fixture, uint32_t left_ms)
+{
+  caller_t *caller = caller_new (fixture->listen);
+
+  caller_send (caller, GET ("/safe/"), strlen (GET ("/safe/")));
+  GATEWAY_WAIT (caller_has_text (caller, "body"));
+  g_string_truncate (caller->answer, 0);
+  gateway_drain (fixture->gateway, clock_mono_ms () + left_ms);
+  caller_send (caller, GET ("/safe/"), strlen (GET ("/safe/")));
+  gateway_close (fixture->gateway);
+  stop_while_reading (fixture, caller);
+  return caller;
+}
+
+/** A request that comes late in a stop, on an open connection, is passed on and
+ * cut when the process ends. It may take as long as its deadline. */
+static void
+test_late_request (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
+  caller_t *caller = send_late_request (fixture, 4000);
+
+  g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
+  g_assert_nonnull (strstr (caller->answer->str, "\"not_run\":true"));
+  g_assert_nonnull (strstr (caller->answer->str, "Connection: close"));
+  g_assert_cmpuint (gateway_fixture_requests (fixture), ==, 1);
+  caller_free (caller);
+  gateway_fixture_free (fixture);
+}
+
+/** A request that comes late in a stop but has the time it needs is served. */
+static void
+test_late_but_in_time (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
+  caller_t *caller = send_late_request (fixture, 9000);
+
+  g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 200 "));
+  g_assert_true (ends_with (caller, "body"));
+  caller_free (caller);
+  gateway_fixture_free (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -259,5 +312,7 @@
   g_test_add_func ("/gateway-stop/open-at-the-end", test_open_at_the_end);
   g_test_add_func ("/gateway-stop/body-still-coming", test_body_still_coming);
   g_test_add_func ("/gateway-stop/body-too-late", test_body_too_late);
+  g_test_add_func ("/gateway-stop/late-request", test_late_request);
+  g_test_add_func ("/gateway-stop/late-but-in-time", test_late_but_in_time);
   return g_test_run ();
 }
--- a/t/t8082-gateway-upstream-state.c
+++ b/t/t8082-gateway-upstream-state.c
@@ -232,7 +232,7 @@
                                  "X-Id: r1\r\nX-Prompt: 100000\r\n\r\n");
   GATEWAY_WAIT (gateway_fixture_requests (fixture) == 2);
   GATEWAY_WAIT (zone_placement_queued (placement) == 1);
-  gateway_drain (fixture->gateway);
+  gateway_drain (fixture->gateway, clock_mono_ms ());
   GATEWAY_WAIT (gateway_fixture_has_text (fixture, "HTTP/1.1 503"));
   g_assert_true (gateway_fixture_has_text (fixture, "Retry-After: "));
   g_assert_cmpuint (zone_placement_queued (placement), ==, 0);
