callers: answer the requests that came before a close was announced

A caller that had sent two requests at once got one answer from a stopping instance; the second had been read whole and was dropped.

Cause: while the server drains, each answer announced the close of its connection, also when the next request was there already; what comes after an announced close is discarded.

Change: the close is announced in the answer to the last request that has arrived.

--- a/caller-server.c
+++ b/caller-server.c
@@ -120,15 +120,21 @@
   return evbuffer_get_length (bufferevent_get_output (connection->stream));
 }
 
+/** Returns whether bytes of the caller wait to be read. */
+static bool
+has_input (const connection_t *connection)
+{
+  return evbuffer_get_length (bufferevent_get_input (connection->stream)) > 0
+         || socket_bytes (connection, FIONREAD) > 0;
+}
+
 /** Returns whether a part of a request has arrived that is not refused yet. */
 static bool
 is_receiving (const connection_t *connection)
 {
   return !connection->is_open && !connection->close_after_reply
          && (http_reader_has_begun (connection->reader)
-             || evbuffer_get_length (bufferevent_get_input (connection->stream))
-                    > 0
-             || socket_bytes (connection, FIONREAD) > 0);
+             || has_input (connection));
 }
 
 /** Returns whether the connection still owes its caller an answer or a part of
@@ -594,8 +600,9 @@
 
   request->no_body = request->no_body || status == 204 || status == 304;
   request->chunked = length_bytes < 0 && !request->no_body;
-  connection->close_after_reply
-      = connection->close_after_reply || connection->server->is_draining;
+  /* A request that came right behind this one is answered first. */
+  if (connection->server->is_draining && !has_input (connection))
+    connection->close_after_reply = true;
   evbuffer_add_printf (out, "HTTP/1.1 %u %s\r\n", status, reason);
   for (size_t i = 0; i < fields->count; i++)
     evbuffer_add_printf (out, "%s: %s\r\n", fields->items[i].name,
--- a/caller-server.h
+++ b/caller-server.h
@@ -62,7 +62,8 @@
 void caller_server_set_limits (caller_server_t *server,
                                const caller_limits_t *limits);
 
-/** Adds "Connection: close" to each answer from now on. */
+/** Adds "Connection: close" to each answer from now on, except where the next
+ * request is there already. */
 void caller_server_drain (caller_server_t *server);
 
 /** Closes the listening socket: callers then try another instance at once. */
