gateway: let a begun stream of a long prompt wait at a stop

Callers lost a stream that had begun, at SIGTERM, when its upstream had broken off just before and it waited to be resumed.

Cause: long prompts that wait leave a stopping instance at once, and the check did not ask whether the answer had begun. Only this instance can go on with such a stream.

Evidence: /gateway-stop-queues/begun-long-stream, cut before; the same with a short prompt, and without a stop, passed.

--- a/gateway-stop.c
+++ b/gateway-stop.c
@@ -19,9 +19,11 @@
 {
   const gateway_t *gateway = request->gateway;
 
+  if (request->is_reply_begun)
+    return true;
   if (request->terms.prompt_tokens > GATEWAY_LONG_PROMPT_TOKENS)
     return !gateway->is_draining;
-  return !gateway->is_closed || request->is_reply_begun;
+  return !gateway->is_closed;
 }
 
 /** Ends a request without an upstream, truly: one that may have run is not
