callers: keep a connection while the kernel delivers its last answer

A caller that sent its next request before it had read its last answer could lose the rest of that answer at a stop.

Cause: a connection counted as idle once its answer was written to the kernel. The request that crossed the close had the kernel reset the connection and drop what was not delivered.

Change: bytes that the caller has not acknowledged keep a connection, and at a stop the process, until its timeout.

--- a/caller-server.c
+++ b/caller-server.c
@@ -138,12 +138,14 @@
 }
 
 /** Returns whether the connection still owes its caller an answer or a part of
- * one. */
+ * one, which may be on its way in the kernel. */
 static bool
 is_busy (const connection_t *connection)
 {
   return connection->is_open || connection->is_lingering
-         || unsent_bytes (connection) > 0 || is_receiving (connection);
+         || unsent_bytes (connection) > 0
+         || socket_bytes (connection, SIOCOUTQ) > 0
+         || is_receiving (connection);
 }
 
 /** Records the end of a connection whose last answer is complete but may not
