callers: log an answer that the kernel drops

An answer that the kernel dropped with a reset left no line, so that a trace could not tell whether this had happened.

Cause: the end of a connection was only looked at while its answer was not written yet.

Evidence: /caller-server-close/drop-is-logged found no line before.

Change: each connection that ends without an open request is looked at, and the counter of cut answers counts these too.

--- a/caller-server.c
+++ b/caller-server.c
@@ -65,9 +65,9 @@
   http_reader_t *reader;
   GByteArray *body;
   caller_request_t request;
-  bool is_open;    /* a request is being answered */
-  char *last_id;   /* of the last request, or NULL */
-  bool has_answer; /* an answer is complete and may not be written yet */
+  bool is_open;              /* a request is being answered */
+  char *last_id;             /* of the last request, or NULL */
+  bool has_unwritten_answer; /* a complete one */
   connection_end_t end;
   bool is_too_large;
   bool close_after_reply; /* close the connection after the current answer */
@@ -148,8 +148,8 @@
          || is_receiving (connection);
 }
 
-/** Records the end of a connection whose last answer is complete but may not
- * have reached the caller: bytes of it are left here or in the kernel, which
+/** Records the end of a connection without an open request if its last answer
+ * has not reached the caller: bytes of it are left here or in the kernel, which
  * drops them if the caller's own bytes are unread. */
 static void
 record_undelivered (const connection_t *connection)
@@ -158,13 +158,13 @@
   uint32_t unacked = socket_bytes (connection, SIOCOUTQ);
   uint32_t unread = socket_bytes (connection, FIONREAD);
 
-  if (unsent > 0)
-    metric_add (connection->server->answers_cut, 1);
-  if (unsent > 0 || (unacked > 0 && unread > 0))
-    log_warn ("Connection ended before its answer was delivered. request=%s "
-              "end=%s unsent_bytes=%zu unacked_bytes=%u unread_bytes=%u",
-              connection->last_id != NULL ? connection->last_id : "-",
-              end_name (connection->end), unsent, unacked, unread);
+  if (unsent == 0 && (unacked == 0 || unread == 0))
+    return;
+  metric_add (connection->server->answers_cut, 1);
+  log_warn ("Connection ended before its answer was delivered. request=%s "
+            "end=%s unsent_bytes=%zu unacked_bytes=%u unread_bytes=%u",
+            connection->last_id != NULL ? connection->last_id : "-",
+            end_name (connection->end), unsent, unacked, unread);
 }
 
 static void
@@ -179,7 +179,7 @@
 {
   caller_server_t *server = connection->server;
 
-  if (connection->has_answer && !connection->is_open)
+  if (!connection->is_open)
     record_undelivered (connection);
   if (connection->is_open)
     server->open_requests--;
@@ -353,9 +353,9 @@
   connection_t *connection = context;
   caller_server_t *server = connection->server;
 
-  if (connection->has_answer)
+  if (connection->has_unwritten_answer)
     metric_add (server->answers_written, 1);
-  connection->has_answer = false;
+  connection->has_unwritten_answer = false;
   if (connection->is_open)
     server->options.on_drained (&connection->request, server->options.context);
   else if (connection->close_after_reply && !connection->is_lingering)
@@ -454,7 +454,7 @@
                          NULL);
   server->answers_cut = metrics_counter (
       options->metrics, "lwm_callers_answers_cut_total",
-      "Complete answers whose connection ended before they were written.",
+      "Complete answers whose connection ended before they were delivered.",
       NULL);
   talloc_set_destructor (server, free_server);
   if (evutil_parse_sockaddr_port (options->listen, (struct sockaddr *)&address,
@@ -641,7 +641,7 @@
 finish_request (connection_t *connection)
 {
   connection->is_open = false;
-  connection->has_answer = true;
+  connection->has_unwritten_answer = true;
   connection->server->open_requests--;
   connection->request = (caller_request_t){ .connection = connection };
   g_byte_array_set_size (connection->body, 0);
