gateway: let requests wait for half of the stop timeout

Cause: what waited was refused when the listener closed, 2.6 s after SIGTERM, also where a place was free a moment later; a caller that comes again loses its turn.

Change: waiting for an upstream and for the rest of a body end together, at half of the stop timeout, which leaves callers of this instance as much time elsewhere.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -79,7 +79,8 @@
   struct event *startup_timer;
   struct event *tick;
   bool is_draining;    /* the process will end */
-  bool is_closed;      /* no connection is accepted, and no request waits */
+  bool is_closed;      /* no connection is accepted */
+  bool is_finishing;   /* no request waits any more */
   uint64_t stop_at_ms; /* while draining: when open requests will be ended */
   gateway_counters_t counters;
 };
--- a/gateway-stop.c
+++ b/gateway-stop.c
@@ -23,7 +23,7 @@
     return true;
   if (request->terms.prompt_tokens > GATEWAY_LONG_PROMPT_TOKENS)
     return !gateway->is_draining;
-  return !gateway->is_closed;
+  return !gateway->is_finishing;
 }
 
 /** Ends a request without an upstream, truly: one that may have run is not
@@ -95,18 +95,17 @@
 void
 gateway_close (gateway_t *gateway)
 {
+  gateway->is_closed = true;
   caller_server_close_listener (gateway->callers);
   caller_server_close_idle (gateway->callers);
-  if (gateway->is_closed)
-    return;
-  gateway->is_closed = true;
-  refuse_waiting (gateway);
 }
 
 void
-gateway_refuse_partial (gateway_t *gateway)
+gateway_refuse_waiting (gateway_t *gateway)
 {
+  gateway->is_finishing = true;
   caller_server_refuse_partial (gateway->callers);
+  refuse_waiting (gateway);
 }
 
 void
--- a/gateway.h
+++ b/gateway.h
@@ -139,15 +139,16 @@
  */
 void gateway_drain (gateway_t *gateway, uint64_t end_ms);
 
-/** Stops accepting connections, closes those without an open request, and
- * refuses the requests that wait: from now on none does, except a stream that
- * has begun, and a new one is admitted only if its deadline is before the end.
- * Called again, it closes the connections that are idle by then. */
+/** Stops accepting connections and closes those without an open request. From
+ * now on a request is admitted only if its deadline is before the end. Called
+ * again, it closes the connections that are idle by then. */
 void gateway_close (gateway_t *gateway);
 
-/** Refuses the requests that are still being received: too little time is left
- * to serve them. */
-void gateway_refuse_partial (gateway_t *gateway);
+/** Refuses the requests that wait for an upstream or memory, or are still being
+ * received: too little time is left to serve them. From now on none waits,
+ * except a stream that has begun. Called again, it refuses those received by
+ * then. */
+void gateway_refuse_waiting (gateway_t *gateway);
 
 /** Ends each open request now, before the process has to: with an error where
  * no answer has begun, which says that the request has not run only if that is
--- a/node-entry.c
+++ b/node-entry.c
@@ -22,9 +22,8 @@
 /** Time after a stop request in which new connections are still accepted,
  * because callers continue to connect until they learn of another instance. */
 #define ACCEPT_WHILE_STOPPING_MS 2600
-/** Share of the stop timeout in which a request that is partly received may be
- * completed. */
-#define RECEIVE_SHARE 0.5
+/** Share of the stop timeout in which requests may wait, or be received. */
+#define WAIT_SHARE 0.5
 /** Parts of the stop timeout that are reserved: for the last answers to
  * requests that are still open, and for the exit of the process. */
 #define LAST_ANSWERS_MARGIN_MS 700
@@ -235,8 +234,8 @@
   if (passed_ms < ACCEPT_WHILE_STOPPING_MS)
     return;
   gateway_close (entry->gateway);
-  if ((double)passed_ms >= RECEIVE_SHARE * (double)limit_ms)
-    gateway_refuse_partial (entry->gateway);
+  if ((double)passed_ms >= WAIT_SHARE * (double)limit_ms)
+    gateway_refuse_waiting (entry->gateway);
   if (passed_ms + LAST_ANSWERS_MARGIN_MS >= limit_ms)
     gateway_end_open (entry->gateway);
   if (!gateway_has_ended (entry->gateway)
--- a/t/t8063-gateway-stop.c
+++ b/t/t8063-gateway-stop.c
@@ -170,6 +170,8 @@
                 == 1);
   begun_ms = clock_mono_ms ();
   drain (fixture);
+  gateway_close (fixture->gateway);
+  gateway_refuse_waiting (fixture->gateway);
   stop_while_reading (fixture, caller);
   g_assert_cmpuint (clock_mono_ms () - begun_ms, <, PAUSE_MS / 2);
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
@@ -245,7 +247,7 @@
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
   caller_t *caller = stop_while_receiving (fixture);
 
-  gateway_refuse_partial (fixture->gateway);
+  gateway_refuse_waiting (fixture->gateway);
   stop_while_reading (fixture, caller);
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
   g_assert_true (caller->has_end);
