daemon: end a process only after its last answers are written

Cause: daemon_exit() broke the loop at once. An answer that evhttp has taken is in its own buffer then, and is freed with it. The entry instance waited 100 ms after its last reply, but counted no refusal, explanation or administration answer as a reply.

Change: daemon_exit() lets the loop go on until no connection has unsent bytes, for 3 s from the stop signal at most, and at least for 200 ms. http-backlog.h watches the buffers of the connections; evhttp does not report what it has not written. The stop timeout of an entry instance still ends it at once.

--- a/daemon.c
+++ b/daemon.c
@@ -11,6 +11,7 @@
 
 #include "base.h"
 #include "framing.h"
+#include "http-backlog.h"
 #include "http.h"
 #include "logging.h"
 #include "settings.h"
@@ -19,14 +20,24 @@
 #define DEFAULT_MAX_BODY_BYTES  (1024 * 1024)
 #define MAX_HEADERS_BYTES       (32 * 1024)
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
+/** Longest time from a stop signal, or from daemon_exit() without one, until
+ * the process ends although answers are still being written. */
+#define LAST_ANSWERS_TIMEOUT_MS 3000
+/** Time for the last answers when the work itself took longer than that. */
+#define LAST_ANSWERS_MIN_MS   200
+#define LAST_ANSWERS_CHECK_MS 10
 
 struct daemon
 {
   struct event_base *base;
   struct evhttp *http;
   tls_t *tls; /* NULL for plain HTTP */
+  http_backlog_t *backlog;
   metrics_t *metrics;
   struct event *signals[3];
+  struct event *exit_check;
+  uint64_t stop_signal_ms; /* when the first stop signal came, or 0 */
+  uint64_t exit_latest_ms; /* 0 until daemon_exit() is called */
   daemon_options_t options;
   char *listen;
   bool healthy;
@@ -39,18 +50,39 @@
   for (size_t i = 0; i < sizeof daemon->signals / sizeof *daemon->signals; i++)
     if (daemon->signals[i] != NULL)
       event_free (daemon->signals[i]);
+  event_free (daemon->exit_check);
   if (daemon->http != NULL)
     evhttp_free (daemon->http);
   event_base_free (daemon->base);
   return 0;
 }
 
+/** Ends the loop once the last answers are written. */
+static void
+on_exit_check (evutil_socket_t fd, short what, void *arg)
+{
+  daemon_t *daemon = arg;
+  struct timeval interval = timeval_from_ms (LAST_ANSWERS_CHECK_MS);
+  bool has_unsent = http_backlog_has_unsent (daemon->backlog);
+
+  if (has_unsent && clock_mono_ms () < daemon->exit_latest_ms)
+    {
+      event_add (daemon->exit_check, &interval);
+      return;
+    }
+  if (has_unsent)
+    log_warn ("The process ends before its last answers are written.");
+  event_base_loopbreak (daemon->base);
+}
+
 static void
 on_stop_signal (evutil_socket_t signal_number, short what, void *arg)
 {
   daemon_t *daemon = arg;
 
   log_info ("Stopping on signal %d.", (int)signal_number);
+  if (daemon->stop_signal_ms == 0)
+    daemon->stop_signal_ms = clock_mono_ms ();
   if (daemon->options.on_stop != NULL)
     daemon->options.on_stop (daemon->options.context);
   else
@@ -110,6 +142,7 @@
       = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
   const char *mistake = framing_error (request);
 
+  http_backlog_watch (daemon->backlog, request);
   if (mistake != NULL)
     refuse_framing (request, mistake);
   else if (path != NULL && strcmp (path, "/healthz") == 0)
@@ -198,6 +231,8 @@
     die ("cannot create an event loop");
   daemon->metrics = metrics_new (daemon);
   metrics_add_process (daemon->metrics);
+  daemon->backlog = http_backlog_new (daemon);
+  daemon->exit_check = event_new (daemon->base, -1, 0, on_exit_check, daemon);
   talloc_set_destructor (daemon, free_daemon);
   set_up_signals (daemon);
   if (!set_up_http (daemon))
@@ -244,6 +279,22 @@
 
 void
 daemon_exit (daemon_t *daemon, int exit_code)
+{
+  struct timeval next_turn = { 0 };
+  uint64_t now_ms = clock_mono_ms ();
+  uint64_t started_ms
+      = daemon->stop_signal_ms > 0 ? daemon->stop_signal_ms : now_ms;
+
+  daemon->exit_code = exit_code;
+  if (daemon->exit_latest_ms > 0)
+    return;
+  daemon->exit_latest_ms = MAX (started_ms + LAST_ANSWERS_TIMEOUT_MS,
+                                now_ms + LAST_ANSWERS_MIN_MS);
+  event_add (daemon->exit_check, &next_turn);
+}
+
+void
+daemon_exit_now (daemon_t *daemon, int exit_code)
 {
   daemon->exit_code = exit_code;
   event_base_loopbreak (daemon->base);
--- a/daemon.h
+++ b/daemon.h
@@ -66,7 +66,14 @@
  */
 int daemon_run (daemon_t *daemon);
 
-/** Ends daemon_run(), which then returns @a exit_code. */
+/**
+ * Ends daemon_run(), which then returns @a exit_code. Requests that have
+ * arrived are still handled and the answers are written first, for a few
+ * seconds at most from the stop signal on.
+ */
 void daemon_exit (daemon_t *daemon, int exit_code);
 
+/** Ends daemon_run() at once, also during the wait of daemon_exit(). */
+void daemon_exit_now (daemon_t *daemon, int exit_code);
+
 #endif
--- a/entry.c
+++ b/entry.c
@@ -249,7 +249,7 @@
              dispatch_live_count (entry->dispatch),
              dispatch_open_cancels (entry->dispatch),
              frontend_open_replies (entry->frontend));
-  daemon_exit (entry->daemon, EXIT_CODE_FAILED);
+  daemon_exit_now (entry->daemon, EXIT_CODE_FAILED);
 }
 
 static void
--- a/standin.c
+++ b/standin.c
@@ -391,6 +391,7 @@
 
   if (!is_finished (standin))
     return;
+  event_del (standin->leave);
   log_info ("All work is finished.");
   daemon_exit (standin->daemon, EXIT_CODE_OK);
 }
