http: read nothing while the end of an answer is written

Callers of every program that answers with evhttp lost the end of an answer that they were still reading, if they had shut their sending side after the request, or had sent nothing for the idle timeout.

Cause: evhttp reads while it writes, and takes the caller's end of the stream, or its silence, for the end of the connection, also when the whole answer is in the buffer already.

Change: http_send() and http_send_end() stop reading until the answer is written; all whole answers and ends of streams go through them. A caller that has gone is noticed by writing. While a stream is still being made, a caller that shuts its sending side counts as gone, as before.

--- a/daemon.c
+++ b/daemon.c
@@ -106,7 +106,7 @@
   struct evbuffer *out = evbuffer_new ();
 
   evbuffer_add_printf (out, daemon->healthy ? "ok\n" : "not ready\n");
-  evhttp_send_reply (request, daemon->healthy ? 200 : 503, NULL, out);
+  http_send (request, daemon->healthy ? 200 : 503, NULL, out);
   evbuffer_free (out);
 }
 
@@ -118,7 +118,7 @@
   metrics_write (daemon->metrics, out);
   evhttp_add_header (evhttp_request_get_output_headers (request),
                      "Content-Type", "text/plain; version=0.0.4");
-  evhttp_send_reply (request, 200, NULL, out);
+  http_send (request, 200, NULL, out);
   evbuffer_free (out);
 }
 
--- a/forward.c
+++ b/forward.c
@@ -144,7 +144,7 @@
 
   forward->http = NULL;
   if (http != NULL && forward->headers_sent)
-    evhttp_send_reply_end (http);
+    http_send_end (http);
   else if (http != NULL)
     http_reply_error (http, ERROR_NO_UPSTREAM, RAN_UNKNOWN,
                       "the instance that has the answer cannot be reached",
--- a/http.c
+++ b/http.c
@@ -1,6 +1,7 @@
 #include "http.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -52,6 +53,55 @@
   return json_to_string (node, FALSE);
 }
 
+/** Returns the stream of the request's connection, with a reference; NULL when
+ * the connection has gone. */
+static struct bufferevent *
+hold_stream (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request);
+  struct bufferevent *stream
+      = connection != NULL ? evhttp_connection_get_bufferevent (connection)
+                           : NULL;
+
+  if (stream != NULL)
+    bufferevent_incref (stream);
+  return stream;
+}
+
+/** Stops reading while an answer is written. evhttp, which enables reading when
+ * it takes an answer, does so again for the next request. */
+static void
+stop_reading (struct bufferevent *stream)
+{
+  if (stream == NULL)
+    return;
+  if (evbuffer_get_length (bufferevent_get_output (stream)) > 0)
+    bufferevent_disable (stream, EV_READ);
+  bufferevent_decref (stream);
+}
+
+void
+http_send (struct evhttp_request *request,
+           int status,
+           const char *reason,
+           struct evbuffer *body)
+{
+  struct bufferevent *stream = hold_stream (request);
+
+  evhttp_send_reply (request, status, reason, body);
+  stop_reading (stream);
+}
+
+void
+http_send_end (struct evhttp_request *request)
+{
+  struct bufferevent *stream = hold_stream (request);
+
+  evhttp_send_reply_end (request);
+  stop_reading (stream);
+}
+
 void
 http_reply_json (struct evhttp_request *request, int status, JsonNode *node)
 {
@@ -61,7 +111,7 @@
   evbuffer_add_printf (out, "%s\n", text);
   evhttp_add_header (evhttp_request_get_output_headers (request),
                      "Content-Type", "application/json");
-  evhttp_send_reply (request, status, NULL, out);
+  http_send (request, status, NULL, out);
   evbuffer_free (out);
   g_free (text);
   json_node_unref (node);
--- a/http.h
+++ b/http.h
@@ -12,6 +12,7 @@
 
 #include "error.h"
 
+struct evbuffer;
 struct event_base;
 struct evhttp_request;
 
@@ -26,6 +27,17 @@
 /** Returns the value of header @a name, owned by the request, or NULL. */
 const char *http_header (struct evhttp_request *request, const char *name);
 
+/**
+ * Each of these functions sends a whole answer, or the end of one that was sent
+ * in pieces. Nothing is read until it is written, so that a caller that shuts
+ * its sending side, or is silent for long, still receives all of it.
+ */
+void http_send (struct evhttp_request *request,
+                int status,
+                const char *reason,
+                struct evbuffer *body);
+void http_send_end (struct evhttp_request *request);
+
 /** Sends @a node as the complete JSON answer and takes ownership of it. */
 void
 http_reply_json (struct evhttp_request *request, int status, JsonNode *node);
--- a/reply.c
+++ b/reply.c
@@ -293,7 +293,7 @@
 
   detach_request (reply, false);
   reply->http = NULL;
-  evhttp_send_reply_end (http);
+  http_send_end (http);
 }
 
 /** Returns the size of the tokens that are not in a batch yet. */
@@ -378,7 +378,7 @@
   reply->http = NULL;
   reply->headers_sent = true;
   detach_request (reply, false);
-  evhttp_send_reply (http, status, NULL, body);
+  http_send (http, status, NULL, body);
 }
 
 static void
@@ -458,7 +458,7 @@
   reply->request = NULL;
   reply->http = NULL;
   if (reply->headers_sent)
-    evhttp_send_reply_end (http);
+    http_send_end (http);
   else
     http_reply_error (http, ERROR_CANCELLED, RAN_UNKNOWN,
                       "another caller took over the answer", NULL, 0);
--- a/standin-stream.c
+++ b/standin-stream.c
@@ -133,7 +133,7 @@
   evhttp_send_reply_chunk (session->request, out);
   evbuffer_free (out);
   if (is_complete)
-    evhttp_send_reply_end (session->request);
+    http_send_end (session->request);
 }
 
 static void
@@ -198,7 +198,7 @@
   if (kind == MISBEHAVE_TRUNCATE)
     {
       session->ended = true;
-      evhttp_send_reply_end (session->request);
+      http_send_end (session->request);
     }
 }
 
@@ -433,7 +433,7 @@
       if (session->ended || session->muted)
         continue;
       session->ended = true;
-      evhttp_send_reply_end (session->request);
+      http_send_end (session->request);
     }
 }
 
--- a/t/t0010-daemon.c
+++ b/t/t0010-daemon.c
@@ -10,6 +10,7 @@
 
 #include "base.h"
 #include "daemon.h"
+#include "http.h"
 #include "lib-address.h"
 #include "lib-caller.h"
 
@@ -22,6 +23,10 @@
 #define MAX_EXIT_MS 6000
 /** Longest time of a daemon that owes nobody anything. */
 #define QUICK_EXIT_MS 2000
+/** Longest silence of a connection, shorter than the time to read an answer. */
+#define IDLE_TIMEOUT_MS 100
+/** Time in which a large answer is read. */
+#define READ_TIME_MS 3000
 
 typedef struct
 {
@@ -30,6 +35,7 @@
   struct event *read_timer;
   struct event *exit_timer;
   size_t body_bytes;
+  uint32_t idle_timeout_ms;
   bool exits; /* in the handler, with the answer */
   char listen[ADDRESS_BYTES];
 } fixture_t;
@@ -42,7 +48,7 @@
   char *body = g_strnfill (fixture->body_bytes, 'x');
 
   evbuffer_add (out, body, fixture->body_bytes);
-  evhttp_send_reply (request, 200, "OK", out);
+  http_send (request, 200, "OK", out);
   evbuffer_free (out);
   g_free (body);
   if (fixture->exits)
@@ -71,6 +77,7 @@
 {
   daemon_options_t options = { .listen = fixture->listen,
                                .log_level = "warn",
+                               .idle_timeout_ms = fixture->idle_timeout_ms,
                                .fallback = on_request,
                                .context = fixture };
 
@@ -197,6 +204,62 @@
   g_assert_cmpuint (run_to_end (&fixture), <, QUICK_EXIT_MS);
 }
 
+/** Reads a large answer while the daemon runs; returns the size of its body. */
+static size_t
+read_large (fixture_t *fixture)
+{
+  struct timeval delay = timeval_from_ms (READ_TIME_MS);
+
+  read_regularly (fixture);
+  event_add (fixture->exit_timer, &delay);
+  run_to_end (fixture);
+  return read_rest (fixture);
+}
+
+/* Guards against taking a caller that has shut its sending side after its
+ * request for one that has gone (issue 45). */
+static void
+test_shut_while_reading (void)
+{
+  fixture_t fixture = { .body_bytes = LARGE_BODY_BYTES };
+
+  set_up (&fixture);
+  send_text (&fixture, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  caller_shut (fixture.caller);
+  g_assert_cmpuint (read_large (&fixture), ==, fixture.body_bytes);
+  caller_free (fixture.caller);
+}
+
+/* Guards against the same fault with an answer that the kernel takes at once.
+ */
+static void
+test_shut_after_small_request (void)
+{
+  fixture_t fixture = { .body_bytes = 100 };
+
+  set_up (&fixture);
+  send_text (&fixture, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  caller_shut (fixture.caller);
+  exit_later (&fixture);
+  run_to_end (&fixture);
+  g_assert_cmpuint (read_rest (&fixture), ==, fixture.body_bytes);
+  caller_free (fixture.caller);
+}
+
+/* Guards against ending a connection as idle while its answer is being read,
+ * because the caller sends nothing meanwhile (issue 45). */
+static void
+test_idle_timeout (void)
+{
+  fixture_t fixture
+      = { .body_bytes = LARGE_BODY_BYTES, .idle_timeout_ms = IDLE_TIMEOUT_MS };
+
+  set_up (&fixture);
+  send_text (&fixture, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  g_assert_cmpuint (read_large (&fixture), ==, fixture.body_bytes);
+  caller_free (fixture.caller);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -208,5 +271,9 @@
                    test_caller_that_does_not_read);
   g_test_add_func ("/daemon/caller-that-has-closed",
                    test_caller_that_has_closed);
+  g_test_add_func ("/daemon/shut-while-reading", test_shut_while_reading);
+  g_test_add_func ("/daemon/shut-after-small-request",
+                   test_shut_after_small_request);
+  g_test_add_func ("/daemon/idle-timeout", test_idle_timeout);
   return g_test_run ();
 }
