control: answer the calls that are open when a control instance stops

An operator whose configuration was being committed lost the connection without an answer when the control instance stopped, although the group might still accept the configuration.

Cause: a stopping instance without a successor to wait for ended after 300 ms, whether or not calls were open; the group may take 900 ms.

Change: open calls are counted, and the instance ends once none is open, at the latest after twice the time of one call.

--- a/node-control.c
+++ b/node-control.c
@@ -26,6 +26,8 @@
 #define MS_PER_S        1000.0
 #define EXIT_DELAY_MS   300
 #define EXIT_CHECK_MS   50
+/** Longest wait of a stopping instance for the answers to open calls. */
+#define OPEN_CALLS_TIMEOUT_MS (2 * CALL_TIMEOUT_MS)
 
 struct node_control
 {
@@ -34,11 +36,14 @@
   control_server_t *server;
   control_client_t *client;
   struct event *exit_timer;
+  uint32_t open_calls;
+  uint64_t stopped_ms;
 };
 
 /** A call to the control group that has no answer yet. */
 typedef struct
 {
+  node_control_t *control;
   node_control_done_cb_t done;
   void *context;
   uint64_t number; /* proposed configuration, 0 for a read */
@@ -104,6 +109,13 @@
   talloc_free (call);
 }
 
+static int
+free_call (pending_call_t *call)
+{
+  call->control->open_calls--;
+  return 0;
+}
+
 static pending_call_t *
 call_new (node_control_t *control,
           uint64_t number,
@@ -112,10 +124,13 @@
 {
   pending_call_t *call = talloc_zero (control, pending_call_t);
 
+  call->control = control;
   call->done = done;
   call->context = context;
   call->number = number;
   call->started_ms = clock_mono_ms ();
+  control->open_calls++;
+  talloc_set_destructor (call, free_call);
   return call;
 }
 
@@ -188,6 +203,14 @@
   control->options.on_call (control, request);
 }
 
+/** Returns whether a call still has to be answered before the instance ends. */
+static bool
+has_open_calls (const node_control_t *control)
+{
+  return control->open_calls > 0
+         && clock_mono_ms () < control->stopped_ms + OPEN_CALLS_TIMEOUT_MS;
+}
+
 static void
 on_exit_timer (evutil_socket_t fd, short what, void *context)
 {
@@ -195,7 +218,7 @@
 
   struct timeval delay = timeval_from_ms (EXIT_CHECK_MS);
 
-  if (control_server_has_stopped (control->server))
+  if (control_server_has_stopped (control->server) && !has_open_calls (control))
     daemon_exit (control->daemon, EXIT_CODE_OK);
   else
     event_add (control->exit_timer, &delay);
@@ -210,6 +233,8 @@
   node_control_t *control = context;
   struct timeval delay = timeval_from_ms (EXIT_DELAY_MS);
 
+  if (control->stopped_ms == 0)
+    control->stopped_ms = clock_mono_ms ();
   control_server_stop (control->server);
   event_add (control->exit_timer, &delay);
 }
--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -105,6 +105,18 @@
   return status;
 }
 
+call_t *
+nodes_start_put_config (const nodes_t *nodes, int index, int version)
+{
+  char *body = g_strdup_printf (config, version, nodes->ip[NODES_ENTRY]);
+  char *address = nodes_address (nodes, index, 0);
+  call_t *call = call_start (address, "/config/put", NULL, body);
+
+  g_free (address);
+  g_free (body);
+  return call;
+}
+
 /** Returns the number of the configuration an instance reads, 0 for none. */
 int64_t
 nodes_read_version (const nodes_t *nodes, int index)
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -8,6 +8,7 @@
 #define LIB_NODES_H
 
 #include "lib-cluster.h"
+#include "lib-entry.h"
 
 /** Number of control instances that form the group. */
 #define NODES_CONTROLS 3
@@ -53,6 +54,10 @@
 /** Sends a configuration to a control instance; returns the status. */
 int nodes_put_config (const nodes_t *nodes, int index, int version);
 
+/** Starts to send a configuration to a control instance; call_finish() waits
+ * for the answer. */
+call_t *nodes_start_put_config (const nodes_t *nodes, int index, int version);
+
 /** Returns the number of the configuration that an instance reads, 0 for
  * none. */
 int64_t nodes_read_version (const nodes_t *nodes, int index);
