t: hold that a refusal reaches a caller that has sent more

evhttp shuts the sending side before it closes, so the refusal of doubtful framing or of a body that is too large arrives on loopback, before the reset that the unread bytes cause.

--- a/t/t0010-daemon.c
+++ b/t/t0010-daemon.c
@@ -27,6 +27,9 @@
 #define IDLE_TIMEOUT_MS 100
 /** Time in which a large answer is read. */
 #define READ_TIME_MS 3000
+/** Size of what a caller sends although its request is already refused. */
+#define MORE_BYTES       (256u * 1024)
+#define TOO_LARGE_HEADER "Content-Length: 5000000\r\n"
 
 typedef struct
 {
@@ -260,6 +263,48 @@
   caller_free (fixture.caller);
 }
 
+/** Sends a request that is refused and more bytes, and reads only after that.
+ * Returns whether the whole refusal was received and no reset. */
+static bool
+is_refused (const char *headers, const char *status)
+{
+  fixture_t fixture = { .body_bytes = 1 };
+  char *more = g_strnfill (MORE_BYTES, 'y');
+  char *head
+      = g_strdup_printf ("POST /x HTTP/1.1\r\nHost: a\r\n%s\r\n", headers);
+  bool is_whole;
+
+  set_up (&fixture);
+  send_text (&fixture, head);
+  g_assert_cmpuint (caller_send (fixture.caller, more, MORE_BYTES), ==,
+                    MORE_BYTES);
+  exit_later (&fixture);
+  run_to_end (&fixture);
+  read_rest (&fixture);
+  is_whole = g_str_has_prefix (fixture.caller->answer->str, status)
+             && fixture.caller->has_end;
+  caller_free (fixture.caller);
+  g_free (head);
+  g_free (more);
+  return is_whole;
+}
+
+/* Guards against a reset that takes the refusal, when the caller has sent more
+ * than was read of its doubtful request (issue 45). */
+static void
+test_refused_framing (void)
+{
+  g_assert_true (is_refused ("Content-Length: 0\r\nContent-Length: 0\r\n",
+                             "HTTP/1.1 400 "));
+}
+
+/* Guards against the same for a body that is too large. */
+static void
+test_refused_size (void)
+{
+  g_assert_true (is_refused (TOO_LARGE_HEADER, "HTTP/1.1 413 "));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -275,5 +320,7 @@
   g_test_add_func ("/daemon/shut-after-small-request",
                    test_shut_after_small_request);
   g_test_add_func ("/daemon/idle-timeout", test_idle_timeout);
+  g_test_add_func ("/daemon/refused-framing", test_refused_framing);
+  g_test_add_func ("/daemon/refused-size", test_refused_size);
   return g_test_run ();
 }
