entry: answer open administration calls before the process ends

An operator whose change waited for the control group lost the connection without an answer when the entry instance that carried the call stopped, although the group might still accept the change.

Change: the API counts its open calls, and the instance ends once none is open. The stop timeout bounds this as before.

--- a/admin.c
+++ b/admin.c
@@ -22,6 +22,7 @@
   admin_hooks_t hooks;
   metric_t *calls;
   metric_t *refused;
+  uint32_t open_calls;
 };
 
 /** An administration call that is being served. */
@@ -52,6 +53,7 @@
   if (call->connection != NULL)
     evhttp_connection_set_closecb (call->connection, NULL, NULL);
   g_clear_pointer (&call->body, json_object_unref);
+  call->admin->open_calls--;
   return 0;
 }
 
@@ -537,12 +539,19 @@
   call->request = request;
   call->connection = evhttp_request_get_connection (request);
   call->holder = find_holder (admin, request);
+  admin->open_calls++;
   talloc_set_destructor (call, free_call);
   evhttp_connection_set_closecb (call->connection, on_connection_closed, call);
   serve_route (call, path + strlen (PATH_PREFIX));
   return true;
 }
 
+uint32_t
+admin_open_calls (const admin_t *admin)
+{
+  return admin->open_calls;
+}
+
 admin_t *
 admin_new (void *parent, const admin_hooks_t *hooks, metrics_t *metrics)
 {
--- a/admin.h
+++ b/admin.h
@@ -134,4 +134,7 @@
  */
 bool admin_serve (admin_t *admin, struct evhttp_request *request);
 
+/** Returns the number of calls that are not answered yet. */
+uint32_t admin_open_calls (const admin_t *admin);
+
 #endif
--- a/entry-admin.c
+++ b/entry-admin.c
@@ -264,6 +264,12 @@
   return admin_serve (admin->api, request);
 }
 
+uint32_t
+entry_admin_open_calls (const entry_admin_t *admin)
+{
+  return admin_open_calls (admin->api);
+}
+
 entry_admin_t *
 entry_admin_new (void *parent, const entry_admin_options_t *options)
 {
--- a/entry-admin.h
+++ b/entry-admin.h
@@ -49,4 +49,7 @@
  * untouched, when its path is not under /admin/v1/. */
 bool entry_admin_serve (entry_admin_t *admin, struct evhttp_request *request);
 
+/** Returns the number of calls that are not answered yet. */
+uint32_t entry_admin_open_calls (const entry_admin_t *admin);
+
 #endif
--- a/entry.c
+++ b/entry.c
@@ -33,7 +33,8 @@
 #define OWNER_SIZE 128
 /* IP:PORT and the NUL. */
 #define ADDRESS_SIZE 80
-/* Delay before the process ends, in which the last refusals are written. */
+/* Delay before the process ends, in which other instances learn that it leaves,
+ * and between checks whether administration calls are still open. */
 #define EXIT_DELAY_MS 100
 /* Upper bound of the wait for confirmations of the last cancels. A dead
  * upstream never confirms. The other instances of the zone have a record of the
@@ -209,8 +210,12 @@
 on_exit_timer (evutil_socket_t fd, short what, void *arg)
 {
   entry_t *entry = arg;
+  struct timeval delay = timeval_from_ms (EXIT_DELAY_MS);
 
-  daemon_exit (entry->daemon, EXIT_CODE_OK);
+  if (entry_admin_open_calls (entry->admin) > 0)
+    event_add (entry->exit_timer, &delay);
+  else
+    daemon_exit (entry->daemon, EXIT_CODE_OK);
 }
 
 /* Ends a graceful shutdown once no request is live and every reply is written.
--- a/t/t7300-apply.c
+++ b/t/t7300-apply.c
@@ -6,6 +6,7 @@
 
 #include "base.h"
 #include "lib-cluster.h"
+#include "lib-entry.h"
 
 #define REPLICAS 3
 #define ENTRIES  2
@@ -16,6 +17,16 @@
   "services: [{name: ours, kind: plain, deadline_ms: 5000}]\n"                 \
   "customers: [{name: mine, weight: %d}]\n"
 
+/** A proposal of the next configuration. */
+#define NEXT_CONFIG                                                            \
+  "{\"number\":2,\"files\":{\"a.yaml\":\""                                     \
+  "zones: [{name: z}]\\nsize_classes: [{name: s, up_to_tokens: 1000, "         \
+  "deadline_ms: 9000}]\\nservices: [{name: ours, kind: plain, deadline_ms: "   \
+  "5000}]\\ncustomers: [{name: mine, weight: 2}]\\n\"}}"
+
+/** Time in which a call reaches the group. */
+#define CALL_SETTLED_MS 300
+
 typedef struct
 {
   cluster_t *cluster;
@@ -23,6 +34,7 @@
   const char *status[REPLICAS];  /* HTTP addresses */
   const char *entry[ENTRIES];
   process_t *replicas[REPLICAS];
+  process_t *entries[ENTRIES];
 } fixture_t;
 
 static void
@@ -59,11 +71,12 @@
   for (int i = 0; i < ENTRIES; i++)
     {
       fixture->entry[i] = cluster_address (fixture->cluster);
-      g_assert_nonnull (cluster_start (
+      fixture->entries[i] = cluster_start (
           fixture->cluster, "lwm-entryd", "--instance", i == 0 ? "a" : "b",
           "--zone", "z", "--listen", fixture->entry[i], "--control-peer",
           fixture->control[0], "--control-peer", fixture->control[1],
-          "--control-peer", fixture->control[2], NULL));
+          "--control-peer", fixture->control[2], NULL);
+      g_assert_nonnull (fixture->entries[i]);
     }
 }
 
@@ -165,6 +178,34 @@
   CLUSTER_WAIT (has_revision (fixture->entry[1], 3));
 }
 
+static void
+signal_replicas (fixture_t *fixture, int signal_number)
+{
+  for (int i = 0; i < REPLICAS; i++)
+    process_signal (fixture->replicas[i], signal_number);
+}
+
+/* Guards against ending an entry instance before the answer to a call that
+ * waits for the control group (issue 45). */
+static void
+test_stop_with_open_call (fixture_t *fixture, gconstpointer data)
+{
+  call_t *call;
+  answer_t answer;
+
+  expect_apply (fixture, 0, "1", 1, EXIT_CODE_OK, "accepted number=1");
+  signal_replicas (fixture, SIGSTOP);
+  call = call_start (fixture->entry[0], "/admin/v1/configuration", NULL,
+                     NEXT_CONFIG);
+  cluster_sleep_ms (CALL_SETTLED_MS);
+  process_signal (fixture->entries[0], SIGTERM);
+  answer = call_finish (call);
+  signal_replicas (fixture, SIGCONT);
+  assert_error (&answer, 502, "outcome_unknown", "unknown");
+  cluster_answer_free (&answer);
+  process_expect_success (fixture->entries[0]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -173,5 +214,7 @@
               test_in_force_at_all_instances, tear_down);
   g_test_add ("/apply/no-quorum-is-told", fixture_t, NULL, set_up,
               test_no_quorum_is_reported, tear_down);
+  g_test_add ("/apply/stop-with-open-call", fixture_t, NULL, set_up,
+              test_stop_with_open_call, tear_down);
   return g_test_run ();
 }
