gateway: do not take a pause in reading for the upstream's silence

A request whose caller read nothing for some seconds was sent to a second upstream, so that its work was done twice; where that upstream did not resume the stream, the answer was lost and the sound upstream ejected.

Cause: reading from the upstream pauses for a slow caller, but whoever judged the upstream compared the clock with its last event: the stall check and what it told the placer, is_late of a job, gap_ms of a request, and the times of calls and first events.

Change: silence.h is the one clock for this. It stands still while reading is paused and starts from zero after a pause of the process. The timer of an attempt asks it when it fires. upstream_set_progress() is told the silence, and a time that was not read throughout is not recorded as an upstream's. Bounds are as before for an upstream that is read and silent. A pause also no longer outlasts its attempt: the next one would not have paused (from reading the code).

The large stream of t8063 moved to the library of the gateway's tests.

--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -70,15 +70,13 @@
   return fields;
 }
 
-/** Returns when the attempt counts as stalled without an answer or, for a
- * stream, a first event; 0: never. */
+/** Returns the silence after which the attempt counts as stalled without an
+ * answer or, for a stream, a first event. */
 static uint64_t
-stall_time_ms (const gateway_request_t *request)
+max_first_silence_ms (const gateway_request_t *request)
 {
   double wait_ms;
 
-  if (!is_repeatable (request))
-    return 0;
   if (request->engine != NULL)
     wait_ms = request->predicted_ms * FIRST_EVENT_STALL_FACTOR
               + (request->terms.prompt_tokens > GATEWAY_SHORT_PROMPT_TOKENS
@@ -87,7 +85,23 @@
   else
     wait_ms
         = MAX (request->predicted_ms * CALL_STALL_FACTOR, CALL_STALL_MIN_MS);
-  return request->attempt_ms + (uint64_t)wait_ms;
+  return (uint64_t)wait_ms;
+}
+
+/** Returns the silence after which a stream counts as stalled between two
+ * events. */
+static uint64_t
+max_gap_silence_ms (const gateway_request_t *request)
+{
+  return (uint64_t)MAX (request->route.gap_target_ms * GAP_STALL_FACTOR,
+                        GAP_STALL_MIN_MS);
+}
+
+static uint64_t
+max_silence_ms (const gateway_request_t *request)
+{
+  return request->attempt_events > 0 ? max_gap_silence_ms (request)
+                                     : max_first_silence_ms (request);
 }
 
 static void
@@ -189,8 +203,12 @@
                                && strcmp (options.method, "HEAD") != 0;
   record_sent (request);
   request->attempt_ms = clock_mono_ms ();
+  request->attempt_events = 0;
+  request->earlier_silence_ms
+      += gateway_silent_ms (request, request->attempt_ms);
+  silence_restart (&request->silence, request->attempt_ms);
   request->exchange = exchange_send (request->gateway->pool, &options);
-  request->attempt_due_ms = stall_time_ms (request);
+  gateway_set_stall_time (request, request->attempt_ms);
   gateway_set_timer (request);
   talloc_free (scratch);
 }
@@ -202,6 +220,7 @@
 
   request->exchange = NULL;
   request->attempt_due_ms = 0;
+  silence_resume (&request->silence, clock_mono_ms ());
   TALLOC_FREE (request->events);
   if (exchange != NULL)
     exchange_cancel (exchange);
@@ -285,31 +304,38 @@
 uint64_t
 gateway_silent_ms (const gateway_request_t *request, uint64_t now_ms)
 {
-  return now_ms
-         - pause_detector_silent_since_ms (
-             &request->gateway->process_pause,
-             MAX (request->attempt_ms, request->last_event_ms));
+  pause_detector_t *process_pause = &request->gateway->process_pause;
+
+  pause_detector_update (process_pause, GATEWAY_TICK_MS, now_ms);
+  return silence_ms (&request->silence, process_pause, now_ms);
 }
 
-/** Returns true if this process resumed from a pause so recently that received
- * answers may still be unread. */
-static bool
-has_just_resumed (gateway_t *gateway)
+void
+gateway_set_stall_time (gateway_request_t *request, uint64_t silent_since_ms)
 {
-  uint64_t now_ms = clock_mono_ms ();
-
-  pause_detector_update (&gateway->process_pause, GATEWAY_TICK_MS, now_ms);
-  return pause_detector_has_just_resumed (&gateway->process_pause,
-                                          STALL_RECHECK_MS, now_ms);
+  request->attempt_due_ms = is_repeatable (request)
+                                ? silent_since_ms + max_silence_ms (request)
+                                : 0;
 }
 
 void
 gateway_on_attempt_stalled (gateway_request_t *request)
 {
+  uint64_t now_ms = clock_mono_ms ();
+  uint64_t silent_ms = gateway_silent_ms (request, now_ms);
+
+  if (silent_ms < max_silence_ms (request))
+    {
+      /* The answer was not read all the time, or may still be unread after a
+         pause of this process. */
+      gateway_set_stall_time (request, now_ms - silent_ms);
+      gateway_set_timer (request);
+      return;
+    }
   gateway_recheck_attempt (request);
   /* A late answer is better than none: the attempt ends only if another
      upstream can take the request now. */
-  if (request->ask == NULL && !has_just_resumed (request->gateway)
+  if (request->ask == NULL
       && request->possible_runs + 1 < request->route.attempts)
     gateway_ask_to_move (request);
 }
@@ -343,14 +369,3 @@
                                                 : UPSTREAM_JOB_FAILED);
   gateway_start_attempt (request, placed, answer);
 }
-
-uint64_t
-gateway_next_event_due_ms (const gateway_request_t *request)
-{
-  double wait_ms
-      = MAX (request->route.gap_target_ms * GAP_STALL_FACTOR, GAP_STALL_MIN_MS);
-
-  if (!is_repeatable (request))
-    return 0;
-  return clock_mono_ms () + (uint64_t)wait_ms;
-}
--- a/gateway-helpers.c
+++ b/gateway-helpers.c
@@ -120,7 +120,7 @@
       end_job (gateway, &request->helpers[i].job_id, UPSTREAM_JOB_NEUTRAL);
     else
       {
-        upstream_set_progress (gateway->set, request->helpers[i].job_id,
+        upstream_set_progress (gateway->set, request->helpers[i].job_id, 0,
                                clock_mono_ms ());
         zone_placement_first_event (gateway->placement,
                                     request->helpers[i].job_id);
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -21,6 +21,7 @@
 #include "gateway.h"
 #include "pause-detector.h"
 #include "retry.h"
+#include "silence.h"
 #include "zone-placement.h"
 
 struct event;
@@ -149,13 +150,14 @@
   GByteArray *body;       /* an answer that is relayed once it is complete */
   event_stream_t *events; /* parses a stream; NULL before its head */
   bool is_reply_begun;    /* the head was sent to the caller */
-  bool is_read_paused;    /* the caller is slow: the answer is not read on */
   bool has_event;
   uint64_t last_event; /* id of the last event relayed */
   uint32_t event_count;
   uint64_t first_event_ms;
-  uint64_t last_event_ms;
-  uint32_t longest_gap_ms; /* longest time between two events */
+  silence_t silence; /* of the attempt's upstream: since its last event or the
+                        start; paused while the caller is slow */
+  uint64_t earlier_silence_ms; /* since the last event, of earlier attempts */
+  uint32_t longest_gap_ms;     /* longest silence between two events */
 };
 
 /** Refuses a request that waits while the process stops, if it may not wait any
@@ -222,10 +224,18 @@
 /** Checks a stalled attempt again later. */
 void gateway_recheck_attempt (gateway_request_t *request);
 
-/** Returns the time since the attempt started, its last event arrived, or this
- * process resumed from a pause, whichever is latest. */
+/** Returns for how long the upstream of the attempt has sent no event while its
+ * answer was read, see silence.h. */
 uint64_t gateway_silent_ms (const gateway_request_t *request, uint64_t now_ms);
 
+/** Sets when the attempt counts as stalled if its upstream is silent from
+ * @a silent_since_ms on. */
+void gateway_set_stall_time (gateway_request_t *request,
+                             uint64_t silent_since_ms);
+
+/** Reads the answer on if reading was paused for a slow caller. */
+void gateway_resume_reading (gateway_request_t *request);
+
 /** Ends the current attempt and cancels its exchange if that is still open. */
 void gateway_end_attempt (gateway_request_t *request, upstream_job_end_t how);
 
@@ -268,10 +278,6 @@
                                 retry_reason_t reason,
                                 bool has_run);
 
-/** Returns when a stream counts as stalled if its next event does not arrive;
- * 0: never. */
-uint64_t gateway_next_event_due_ms (const gateway_request_t *request);
-
 /** Handles an attempt whose due time has passed: moves the request to another
  * upstream or extends the time. */
 void gateway_on_attempt_stalled (gateway_request_t *request);
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -77,6 +77,14 @@
   fail_attempt_as (request, UPSTREAM_JOB_FAILED, reason, has_run);
 }
 
+/** Returns whether the answer was read all the time since the attempt started,
+ * so that this time is the upstream's alone. */
+static bool
+was_read_throughout (const gateway_request_t *request, uint64_t now_ms)
+{
+  return gateway_silent_ms (request, now_ms) == now_ms - request->attempt_ms;
+}
+
 /** Records the first event of an attempt. The ratio of its time to the
  * predicted time is the engine's slowness. */
 static void
@@ -86,7 +94,8 @@
 
   zone_placement_first_event (gateway->placement, request->job_id);
   gateway_on_prompt_read (request);
-  if (request->engine != NULL && request->predicted_ms > 0)
+  if (request->engine != NULL && request->predicted_ms > 0
+      && was_read_throughout (request, now_ms))
     zone_placement_observe (gateway->placement, request->upstream_key, 0,
                             (double)(now_ms - request->attempt_ms)
                                 / request->predicted_ms);
@@ -108,15 +117,19 @@
 static void
 record_event (gateway_request_t *request, uint64_t now_ms)
 {
+  uint64_t silent_ms = gateway_silent_ms (request, now_ms);
+
   if (request->attempt_events++ == 0)
     record_first_event (request, now_ms);
-  upstream_set_progress (request->gateway->set, request->job_id, now_ms);
-  if (request->last_event_ms > 0)
-    request->longest_gap_ms = MAX (request->longest_gap_ms,
-                                   (uint32_t)(now_ms - request->last_event_ms));
-  request->event_count++;
-  request->last_event_ms = now_ms;
-  request->attempt_due_ms = gateway_next_event_due_ms (request);
+  upstream_set_progress (request->gateway->set, request->job_id, silent_ms,
+                         now_ms);
+  if (request->event_count++ > 0)
+    request->longest_gap_ms
+        = MAX (request->longest_gap_ms,
+               (uint32_t)(request->earlier_silence_ms + silent_ms));
+  request->earlier_silence_ms = 0;
+  silence_restart (&request->silence, now_ms);
+  gateway_set_stall_time (request, now_ms);
 }
 
 static bool
@@ -224,13 +237,22 @@
 static void
 pause_if_slow (gateway_request_t *request)
 {
-  if (request->is_read_paused
+  if (silence_is_paused (&request->silence)
       || caller_reply_pending_bytes (request->caller) < MAX_UNSENT_BYTES)
     return;
-  request->is_read_paused = true;
+  silence_pause (&request->silence, clock_mono_ms ());
   exchange_set_paused (request->exchange, true);
 }
 
+void
+gateway_resume_reading (gateway_request_t *request)
+{
+  if (!silence_is_paused (&request->silence))
+    return;
+  silence_resume (&request->silence, clock_mono_ms ());
+  exchange_set_paused (request->exchange, false);
+}
+
 static void
 on_body (exchange_t *exchange,
          const uint8_t *data,
@@ -290,6 +312,7 @@
 end_call (gateway_request_t *request)
 {
   gateway_t *gateway = request->gateway;
+  uint64_t now_ms = clock_mono_ms ();
   bool has_failed = request->status >= FIRST_SERVER_ERROR
                     && request->status != STATUS_GATEWAY_TIMEOUT;
 
@@ -311,8 +334,9 @@
       gateway_on_attempt_failed (request, RETRY_ERROR, true);
       return;
     }
-  zone_placement_observe (gateway->placement, request->upstream_key,
-                          (double)(clock_mono_ms () - request->attempt_ms), 0);
+  if (was_read_throughout (request, now_ms))
+    zone_placement_observe (gateway->placement, request->upstream_key,
+                            (double)(now_ms - request->attempt_ms), 0);
   gateway_end_attempt (request, UPSTREAM_JOB_GOOD);
   if (request->is_reply_begun)
     gateway_abort (request, "resume_refused");
--- a/gateway.c
+++ b/gateway.c
@@ -340,10 +340,8 @@
 {
   gateway_request_t *request = caller_request_data (caller);
 
-  if (request == NULL || !request->is_read_paused || request->exchange == NULL)
-    return;
-  request->is_read_paused = false;
-  exchange_set_paused (request->exchange, false);
+  if (request != NULL)
+    gateway_resume_reading (request);
 }
 
 static void
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -74,7 +74,7 @@
   job.begun_ms = now_ms - message->begun_ago_ms;
   job.due_ms = job.begun_ms + message->target_ms;
   if (message->first_ago_ms > 0)
-    job.first_ms = job.last_ms = now_ms - message->first_ago_ms + 1;
+    job.first_ms = now_ms - message->first_ago_ms + 1;
   if (!upstream_set_begin (share->options.set, &job))
     update_source (share, &job);
   else if (sender->is_own_zone)
@@ -176,7 +176,7 @@
   for (size_t i = 0; i < update->n_begun; i++)
     import_job (share, sender, update->begun[i], now_ms);
   for (size_t i = 0; i < update->n_answering; i++)
-    upstream_set_progress (set, update->answering[i], now_ms);
+    upstream_set_progress (set, update->answering[i], 0, now_ms);
   import_orphans (share, update, now_ms);
   import_observations (share, update, now_ms);
   if (sender->is_own_zone)
--- a/pause-detector.c
+++ b/pause-detector.c
@@ -32,11 +32,3 @@
 {
   return MAX (heard_ms, detector->resumed_ms);
 }
-
-bool
-pause_detector_has_just_resumed (const pause_detector_t *detector,
-                                 uint32_t within_ms,
-                                 uint64_t now_ms)
-{
-  return detector->resumed_ms > 0 && detector->resumed_ms + within_ms > now_ms;
-}
--- a/pause-detector.h
+++ b/pause-detector.h
@@ -8,7 +8,6 @@
 #ifndef PAUSE_DETECTOR_H
 #define PAUSE_DETECTOR_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 /** State of the detector. Zero is the initial state. */
@@ -34,9 +33,4 @@
 uint64_t pause_detector_silent_since_ms (const pause_detector_t *detector,
                                          uint64_t heard_ms);
 
-/** Returns whether a pause ended less than @a within_ms ago. */
-bool pause_detector_has_just_resumed (const pause_detector_t *detector,
-                                      uint32_t within_ms,
-                                      uint64_t now_ms);
-
 #endif
--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -121,7 +121,7 @@
   if (notice->what == NOTICE_BEGIN)
     upstream_set_begin (set, &notice->job);
   else if (notice->what == NOTICE_PROGRESS)
-    upstream_set_progress (set, notice->job.id, now_ms);
+    upstream_set_progress (set, notice->job.id, 0, now_ms);
   else
     upstream_set_end (set, notice->job.id, notice->how, now_ms);
 }
@@ -417,6 +417,9 @@
 void
 engines_emit_event (world_t *world, request_t *request)
 {
+  uint64_t gap_ms
+      = request->first_ms > 0 ? world->now_ms - request->last_ms : 0;
+
   if (request->first_ms == 0)
     {
       request->first_ms = world->now_ms;
@@ -432,11 +435,11 @@
           share_progress (world, request, request->jobs[i]);
       share_progress (world, request, request->jobs[0]);
     }
-  else if (world->now_ms > request->last_ms + request->kind->gap_target_ms)
+  else if (gap_ms > request->kind->gap_target_ms)
     request->is_late = true;
   request->last_ms = world->now_ms;
   upstream_set_progress (world->sets[request->instance], request->jobs[0],
-                         world->now_ms);
+                         gap_ms, world->now_ms);
   request->events_left--;
 }
 
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#define STREAM_EVENT_BYTES (64u * 1024)
+
 static void
 read_request_info (const http_fields_t *fields, gateway_request_info_t *terms)
 {
@@ -282,3 +284,22 @@
     gateway_fixture_call (fixture, GET ("/safe/"), "body");
   fixture->upstreams[0].requests = fixture->upstreams[1].requests = 0;
 }
+
+char *
+gateway_fixture_stream_text (size_t size_bytes)
+{
+  GString *text = g_string_new ("HTTP/1.1 200 OK\r\nX-Signed: 1\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n");
+  char *data = g_strnfill (STREAM_EVENT_BYTES, 'x');
+
+  for (uint32_t id = 1; text->len < size_bytes; id++)
+    {
+      char *event = g_strdup_printf ("id: %u\ndata: %s\n\n", id, data);
+
+      g_string_append_printf (text, "%zx\r\n%s\r\n", strlen (event), event);
+      g_free (event);
+    }
+  g_string_append (text, "0\r\n\r\n");
+  g_free (data);
+  return g_string_free (text, FALSE);
+}
--- a/t/lib-gateway.h
+++ b/t/lib-gateway.h
@@ -44,6 +44,10 @@
 /** Announces both upstreams. */
 void gateway_fixture_announce (gateway_fixture_t *fixture);
 
+/** Returns a streamed answer of at least this size, for ACT_TEXT: a head and
+ * events in chunks, numbered from 1; freed with g_free(). */
+char *gateway_fixture_stream_text (size_t size_bytes);
+
 /** Sends a request over the caller's connection, opened if it is closed. */
 void gateway_fixture_send (gateway_fixture_t *fixture, const char *request);
 
--- a/t/t8040-upstream-choice.c
+++ b/t/t8040-upstream-choice.c
@@ -120,7 +120,6 @@
           .due_ms = NOW_MS + request->target_ms,
           .sent_ms = NOW_MS,
           .first_ms = is_decoding ? NOW_MS : 0,
-          .last_ms = NOW_MS,
           .is_part = is_part };
 
   upstream_set_begin (fixture->set, &job);
--- a/t/t8063-gateway-stop.c
+++ b/t/t8063-gateway-stop.c
@@ -11,8 +11,7 @@
 #include "logging.h"
 
 /** Size of an answer that is larger than all buffers of the kernel. */
-#define LARGE_ANSWER_BYTES (12u * 1024 * 1024)
-#define LARGE_EVENT_BYTES  (64u * 1024)
+#define LARGE_STREAM_BYTES (12u * 1024 * 1024)
 #define LARGE_BODY_BYTES   (7u * 1024 * 1024)
 /** As in the fields of the upstreams' answers. */
 #define PAUSE_MS 4000
@@ -26,7 +25,7 @@
   return g_str_has_suffix (caller->answer->str, text);
 }
 
-/** An answer of one piece, or a stream of events, larger than all buffers. */
+/** An answer of one piece, larger than all buffers. */
 static char *
 large_answer (void)
 {
@@ -41,25 +40,6 @@
   return g_string_free (text, FALSE);
 }
 
-static char *
-large_stream (void)
-{
-  GString *text = g_string_new ("HTTP/1.1 200 OK\r\nX-Signed: 1\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n");
-  char *data = g_strnfill (LARGE_EVENT_BYTES, 'x');
-
-  for (uint32_t id = 1; text->len < LARGE_ANSWER_BYTES; id++)
-    {
-      char *event = g_strdup_printf ("id: %u\ndata: %s\n\n", id, data);
-
-      g_string_append_printf (text, "%zx\r\n%s\r\n", strlen (event), event);
-      g_free (event);
-    }
-  g_string_append (text, "0\r\n\r\n");
-  g_free (data);
-  return g_string_free (text, FALSE);
-}
-
 /** Ends the gateway as the process does when it has nothing more to do. */
 static void
 end_gateway (gateway_fixture_t *fixture)
@@ -134,7 +114,7 @@
 test_slow_reader (void)
 {
   char *answer = large_answer ();
-  char *stream = large_stream ();
+  char *stream = gateway_fixture_stream_text (LARGE_STREAM_BYTES);
 
   check_slow_reader (answer, GET ("/safe/"), true);
   check_slow_reader (answer, GET ("/safe/"), false);
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -217,7 +217,10 @@
 }
 
 void
-upstream_set_progress (upstream_set_t *set, uint64_t job_id, uint64_t now_ms)
+upstream_set_progress (upstream_set_t *set,
+                       uint64_t job_id,
+                       uint64_t gap_ms,
+                       uint64_t now_ms)
 {
   upstream_job_t *job = g_hash_table_lookup (set->jobs, &job_id);
 
@@ -229,9 +232,8 @@
       if (set->options.on_answer != NULL)
         set->options.on_answer (job, now_ms, set->options.context);
     }
-  else if (job->gap_target_ms > 0 && now_ms > job->last_ms + job->gap_target_ms)
+  else if (job->gap_target_ms > 0 && gap_ms > job->gap_target_ms)
     job->is_late = true;
-  job->last_ms = now_ms;
 }
 
 static void
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -43,8 +43,7 @@
   uint64_t due_ms;        /**< when the first event is due, 0 if unknown */
   uint64_t sent_ms;
   uint64_t first_ms;    /**< when its first event came, 0 before */
-  uint64_t last_ms;     /**< when its last event came */
-  bool is_late;         /**< a pause has exceeded gap_target_ms */
+  bool is_late;         /**< a gap has exceeded gap_target_ms */
   bool is_part;         /**< prefills a part of a prompt for another upstream */
   bool has_reservation; /**< memory is reserved there under the name of
                              upstream_reservation_name() */
@@ -144,9 +143,15 @@
 void
 upstream_set_source (upstream_set_t *set, uint64_t job_id, uint64_t source);
 
-/** Records an event of the job. */
-void
-upstream_set_progress (upstream_set_t *set, uint64_t job_id, uint64_t now_ms);
+/**
+ * Records an event of the job.
+ * @param gap_ms for how long the upstream was silent before it; this does not
+ * matter for the first event
+ */
+void upstream_set_progress (upstream_set_t *set,
+                            uint64_t job_id,
+                            uint64_t gap_ms,
+                            uint64_t now_ms);
 
 /** Removes a job and updates the state of the upstream from @a how the job
  * ended. */
