control: tell all other members something in one place

The loop over the other members stood twice, where a leader reports absences and where a replica announces its end. Both call send_to_members() now; what is sent, to whom and when stays the same.

--- a/control-group.c
+++ b/control-group.c
@@ -215,21 +215,30 @@
   control_server_schedule_flush (server);
 }
 
-/** Tells the other members, as their leader, which members are absent. */
+/** Sends a message to all other members. */
 static void
-report_absences (control_group_t *group, uint64_t now_ms)
+send_to_members (control_group_t *group, Lwm__ControlPeerMessage *message)
 {
   control_server_t *server = group->server;
   const Lwm__ControlMembership *members = raft_membership (server->raft);
+
+  for (size_t i = 0; i < members->n_members; i++)
+    if (members->members[i]->incarnation != server->incarnation)
+      control_server_send_peer (server, message, NULL,
+                                members->members[i]->incarnation);
+}
+
+/** Tells the other members, as their leader, which members are absent. */
+static void
+report_absences (control_group_t *group, uint64_t now_ms)
+{
   Lwm__ControlPeerMessage message = LWM__CONTROL_PEER_MESSAGE__INIT;
 
   message.absences = control_presence_absences (group->presence, group,
                                                 group->leader_since_ms, now_ms,
                                                 &message.n_absences);
-  for (size_t i = 0; message.n_absences > 0 && i < members->n_members; i++)
-    if (members->members[i]->incarnation != server->incarnation)
-      control_server_send_peer (server, &message, NULL,
-                                members->members[i]->incarnation);
+  if (message.n_absences > 0)
+    send_to_members (group, &message);
   talloc_free (message.absences);
 }
 
@@ -327,19 +336,15 @@
 void
 control_group_stop (control_group_t *group)
 {
-  control_server_t *server = group->server;
-  const Lwm__ControlMembership *members = raft_membership (server->raft);
+  raft_t *raft = group->server->raft;
   Lwm__ControlPeerMessage message = LWM__CONTROL_PEER_MESSAGE__INIT;
 
   log_info ("This replica is about to end. leader=%d",
-            raft_status (server->raft).role == RAFT_LEADER);
+            raft_status (raft).role == RAFT_LEADER);
   group->stopped_ms = clock_mono_ms ();
-  raft_resign (server->raft, group->stopped_ms);
+  raft_resign (raft, group->stopped_ms);
   message.leaving = true;
-  for (size_t i = 0; i < members->n_members; i++)
-    if (members->members[i]->incarnation != server->incarnation)
-      control_server_send_peer (server, &message, NULL,
-                                members->members[i]->incarnation);
+  send_to_members (group, &message);
 }
 
 /** Tells whether a learner can take this replica's vote before its end. */
