daemon: release connections with a deferred callback before the loop

The entry instance under the sanitizers reported a leak and exited with 1 after a planned stop in which it had to end open requests. Callers saw nothing of it.

Cause: a connection to an upstream that has a callback deferred to the next turn keeps a reference to itself. The loop ended before that turn came.

Change: the loop runs once more, without waiting, when all other objects that own events of it are freed.

--- a/daemon.c
+++ b/daemon.c
@@ -41,6 +41,8 @@
       event_free (daemon->signals[i]);
   if (daemon->http != NULL)
     evhttp_free (daemon->http);
+  /* A connection with a deferred callback is released in the next turn. */
+  event_base_loop (daemon->base, EVLOOP_NONBLOCK);
   event_base_free (daemon->base);
   return 0;
 }
