--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -7,6 +7,19 @@
       "\"path-prefix\":\"/a/\",\"kind\":\"safe\",\"timeout-ms\":3000,"
       "\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}]}";
 
+#define DEFAULT_STOP_TIMEOUT_S 4
+
+static const char config_of_all_kinds[]
+    = "{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"s\"},"
+      "{\"name\":\"p\"}],\"limits\":{\"max-header-bytes\":16384,"
+      "\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,"
+      "\"idle-timeout-ms\":15000}}";
+
+static const char route[]
+    = "%s{\"name\":\"%s\",\"host\":\"%s\",\"path-prefix\":\"/%s/\","
+      "\"kind\":\"%s\",\"timeout-ms\":12000,\"service\":\"%s\","
+      "\"attempts\":2,\"public\":true}";
+
 static void
 choose_addresses (nodes_t *nodes)
 {
@@ -33,13 +46,13 @@
       "instance: %s\nzone: %s\naddress: %s\nfirst_port: %d\nlast_port: %d\n"
       "callers: \"%s:%d\"\nstatus: \"%s:%d\"\ncontrol: \"%s:%d\"\n"
       "found: %s\n"
-      "log_level: info\nannounce_ms: 1000\nstop_timeout_s: 4\ncatch_up_s: "
+      "log_level: info\nannounce_ms: 1000\nstop_timeout_s: %u\ncatch_up_s: "
       "4\nlost_machines: 1\n"
       "retry_share: 0.2\nspare_retries: 100\nkeeps_state: %s\nseeds: [",
       name, nodes->zone[index], nodes->ip[index], nodes->port + 1,
       nodes->port + 9, nodes->ip[index], nodes->port + 3, nodes->ip[index],
       nodes->port + 2, nodes->ip[index], nodes->port, found ? "true" : "false",
-      index != NODES_ENTRY ? "true" : "false");
+      nodes->stop_timeout_s, index != NODES_ENTRY ? "true" : "false");
   for (int i = 0; i < NODES_CONTROLS; i++)
     g_string_append_printf (text, "%s\"%s:%d\"", i > 0 ? ", " : "",
                             nodes->ip[nodes->seeds[i]], nodes->port);
@@ -95,10 +108,55 @@
   return status;
 }
 
+static char *
+write_config_of_all_kinds (const nodes_t *nodes, int version)
+{
+  static const struct
+  {
+    const char *name;
+    const char *kind;
+    const char *service;
+  } routes[] = { { "safe", "safe", "s" },
+                 { "unsafe", "unsafe", "s" },
+                 { "stream", "stream", "s" },
+                 { "paused", "stream", "p" } };
+  GString *list = g_string_new (NULL);
+  char *text;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
+    g_string_append_printf (list, route, i > 0 ? "," : "", routes[i].name,
+                            nodes->ip[NODES_ENTRY], routes[i].name,
+                            routes[i].kind, routes[i].service);
+  text = g_strdup_printf (config_of_all_kinds, version, list->str);
+  g_string_free (list, TRUE);
+  return text;
+}
+
+int
+nodes_announce (const nodes_t *nodes,
+                int index,
+                const nodes_announcement_t *announcement)
+{
+  char *path = g_strdup_printf ("/instances/%s/heartbeat", announcement->id);
+  char *body = g_strdup_printf (
+      "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"z\","
+      "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"seq\":%d,"
+      "\"born\":1000}",
+      announcement->service, announcement->address, announcement->slots,
+      announcement->sequence);
+  int status = nodes_call (nodes, index, 0, "POST", path, body);
+
+  g_free (path);
+  g_free (body);
+  return status;
+}
+
 int
 nodes_put_config (const nodes_t *nodes, int index, int version)
 {
-  char *body = g_strdup_printf (config, version, nodes->ip[NODES_ENTRY]);
+  char *body = nodes->has_all_kinds
+                   ? write_config_of_all_kinds (nodes, version)
+                   : g_strdup_printf (config, version, nodes->ip[NODES_ENTRY]);
   int status = nodes_call (nodes, index, 0, "POST", "/config/put", body);
 
   g_free (body);
@@ -131,20 +189,31 @@
 }
 
 nodes_t *
-nodes_new (int version)
+nodes_new_with (const nodes_options_t *options)
 {
   nodes_t *nodes = g_new0 (nodes_t, 1);
 
+  nodes->stop_timeout_s = options->stop_timeout_s > 0 ? options->stop_timeout_s
+                                                      : DEFAULT_STOP_TIMEOUT_S;
+  nodes->has_all_kinds = options->has_all_kinds;
   nodes->cluster = cluster_new ();
   choose_addresses (nodes);
   for (int i = 0; i < NODES_CONTROLS; i++)
     nodes->seeds[i] = i;
   for (int i = 0; i <= NODES_ENTRY; i++)
     nodes_start (nodes, i, true);
-  CLUSTER_WAIT (nodes_put_config (nodes, 0, version) == 200);
+  CLUSTER_WAIT (nodes_put_config (nodes, 0, options->version) == 200);
   return nodes;
 }
 
+nodes_t *
+nodes_new (int version)
+{
+  nodes_options_t options = { .version = version };
+
+  return nodes_new_with (&options);
+}
+
 void
 nodes_free (nodes_t *nodes)
 {
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -25,10 +25,32 @@
   int seeds[NODES_CONTROLS];     /* indexes of the control instances in the
                                     settings */
   int port;
+  uint32_t stop_timeout_s;
+  bool has_all_kinds;
 } nodes_t;
 
-/** Starts the group and the entry instance, and puts the configuration with the
- * number @a version in force. */
+/** Header fields of the platform's requests and answers. */
+#define NODES_FIELD_ID        "Request-Id"
+#define NODES_FIELD_DEADLINE  "Deadline-Ms"
+#define NODES_FIELD_UPSTREAM  "Expect-Instance"
+#define NODES_FIELD_SIGNATURE "Server-Stamp"
+#define NODES_FIELD_NOT_RUN   "Not-Run"
+
+typedef struct
+{
+  int version;             /**< number of the first configuration */
+  uint32_t stop_timeout_s; /**< 0 for the default */
+  /** Whether the configurations have a route for each kind of request: /safe/,
+   * /unsafe/ and /stream/ of the service "s", and the streams /paused/ of the
+   * service "p". */
+  bool has_all_kinds;
+} nodes_options_t;
+
+/** Starts the group and the entry instance, and puts the first configuration in
+ * force. */
+nodes_t *nodes_new_with (const nodes_options_t *options);
+
+/** Does the same with default options and the number @a version. */
 nodes_t *nodes_new (int version);
 void nodes_free (nodes_t *nodes);
 
@@ -53,6 +75,21 @@
 /** Sends a configuration to a control instance; returns the status. */
 int nodes_put_config (const nodes_t *nodes, int index, int version);
 
+/** What an upstream announces of itself. */
+typedef struct
+{
+  const char *id;
+  const char *service;
+  const char *address;
+  int slots;
+  int sequence;
+} nodes_announcement_t;
+
+/** Announces an upstream to a control instance; returns the status. */
+int nodes_announce (const nodes_t *nodes,
+                    int index,
+                    const nodes_announcement_t *announcement);
+
 /** Returns the number of the configuration that an instance reads, 0 for
  * none. */
 int64_t nodes_read_version (const nodes_t *nodes, int index);
