node: end a stopped entry instance once

daemon_exit() may go on for a moment while the last answers of the status address are written; the check of each tick would log the end again.

--- a/node-entry.c
+++ b/node-entry.c
@@ -53,6 +53,7 @@
                                  else 0 */
   uint64_t stop_requested_ms; /* when a stop was requested, else 0 */
   bool was_ready;
+  bool has_ended; /* daemon_exit() was called */
 };
 
 static bool
@@ -243,6 +244,7 @@
     return;
   log_info ("Stopped. open_requests=%u took_ms=%ju",
             gateway_open_requests (entry->gateway), (uintmax_t)passed_ms);
+  entry->has_ended = true;
   daemon_exit (entry->daemon, EXIT_CODE_OK);
 }
 
@@ -267,7 +269,7 @@
   uint64_t now_ms = clock_mono_ms ();
 
   update_readiness (entry);
-  if (entry->stop_requested_ms > 0)
+  if (entry->stop_requested_ms > 0 && !entry->has_ended)
     exit_if_drained (entry, now_ms);
 }
 
