t: share the fixtures of the tests of stops

The server for callers with its caller, and the stop of a gateway step by step, stood in two test programs each.

--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -303,3 +303,18 @@
   g_free (data);
   return g_string_free (text, FALSE);
 }
+
+void
+gateway_fixture_stop (gateway_fixture_t *fixture, caller_t *caller)
+{
+  uint64_t limit_ms = clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS;
+
+  while (!gateway_has_ended (fixture->gateway) && clock_mono_ms () < limit_ms)
+    {
+      gateway_close (fixture->gateway);
+      event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+      caller_read (caller);
+    }
+  TALLOC_FREE (fixture->gateway);
+  GATEWAY_WAIT (caller_read (caller));
+}
--- a/t/lib-gateway.h
+++ b/t/lib-gateway.h
@@ -12,6 +12,7 @@
 
 #include "base.h"
 #include "gateway.h"
+#include "lib-caller.h"
 #include "lib-scripted.h"
 
 #define GATEWAY_WAIT_TIMEOUT_MS 20000
@@ -61,6 +62,10 @@
  * that they reached the upstreams. */
 void gateway_fixture_earn_retries (gateway_fixture_t *fixture);
 
+/** Stops the gateway step by step, as its process does, until it has ended, and
+ * frees it; the caller reads a little in each step, and the rest after it. */
+void gateway_fixture_stop (gateway_fixture_t *fixture, caller_t *caller);
+
 /** Returns whether the answer so far contains a text. */
 bool gateway_fixture_has_text (const gateway_fixture_t *fixture,
                                const char *part);
--- a/t/t8063-gateway-stop.c
+++ b/t/t8063-gateway-stop.c
@@ -4,7 +4,6 @@
  */
 #include <event2/event.h>
 #include <string.h>
-#include <talloc.h>
 
 #include "lib-caller.h"
 #include "lib-gateway.h"
@@ -47,30 +46,6 @@
   gateway_drain (fixture->gateway, clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS);
 }
 
-/** Ends the gateway as the process does when it has nothing more to do. */
-static void
-end_gateway (gateway_fixture_t *fixture)
-{
-  TALLOC_FREE (fixture->gateway);
-}
-
-/** Stops the gateway step by step, as its process does, until it has ended;
- * the caller reads a little in each step. */
-static void
-stop_while_reading (gateway_fixture_t *fixture, caller_t *caller)
-{
-  uint64_t limit_ms = clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS;
-
-  while (!gateway_has_ended (fixture->gateway) && clock_mono_ms () < limit_ms)
-    {
-      gateway_close (fixture->gateway);
-      event_base_loop (fixture->base, EVLOOP_NONBLOCK);
-      caller_read (caller);
-    }
-  end_gateway (fixture);
-  GATEWAY_WAIT (caller_read (caller));
-}
-
 /** A stop that ends the process while an answer is in its own buffer: an answer
  * that became complete in the turn of the loop in which nothing was open. */
 static void
@@ -87,7 +62,7 @@
   scripted_send_held (&fixture->upstreams[0]);
   while (gateway_open_requests (fixture->gateway) > 0)
     event_base_loop (fixture->base, EVLOOP_ONCE);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_true (ends_with (caller, "0\r\n\r\n"));
   caller_free (caller);
   gateway_fixture_free (fixture);
@@ -107,7 +82,7 @@
   caller_send (caller, request, strlen (request));
   GATEWAY_WAIT (caller_has_text (caller, "\r\n\r\n"));
   drain (fixture);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   received = strstr (caller->answer->str, "\r\n\r\n");
   g_assert_cmpuint (strlen (received), ==, strlen (body));
   g_assert_false (caller->was_reset);
@@ -152,7 +127,7 @@
   drain (fixture);
   gateway_close (fixture->gateway);
   gateway_refuse_waiting (fixture->gateway);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_cmpuint (clock_mono_ms () - begun_ms, <, PAUSE_MS / 2);
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
   g_assert_nonnull (strstr (caller->answer->str, "\"not_run\":true"));
@@ -176,7 +151,7 @@
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
   g_assert_false (gateway_has_ended (fixture->gateway));
   gateway_end_open (fixture->gateway);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 502 "));
   g_assert_nonnull (strstr (caller->answer->str, "\"not_run\":\"unknown\""));
   caller_free (caller);
@@ -212,7 +187,7 @@
 
   g_assert_false (gateway_has_ended (fixture->gateway));
   caller_send (caller, "ll\r\n0\r\n\r\n", strlen ("ll\r\n0\r\n\r\n"));
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 200 "));
   g_assert_true (ends_with (caller, "body"));
   caller_free (caller);
@@ -228,7 +203,7 @@
   caller_t *caller = stop_while_receiving (fixture);
 
   gateway_refuse_waiting (fixture->gateway);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
   g_assert_true (caller->has_end);
   caller_free (caller);
@@ -248,7 +223,7 @@
   gateway_drain (fixture->gateway, clock_mono_ms () + left_ms);
   caller_send (caller, GET ("/safe/"), strlen (GET ("/safe/")));
   gateway_close (fixture->gateway);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   return caller;
 }
 
--- a/t/t8064-caller-server.c
+++ b/t/t8064-caller-server.c
@@ -4,99 +4,12 @@
  */
 #include <event2/event.h>
 #include <string.h>
-#include <talloc.h>
 
 #include "base.h"
-#include "caller-server.h"
-#include "lib-caller.h"
-#include "lib-scripted.h"
+#include "lib-caller-server.h"
 #include "logging.h"
 
-#define WAIT_TIMEOUT_MS 20000
-/** Size of an answer that is larger than all buffers of the kernel. */
-#define LARGE_BODY_BYTES (7u * 1024 * 1024)
-#define IDLE_TIMEOUT_MS  100
-
-typedef struct
-{
-  struct event_base *base;
-  caller_server_t *server;
-  caller_t *caller;
-  char listen[32];
-} fixture_t;
-
-/** Answers at once, with a large body except for one target. */
-static void
-on_request (caller_request_t *request, void *context)
-{
-  http_fields_t fields = { 0 };
-  size_t length = strcmp (caller_request_target (request), "/small") == 0
-                      ? 1
-                      : LARGE_BODY_BYTES;
-  char *body = g_strnfill (length, 'x');
-
-  caller_reply_begin (request, 200, "OK", &fields, (int64_t)length);
-  caller_reply_data (request, body, length);
-  caller_reply_end (request);
-  g_free (body);
-}
-
-static void
-on_nothing (caller_request_t *request, void *context)
-{
-}
-
-static void
-set_up (fixture_t *fixture)
-{
-  caller_server_options_t options
-      = { .listen = fixture->listen,
-          .limits = { .max_head_bytes = 4096,
-                      .max_body_bytes = 4096,
-                      .head_timeout_ms = 1000,
-                      .idle_timeout_ms = IDLE_TIMEOUT_MS },
-          .on_request = on_request,
-          .on_gone = on_nothing,
-          .on_drained = on_nothing };
-
-  *fixture = (fixture_t){ .base = event_base_new () };
-  options.base = fixture->base;
-  options.metrics = metrics_new (NULL);
-  scripted_find_free_address (fixture->base, fixture->listen);
-  fixture->server = caller_server_new (options.metrics, &options);
-  g_assert_nonnull (fixture->server);
-  fixture->caller = caller_new (fixture->listen);
-}
-
-static void
-clean_up (fixture_t *fixture)
-{
-  caller_free (fixture->caller);
-  talloc_free (talloc_parent (fixture->server));
-  event_base_free (fixture->base);
-}
-
-static void
-run_for (fixture_t *fixture, uint32_t time_ms)
-{
-  uint64_t end_ms = clock_mono_ms () + time_ms;
-
-  while (clock_mono_ms () < end_ms)
-    {
-      event_base_loop (fixture->base, EVLOOP_NONBLOCK);
-      g_usleep (500);
-    }
-}
-
-/** Reads until the answer is over. */
-static void
-read_all (fixture_t *fixture)
-{
-  uint64_t end_ms = clock_mono_ms () + WAIT_TIMEOUT_MS;
-
-  while (!caller_read (fixture->caller) && clock_mono_ms () < end_ms)
-    event_base_loop (fixture->base, EVLOOP_NONBLOCK);
-}
+#define IDLE_TIMEOUT_MS 100
 
 static void
 check_large_answer (const caller_t *caller)
@@ -104,7 +17,7 @@
   const char *body = strstr (caller->answer->str, "\r\n\r\n");
 
   g_assert_nonnull (body);
-  g_assert_cmpuint (strlen (body + 4), ==, LARGE_BODY_BYTES);
+  g_assert_cmpuint (strlen (body + 4), ==, SERVED_BODY_BYTES);
   g_assert_true (caller->has_end);
 }
 
@@ -114,14 +27,15 @@
 static void
 test_idle_timeout (void)
 {
-  fixture_t fixture;
-
-  set_up (&fixture);
-  caller_send (fixture.caller, get, strlen (get));
-  run_for (&fixture, 3 * IDLE_TIMEOUT_MS);
-  read_all (&fixture);
-  check_large_answer (fixture.caller);
-  clean_up (&fixture);
+  served_t served;
+
+  served_set_up (&served, IDLE_TIMEOUT_MS);
+  caller_send (served.caller, get, strlen (get));
+  served_run_for (&served, 3 * IDLE_TIMEOUT_MS);
+  served_read_all (&served);
+  check_large_answer (served.caller);
+  served_free_server (&served);
+  served_clean_up (&served);
 }
 
 /** A caller that shuts its sending side while it reads the end of its answer
@@ -129,33 +43,34 @@
 static void
 test_shut_while_reading (void)
 {
-  fixture_t fixture;
-
-  set_up (&fixture);
-  caller_send (fixture.caller, get, strlen (get));
-  run_for (&fixture, IDLE_TIMEOUT_MS / 2);
-  caller_shut (fixture.caller);
-  run_for (&fixture, IDLE_TIMEOUT_MS / 4);
-  read_all (&fixture);
-  check_large_answer (fixture.caller);
-  clean_up (&fixture);
+  served_t served;
+
+  served_set_up (&served, IDLE_TIMEOUT_MS);
+  caller_send (served.caller, get, strlen (get));
+  served_run_for (&served, IDLE_TIMEOUT_MS / 2);
+  caller_shut (served.caller);
+  served_run_for (&served, IDLE_TIMEOUT_MS / 4);
+  served_read_all (&served);
+  check_large_answer (served.caller);
+  served_free_server (&served);
+  served_clean_up (&served);
 }
 
 /** Sends more than the server reads, as a caller that looks for an answer only
  * after its request. */
 static void
-send_without_reading (fixture_t *fixture, const char *text, size_t size_bytes)
+send_without_reading (served_t *served, const char *text, size_t size_bytes)
 {
-  size_t sent_bytes = caller_send (fixture->caller, text, size_bytes);
+  size_t sent_bytes = caller_send (served->caller, text, size_bytes);
 
   for (int turn = 0; turn < 50; turn++)
     {
-      event_base_loop (fixture->base, EVLOOP_NONBLOCK);
-      sent_bytes += caller_send (fixture->caller, text + sent_bytes,
+      event_base_loop (served->base, EVLOOP_NONBLOCK);
+      sent_bytes += caller_send (served->caller, text + sent_bytes,
                                  size_bytes - sent_bytes);
     }
-  caller_shut (fixture->caller);
-  read_all (fixture);
+  caller_shut (served->caller);
+  served_read_all (served);
 }
 
 /** An error that is sent while the caller still writes its request is lost with
@@ -163,20 +78,21 @@
 static void
 test_error_reaches_sender (void)
 {
-  fixture_t fixture;
-  char *body = g_strnfill (LARGE_BODY_BYTES, 'x');
+  served_t served;
+  char *body = g_strnfill (SERVED_BODY_BYTES, 'x');
   char *head = g_strdup_printf ("POST / HTTP/1.1\r\nHost: h\r\n"
                                 "Content-Length: %u\r\n\r\n",
-                                LARGE_BODY_BYTES);
+                                SERVED_BODY_BYTES);
 
-  set_up (&fixture);
-  caller_send (fixture.caller, head, strlen (head));
-  send_without_reading (&fixture, body, LARGE_BODY_BYTES);
+  served_set_up (&served, IDLE_TIMEOUT_MS);
+  caller_send (served.caller, head, strlen (head));
+  send_without_reading (&served, body, SERVED_BODY_BYTES);
   g_assert_true (
-      g_str_has_prefix (fixture.caller->answer->str, "HTTP/1.1 413 "));
-  g_assert_true (fixture.caller->has_end);
-  g_assert_false (fixture.caller->was_reset);
-  clean_up (&fixture);
+      g_str_has_prefix (served.caller->answer->str, "HTTP/1.1 413 "));
+  g_assert_true (served.caller->has_end);
+  g_assert_false (served.caller->was_reset);
+  served_free_server (&served);
+  served_clean_up (&served);
   g_free (body);
   g_free (head);
 }
@@ -188,16 +104,17 @@
 {
   static const char request[]
       = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-  fixture_t fixture;
-  char *more = g_strnfill (LARGE_BODY_BYTES, 'x');
-
-  set_up (&fixture);
-  caller_send (fixture.caller, request, strlen (request));
-  caller_send (fixture.caller, more, LARGE_BODY_BYTES);
-  run_for (&fixture, IDLE_TIMEOUT_MS);
-  read_all (&fixture);
-  check_large_answer (fixture.caller);
-  clean_up (&fixture);
+  served_t served;
+  char *more = g_strnfill (SERVED_BODY_BYTES, 'x');
+
+  served_set_up (&served, IDLE_TIMEOUT_MS);
+  caller_send (served.caller, request, strlen (request));
+  caller_send (served.caller, more, SERVED_BODY_BYTES);
+  served_run_for (&served, IDLE_TIMEOUT_MS);
+  served_read_all (&served);
+  check_large_answer (served.caller);
+  served_free_server (&served);
+  served_clean_up (&served);
   g_free (more);
 }
 
@@ -208,18 +125,19 @@
 {
   static const char request[]
       = "GET /small HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-  fixture_t fixture;
-  uint64_t end_ms = clock_mono_ms () + WAIT_TIMEOUT_MS;
-
-  set_up (&fixture);
-  caller_send (fixture.caller, request, strlen (request));
-  run_for (&fixture, IDLE_TIMEOUT_MS);
-  while (caller_server_is_busy (fixture.server) && clock_mono_ms () < end_ms)
-    event_base_loop (fixture.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
-  g_assert_false (caller_server_is_busy (fixture.server));
-  read_all (&fixture);
-  g_assert_true (fixture.caller->has_end);
-  clean_up (&fixture);
+  served_t served;
+  uint64_t end_ms = clock_mono_ms () + SERVED_WAIT_TIMEOUT_MS;
+
+  served_set_up (&served, IDLE_TIMEOUT_MS);
+  caller_send (served.caller, request, strlen (request));
+  served_run_for (&served, IDLE_TIMEOUT_MS);
+  while (caller_server_is_busy (served.server) && clock_mono_ms () < end_ms)
+    event_base_loop (served.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+  g_assert_false (caller_server_is_busy (served.server));
+  served_read_all (&served);
+  g_assert_true (served.caller->has_end);
+  served_free_server (&served);
+  served_clean_up (&served);
 }
 
 int
--- a/t/t8066-gateway-stop-queues.c
+++ b/t/t8066-gateway-stop-queues.c
@@ -4,7 +4,6 @@
  */
 #include <event2/event.h>
 #include <string.h>
-#include <talloc.h>
 
 #include "lib-caller.h"
 #include "lib-gateway.h"
@@ -26,21 +25,6 @@
   return count;
 }
 
-static void
-stop_while_reading (gateway_fixture_t *fixture, caller_t *caller)
-{
-  uint64_t limit_ms = clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS;
-
-  while (!gateway_has_ended (fixture->gateway) && clock_mono_ms () < limit_ms)
-    {
-      gateway_close (fixture->gateway);
-      event_base_loop (fixture->base, EVLOOP_NONBLOCK);
-      caller_read (caller);
-    }
-  TALLOC_FREE (fixture->gateway);
-  GATEWAY_WAIT (caller_read (caller));
-}
-
 /** A stop throws away a request that was read whole, as it came right behind
  * another one. */
 static void
@@ -53,7 +37,7 @@
   gateway_drain (fixture->gateway, clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS);
   caller_send (caller, two, strlen (two));
   GATEWAY_WAIT (gateway_fixture_requests (fixture) > 0);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_cmpuint (count_answers (caller), ==, 2);
   caller_free (caller);
   gateway_fixture_free (fixture);
@@ -87,7 +71,7 @@
   caller_t *caller = wait_to_resume (fixture, request);
 
   gateway_drain (fixture->gateway, clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_true (g_str_has_suffix (caller->answer->str, "0\r\n\r\n"));
   caller_free (caller);
   gateway_fixture_free (fixture);
@@ -126,7 +110,7 @@
   GATEWAY_WAIT (caller_has_text (caller, "0\r\n\r\n"));
   caller_send (caller, POST ("/unsafe/"), strlen (POST ("/unsafe/")));
   g_usleep (5000);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_nonnull (strstr (caller->answer->str, "HTTP/1.1 503 "));
   g_assert_cmpuint (gateway_fixture_requests (fixture), ==, 1);
   caller_free (caller);
@@ -146,7 +130,7 @@
   gateway_drain (fixture->gateway, clock_mono_ms () + GATEWAY_WAIT_TIMEOUT_MS);
   gateway_close (fixture->gateway);
   gateway_end_open (fixture->gateway);
-  stop_while_reading (fixture, caller);
+  gateway_fixture_stop (fixture, caller);
   g_assert_false (g_str_has_suffix (caller->answer->str, "0\r\n\r\n"));
   g_assert_null (strstr (caller->answer->str + 1, "HTTP/1.1"));
   caller_free (caller);
