--- a/t/lib-caller-server.c
+++ b/t/lib-caller-server.c
@@ -46,7 +46,7 @@
   options.base = served->base;
   served->metrics = options.metrics = metrics_new (NULL);
   scripted_find_free_address (served->base, served->listen);
-  served->server = caller_server_new (options.metrics, &options);
+  served->server = caller_server_new (NULL, &options);
   g_assert_nonnull (served->server);
   served->caller = caller_new (served->listen);
 }
@@ -54,13 +54,14 @@
 void
 served_free_server (served_t *served)
 {
-  talloc_free (served->metrics);
+  talloc_free (served->server);
 }
 
 void
 served_clean_up (served_t *served)
 {
   caller_free (served->caller);
+  talloc_free (served->metrics);
   event_base_free (served->base);
 }
 
