t: share the fixture of the control group's tests, split the platform's

Three test files started a control group each in its own way, with the same client, history and proposals; they use lib-control-fixture now. What a comparison of a revision asks is as strict as before (t5110 and t5120 now also assert the result of the read).

--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,8 @@
 
 $(BUILD)/t/t8100-platform: $(PLATFORM_OBJ)
 
+$(BUILD)/t/t8101-platform-config: $(PLATFORM_OBJ)
+
 $(BUILD)/t/t8110-platform-corpus: $(BUILD)/fuzz/fuzz-platform.o $(PLATFORM_OBJ)
 
 $(BUILD)/t/t8074-share-corpus: $(BUILD)/fuzz/fuzz-share.o
--- a/t/names.sh
+++ b/t/names.sh
@@ -6,7 +6,7 @@
 names+='|path-prefix|kv-capacity|api-keys|/config/put|/config/get|/heartbeat'
 names+='|LACEWINGMAST_NODE_FILE|tenant|back end|backend'
 found=$(grep -nE "$names" *.c *.h builtin/*.[ch] proto/*.proto fuzz/*.c \
-	$(ls t/*.[ch] | grep -vE 't/(t8(10|20)0-|lib-nodes\.)'))
+	$(ls t/*.[ch] | grep -vE 't/(t8(100|101|200)-|lib-nodes\.)'))
 test -z "$found" || {
 	echo "platform names used outside platform/:"
 	echo "$found"
--- a/t/t5100-control.c
+++ b/t/t5100-control.c
@@ -6,68 +6,45 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "lib-control.h"
+#include "lib-control-fixture.h"
 
 #define ROUNDS 200
 
-static cluster_t *cluster;
+static control_fixture_t fixture;
+/* Parts of the fixture. */
 static group_t *group;
-static history_t *history;
-static observer_t observer;
 static control_client_t *client;
+static history_t *history;
 
 static void
 set_up (size_t count)
 {
-  cluster = cluster_new ();
-  group = group_new (cluster, count, false);
-  group_start_all (group);
-  history = history_new ();
-  observer = (observer_t){ .history = history };
-  client = group_client (group, &observer);
+  control_fixture_options_t options = { .replicas = count };
+
+  control_fixture_start (&fixture, &options);
+  group = fixture.group;
+  client = fixture.client;
+  history = fixture.history;
 }
 
 static void
 tear_down (void)
 {
-  talloc_free (client);
-  group_free (group);
-  cluster_free (cluster);
-  history_free (history);
+  control_fixture_clear (&fixture);
 }
 
 static void
 apply (uint64_t number)
 {
-  char digest[32];
-  int64_t begun_us = g_get_monotonic_time ();
-  reply_t reply;
-
-  g_snprintf (digest, sizeof digest, "digest-%ju", (uintmax_t)number);
-  reply = group_apply (group, client, number, digest);
-  if (reply.result > LWM__CONTROL_RESULT__RESULT_SAME)
-    {
-      g_test_message (
-          "proposal %ju: result %d, maybe_done %d, took %" G_GINT64_FORMAT
-          " ms",
-          (uintmax_t)number, (int)reply.result, reply.maybe_done,
-          (g_get_monotonic_time () - begun_us) / 1000);
-      group_print_state (group);
-    }
-  g_assert_cmpint (reply.result, <=, LWM__CONTROL_RESULT__RESULT_SAME);
-  history_record_accepted (history, number, digest);
+  control_fixture_apply (&fixture, number);
 }
 
 /** Checks that the last accepted revision is in force and was observed. */
 static void
 check_last_revision (void)
 {
-  reply_t reply = group_get (group, client);
-
-  g_assert_cmpint (reply.result, ==, LWM__CONTROL_RESULT__RESULT_OK);
-  g_assert_cmpuint (reply.number, ==, history->accepted);
-  history_record_accepted (history, reply.number, reply.digest);
-  group_wait_observer (group, &observer);
+  control_fixture_check_last (&fixture);
+  group_wait_observer (group, &fixture.observer);
 }
 
 static void
--- a/t/t5110-control-crash.c
+++ b/t/t5110-control-crash.c
@@ -8,48 +8,34 @@
 #include <talloc.h>
 
 #include "base.h"
-#include "lib-control.h"
+#include "lib-control-fixture.h"
 
-static cluster_t *cluster;
+static control_fixture_t fixture;
+/* Parts of the fixture. */
 static group_t *group;
 static history_t *history;
-static observer_t observer;
-static control_client_t *client;
-static uint64_t number;
 
 static void
 set_up (void)
 {
-  cluster = cluster_new ();
-  cluster_allow_self_kills (cluster);
-  group = group_new (cluster, 3, false);
-  group->snapshot_entries = 10;
-  history = history_new ();
-  observer = (observer_t){ .history = history };
-  number = 0;
-  group_start_all (group);
-  client = group_client (group, &observer);
+  control_fixture_options_t options
+      = { .replicas = 3, .allow_self_kills = true, .snapshot_entries = 10 };
+
+  control_fixture_start (&fixture, &options);
+  group = fixture.group;
+  history = fixture.history;
 }
 
 static void
 tear_down (void)
 {
-  talloc_free (client);
-  group_free (group);
-  cluster_free (cluster);
-  history_free (history);
+  control_fixture_clear (&fixture);
 }
 
 static void
 apply_one (void)
 {
-  char digest[32];
-  reply_t reply;
-
-  g_snprintf (digest, sizeof digest, "digest-%ju", (uintmax_t)++number);
-  reply = group_apply (group, client, number, digest);
-  g_assert_cmpint (reply.result, <=, LWM__CONTROL_RESULT__RESULT_SAME);
-  history_record_accepted (history, number, digest);
+  control_fixture_apply_next (&fixture);
 }
 
 /** Restarts replica @a at with the fault and makes changes until it stops.
@@ -103,13 +89,9 @@
 static void
 check_recovered (size_t at)
 {
-  reply_t reply;
-
   group_start (group, at, NULL);
   g_assert_nonnull (group->process[at]);
-  reply = group_get (group, client);
-  g_assert_cmpuint (reply.number, ==, history->accepted);
-  history_record_accepted (history, reply.number, reply.digest);
+  control_fixture_check_last (&fixture);
   CLUSTER_WAIT (group_status (group, at, "config_number")
                 == (int64_t)history->accepted);
 }
@@ -137,7 +119,7 @@
       g_assert_cmpint (run_until_stopped (at, faults[i]), ==, 128 + SIGKILL);
       check_recovered (at);
     }
-  group_wait_observer (group, &observer);
+  group_wait_observer (group, &fixture.observer);
   tear_down ();
 }
 
@@ -195,12 +177,11 @@
       = { "rewrite-half:1", "rewrite-renamed:1", "rewrite-folder:1",
           "identity-half:1", "identity-renamed:1" };
 
-  cluster = cluster_new ();
-  cluster_allow_self_kills (cluster);
-  group = group_new (cluster, 3, false);
-  history = history_new ();
-  observer = (observer_t){ .history = history };
-  number = 0;
+  control_fixture_options_t options
+      = { .replicas = 3, .allow_self_kills = true };
+
+  control_fixture_init (&fixture, &options);
+  group = fixture.group;
   group_start (group, 1, NULL);
   group_start (group, 2, NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
@@ -209,7 +190,7 @@
       g_assert_null (group->process[0]);
     }
   group_start (group, 0, NULL);
-  client = group_client (group, &observer);
+  control_fixture_connect (&fixture);
   apply_one ();
   tear_down ();
 }
@@ -232,9 +213,9 @@
   g_assert_true (g_file_get_contents (path, &data, &size, NULL));
   data[60] ^= 1;
   g_assert_true (g_file_set_contents (path, data, (gssize)size, NULL));
-  code = cluster_run (cluster, &log, "lwm-controld", "--instance=b", "--listen",
-                      group->http[1], "--control-listen", group->control[1],
-                      "--data-folder", group->folder[1],
+  code = cluster_run (fixture.cluster, &log, "lwm-controld", "--instance=b",
+                      "--listen", group->http[1], "--control-listen",
+                      group->control[1], "--data-folder", group->folder[1],
                       "--member=b=127.0.0.1:1", NULL);
   g_assert_cmpint (code, ==, EXIT_CODE_FAILED);
   g_assert_nonnull (strstr (log, "/b/log' is damaged at offset "));
--- a/t/t5120-control-cut.c
+++ b/t/t5120-control-cut.c
@@ -6,48 +6,38 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "lib-control.h"
+#include "lib-control-fixture.h"
 
 #define REPLICAS 3
 
-static cluster_t *cluster;
+static control_fixture_t fixture;
+/* Parts of the fixture. */
 static group_t *group;
-static history_t *history;
-static observer_t observer;
 static control_client_t *client;
-static uint64_t number;
+static history_t *history;
 
 static void
 set_up (void)
 {
-  cluster = cluster_new ();
-  group = group_new (cluster, REPLICAS, true);
-  history = history_new ();
-  observer = (observer_t){ .history = history };
-  number = 0;
-  group_start_all (group);
-  client = group_client (group, &observer);
+  control_fixture_options_t options
+      = { .replicas = REPLICAS, .is_proxied = true };
+
+  control_fixture_start (&fixture, &options);
+  group = fixture.group;
+  client = fixture.client;
+  history = fixture.history;
 }
 
 static void
 tear_down (void)
 {
-  talloc_free (client);
-  group_free (group);
-  cluster_free (cluster);
-  history_free (history);
+  control_fixture_clear (&fixture);
 }
 
 static void
 apply_one (void)
 {
-  char digest[32];
-  reply_t reply;
-
-  g_snprintf (digest, sizeof digest, "digest-%ju", (uintmax_t)++number);
-  reply = group_apply (group, client, number, digest);
-  g_assert_cmpint (reply.result, <=, LWM__CONTROL_RESULT__RESULT_SAME);
-  history_record_accepted (history, number, digest);
+  control_fixture_apply_next (&fixture);
 }
 
 /** Cuts or heals the incoming links of replica @a at, its outgoing links, or
@@ -68,14 +58,11 @@
 static void
 check_converged (void)
 {
-  reply_t reply = group_get (group, client);
-
-  g_assert_cmpuint (reply.number, ==, history->accepted);
-  history_record_accepted (history, reply.number, reply.digest);
+  control_fixture_check_last (&fixture);
   for (size_t i = 0; i < REPLICAS; i++)
     CLUSTER_WAIT (group_status (group, i, "config_number")
                   == (int64_t)history->accepted);
-  group_wait_observer (group, &observer);
+  group_wait_observer (group, &fixture.observer);
 }
 
 static void
