t: let callers and nodes be of several entry instances and zones

Cause: the tests of planned stops know one entry instance in one zone, and all callers give their requests 12 s, so that a stop of several instances and requests with less time cannot be tested. Change: nodes_new_with() takes numbers of entry instances and zones; an upstream is announced in the zone of its machine; callers spread over the instances and go to the next one when theirs does not listen; a kind of caller draws streams of 0.1 to 8 s with deadlines of 1.5 to 12 s, a quarter with bodies in chunks; the check takes any number of stops and judges a request by the stop of its own instance in which it ended. A request that ended before its stop is no longer exempt by that stop.

--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -51,9 +51,9 @@
 cluster_ip (uint32_t index)
 {
   /* The process id gives each test program its own addresses. Programs that run
-   * at the same time differ in its lower 21 bits; the three bits above them
+   * at the same time differ in its lower 20 bits; the four bits above them
    * distinguish the addresses of one program. */
-  uint32_t number = ((uint32_t)getpid () & 0x1fffff) | index << 21;
+  uint32_t number = ((uint32_t)getpid () & 0xfffff) | index << 20;
 
   g_assert_cmpuint (index, <, CLUSTER_IPS);
   return g_strdup_printf ("127.%u.%u.%u", (1 + (number >> 16)) & 255,
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -49,7 +49,7 @@
 void cluster_write (cluster_t *cluster, const char *path, const char *text);
 
 /** Number of machines that a test may simulate, each with one address. */
-#define CLUSTER_IPS 8
+#define CLUSTER_IPS 16
 
 /**
  * Returns the loopback address with an index below CLUSTER_IPS, which no other
--- a/t/lib-node-callers-check.c
+++ b/t/lib-node-callers-check.c
@@ -7,9 +7,11 @@
  * for which the instance may not have read it. */
 #define UNREAD_SLACK_MS 200
 /** Faults that are printed one by one. */
-#define MAX_PRINTED 12
+#define MAX_PRINTED 40
 /** Requests that are sent later after SIGTERM are never exempt. */
 #define EXEMPT_SENT_MS 3000
+/** Time after the stop timeout in which an end still belongs to the stop. */
+#define STOP_SLACK_MS 1000
 
 static bool
 promises_not_run (int status)
@@ -35,7 +37,7 @@
       = stop->sigterm_us + (int64_t)stop->timeout_ms * 1000 * 5 / 6;
 
   if (record->ended_us - record->begun_us
-      >= (int64_t)CALLERS_DEADLINE_MS * 1000)
+      >= (int64_t)record->deadline_ms * 1000)
     return true;
   return run->runs > 0 && stop->sigterm_us > 0
          && record->sent_us <= stop->sigterm_us + (int64_t)EXEMPT_SENT_MS * 1000
@@ -90,6 +92,7 @@
                node_outcome_t *outcome)
 {
   outcome->requests++;
+  outcome->ran += run->runs > 0;
   if (record->is_whole)
     {
       outcome->whole++;
@@ -109,7 +112,9 @@
 static int64_t
 after_sigterm_ms (int64_t time_us, const node_stop_t *stop)
 {
-  return time_us > 0 ? (time_us - stop->sigterm_us) / 1000 : 0;
+  return time_us > 0 && stop->sigterm_us > 0
+             ? (time_us - stop->sigterm_us) / 1000
+             : 0;
 }
 
 static void
@@ -118,11 +123,14 @@
              const node_stop_t *stop,
              const char *fault)
 {
-  g_printerr ("request %s of caller kind %d %s: %s; status=%d got_bytes=%zu "
-              "runs=%u written_by_upstream=%d; ms after SIGTERM: sent %" PRId64
+  g_printerr ("request %s of caller kind %d at entry instance %d %s: %s; "
+              "status=%d got_bytes=%zu deadline_ms=%u lasted_ms=%" PRId64
+              " runs=%u written_by_upstream=%d; ms after SIGTERM: sent %" PRId64
               ", run ended %" PRId64 ", connection ended %" PRId64 "\n",
-              record->id, (int)record->caller, fault, record->path,
-              record->status, record->got_bytes, run->runs, run->has_been_sent,
+              record->id, (int)record->caller, record->entry, fault,
+              record->path, record->status, record->got_bytes,
+              record->deadline_ms, (record->ended_us - record->begun_us) / 1000,
+              run->runs, run->has_been_sent,
               after_sigterm_ms (record->sent_us, stop),
               after_sigterm_ms (run->ended_us, stop),
               after_sigterm_ms (record->ended_us, stop));
@@ -149,10 +157,43 @@
     print_fault (record, run, stop, fault);
 }
 
+static bool
+covers (const node_stop_t *stop, const caller_record_t *record)
+{
+  int64_t end_us
+      = stop->sigterm_us + (int64_t)(stop->timeout_ms + STOP_SLACK_MS) * 1000;
+
+  return stop->entry == record->entry && stop->sigterm_us <= record->ended_us
+         && record->ended_us <= end_us;
+}
+
+/** Returns the newest stop in which a request ended, or one without a time. */
+static node_stop_t
+find_stop (const caller_record_t *record,
+           const node_stop_t *stops,
+           size_t count)
+{
+  node_stop_t found = { 0 };
+
+  for (size_t i = 0; i < count; i++)
+    if (covers (&stops[i], record) && stops[i].sigterm_us > found.sigterm_us)
+      found = stops[i];
+  return found;
+}
+
 node_outcome_t
 node_callers_check (const node_callers_t *all,
                     node_upstreams_t *upstreams,
                     const node_stop_t *stop)
+{
+  return node_callers_check_stops (all, upstreams, stop, 1);
+}
+
+node_outcome_t
+node_callers_check_stops (const node_callers_t *all,
+                          node_upstreams_t *upstreams,
+                          const node_stop_t *stops,
+                          size_t count)
 {
   node_outcome_t outcome = { 0 };
 
@@ -160,14 +201,15 @@
     {
       const caller_record_t *record = g_ptr_array_index (all->records, i);
       node_run_t run = node_upstreams_find_run (upstreams, record->id);
+      node_stop_t stop = find_stop (record, stops, count);
 
-      check_request (record, &run, stop, &outcome);
+      check_request (record, &run, &stop, &outcome);
     }
   g_test_message (
-      "requests=%u whole=%u refused=%u failed=%u unread=%u after_end=%u "
+      "requests=%u ran=%u whole=%u refused=%u failed=%u unread=%u after_end=%u "
       "partial=%u exempted=%u faults=%u",
-      outcome.requests, outcome.whole, outcome.refused, outcome.failed,
-      outcome.unread, outcome.after_end, outcome.partial, outcome.exempted,
-      outcome.faults);
+      outcome.requests, outcome.ran, outcome.whole, outcome.refused,
+      outcome.failed, outcome.unread, outcome.after_end, outcome.partial,
+      outcome.exempted, outcome.faults);
   return outcome;
 }
--- a/t/lib-node-callers-internal.h
+++ b/t/lib-node-callers-internal.h
@@ -7,12 +7,14 @@
 
 #include "lib-node-callers.h"
 
-/** Time that each caller gives its requests. */
+/** Time that callers give their requests, if they have no other. */
 #define CALLERS_DEADLINE_MS 12000
 
 typedef struct
 {
   caller_kind_t caller;
+  int entry; /* the entry instance that it was sent to, from 0 */
+  uint32_t deadline_ms;
   char *id;
   char *path;
   int64_t begun_us;
@@ -28,7 +30,6 @@
 struct node_callers
 {
   node_callers_options_t options;
-  char *address;
   char *host;
   GPtrArray *threads;
   GMutex lock;
--- a/t/lib-node-callers.c
+++ b/t/lib-node-callers.c
@@ -21,6 +21,9 @@
 #define MIN_STREAM_MS    1000
 #define MAX_STREAM_MS    7000
 #define MAX_FAST_GAP_MS  10
+#define MIN_MIXED_MS     100
+#define MAX_MIXED_MS     8000
+#define MIXED_PIECE_MS   400
 
 /** How the body of a request is sent. */
 typedef enum
@@ -35,6 +38,7 @@
 {
   node_callers_t *all;
   caller_kind_t kind;
+  int entry;             /* the entry instance that it calls, from 0 */
   http_socket_t *socket; /* NULL when it has no connection */
   GRand *random;
 } caller_state_t;
@@ -70,17 +74,26 @@
     }
 }
 
+/** Returns the path of a stream that lasts from @a min_ms to @a max_ms. */
 static char *
-draw_long_stream (caller_state_t *caller)
+draw_stream (caller_state_t *caller, uint32_t min_ms, uint32_t max_ms)
 {
   uint32_t gap_ms = 1 + draw (caller, MAX_FAST_GAP_MS);
-  uint32_t length_ms
-      = MIN_STREAM_MS + draw (caller, MAX_STREAM_MS - MIN_STREAM_MS);
+  uint32_t length_ms = min_ms + draw (caller, max_ms - min_ms);
 
   return g_strdup_printf ("/stream/%u/%u/%u", length_ms / gap_ms, SMALL_EVENT,
                           gap_ms);
 }
 
+static uint32_t
+draw_deadline (caller_state_t *caller)
+{
+  static const uint32_t deadlines_ms[]
+      = { 1500, 3000, 5000, 8000, CALLERS_DEADLINE_MS, CALLERS_DEADLINE_MS };
+
+  return deadlines_ms[draw (caller, G_N_ELEMENTS (deadlines_ms))];
+}
+
 /** Takes over the path. */
 static caller_record_t *
 new_record (caller_state_t *caller, char *path)
@@ -88,6 +101,10 @@
   caller_record_t *record = g_new0 (caller_record_t, 1);
 
   record->caller = caller->kind;
+  record->entry = caller->entry;
+  record->deadline_ms = caller->kind == CALLER_MIXED_STREAMS
+                            ? draw_deadline (caller)
+                            : CALLERS_DEADLINE_MS;
   record->id = g_strdup_printf ("c%06d", g_atomic_int_add (&next_id, 1));
   record->path = path;
   g_mutex_lock (&caller->all->lock);
@@ -103,9 +120,9 @@
 {
   g_string_append_printf (text,
                           "POST %s HTTP/1.1\r\nHost: %s\r\n" NODES_FIELD_ID
-                          ": %s\r\n" NODES_FIELD_DEADLINE ": %d\r\n",
+                          ": %s\r\n" NODES_FIELD_DEADLINE ": %u\r\n",
                           record->path, caller->all->host, record->id,
-                          CALLERS_DEADLINE_MS);
+                          record->deadline_ms);
 }
 
 static void
@@ -133,7 +150,9 @@
 send_slowly (caller_state_t *caller, const caller_record_t *record)
 {
   char *body = node_upstreams_request_body (record->id);
-  uint32_t gap_ms = 1 + draw (caller, MAX_PIECE_GAP_MS);
+  uint32_t max_gap_ms = caller->kind == CALLER_MIXED_STREAMS ? MIXED_PIECE_MS
+                                                             : MAX_PIECE_GAP_MS;
+  uint32_t gap_ms = 1 + draw (caller, max_gap_ms);
   GString *text = g_string_new (NULL);
   bool is_sent;
 
@@ -208,7 +227,7 @@
 receive_answer (caller_state_t *caller, caller_record_t *record)
 {
   int64_t until_us = g_get_monotonic_time ()
-                     + (int64_t)(CALLERS_DEADLINE_MS + PATIENCE_MS) * 1000;
+                     + (int64_t)(record->deadline_ms + PATIENCE_MS) * 1000;
   http_message_t message;
   bool may_follow = false;
 
@@ -291,6 +310,15 @@
       BODY_LENGTH);
 }
 
+static void
+make_mixed_stream (caller_state_t *caller)
+{
+  char *path = draw_stream (caller, MIN_MIXED_MS, MAX_MIXED_MS);
+
+  make_request (caller, path,
+                draw (caller, 4) == 0 ? BODY_SLOW_CHUNKS : BODY_LENGTH);
+}
+
 /** Makes a request, then keeps the connection until the other side closes it,
  * or at times makes another one. */
 static void
@@ -314,7 +342,8 @@
   switch (caller->kind)
     {
     case CALLER_STREAMS:
-      make_request (caller, draw_long_stream (caller), BODY_LENGTH);
+      make_request (caller, draw_stream (caller, MIN_STREAM_MS, MAX_STREAM_MS),
+                    BODY_LENGTH);
       break;
     case CALLER_PIPELINED:
       make_pipelined_requests (caller);
@@ -334,12 +363,29 @@
     case CALLER_SLOW:
       make_slow_stream (caller);
       break;
+    case CALLER_MIXED_STREAMS:
+      make_mixed_stream (caller);
+      break;
     default:
       make_request (caller, draw_path (caller),
                     draw (caller, 2) == 0 ? BODY_LENGTH : BODY_CHUNKS);
     }
 }
 
+/** Connects to the caller's instance. If that does not listen, the next one
+ * becomes the caller's. */
+static void
+connect_caller (caller_state_t *caller)
+{
+  const nodes_t *nodes = caller->all->options.nodes;
+  char *address = nodes_address (nodes, NODES_ENTRY + caller->entry, 3);
+
+  caller->socket = http_socket_connect (address);
+  if (caller->socket == NULL)
+    caller->entry = (caller->entry + 1) % nodes->entries;
+  g_free (address);
+}
+
 static gpointer
 run_caller (gpointer context)
 {
@@ -349,7 +395,7 @@
   while (!is_over (caller))
     {
       if (caller->socket == NULL)
-        caller->socket = http_socket_connect (caller->all->address);
+        connect_caller (caller);
       if (caller->socket == NULL)
         {
           cluster_sleep_ms (RECONNECT_MS);
@@ -372,7 +418,6 @@
   node_callers_t *all = g_new0 (node_callers_t, 1);
 
   all->options = *options;
-  all->address = nodes_address (options->nodes, NODES_ENTRY, 3);
   all->host = g_strdup (options->nodes->ip[NODES_ENTRY]);
   all->threads = g_ptr_array_new ();
   all->records = g_ptr_array_new ();
@@ -390,6 +435,8 @@
 
       caller->all = all;
       caller->kind = kind;
+      caller->entry
+          = (int)(all->threads->len % (guint)all->options.nodes->entries);
       caller->random = g_rand_new_with_seed_array (seeds, G_N_ELEMENTS (seeds));
       g_ptr_array_add (all->threads,
                        g_thread_new ("caller", run_caller, caller));
@@ -419,7 +466,6 @@
   g_ptr_array_free (all->records, TRUE);
   g_ptr_array_free (all->threads, TRUE);
   g_mutex_clear (&all->lock);
-  g_free (all->address);
   g_free (all->host);
   g_free (all);
 }
--- a/t/lib-node-callers.h
+++ b/t/lib-node-callers.h
@@ -1,8 +1,9 @@
 /**
  * @file lib-node-callers.h
- * Callers of an entry instance for tests of planned stops. Each has a thread
+ * Callers of the entry instances for tests of planned stops. Each has a thread
  * and a connection, and records what it sent and got. They connect again after
- * the end of a connection, until they are told to finish.
+ * the end of a connection, to the next instance if theirs does not listen,
+ * until they are told to finish.
  */
 #ifndef LIB_NODE_CALLERS_H
 #define LIB_NODE_CALLERS_H
@@ -20,6 +21,9 @@
   CALLER_PAUSED,    /**< requests whose upstreams ask for a pause */
   CALLER_IDLE,      /**< a connection that is mostly idle */
   CALLER_SLOW,      /**< one large stream that is read slowly */
+  /** Streams of any length with deadlines of many lengths, a quarter of them
+   * with bodies in chunks. */
+  CALLER_MIXED_STREAMS,
   CALLER_KINDS
 } caller_kind_t;
 
@@ -39,9 +43,10 @@
   slow_read_t slow;
 } node_callers_options_t;
 
-/** The stop of the entry instance that the callers saw. */
+/** A stop of an entry instance that the callers saw. */
 typedef struct
 {
+  int entry; /**< which of the entry instances, from 0 */
   int64_t sigterm_us;
   uint32_t timeout_ms;
   uint32_t frozen_ms; /**< time for which the process was stopped */
@@ -51,6 +56,7 @@
 typedef struct
 {
   uint32_t requests;
+  uint32_t ran;       /**< have run at an upstream */
   uint32_t whole;     /**< whole answers */
   uint32_t refused;   /**< of these, with a status that says "not run" */
   uint32_t failed;    /**< of these, with another failure */
@@ -73,6 +79,12 @@
 node_outcome_t node_callers_check (const node_callers_t *callers,
                                    node_upstreams_t *upstreams,
                                    const node_stop_t *stop);
+
+/** Does the same for any number of stops, of several instances. */
+node_outcome_t node_callers_check_stops (const node_callers_t *callers,
+                                         node_upstreams_t *upstreams,
+                                         const node_stop_t *stops,
+                                         size_t count);
 void node_callers_free (node_callers_t *callers);
 
 /** Makes a request until it is answered with success. */
--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -8,6 +8,9 @@
       "\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}]}";
 
 #define DEFAULT_STOP_TIMEOUT_S 4
+#define MAX_ZONES              3
+
+static const char *const zone_names[MAX_ZONES] = { "z", "z-b", "z-c" };
 
 static const char config_of_all_kinds[]
     = "{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"s\"},"
@@ -20,6 +23,12 @@
       "\"kind\":\"%s\",\"timeout-ms\":12000,\"service\":\"%s\","
       "\"attempts\":2,\"public\":true}";
 
+static bool
+is_entry (const nodes_t *nodes, int index)
+{
+  return index >= NODES_ENTRY && index < NODES_ENTRY + nodes->entries;
+}
+
 static void
 choose_addresses (nodes_t *nodes)
 {
@@ -29,7 +38,7 @@
   for (uint32_t i = 0; i < NODES_MAX; i++)
     {
       nodes->ip[i] = cluster_ip (i);
-      nodes->zone[i] = "z";
+      nodes->zone[i] = zone_names[i % nodes->zones];
     }
 }
 
@@ -47,17 +56,18 @@
       "callers: \"%s:%d\"\nstatus: \"%s:%d\"\ncontrol: \"%s:%d\"\n"
       "found: %s\n"
       "log_level: info\nannounce_ms: 1000\nstop_timeout_s: %u\ncatch_up_s: "
-      "4\nlost_machines: 1\n"
+      "4\nlost_machines: 1\nlost_zones: %d\n"
       "retry_share: 0.2\nspare_retries: 100\nkeeps_state: %s\nseeds: [",
       name, nodes->zone[index], nodes->ip[index], nodes->port + 1,
       nodes->port + 9, nodes->ip[index], nodes->port + 3, nodes->ip[index],
       nodes->port + 2, nodes->ip[index], nodes->port, found ? "true" : "false",
-      nodes->stop_timeout_s, index != NODES_ENTRY ? "true" : "false");
+      nodes->stop_timeout_s, nodes->zones > 1 ? 1 : 0,
+      is_entry (nodes, index) ? "false" : "true");
   for (int i = 0; i < NODES_CONTROLS; i++)
     g_string_append_printf (text, "%s\"%s:%d\"", i > 0 ? ", " : "",
                             nodes->ip[nodes->seeds[i]], nodes->port);
   g_string_append (text, "]\n");
-  if (index != NODES_ENTRY)
+  if (!is_entry (nodes, index))
     g_string_append_printf (text, "data_folder: \"%s\"\n",
                             cluster_subfolder (nodes->cluster, name));
   cluster_write (nodes->cluster, file, text->str);
@@ -77,7 +87,7 @@
   g_setenv ("LACEWINGMAST_NODE_FILE", path, TRUE);
   process = nodes->process[index] = cluster_start (
       nodes->cluster,
-      index != NODES_ENTRY ? "lwm-platform-control" : "lwm-platform-entry",
+      is_entry (nodes, index) ? "lwm-platform-entry" : "lwm-platform-control",
       NULL);
   g_unsetenv ("LACEWINGMAST_NODE_FILE");
   g_assert_nonnull (process);
@@ -108,6 +118,12 @@
   return status;
 }
 
+bool
+nodes_is_ready (const nodes_t *nodes, int index)
+{
+  return nodes_call (nodes, index, 2, "GET", "/ready", NULL) == 200;
+}
+
 static char *
 write_config_of_all_kinds (const nodes_t *nodes, int version)
 {
@@ -132,6 +148,21 @@
   return text;
 }
 
+/** Returns the zone of the machine that has an address. */
+static const char *
+find_zone (const nodes_t *nodes, const char *address)
+{
+  for (int i = 0; i < NODES_MAX; i++)
+    {
+      size_t length = strlen (nodes->ip[i]);
+
+      if (strncmp (address, nodes->ip[i], length) == 0
+          && address[length] == ':')
+        return nodes->zone[i];
+    }
+  return zone_names[0];
+}
+
 int
 nodes_announce (const nodes_t *nodes,
                 int index,
@@ -139,10 +170,11 @@
 {
   char *path = g_strdup_printf ("/instances/%s/heartbeat", announcement->id);
   char *body = g_strdup_printf (
-      "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"z\","
+      "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\","
       "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"seq\":%d,"
       "\"born\":1000}",
-      announcement->service, announcement->address, announcement->slots,
+      announcement->service, announcement->address,
+      find_zone (nodes, announcement->address), announcement->slots,
       announcement->sequence);
   int status = nodes_call (nodes, index, 0, "POST", path, body);
 
@@ -208,11 +240,13 @@
   nodes->stop_timeout_s = options->stop_timeout_s > 0 ? options->stop_timeout_s
                                                       : DEFAULT_STOP_TIMEOUT_S;
   nodes->has_all_kinds = options->has_all_kinds;
+  nodes->entries = MAX (options->entries, 1);
   nodes->cluster = cluster_new ();
+  nodes->zones = CLAMP (options->zones, 1, MAX_ZONES);
   choose_addresses (nodes);
   for (int i = 0; i < NODES_CONTROLS; i++)
     nodes->seeds[i] = i;
-  for (int i = 0; i <= NODES_ENTRY; i++)
+  for (int i = 0; i < NODES_ENTRY + nodes->entries; i++)
     nodes_start (nodes, i, true);
   CLUSTER_WAIT (nodes_put_config (nodes, 0, options->version) == 200);
   return nodes;
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -1,8 +1,9 @@
 /**
  * @file lib-nodes.h
  * Runs the programs of a platform as real processes for tests: a control group
- * of three, which forms itself, one entry instance, and more control instances
- * on demand. Each has its own loopback address, as all use the same ports.
+ * of three, which forms itself, one entry instance or more, in one availability
+ * zone or several, and more control instances on demand. Each has its own
+ * loopback address, as all use the same ports.
  */
 #ifndef LIB_NODES_H
 #define LIB_NODES_H
@@ -12,10 +13,10 @@
 
 /** Number of control instances that form the group. */
 #define NODES_CONTROLS 3
-/** Index of the entry instance; the indexes after it are further control
- * instances. */
+/** Index of the first entry instance; the indexes after the last one are
+ * further control instances. */
 #define NODES_ENTRY NODES_CONTROLS
-#define NODES_MAX   8
+#define NODES_MAX   16
 
 typedef struct
 {
@@ -25,6 +26,8 @@
   process_t *process[NODES_MAX]; /* NULL when it was not started */
   int seeds[NODES_CONTROLS];     /* indexes of the control instances in the
                                     settings */
+  int entries; /* number of entry instances, from NODES_ENTRY on */
+  int zones;
   int port;
   uint32_t stop_timeout_s;
   bool has_all_kinds;
@@ -40,6 +43,8 @@
 typedef struct
 {
   int version;             /**< number of the first configuration */
+  int entries;             /**< entry instances, 0 for one */
+  int zones;               /**< zones that machines take in turn, 0 for one */
   uint32_t stop_timeout_s; /**< 0 for the default */
   /** Whether the configurations have a route for each kind of request: /safe/,
    * /unsafe/ and /stream/ of the service "s", and the streams /paused/ of the
@@ -47,8 +52,8 @@
   bool has_all_kinds;
 } nodes_options_t;
 
-/** Starts the group and the entry instance, and puts the first configuration in
- * force. */
+/** Starts the group and the entry instances, and puts the first configuration
+ * in force. */
 nodes_t *nodes_new_with (const nodes_options_t *options);
 
 /** Does the same with default options and the number @a version. */
@@ -61,6 +66,9 @@
 /** Starts an instance and waits until it is ready. */
 process_t *nodes_start (nodes_t *nodes, int index, bool found);
 
+/** Returns whether an entry instance says that it is ready. */
+bool nodes_is_ready (const nodes_t *nodes, int index);
+
 /** Returns an address of an instance, freed with g_free(). Offsets of ports: 0
  * control, 2 status, 3 callers. */
 char *nodes_address (const nodes_t *nodes, int index, int offset);
@@ -90,7 +98,8 @@
   int sequence;
 } nodes_announcement_t;
 
-/** Announces an upstream to a control instance; returns the status. */
+/** Announces an upstream, in the zone of its machine, to a control instance;
+ * returns the status. */
 int nodes_announce (const nodes_t *nodes,
                     int index,
                     const nodes_announcement_t *announcement);
