--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -4,7 +4,6 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
-#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,6 +17,7 @@
 /* How much of a failed process's log is printed: enough to include its first
  * error. */
 #define LOG_TAIL_BYTES 6000
+#define READY_LOOK_MS  2
 
 struct cluster
 {
@@ -34,7 +34,6 @@
   char *name;
   char *log_path;
   pid_t pid;
-  int out; /* read end of its stdout pipe */
   bool ended;
   int code;
   bool killed; /* the test killed it, so any exit code is accepted */
@@ -122,7 +121,6 @@
     g_test_message ("%s ended by signal %d", process->name,
                     process->code - 128);
   g_assert_true (process->killed || process->code <= 128);
-  close (process->out);
   g_free (process->name);
   g_free (process->log_path);
   g_free (process);
@@ -208,59 +206,54 @@
   return g_build_filename (build != NULL ? build : "build", program, NULL);
 }
 
-/**
- * Starts a program. Its stdout goes to a pipe whose read end is stored in
- * @a out; its stderr goes to @a log_path, or to the pipe if that is NULL.
- */
+/** Starts a program. Its stdout and stderr go to a descriptor, which is
+ * closed here. */
 static pid_t
-spawn_program (char **argv, const char *log_path, int *out)
+spawn_program (char **argv, int output)
 {
-  int ends[2];
-  pid_t pid;
+  pid_t pid = fork ();
 
-  g_assert_cmpint (pipe2 (ends, O_CLOEXEC), ==, 0);
-  pid = fork ();
   g_assert_cmpint (pid, >=, 0);
   if (pid == 0)
     {
-      int log = log_path != NULL
-                    ? open (log_path, O_WRONLY | O_CREAT | O_APPEND, 0600)
-                    : ends[1];
-
-      dup2 (ends[1], STDOUT_FILENO);
-      dup2 (log, STDERR_FILENO);
+      dup2 (output, STDOUT_FILENO);
+      dup2 (output, STDERR_FILENO);
       execv (argv[0], argv);
       _exit (127);
     }
-  close (ends[1]);
-  *out = ends[0];
+  close (output);
   return pid;
 }
 
-/**
- * Reads stdout up to a line that starts with "ready". Returns false if stdout
- * ends or the wait times out first.
- */
+/** Returns whether a process has written a line that starts with "ready". */
+static bool
+reports_ready (const process_t *process)
+{
+  char *log = process_log (process);
+  bool is_ready
+      = g_str_has_prefix (log, "ready") || strstr (log, "\nready") != NULL;
+
+  g_free (log);
+  return is_ready;
+}
+
+/** Returns false if the process ends or the wait times out before the process
+ * reports that it is ready. */
 static bool
 wait_ready (process_t *process)
 {
-  char line[256];
-  size_t used = 0;
-  struct pollfd poller = { .fd = process->out, .events = POLLIN };
+  int64_t until_us
+      = g_get_monotonic_time () + (int64_t)CLUSTER_WAIT_TIMEOUT_MS * 1000;
 
-  while (poll (&poller, 1, CLUSTER_WAIT_TIMEOUT_MS) == 1)
+  while (g_get_monotonic_time () < until_us)
     {
-      if (read (process->out, &line[used], 1) != 1)
+      bool runs = process_running (process);
+
+      if (reports_ready (process))
+        return true;
+      if (!runs)
         return false;
-      if (line[used] == '\n' || used == sizeof line - 2)
-        {
-          line[used] = '\0';
-          if (g_str_has_prefix (line, "ready"))
-            return true;
-          used = 0;
-        }
-      else
-        used++;
+      cluster_sleep_ms (READY_LOOK_MS);
     }
   return false;
 }
@@ -276,7 +269,9 @@
   process->name = g_strdup_printf ("%s-%u", program, cluster->processes->len);
   process->log_path
       = g_strdup_printf ("%s/%s.log", cluster->folder, process->name);
-  process->pid = spawn_program (argv, process->log_path, &process->out);
+  process->pid = spawn_program (
+      argv, open (process->log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                  0600));
   g_free (argv[0]);
   g_ptr_array_add (cluster->processes, process);
   if (wait_ready (process))
@@ -317,17 +312,18 @@
   char chunk[4096];
   ssize_t received;
   int status = 0;
-  int out;
+  int ends[2];
   pid_t pid;
   va_list args;
 
   va_start (args, program);
   collect_arguments (args, argv + 1);
   va_end (args);
-  pid = spawn_program (argv, NULL, &out);
-  while ((received = read (out, chunk, sizeof chunk)) > 0)
+  g_assert_cmpint (pipe2 (ends, O_CLOEXEC), ==, 0);
+  pid = spawn_program (argv, ends[1]);
+  while ((received = read (ends[0], chunk, sizeof chunk)) > 0)
     g_string_append_len (text, chunk, received);
-  close (out);
+  close (ends[0]);
   waitpid (pid, &status, 0);
   g_free (argv[0]);
   *output = g_string_free (text, FALSE);
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -82,10 +82,11 @@
 
 pid_t process_pid (const process_t *process);
 
-/** Returns what a process wrote to stderr so far; free with g_free(). */
+/** Returns what a process wrote to stdout and stderr so far; free with
+ * g_free(). */
 char *process_log (const process_t *process);
 
-/** Prints the last lines that a process wrote to stderr. */
+/** Prints the last lines that a process wrote. */
 void process_print_log (const process_t *process);
 
 /** Sends a signal to a process; after SIGKILL also waits for its end. */
@@ -96,7 +97,7 @@
 
 /**
  * Waits until a process ends and asserts exit code 0. On any other code prints
- * the last lines that the process wrote to stderr.
+ * the last lines that the process wrote.
  */
 void process_expect_success (process_t *process);
 
