--- a/t/t8211-site-stop.c
+++ b/t/t8211-site-stop.c
@@ -21,7 +21,7 @@
 #define UNREADY_AFTER_MS 1000
 #define TWO_ZONES_MS     3000
 #define MIN_OVERLAP_MS   400
-#define MAX_OVERLAP_MS   1000
+#define MAX_OVERLAP_MS   2000
 #define MIN_SLOTS        24
 #define MAX_SLOTS        96
 #define DEFAULT_SEEDS    1
