forward: end an answer whose owner breaks off without its last chunk

Cause: a caller that fetched a stream through another instance than the one that keeps it got a well-formed end when that one broke off: the callback of a failed fetch ended the answer like that of a whole one. The beginning of a text passed for all of it. Change: once what came is written, the connection is closed without the end of the answer. The caller sees that it is not whole and asks again with an offset.

--- a/forward.c
+++ b/forward.c
@@ -26,6 +26,8 @@
   struct evhttp_connection *owner_connection;
   struct event *finish_event; /* frees the state outside of evhttp callbacks */
   bool headers_sent;
+  bool is_writing; /* a part of the response is in the caller's buffer */
+  bool is_broken;  /* the owner broke off: the caller's connection ends */
 } forward_t;
 
 bool
@@ -44,12 +46,26 @@
   return 0;
 }
 
+/** Closes the caller's connection without the end of the response, which shows
+ * that it is not whole. */
+static void
+close_caller (forward_t *forward)
+{
+  struct evhttp_connection *connection = forward->caller_connection;
+
+  forward->caller_connection = NULL;
+  evhttp_connection_set_closecb (connection, NULL, NULL);
+  evhttp_connection_free (connection);
+}
+
 static void
 on_finish (evutil_socket_t fd, short what, void *arg)
 {
   forward_t *forward = arg;
   forward_options_t options = forward->options;
 
+  if (forward->is_broken && forward->caller_connection != NULL)
+    close_caller (forward);
   talloc_free (forward);
   options.closed (options.context);
 }
@@ -110,6 +126,12 @@
 {
   forward_t *forward = arg;
 
+  forward->is_writing = false;
+  if (forward->is_broken)
+    {
+      event_active (forward->finish_event, EV_TIMEOUT, 0);
+      return;
+    }
   bufferevent_enable (
       evhttp_connection_get_bufferevent (forward->owner_connection), EV_READ);
 }
@@ -122,6 +144,7 @@
 
   if (forward->http == NULL)
     return;
+  forward->is_writing = true;
   evhttp_send_reply_chunk_with_cb (forward->http,
                                    evhttp_request_get_input_buffer (response),
                                    on_chunk_written, forward);
@@ -132,6 +155,15 @@
         evhttp_connection_get_bufferevent (forward->owner_connection), EV_READ);
 }
 
+/** Ends a response whose owner broke off, once what came of it is written. */
+static void
+break_off (forward_t *forward)
+{
+  forward->is_broken = true;
+  if (!forward->is_writing)
+    event_active (forward->finish_event, EV_TIMEOUT, 0);
+}
+
 /**
  * Ends the caller's response.
  * @param response NULL when the connection to the owner failed or broke
@@ -142,6 +174,11 @@
   forward_t *forward = arg;
   struct evhttp_request *http = forward->http;
 
+  if (http != NULL && response == NULL && forward->headers_sent)
+    {
+      break_off (forward);
+      return;
+    }
   forward->http = NULL;
   if (http != NULL && forward->headers_sent)
     http_send_end (http);
