t: keep what platform programs log, and let a test hold their reader

The library read a process's stdout up to "ready" and never again. The programs for a platform log there, so that process_log() and process_print_log() held none of their lines, and whatever a test of a stop printed on a failure was empty for them; once the pipe and the buffer of the process were full, it dropped lines.

A thread now copies stdout to the log of the process. A test may hold it up, with a pipe of one page, and release it, and may have stderr go to the same pipe.

--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -18,6 +18,11 @@
 /* How much of a failed process's log is printed: enough to include its first
  * error. */
 #define LOG_TAIL_BYTES 6000
+/* How long the reader of a process's output waits before it looks whether it is
+ * held up. */
+#define READER_WAIT_MS 20
+/* The kernel rounds the size of a pipe up to a page. */
+#define HELD_PIPE_BYTES 1
 
 struct cluster
 {
@@ -27,6 +32,7 @@
   GPtrArray *processes;
   GPtrArray *texts; /* strings returned to callers, freed with the cluster */
   bool allow_kills; /* a process may kill itself with SIGKILL */
+  bool merges_output;
 };
 
 struct process
@@ -34,7 +40,10 @@
   char *name;
   char *log_path;
   pid_t pid;
-  int out; /* read end of its stdout pipe */
+  int out;         /* read end of its stdout pipe */
+  GThread *reader; /* copies stdout to the log, NULL once it has ended */
+  GMutex reading;
+  bool is_held; /* the reader waits */
   bool ended;
   int code;
   bool killed; /* the test killed it, so any exit code is accepted */
@@ -97,7 +106,7 @@
 }
 
 static bool
-reports_sanitizer (const process_t *process)
+reports_sanitizer (process_t *process)
 {
   char *log = process_log (process);
   bool found = strstr (log, "ERROR: AddressSanitizer") != NULL
@@ -110,6 +119,74 @@
   return found;
 }
 
+/** Copies what the pipe holds now to the log. Returns false at its end. */
+static bool
+copy_output (process_t *process, int log)
+{
+  char chunk[4096];
+  ssize_t received = read (process->out, chunk, sizeof chunk);
+
+  return received > 0 && write (log, chunk, (size_t)received) == received;
+}
+
+static void *
+read_output (void *data)
+{
+  process_t *process = data;
+  struct pollfd poller = { .fd = process->out, .events = POLLIN };
+  int log = open (process->log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                  0600);
+  bool has_ended = false;
+
+  while (!has_ended)
+    {
+      bool is_readable = poll (&poller, 1, READER_WAIT_MS) > 0;
+      bool is_held;
+
+      g_mutex_lock (&process->reading);
+      is_held = process->is_held;
+      if (is_readable && !is_held)
+        has_ended = !copy_output (process, log);
+      g_mutex_unlock (&process->reading);
+      if (is_held)
+        g_usleep (1000);
+    }
+  close (log);
+  return NULL;
+}
+
+/** Waits until all that an ended process wrote is in its log. */
+static void
+finish_reading (process_t *process)
+{
+  if (process->reader != NULL)
+    g_thread_join (process->reader);
+  process->reader = NULL;
+}
+
+void
+process_hold_output (process_t *process)
+{
+  g_mutex_lock (&process->reading);
+  /* This fails while the pipe holds more. */
+  while (fcntl (process->out, F_SETPIPE_SZ, HELD_PIPE_BYTES) < 0)
+    {
+      g_mutex_unlock (&process->reading);
+      cluster_sleep_ms (1);
+      g_mutex_lock (&process->reading);
+    }
+  process->is_held = true;
+  g_mutex_unlock (&process->reading);
+}
+
+void
+process_release_output (process_t *process)
+{
+  g_mutex_lock (&process->reading);
+  process->is_held = false;
+  g_mutex_unlock (&process->reading);
+}
+
 static void
 end_process (process_t *process, bool allow_kills)
 {
@@ -122,7 +199,10 @@
     g_test_message ("%s ended by signal %d", process->name,
                     process->code - 128);
   g_assert_true (process->killed || process->code <= 128);
+  process_release_output (process);
+  finish_reading (process);
   close (process->out);
+  g_mutex_clear (&process->reading);
   g_free (process->name);
   g_free (process->log_path);
   g_free (process);
@@ -208,6 +288,12 @@
   return g_build_filename (build != NULL ? build : "build", program, NULL);
 }
 
+void
+cluster_merge_output (cluster_t *cluster)
+{
+  cluster->merges_output = true;
+}
+
 /**
  * Starts a program. Its stdout goes to a pipe whose read end is stored in
  * @a out; its stderr goes to @a log_path, or to the pipe if that is NULL.
@@ -276,11 +362,16 @@
   process->name = g_strdup_printf ("%s-%u", program, cluster->processes->len);
   process->log_path
       = g_strdup_printf ("%s/%s.log", cluster->folder, process->name);
-  process->pid = spawn_program (argv, process->log_path, &process->out);
+  g_mutex_init (&process->reading);
+  process->pid = spawn_program (
+      argv, cluster->merges_output ? NULL : process->log_path, &process->out);
   g_free (argv[0]);
   g_ptr_array_add (cluster->processes, process);
   if (wait_ready (process))
-    return process;
+    {
+      process->reader = g_thread_new ("reader", read_output, process);
+      return process;
+    }
   process_wait (process);
   return NULL;
 }
@@ -341,10 +432,13 @@
 }
 
 char *
-process_log (const process_t *process)
+process_log (process_t *process)
 {
   char *text = NULL;
 
+  if (process->ended && !process->is_held)
+    finish_reading (process);
+
   if (!g_file_get_contents (process->log_path, &text, NULL, NULL))
     text = g_strdup ("");
   return text;
@@ -383,7 +477,7 @@
 }
 
 void
-process_print_log (const process_t *process)
+process_print_log (process_t *process)
 {
   char *log = process_log (process);
   size_t size = strlen (log);
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -82,11 +82,22 @@
 
 pid_t process_pid (const process_t *process);
 
-/** Returns what a process wrote to stderr so far; free with g_free(). */
-char *process_log (const process_t *process);
+/** Makes the processes that start from now on write stderr to the pipe of
+ * stdout, where process_hold_output() holds it up. */
+void cluster_merge_output (cluster_t *cluster);
 
-/** Prints the last lines that a process wrote to stderr. */
-void process_print_log (const process_t *process);
+/** Returns what a process wrote to stderr, and to stdout once it was ready, so
+ * far; free with g_free(). */
+char *process_log (process_t *process);
+
+/** Prints the last lines of process_log(). */
+void process_print_log (process_t *process);
+
+/** Stops reading what a process writes, and lets its pipe hold little. */
+void process_hold_output (process_t *process);
+
+/** Reads it again, from where it was held up. */
+void process_release_output (process_t *process);
 
 /** Sends a signal to a process; after SIGKILL also waits for its end. */
 void process_signal (process_t *process, int signal_number);
