logging: write the lines that wait, at the end too and without another line

Lines that the reader of stdout does not take yet wait in a buffer of 128 KiB. They were written only when another line came: a process that was quiet held them back, and one that ended lost them, among them those of its stop. What was left out while the buffer was full was told without a time, a level or a part, so that no excerpt of warnings holds it, and in no metric.

Cause: the sink had no end and no clock; it ran only as part of a line.

The daemon now tries again every 50 ms while lines wait, and waits for the reader at its end as it waits for its last answers: at most until 3 s after the stop signal, or 0.2 s after the work is done. Lines written after the loop have 0.1 s at exit(). A reader that never reads costs no more than that; one that has closed its end costs nothing. The count of dropped lines is a line with time and level WARN, written also when no line follows, and a metric.

--- a/daemon.c
+++ b/daemon.c
@@ -21,11 +21,13 @@
 #define MAX_HEADERS_BYTES       (32 * 1024)
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
 /** Longest time from a stop signal, or from daemon_exit() without one, until
- * the process ends although answers are still being written. */
+ * the process ends although answers or log lines are still being written. */
 #define LAST_ANSWERS_TIMEOUT_MS 3000
 /** Time for the last answers when the work itself took longer than that. */
 #define LAST_ANSWERS_MIN_MS   200
 #define LAST_ANSWERS_CHECK_MS 10
+/** Time between two tries to write log lines that their reader did not take. */
+#define LOG_FLUSH_INTERVAL_MS 50
 
 struct daemon
 {
@@ -36,6 +38,7 @@
   metrics_t *metrics;
   struct event *signals[3];
   struct event *exit_check;
+  struct event *log_flush;
   uint64_t stop_signal_ms; /* when the first stop signal came, or 0 */
   uint64_t exit_latest_ms; /* 0 until daemon_exit() is called */
   daemon_options_t options;
@@ -51,6 +54,8 @@
     if (daemon->signals[i] != NULL)
       event_free (daemon->signals[i]);
   event_free (daemon->exit_check);
+  logging_on_unwritten (NULL, NULL);
+  event_free (daemon->log_flush);
   if (daemon->http != NULL)
     evhttp_free (daemon->http);
   /* A connection with a deferred callback is released in the next turn. */
@@ -59,15 +64,34 @@
   return 0;
 }
 
-/** Ends the loop once the last answers are written. */
+/** Tries again later to write log lines that wait for their reader. */
+static void
+flush_log_later (void *context)
+{
+  daemon_t *daemon = context;
+  struct timeval interval = timeval_from_ms (LOG_FLUSH_INTERVAL_MS);
+
+  if (!event_pending (daemon->log_flush, EV_TIMEOUT, NULL))
+    event_add (daemon->log_flush, &interval);
+}
+
+static void
+on_log_flush (evutil_socket_t fd, short what, void *arg)
+{
+  if (!logging_flush ())
+    flush_log_later (arg);
+}
+
+/** Ends the loop once the last answers and log lines are written. */
 static void
 on_exit_check (evutil_socket_t fd, short what, void *arg)
 {
   daemon_t *daemon = arg;
   struct timeval interval = timeval_from_ms (LAST_ANSWERS_CHECK_MS);
   bool has_unsent = http_backlog_has_unsent (daemon->backlog);
+  bool has_lines = !logging_flush ();
 
-  if (has_unsent && clock_mono_ms () < daemon->exit_latest_ms)
+  if ((has_unsent || has_lines) && clock_mono_ms () < daemon->exit_latest_ms)
     {
       event_add (daemon->exit_check, &interval);
       return;
@@ -217,6 +241,12 @@
   return set_up_tls (daemon);
 }
 
+static double
+read_dropped_lines (void *context)
+{
+  return (double)logging_dropped_lines ();
+}
+
 daemon_t *
 daemon_new (void *parent, const daemon_options_t *options)
 {
@@ -233,8 +263,13 @@
     die ("cannot create an event loop");
   daemon->metrics = metrics_new (daemon);
   metrics_add_process (daemon->metrics);
+  metrics_gauge_read (daemon->metrics, "lwm_log_lines_dropped_total",
+                      "Log lines left out because their reader was too slow.",
+                      NULL, read_dropped_lines, NULL);
   daemon->backlog = http_backlog_new (daemon);
   daemon->exit_check = event_new (daemon->base, -1, 0, on_exit_check, daemon);
+  daemon->log_flush = event_new (daemon->base, -1, 0, on_log_flush, daemon);
+  logging_on_unwritten (flush_log_later, daemon);
   talloc_set_destructor (daemon, free_daemon);
   set_up_signals (daemon);
   if (!set_up_http (daemon))
--- a/daemon.h
+++ b/daemon.h
@@ -68,8 +68,8 @@
 
 /**
  * Ends daemon_run(), which then returns @a exit_code. Requests that have
- * arrived are still handled and the answers are written first, for a few
- * seconds at most from the stop signal on.
+ * arrived are still handled and the answers and log lines are written first,
+ * for a few seconds at most from the stop signal on.
  */
 void daemon_exit (daemon_t *daemon, int exit_code);
 
--- a/log-sink.c
+++ b/log-sink.c
@@ -1,20 +1,26 @@
 #include "log-sink.h"
 
+#include <errno.h>
 #include <fcntl.h>
-#include <inttypes.h>
-#include <stdio.h>
+#include <poll.h>
 #include <string.h>
 #include <talloc.h>
 #include <unistd.h>
 
+#include "base.h"
+
+#define MAX_REPORT_BYTES 128
+
 struct log_sink
 {
   int fd;
+  log_sink_report_cb_t report;
   char *buffer;
   size_t capacity;
   size_t used;
   uint64_t dropped;          /* lines dropped because the buffer was full */
   uint64_t reported_dropped; /* dropped lines that the output already reports */
+  bool has_failed;           /* the last write, and not for a slow reader */
 };
 
 log_sink_t *
@@ -24,9 +30,11 @@
   int flags = fcntl (options->fd, F_GETFL);
 
   sink->fd = options->fd;
+  sink->report = options->report;
   sink->capacity = options->buffer_bytes;
   sink->buffer = talloc_size (sink, options->buffer_bytes);
-  if (flags >= 0)
+  /* A terminal is shared with the shell, which expects it to block. */
+  if (flags >= 0 && !isatty (options->fd))
     fcntl (options->fd, F_SETFL, flags | O_NONBLOCK);
   return sink;
 }
@@ -39,6 +47,7 @@
     {
       ssize_t written = write (sink->fd, sink->buffer, sink->used);
 
+      sink->has_failed = written < 0 && errno != EAGAIN && errno != EINTR;
       if (written <= 0)
         return;
       sink->used -= (size_t)written;
@@ -46,29 +55,29 @@
     }
 }
 
-/** Appends to the buffer; returns 0 when there is no room. */
-static int
+/** Appends to the buffer; returns false when there is no room. */
+static bool
 append_text (log_sink_t *sink, const char *text, size_t size_bytes)
 {
   if (size_bytes > sink->capacity - sink->used)
-    return 0;
+    return false;
   memcpy (sink->buffer + sink->used, text, size_bytes);
   sink->used += size_bytes;
-  return 1;
+  return true;
 }
 
 /** Adds a line with the number of lines dropped since the last such line. */
 static void
 report_dropped (log_sink_t *sink)
 {
-  char line[64];
-  int length;
+  char line[MAX_REPORT_BYTES];
+  size_t length;
 
   if (sink->dropped == sink->reported_dropped)
     return;
-  length = snprintf (line, sizeof line, "lines left out. count=%" PRIu64 "\n",
-                     sink->dropped - sink->reported_dropped);
-  if (append_text (sink, line, (size_t)length))
+  length = sink->report (line, sizeof line,
+                         sink->dropped - sink->reported_dropped);
+  if (append_text (sink, line, length))
     sink->reported_dropped = sink->dropped;
 }
 
@@ -82,6 +91,41 @@
   write_buffered_lines (sink);
 }
 
+/** Writes what the reader takes now; returns false if a rest waits for it. */
+static bool
+write_all (log_sink_t *sink)
+{
+  write_buffered_lines (sink);
+  report_dropped (sink);
+  write_buffered_lines (sink);
+  return !log_sink_has_unwritten (sink);
+}
+
+bool
+log_sink_flush (log_sink_t *sink, uint32_t timeout_ms)
+{
+  uint64_t end_ms = clock_mono_ms () + timeout_ms;
+  struct pollfd reader = { .fd = sink->fd, .events = POLLOUT };
+
+  while (!write_all (sink))
+    {
+      uint64_t now_ms = clock_mono_ms ();
+
+      if (now_ms >= end_ms)
+        return false;
+      if (poll (&reader, 1, (int)(end_ms - now_ms)) < 0 && errno != EINTR)
+        return false;
+    }
+  return true;
+}
+
+bool
+log_sink_has_unwritten (const log_sink_t *sink)
+{
+  return !sink->has_failed
+         && (sink->used > 0 || sink->dropped > sink->reported_dropped);
+}
+
 uint64_t
 log_sink_dropped_lines (const log_sink_t *sink)
 {
--- a/logging.c
+++ b/logging.c
@@ -1,21 +1,28 @@
 #include "logging.h"
 
+#include <inttypes.h>
 #include <log4c.h>
 #include <log4c/appender_type_stream.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/time.h>
 #include <time.h>
 #include <unistd.h>
 
 #include "base.h"
 #include "log-sink.h"
 
-/** Bound of the lines buffered for a slow reader of stdout. */
+/** Bound of the lines buffered for a slow reader. */
 #define SINK_BUFFER_BYTES (128u * 1024)
+/** Longest wait for the reader when the process exits. */
+#define EXIT_FLUSH_MS 100
 
 static log4c_category_t *category;
-static log_sink_t *sink; /* NULL when lines go to stderr */
+static log_sink_t *sink; /* NULL when the process waits for the reader */
+static logging_unwritten_cb_t on_unwritten;
+static void *unwritten_context;
 
 static const struct
 {
@@ -28,38 +35,107 @@
   [LOGGING_DEBUG] = { "debug", LOG4C_PRIORITY_DEBUG },
 };
 
+/** Formats a line with its newline; returns its length without the NUL. */
+static size_t
+format_text (char *line,
+             size_t size_bytes,
+             const struct timeval *when,
+             int priority,
+             const char *message)
+{
+  struct tm parts;
+  char stamp[32];
+
+  gmtime_r (&when->tv_sec, &parts);
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &parts);
+  snprintf (line, size_bytes, "%s.%03dZ %s %s\n", stamp,
+            (int)(when->tv_usec / 1000), log4c_priority_to_string (priority),
+            message);
+  return strlen (line);
+}
+
 static const char *
 format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
   static char line[2048];
-  struct tm when;
-  char stamp[32];
 
-  gmtime_r (&event->evt_timestamp.tv_sec, &when);
-  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &when);
-  snprintf (line, sizeof line, "%s.%03dZ %s %s\n", stamp,
-            (int)(event->evt_timestamp.tv_usec / 1000),
-            log4c_priority_to_string (event->evt_priority), event->evt_msg);
+  format_text (line, sizeof line, &event->evt_timestamp, event->evt_priority,
+               event->evt_msg);
   return line;
 }
 
+/** Formats the line that reports dropped lines. */
+static size_t
+format_dropped (char *line, size_t size_bytes, uint64_t count)
+{
+  char message[64];
+  struct timeval now;
+
+  gettimeofday (&now, NULL);
+  snprintf (message, sizeof message, "log: lines left out. count=%" PRIu64,
+            count);
+  return format_text (line, size_bytes, &now, LOG4C_PRIORITY_WARN, message);
+}
+
 static int
 append_to_sink (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   const char *line = event->evt_rendered_msg;
 
   log_sink_write (sink, line, strlen (line));
+  if (on_unwritten != NULL && log_sink_has_unwritten (sink))
+    on_unwritten (unwritten_context);
   return 0;
 }
 
+static void
+flush_at_exit (void)
+{
+  log_sink_flush (sink, EXIT_FLUSH_MS);
+}
+
+static void
+use_sink (int fd)
+{
+  log_sink_options_t options = { .fd = fd,
+                                 .buffer_bytes = SINK_BUFFER_BYTES,
+                                 .report = format_dropped };
+
+  if (sink != NULL)
+    return;
+  sink = log_sink_new (NULL, &options);
+  atexit (flush_at_exit);
+}
+
 void
 logging_use_stdout (void)
 {
-  log_sink_options_t options
-      = { .fd = STDOUT_FILENO, .buffer_bytes = SINK_BUFFER_BYTES };
+  use_sink (STDOUT_FILENO);
+}
+
+void
+logging_use_stderr (void)
+{
+  use_sink (STDERR_FILENO);
+}
+
+void
+logging_on_unwritten (logging_unwritten_cb_t callback, void *context)
+{
+  on_unwritten = callback;
+  unwritten_context = context;
+}
+
+bool
+logging_flush (void)
+{
+  return sink == NULL || log_sink_flush (sink, 0);
+}
 
-  if (sink == NULL)
-    sink = log_sink_new (NULL, &options);
+uint64_t
+logging_dropped_lines (void)
+{
+  return sink != NULL ? log_sink_dropped_lines (sink) : 0;
 }
 
 void
--- a/t/t0004-log-sink.c
+++ b/t/t0004-log-sink.c
@@ -2,6 +2,9 @@
  * write must never block, and dropped lines must be counted. */
 #include <fcntl.h>
 #include <glib.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -11,6 +14,20 @@
 #define LINE_BYTES 100
 #define LINES      20000
 
+/** When a late reader begins, and longest wait for it. */
+#define READER_DELAY_MS 100
+#define LONG_WAIT_MS    20000
+/** Wait for a reader that never reads, and upper bound of the time taken. */
+#define SHORT_WAIT_MS 50
+#define BOUND_MS      2000
+
+static size_t
+report_count (char *line, size_t size_bytes, uint64_t count)
+{
+  return (size_t)snprintf (line, size_bytes,
+                           "lines left out. count=%" PRIu64 "\n", count);
+}
+
 static void
 write_lines (log_sink_t *sink, uint32_t count)
 {
@@ -43,7 +60,8 @@
 test_stalled_pipe (void)
 {
   int fds[2];
-  log_sink_options_t options = { .buffer_bytes = 10000 };
+  log_sink_options_t options
+      = { .buffer_bytes = 10000, .report = report_count };
   log_sink_t *sink;
   GString *text;
   uint64_t dropped;
@@ -71,7 +89,7 @@
 test_read_pipe (void)
 {
   int fds[2];
-  log_sink_options_t options = { .buffer_bytes = 1000 };
+  log_sink_options_t options = { .buffer_bytes = 1000, .report = report_count };
   log_sink_t *sink;
   GString *text;
 
@@ -88,11 +106,103 @@
   close (fds[1]);
 }
 
+/** Reads a pipe to its end, from a while later on. */
+static void *
+read_late (void *data)
+{
+  int fd = GPOINTER_TO_INT (data);
+  GString *text = g_string_new (NULL);
+  char block[4096];
+  ssize_t got;
+
+  g_usleep (READER_DELAY_MS * 1000);
+  while ((got = read (fd, block, sizeof block)) > 0)
+    g_string_append_len (text, block, got);
+  return text;
+}
+
+/** Guards against lines, and a count of dropped ones, that are left behind when
+ * a process ends. */
+static void
+test_flush_waits (void)
+{
+  int fds[2];
+  log_sink_options_t options
+      = { .buffer_bytes = 10000, .report = report_count };
+  log_sink_t *sink;
+  GThread *reader;
+  GString *text;
+
+  g_assert_cmpint (pipe (fds), ==, 0);
+  options.fd = fds[1];
+  sink = log_sink_new (NULL, &options);
+  write_lines (sink, LINES);
+  g_assert_true (log_sink_has_unwritten (sink));
+  reader = g_thread_new ("reader", read_late, GINT_TO_POINTER (fds[0]));
+  g_assert_true (log_sink_flush (sink, LONG_WAIT_MS));
+  g_assert_false (log_sink_has_unwritten (sink));
+  close (fds[1]);
+  text = g_thread_join (reader);
+  g_assert_cmpuint (text->len, >,
+                    (LINES - log_sink_dropped_lines (sink)) * LINE_BYTES);
+  g_assert_nonnull (strstr (text->str, "lines left out. count="));
+  g_string_free (text, TRUE);
+  talloc_free (sink);
+  close (fds[0]);
+}
+
+/** Guards against an end that waits for a reader which never reads. */
+static void
+test_flush_is_bounded (void)
+{
+  int fds[2];
+  log_sink_options_t options = { .buffer_bytes = 1000, .report = report_count };
+  log_sink_t *sink;
+  int64_t start_us;
+
+  g_assert_cmpint (pipe (fds), ==, 0);
+  options.fd = fds[1];
+  sink = log_sink_new (NULL, &options);
+  write_lines (sink, LINES);
+  start_us = g_get_monotonic_time ();
+  g_assert_false (log_sink_flush (sink, SHORT_WAIT_MS));
+  g_assert_cmpint (g_get_monotonic_time () - start_us, <, BOUND_MS * 1000);
+  talloc_free (sink);
+  close (fds[0]);
+  close (fds[1]);
+}
+
+/** Guards against an end that waits for a reader which has gone. */
+static void
+test_flush_without_reader (void)
+{
+  int fds[2];
+  log_sink_options_t options = { .buffer_bytes = 1000, .report = report_count };
+  log_sink_t *sink;
+  int64_t start_us;
+
+  signal (SIGPIPE, SIG_IGN);
+  g_assert_cmpint (pipe (fds), ==, 0);
+  options.fd = fds[1];
+  sink = log_sink_new (NULL, &options);
+  write_lines (sink, LINES);
+  close (fds[0]);
+  start_us = g_get_monotonic_time ();
+  g_assert_true (log_sink_flush (sink, LONG_WAIT_MS));
+  g_assert_cmpint (g_get_monotonic_time () - start_us, <, BOUND_MS * 1000);
+  g_assert_false (log_sink_has_unwritten (sink));
+  talloc_free (sink);
+  close (fds[1]);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/log-sink/stalled-pipe", test_stalled_pipe);
   g_test_add_func ("/log-sink/read-pipe", test_read_pipe);
+  g_test_add_func ("/log-sink/flush-waits", test_flush_waits);
+  g_test_add_func ("/log-sink/flush-is-bounded", test_flush_is_bounded);
+  g_test_add_func ("/log-sink/flush-without-reader", test_flush_without_reader);
   return g_test_run ();
 }
