daemons: do not stand still when nobody reads stderr

The product's daemons and the stand-ins write their lines to stderr and waited for its reader: with a full pipe, the one loop of the process stood in write(), answered no call and did not see SIGTERM. Everything it had accepted was lost when it was killed. The programs for a platform were not affected.

They now use the sink that never blocks, on stderr. A terminal stays as it is. The commands and lwm-load write a report for a person and wait for it as before.

Test: /log-lines/stuck-stderr.

--- a/builtin/lwm-controld.c
+++ b/builtin/lwm-controld.c
@@ -136,6 +136,7 @@
           .parent = parent };
   int code = EXIT_CODE_USAGE;
 
+  logging_use_stderr ();
   base_init ("lwm-controld");
   if (settings_parse (&options, argc, argv, &control_settings.base) != 0)
     goto out;
--- a/builtin/lwm-entryd.c
+++ b/builtin/lwm-entryd.c
@@ -7,6 +7,7 @@
 
 #include "base.h"
 #include "entry.h"
+#include "logging.h"
 #include "settings.h"
 
 #define MIN_STOP_MS      100
@@ -116,6 +117,7 @@
   entry_t *entry;
   int exit_code = EXIT_CODE_USAGE;
 
+  logging_use_stderr ();
   base_init ("lwm-entryd");
   if (settings_parse (&options, argc, argv, &message.base) > 0)
     goto out;
--- a/builtin/lwm-faultproxy.c
+++ b/builtin/lwm-faultproxy.c
@@ -342,6 +342,7 @@
   daemon_t *daemon;
   int code = EXIT_CODE_USAGE;
 
+  logging_use_stderr ();
   base_init ("lwm-faultproxy");
   if (settings_parse (&parse, argc, argv, &settings.base) > 0)
     goto out;
--- a/builtin/lwm-swarm.c
+++ b/builtin/lwm-swarm.c
@@ -12,6 +12,7 @@
 #include "base.h"
 #include "daemon.h"
 #include "http.h"
+#include "logging.h"
 #include "settings.h"
 #include "settings.pb-c.h"
 
@@ -270,6 +271,7 @@
   daemon_t *daemon;
   int exit_code = EXIT_CODE_USAGE;
 
+  logging_use_stderr ();
   base_init ("lwm-swarm");
   if (settings_parse (&options, argc, argv, &settings.base) > 0)
     goto out;
--- a/builtin/lwm-upstream.c
+++ b/builtin/lwm-upstream.c
@@ -7,6 +7,7 @@
 
 #include "base.h"
 #include "daemon.h"
+#include "logging.h"
 #include "settings.h"
 #include "settings.pb-c.h"
 #include "standin.h"
@@ -205,6 +206,7 @@
   daemon_t *daemon;
   int code = EXIT_CODE_USAGE;
 
+  logging_use_stderr ();
   base_init ("lwm-upstream");
   if (settings_parse (&parse, argc, argv, &settings.base) > 0)
     goto out;
--- a/t/t0011-log-lines.c
+++ b/t/t0011-log-lines.c
@@ -154,6 +154,50 @@
   nodes_free (nodes);
 }
 
+/** Starts a product's entry instance whose reader of stderr stands still, and
+ * has it write more than the pipe takes. */
+static process_t *
+start_with_stuck_stderr (cluster_t *cluster, const char *address)
+{
+  process_t *process;
+
+  cluster_merge_output (cluster);
+  process = cluster_start (cluster, "lwm-entryd", "--instance", "a", "--zone",
+                           "z", "--listen", address, NULL);
+  g_assert_nonnull (process);
+  process_hold_output (process);
+  for (uint32_t i = 0; i < SOME_LINES; i++)
+    {
+      char *body = g_strdup_printf (
+          "{\"upstream\":\"u%u\",\"incarnation\":1,\"address\":\"%s\","
+          "\"zone\":\"z\",\"service\":\"s\",\"kind\":\"service\","
+          "\"state\":\"ready\"}",
+          i, address);
+      answer_t answer = cluster_call_with (address, "POST", "/v1/announce",
+                                           NULL, body, MAX_WAIT_MS);
+
+      g_assert_cmpint (answer.status, ==, 200);
+      cluster_answer_free (&answer);
+      g_free (body);
+    }
+  return process;
+}
+
+/** Guards against a process that stands still, deaf to calls and to SIGTERM,
+ * because nobody reads its stderr. */
+static void
+test_stuck_stderr (void)
+{
+  cluster_t *cluster = cluster_new ();
+  const char *address = cluster_address (cluster);
+  process_t *process = start_with_stuck_stderr (cluster, address);
+
+  process_signal (process, SIGTERM);
+  g_assert_cmpuint (wait_for_end (process), <, STOP_TIMEOUT_MS);
+  process_expect_success (process);
+  cluster_free (cluster);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -164,5 +208,6 @@
   g_test_add_func ("/log-lines/left-out", test_left_out);
   g_test_add_func ("/log-lines/stuck-reader-at-the-end",
                    test_stuck_reader_at_the_end);
+  g_test_add_func ("/log-lines/stuck-stderr", test_stuck_stderr);
   return g_test_run ();
 }
