entryd: name each request that ends without a whole answer

At the stop timeout the entry daemon logged how many requests were live, and not which. A refusal and a caller that closed left no line either, so nothing could be found by the id of such a request.

Each of them now has a line: those cut off by the end of the process (WARN), refusals, and connections that end before their answer is delivered. A forwarded GET still leaves none (forward.c).

Tests, on the code before: /request-lines/stop-timeout, refused and caller-closes: 'has_logged (...)' should be TRUE.

--- a/dispatch.c
+++ b/dispatch.c
@@ -21,9 +21,32 @@
     event_free (event);
 }
 
+/** Logs each request that the end of the process cuts off. */
+static void
+log_live_requests (const dispatch_t *dispatch)
+{
+  GHashTableIter iterator;
+  void *item;
+
+  g_hash_table_iter_init (&iterator, dispatch->by_id);
+  while (g_hash_table_iter_next (&iterator, NULL, &item))
+    {
+      const request_t *request = item;
+
+      log_warn ("Request ended with the process. request=%s customer=%s "
+                "service=%s state=%s upstream=%s sends=%u",
+                request->id, request->customer, request->service,
+                request_state_name (request->state),
+                request->attempt.upstream != NULL ? request->attempt.upstream
+                                                  : "-",
+                request->sends);
+    }
+}
+
 static int
 free_dispatch (dispatch_t *dispatch)
 {
+  log_live_requests (dispatch);
   free_event (dispatch->schedule_event);
   free_event (dispatch->tick);
   g_hash_table_destroy (dispatch->by_id);
@@ -339,6 +362,9 @@
   request->retry_after_ms = retry_after_ms;
   dispatch_move (dispatch, request, REQUEST_FAILED, error_name (refusal));
   dispatch_count_refusal (dispatch, refusal);
+  log_info ("Request refused. request=%s customer=%s service=%s reason=%s",
+            request->id, request->customer, request->service,
+            error_name (refusal));
   dispatch_archive (dispatch, request);
 }
 
--- a/reply.c
+++ b/reply.c
@@ -11,6 +11,9 @@
 
 #include "http.h"
 
+#define LOG_PART "callers"
+#include "logging.h"
+
 /* Events are added to a batch until it reaches this size. */
 #define BATCH_BYTES (64 * 1024)
 /* Reading from the upstream pauses above the high watermark of response bytes
@@ -28,18 +31,33 @@
   struct evhttp_connection *connection; /* NULL once closed */
   struct bufferevent *bev;              /* bufferevent of connection */
   request_t *request;                   /* NULL once detached */
+  char *id;                             /* of the request */
   uint64_t next_offset;                 /* offset of the token to write next */
   bool headers_sent;
   bool is_writing;        /* a batch is in the connection's buffer */
   bool final_event_added; /* the event that ends the stream is in a batch */
   bool is_upstream_paused;
+  bool is_closed; /* the response is written, or its caller has gone */
 };
 
 static void write_available (reply_t *reply);
 
+/** Logs that the caller does not get the whole response on this connection. */
+static void
+log_undelivered (const reply_t *reply, const char *end)
+{
+  bool is_over = reply->request == NULL || request_is_over (reply->request);
+
+  log_info ("Connection ended before its answer was delivered. request=%s "
+            "end=%s over=%d",
+            reply->id != NULL ? reply->id : "-", end, is_over);
+}
+
 static int
 free_reply (reply_t *reply)
 {
+  if (!reply->is_closed)
+    log_undelivered (reply, "server_ended");
   if (reply->connection != NULL)
     evhttp_connection_set_closecb (reply->connection, NULL, NULL);
   return 0;
@@ -63,6 +81,7 @@
 {
   reply_options_t options = reply->options;
 
+  reply->is_closed = true;
   talloc_free (reply);
   if (options.closed != NULL)
     options.closed (options.context);
@@ -74,6 +93,7 @@
   reply_t *reply = arg;
   struct evhttp_request *http = reply->http;
 
+  log_undelivered (reply, "caller_closed");
   reply->connection = NULL;
   reply->http = NULL;
   detach_request (reply, reply->headers_sent);
@@ -477,6 +497,7 @@
 reply_start (reply_t *reply, request_t *request)
 {
   reply->request = request;
+  reply->id = talloc_strdup (reply, request->id);
   if (request_is_over (request))
     on_ended (reply);
   else
