--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -17,7 +18,11 @@
 /* How much of a failed process's log is printed: enough to include its first
  * error. */
 #define LOG_TAIL_BYTES 6000
-#define READY_LOOK_MS  2
+/* How long the reader of a process's output waits before it looks whether it is
+ * held up. */
+#define READER_WAIT_MS 20
+/* The kernel rounds the size of a pipe up to a page. */
+#define HELD_PIPE_BYTES 1
 
 struct cluster
 {
@@ -27,6 +32,7 @@
   GPtrArray *processes;
   GPtrArray *texts; /* strings returned to callers, freed with the cluster */
   bool allow_kills; /* a process may kill itself with SIGKILL */
+  bool merges_output;
 };
 
 struct process
@@ -34,6 +40,10 @@
   char *name;
   char *log_path;
   pid_t pid;
+  int out;         /* read end of its stdout pipe */
+  GThread *reader; /* copies stdout to the log, NULL once it has ended */
+  GMutex reading;
+  bool is_held; /* the reader waits */
   bool ended;
   int code;
   bool killed; /* the test killed it, so any exit code is accepted */
@@ -96,7 +106,7 @@
 }
 
 static bool
-reports_sanitizer (const process_t *process)
+reports_sanitizer (process_t *process)
 {
   char *log = process_log (process);
   bool found = strstr (log, "ERROR: AddressSanitizer") != NULL
@@ -109,6 +119,74 @@
   return found;
 }
 
+/** Copies what the pipe holds now to the log. Returns false at its end. */
+static bool
+copy_output (process_t *process, int log)
+{
+  char chunk[4096];
+  ssize_t received = read (process->out, chunk, sizeof chunk);
+
+  return received > 0 && write (log, chunk, (size_t)received) == received;
+}
+
+static void *
+read_output (void *data)
+{
+  process_t *process = data;
+  struct pollfd poller = { .fd = process->out, .events = POLLIN };
+  int log = open (process->log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                  0600);
+  bool has_ended = false;
+
+  while (!has_ended)
+    {
+      bool is_readable = poll (&poller, 1, READER_WAIT_MS) > 0;
+      bool is_held;
+
+      g_mutex_lock (&process->reading);
+      is_held = process->is_held;
+      if (is_readable && !is_held)
+        has_ended = !copy_output (process, log);
+      g_mutex_unlock (&process->reading);
+      if (is_held)
+        g_usleep (1000);
+    }
+  close (log);
+  return NULL;
+}
+
+/** Waits until all that an ended process wrote is in its log. */
+static void
+finish_reading (process_t *process)
+{
+  if (process->reader != NULL)
+    g_thread_join (process->reader);
+  process->reader = NULL;
+}
+
+void
+process_hold_output (process_t *process)
+{
+  g_mutex_lock (&process->reading);
+  /* This fails while the pipe holds more. */
+  while (fcntl (process->out, F_SETPIPE_SZ, HELD_PIPE_BYTES) < 0)
+    {
+      g_mutex_unlock (&process->reading);
+      cluster_sleep_ms (1);
+      g_mutex_lock (&process->reading);
+    }
+  process->is_held = true;
+  g_mutex_unlock (&process->reading);
+}
+
+void
+process_release_output (process_t *process)
+{
+  g_mutex_lock (&process->reading);
+  process->is_held = false;
+  g_mutex_unlock (&process->reading);
+}
+
 static void
 end_process (process_t *process, bool allow_kills)
 {
@@ -121,6 +199,10 @@
     g_test_message ("%s ended by signal %d", process->name,
                     process->code - 128);
   g_assert_true (process->killed || process->code <= 128);
+  process_release_output (process);
+  finish_reading (process);
+  close (process->out);
+  g_mutex_clear (&process->reading);
   g_free (process->name);
   g_free (process->log_path);
   g_free (process);
@@ -206,54 +288,65 @@
   return g_build_filename (build != NULL ? build : "build", program, NULL);
 }
 
-/** Starts a program. Its stdout and stderr go to a descriptor, which is
- * closed here. */
+void
+cluster_merge_output (cluster_t *cluster)
+{
+  cluster->merges_output = true;
+}
+
+/**
+ * Starts a program. Its stdout goes to a pipe whose read end is stored in
+ * @a out; its stderr goes to @a log_path, or to the pipe if that is NULL.
+ */
 static pid_t
-spawn_program (char **argv, int output)
+spawn_program (char **argv, const char *log_path, int *out)
 {
-  pid_t pid = fork ();
+  int ends[2];
+  pid_t pid;
 
+  g_assert_cmpint (pipe2 (ends, O_CLOEXEC), ==, 0);
+  pid = fork ();
   g_assert_cmpint (pid, >=, 0);
   if (pid == 0)
     {
-      dup2 (output, STDOUT_FILENO);
-      dup2 (output, STDERR_FILENO);
+      int log = log_path != NULL
+                    ? open (log_path, O_WRONLY | O_CREAT | O_APPEND, 0600)
+                    : ends[1];
+
+      dup2 (ends[1], STDOUT_FILENO);
+      dup2 (log, STDERR_FILENO);
       execv (argv[0], argv);
       _exit (127);
     }
-  close (output);
+  close (ends[1]);
+  *out = ends[0];
   return pid;
 }
 
-/** Returns whether a process has written a line that starts with "ready". */
-static bool
-reports_ready (const process_t *process)
-{
-  char *log = process_log (process);
-  bool is_ready
-      = g_str_has_prefix (log, "ready") || strstr (log, "\nready") != NULL;
-
-  g_free (log);
-  return is_ready;
-}
-
-/** Returns false if the process ends or the wait times out before the process
- * reports that it is ready. */
+/**
+ * Reads stdout up to a line that starts with "ready". Returns false if stdout
+ * ends or the wait times out first.
+ */
 static bool
 wait_ready (process_t *process)
 {
-  int64_t until_us
-      = g_get_monotonic_time () + (int64_t)CLUSTER_WAIT_TIMEOUT_MS * 1000;
+  char line[256];
+  size_t used = 0;
+  struct pollfd poller = { .fd = process->out, .events = POLLIN };
 
-  while (g_get_monotonic_time () < until_us)
+  while (poll (&poller, 1, CLUSTER_WAIT_TIMEOUT_MS) == 1)
     {
-      bool runs = process_running (process);
-
-      if (reports_ready (process))
-        return true;
-      if (!runs)
+      if (read (process->out, &line[used], 1) != 1)
         return false;
-      cluster_sleep_ms (READY_LOOK_MS);
+      if (line[used] == '\n' || used == sizeof line - 2)
+        {
+          line[used] = '\0';
+          if (g_str_has_prefix (line, "ready"))
+            return true;
+          used = 0;
+        }
+      else
+        used++;
     }
   return false;
 }
@@ -269,13 +362,16 @@
   process->name = g_strdup_printf ("%s-%u", program, cluster->processes->len);
   process->log_path
       = g_strdup_printf ("%s/%s.log", cluster->folder, process->name);
+  g_mutex_init (&process->reading);
   process->pid = spawn_program (
-      argv, open (process->log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-                  0600));
+      argv, cluster->merges_output ? NULL : process->log_path, &process->out);
   g_free (argv[0]);
   g_ptr_array_add (cluster->processes, process);
   if (wait_ready (process))
-    return process;
+    {
+      process->reader = g_thread_new ("reader", read_output, process);
+      return process;
+    }
   process_wait (process);
   return NULL;
 }
@@ -312,18 +408,17 @@
   char chunk[4096];
   ssize_t received;
   int status = 0;
-  int ends[2];
+  int out;
   pid_t pid;
   va_list args;
 
   va_start (args, program);
   collect_arguments (args, argv + 1);
   va_end (args);
-  g_assert_cmpint (pipe2 (ends, O_CLOEXEC), ==, 0);
-  pid = spawn_program (argv, ends[1]);
-  while ((received = read (ends[0], chunk, sizeof chunk)) > 0)
+  pid = spawn_program (argv, NULL, &out);
+  while ((received = read (out, chunk, sizeof chunk)) > 0)
     g_string_append_len (text, chunk, received);
-  close (ends[0]);
+  close (out);
   waitpid (pid, &status, 0);
   g_free (argv[0]);
   *output = g_string_free (text, FALSE);
@@ -337,10 +432,13 @@
 }
 
 char *
-process_log (const process_t *process)
+process_log (process_t *process)
 {
   char *text = NULL;
 
+  if (process->ended && !process->is_held)
+    finish_reading (process);
+
   if (!g_file_get_contents (process->log_path, &text, NULL, NULL))
     text = g_strdup ("");
   return text;
@@ -379,7 +477,7 @@
 }
 
 void
-process_print_log (const process_t *process)
+process_print_log (process_t *process)
 {
   char *log = process_log (process);
   size_t size = strlen (log);
