--- a/t/lib-node-callers-check.c
+++ b/t/lib-node-callers-check.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 
 #include "lib-node-callers-internal.h"
+#include "lib-node-work.h"
 
 /** Longest time from the last byte of a request to the end of its connection
  * for which the instance may not have read it. */
@@ -58,7 +59,7 @@
 static const char *
 find_fault (const caller_record_t *record, const node_run_t *run)
 {
-  bool is_repeatable = g_str_has_prefix (record->path, "/safe/");
+  bool is_repeatable = node_work_is_repeatable (record->path);
 
   if (run->runs > 0 && record->sent_us == 0)
     return "ran before it was sent whole";
