node-settings: refuse settings without a stop timeout

Callers saw, beside a SIGTERM within 0.5 s of a settings file that was being written, streams and calls end 2.6 s after it. Cause: a file that ends before the line of the stop timeout is valid, and the missing number counts as 0: all that was open was ended at the first look after new connections were no longer accepted. Change: a stop timeout of 0 is a mistake; the settings before stay in force.

--- a/node-settings.c
+++ b/node-settings.c
@@ -80,6 +80,10 @@
         reader, NULL,
         "first_port: expected a range of ports, from first_port to "
         "last_port");
+  /* A file that is half written may be valid otherwise. */
+  if (content->stop_timeout_s <= 0)
+    yamlmsg_add_mistake (reader, NULL,
+                         "stop_timeout_s: expected a time above 0");
   check_address (reader, "callers", content->callers);
   check_address (reader, "status", content->status);
   check_address (reader, "control", content->control);
