node: count a stop from the earliest time of its signal

Cause: all times of a stop were counted from the turn of the event loop that handles the signal. Change: a signal may have been sent since the tick before the newest one. The listener is closed and waiting requests are refused by that time; open requests are ended by the time of handling, as before, so no answer is cut earlier. The line "Stopping." tells the difference.

--- a/node-entry.c
+++ b/node-entry.c
@@ -49,9 +49,12 @@
   uint64_t pending_number;
   struct event *parse_timer;
   uint64_t started_ms;
-  uint64_t first_config_ms;   /* when the first configuration came into force,
-                                 else 0 */
-  uint64_t stop_requested_ms; /* when a stop was requested, else 0 */
+  uint64_t first_config_ms; /* when the first configuration came into force,
+                               else 0 */
+  uint64_t ticked_ms;       /* the newest tick, and the one before it */
+  uint64_t ticked_before_ms;
+  uint64_t stop_requested_ms; /* when a stop request was handled, else 0 */
+  uint64_t stop_earliest_ms;  /* when it may have been sent */
   bool was_ready;
   bool has_ended; /* daemon_exit() was called */
 };
@@ -201,6 +204,16 @@
   return (uint64_t)(settings->stop_timeout_s * 1000);
 }
 
+/** Returns the earliest time at which a signal that is handled now may have
+ * been sent. A process that did not run for a while handles it late, and the
+ * tick that was due meanwhile may come before it. */
+static uint64_t
+earliest_signal_ms (const node_entry_t *entry)
+{
+  return entry->ticked_before_ms > 0 ? entry->ticked_before_ms
+                                     : entry->started_ms;
+}
+
 static void
 on_stop (void *context)
 {
@@ -209,11 +222,13 @@
   if (entry->stop_requested_ms > 0)
     return;
   entry->stop_requested_ms = clock_mono_ms ();
-  gateway_drain (entry->gateway, entry->stop_requested_ms
+  entry->stop_earliest_ms = earliest_signal_ms (entry);
+  gateway_drain (entry->gateway, entry->stop_earliest_ms
                                      + stop_timeout_ms (entry)
                                      - LAST_ANSWERS_MARGIN_MS);
-  log_info ("Stopping. open_requests=%u",
-            gateway_open_requests (entry->gateway));
+  log_info ("Stopping. open_requests=%u late_ms=%ju",
+            gateway_open_requests (entry->gateway),
+            (uintmax_t)(entry->stop_requested_ms - entry->stop_earliest_ms));
 }
 
 static void
@@ -225,17 +240,19 @@
 }
 
 /** Ends the process once callers have had time to move to another instance and
- * have their answers, or shortly before the stop timeout. */
+ * have their answers, or shortly before the stop timeout. What may be refused
+ * follows the earliest time of the signal; no answer is cut by that. */
 static void
 exit_if_drained (node_entry_t *entry, uint64_t now_ms)
 {
   uint64_t limit_ms = stop_timeout_ms (entry);
   uint64_t passed_ms = now_ms - entry->stop_requested_ms;
+  uint64_t longest_ms = now_ms - entry->stop_earliest_ms;
 
-  if (passed_ms < ACCEPT_WHILE_STOPPING_MS)
+  if (longest_ms < ACCEPT_WHILE_STOPPING_MS)
     return;
   gateway_close (entry->gateway);
-  if ((double)passed_ms >= WAIT_SHARE * (double)limit_ms)
+  if ((double)longest_ms >= WAIT_SHARE * (double)limit_ms)
     gateway_refuse_waiting (entry->gateway);
   if (passed_ms + LAST_ANSWERS_MARGIN_MS >= limit_ms)
     gateway_end_open (entry->gateway);
@@ -268,6 +285,8 @@
   node_entry_t *entry = context;
   uint64_t now_ms = clock_mono_ms ();
 
+  entry->ticked_before_ms = entry->ticked_ms;
+  entry->ticked_ms = now_ms;
   update_readiness (entry);
   if (entry->stop_requested_ms > 0 && !entry->has_ended)
     exit_if_drained (entry, now_ms);
--- a/t/t8211-site-stop.c
+++ b/t/t8211-site-stop.c
@@ -9,7 +9,9 @@
  */
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 
+#include "lib-http-socket.h"
 #include "lib-node-callers.h"
 
 #define ENTRIES          6
@@ -25,6 +27,9 @@
 #define MAX_OVERLAP_MS   2000
 #define MIN_SLOTS        24
 #define MAX_SLOTS        96
+#define NOTICED_AFTER_MS 700
+#define LATE_REQUEST_MS  3050
+#define PATIENCE_MS      10000
 /** A sanitized process looks for leaks after its last answer. */
 #ifdef __SANITIZE_ADDRESS__
 #define LEAK_CHECK_MS 5000
@@ -342,6 +347,81 @@
   g_assert_cmpuint (run_plan (PLAN_TWO_ZONES, 1), ==, 0);
 }
 
+static void
+send_stream (const nodes_t *nodes,
+             http_socket_t *socket,
+             const char *path,
+             const char *id)
+{
+  char *body = node_upstreams_request_body (id);
+  char *text
+      = g_strdup_printf ("POST %s HTTP/1.1\r\nHost: %s\r\n" NODES_FIELD_ID
+                         ": %s\r\n" NODES_FIELD_DEADLINE
+                         ": 12000\r\nContent-Length: %zu\r\n\r\n%s",
+                         path, nodes->ip[NODES_ENTRY], id, strlen (body), body);
+
+  http_socket_send (socket, text, strlen (text));
+  g_free (body);
+  g_free (text);
+}
+
+static bool
+receive_stream (http_socket_t *socket)
+{
+  int64_t until_us = g_get_monotonic_time () + (int64_t)PATIENCE_MS * 1000;
+  http_message_t message;
+  bool is_whole = http_socket_receive (socket, until_us, &message);
+
+  http_message_clear (&message);
+  return is_whole;
+}
+
+/** Sends SIGTERM to a process that does not run until a while later. */
+static void
+send_unnoticed_sigterm (process_t *process)
+{
+  process_signal (process, SIGSTOP);
+  process_signal (process, SIGTERM);
+  cluster_sleep_ms (NOTICED_AFTER_MS);
+  process_signal (process, SIGCONT);
+}
+
+/** Guards against streams that are admitted so late that they are cut: a
+ * process that noticed SIGTERM late, as on a busy machine, counted the stop
+ * timeout from then. */
+static void
+test_late_notice (void)
+{
+  nodes_options_t options = { .version = 5,
+                              .stop_timeout_s = STOP_TIMEOUT_S,
+                              .has_all_kinds = true };
+  nodes_t *nodes = nodes_new_with (&options);
+  node_upstreams_t *upstreams = node_upstreams_new (nodes, MAX_SLOTS);
+  char *address = nodes_address (nodes, NODES_ENTRY, 3);
+  http_socket_t *socket;
+  int64_t sigterm_us;
+  bool is_lost;
+
+  node_callers_wait_served (nodes, "/safe/0");
+  socket = http_socket_connect (address);
+  send_stream (nodes, socket, "/stream/29/40/100", "early");
+  g_assert_true (http_socket_wait (socket, PATIENCE_MS));
+  sigterm_us = g_get_monotonic_time ();
+  send_unnoticed_sigterm (nodes->process[NODES_ENTRY]);
+  g_assert_true (receive_stream (socket));
+  while (passed_ms (sigterm_us) < LATE_REQUEST_MS)
+    cluster_sleep_ms (LOOK_MS);
+  send_stream (nodes, socket, "/stream/70/40/100", "late");
+  is_lost = !receive_stream (socket)
+            && node_upstreams_find_run (upstreams, "late").runs > 0;
+  process_expect_success (nodes->process[NODES_ENTRY]);
+  http_socket_free (socket);
+  node_upstreams_free (upstreams);
+  nodes_free (nodes);
+  g_free (address);
+  g_assert_false (is_lost);
+}
+
 static uint32_t
 number_from_environment (const char *name, uint32_t value)
 {
@@ -379,6 +459,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/site-stop/two-zones", test_two_zones);
+  g_test_add_func ("/site-stop/late-notice", test_late_notice);
   g_test_add_func ("/site-stop/soak", test_soak);
   return g_test_run ();
 }
