gateway: judge late requests by the time the listener should be closed

Cause: whether a request comes late in a stop was told by the call that closes the listener, which a tick of the event loop makes. In a turn that comes late, as on a busy machine, what callers sent is read before the tick, and a request that cannot end in time was admitted and cut. Change: the gateway is told when it will be closed, and judges by that time.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -79,10 +79,11 @@
   GPtrArray *startup_queue; /* caller_request_t that arrived too early */
   struct event *startup_timer;
   struct event *tick;
-  bool is_draining;    /* the process will end */
-  bool is_closed;      /* no connection is accepted */
-  bool is_finishing;   /* no request waits any more */
-  uint64_t stop_at_ms; /* while draining: when open requests will be ended */
+  bool is_draining;     /* the process will end */
+  bool is_closed;       /* no connection is accepted */
+  bool is_finishing;    /* no request waits any more */
+  uint64_t close_at_ms; /* while draining: when it will be closed, or 0 */
+  uint64_t stop_at_ms;  /* while draining: when open requests will be ended */
   gateway_counters_t counters;
 };
 
--- a/gateway-stop.c
+++ b/gateway-stop.c
@@ -1,4 +1,5 @@
 /* The planned stop of a gateway: what was accepted is delivered or refused. */
+#include "base.h"
 #include "gateway-internal.h"
 
 /** Returns whether no upstream works on the request and none was found yet: it
@@ -75,12 +76,21 @@
     }
 }
 
+static bool
+should_be_closed (const gateway_t *gateway)
+{
+  return gateway->is_closed
+         || (gateway->close_at_ms > 0
+             && clock_mono_ms () >= gateway->close_at_ms);
+}
+
 bool
 gateway_is_too_late (const gateway_request_t *request)
 {
   const gateway_t *gateway = request->gateway;
 
-  return gateway->is_closed && request->deadline_ms > gateway->stop_at_ms;
+  return should_be_closed (gateway)
+         && request->deadline_ms > gateway->stop_at_ms;
 }
 
 void
@@ -92,6 +102,12 @@
   refuse_waiting (gateway);
 }
 
+void
+gateway_close_at (gateway_t *gateway, uint64_t close_ms)
+{
+  gateway->close_at_ms = close_ms;
+}
+
 void
 gateway_close (gateway_t *gateway)
 {
--- a/node-entry.c
+++ b/node-entry.c
@@ -226,6 +226,8 @@
   gateway_drain (entry->gateway, entry->stop_earliest_ms
                                      + stop_timeout_ms (entry)
                                      - LAST_ANSWERS_MARGIN_MS);
+  gateway_close_at (entry->gateway,
+                    entry->stop_earliest_ms + ACCEPT_WHILE_STOPPING_MS);
   log_info ("Stopping. open_requests=%u late_ms=%ju",
             gateway_open_requests (entry->gateway),
             (uintmax_t)(entry->stop_requested_ms - entry->stop_earliest_ms));
--- a/t/t8063-gateway-stop.c
+++ b/t/t8063-gateway-stop.c
@@ -211,9 +211,13 @@
 }
 
 /** Sends a request on an open connection late in a stop.
- * @param left_ms until the end of the gateway */
+ * @param left_ms until the end of the gateway
+ * @param is_turn_late whether it is read in the turn of the loop in which the
+ * gateway should have closed, and before that */
 static caller_t *
-send_late_request (gateway_fixture_t *fixture, uint32_t left_ms)
+send_late_request (gateway_fixture_t *fixture,
+                   uint32_t left_ms,
+                   bool is_turn_late)
 {
   caller_t *caller = caller_new (fixture->listen);
 
@@ -221,19 +225,21 @@
   GATEWAY_WAIT (caller_has_text (caller, "body"));
   g_string_truncate (caller->answer, 0);
   gateway_drain (fixture->gateway, clock_mono_ms () + left_ms);
+  gateway_close_at (fixture->gateway, clock_mono_ms ());
   caller_send (caller, GET ("/safe/"), strlen (GET ("/safe/")));
-  gateway_close (fixture->gateway);
+  if (is_turn_late)
+    GATEWAY_WAIT (caller_has_text (caller, "HTTP/1.1 "));
+  else
+    gateway_close (fixture->gateway);
   gateway_fixture_stop (fixture, caller);
   return caller;
 }
 
-/** A request that comes late in a stop, on an open connection, is passed on and
- * cut when the process ends. It may take as long as its deadline. */
 static void
-test_late_request (void)
+expect_late_is_refused (bool is_turn_late)
 {
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
-  caller_t *caller = send_late_request (fixture, 4000);
+  caller_t *caller = send_late_request (fixture, 4000, is_turn_late);
 
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 503 "));
   g_assert_nonnull (strstr (caller->answer->str, "\"not_run\":true"));
@@ -243,12 +249,28 @@
   gateway_fixture_free (fixture);
 }
 
+/** A request that comes late in a stop, on an open connection, is passed on and
+ * cut when the process ends. It may take as long as its deadline. */
+static void
+test_late_request (void)
+{
+  expect_late_is_refused (false);
+}
+
+/** The same when a turn of the loop comes late, as on a busy machine, and the
+ * request is read in it before the gateway is closed. */
+static void
+test_late_turn (void)
+{
+  expect_late_is_refused (true);
+}
+
 /** A request that comes late in a stop but has the time it needs is served. */
 static void
 test_late_but_in_time (void)
 {
   gateway_fixture_t *fixture = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
-  caller_t *caller = send_late_request (fixture, 9000);
+  caller_t *caller = send_late_request (fixture, 9000, false);
 
   g_assert_true (g_str_has_prefix (caller->answer->str, "HTTP/1.1 200 "));
   g_assert_true (ends_with (caller, "body"));
@@ -270,6 +292,7 @@
   g_test_add_func ("/gateway-stop/body-still-coming", test_body_still_coming);
   g_test_add_func ("/gateway-stop/body-too-late", test_body_too_late);
   g_test_add_func ("/gateway-stop/late-request", test_late_request);
+  g_test_add_func ("/gateway-stop/late-turn", test_late_turn);
   g_test_add_func ("/gateway-stop/late-but-in-time", test_late_but_in_time);
   return g_test_run ();
 }
