--- a/gateway.h
+++ b/gateway.h
@@ -139,8 +139,8 @@
  */
 void gateway_drain (gateway_t *gateway, uint64_t end_ms);
 
-/** Tells when gateway_close() is due, on the steady clock. Requests that are read
- * later are judged as after it, though the call may come late. */
+/** Tells when gateway_close() is due, on the steady clock. Requests that are
+ * read later are judged as after it, though the call may come late. */
 void gateway_close_at (gateway_t *gateway, uint64_t close_ms);
 
 /** Stops accepting connections and closes those without an open request. From
