node: keep the stop timeout that was in force at SIGTERM

Callers saw what is open at a stop end at once when the settings file named a shorter stop timeout meanwhile. Cause: the timeout was read from the settings at each look, while whoever sent SIGTERM kills the process by the one of that moment. Change: it is taken when the signal is handled. Result: t/t8212-node-stop-beside.c, changed-timeout: before, 0 of 3 streams and 0 of 3 calls of 3.5 s served; with the change 12 of 12 whole.

--- a/node-entry.c
+++ b/node-entry.c
@@ -55,6 +55,7 @@
   uint64_t ticked_before_ms;
   uint64_t stop_requested_ms; /* when a stop request was handled, else 0 */
   uint64_t stop_earliest_ms;  /* when it may have been sent */
+  uint64_t stop_timeout_ms;   /* that was in force when it was handled */
   bool was_ready;
   bool has_ended; /* daemon_exit() was called */
 };
@@ -223,8 +224,9 @@
     return;
   entry->stop_requested_ms = clock_mono_ms ();
   entry->stop_earliest_ms = earliest_signal_ms (entry);
+  entry->stop_timeout_ms = stop_timeout_ms (entry);
   gateway_drain (entry->gateway, entry->stop_earliest_ms
-                                     + stop_timeout_ms (entry)
+                                     + entry->stop_timeout_ms
                                      - LAST_ANSWERS_MARGIN_MS);
   gateway_close_at (entry->gateway,
                     entry->stop_earliest_ms + ACCEPT_WHILE_STOPPING_MS);
@@ -247,7 +249,7 @@
 static void
 exit_if_drained (node_entry_t *entry, uint64_t now_ms)
 {
-  uint64_t limit_ms = stop_timeout_ms (entry);
+  uint64_t limit_ms = entry->stop_timeout_ms;
   uint64_t passed_ms = now_ms - entry->stop_requested_ms;
   uint64_t longest_ms = now_ms - entry->stop_earliest_ms;
 
