engine-memory: measure the time from the end of a use to the release

The line of a release says who released, how long the lease would have lasted on and how many renewals were unanswered; it is written at the first answer, also where releases are repeated for an order that may be carried out late. The line of a lost instance says for how long it had been silent.

--- a/engine-memory.c
+++ b/engine-memory.c
@@ -61,6 +61,10 @@
   uint32_t release_attempts;
   uint32_t releases_sent;
   uint64_t releasing_since_ms;
+  bool is_release_recorded;
+  uint64_t lease_end_ms; /* of the last order that reserves, counted from
+                            its sending */
+  uint32_t unanswered_renewals;
   engine_reservation_cb_t done;
   void *context;
   exchange_t *order; /* order in progress, or NULL */
@@ -73,10 +77,16 @@
   metric_t *requested;
   metric_t *refused;
   metric_t *released;
-  GHashTable *orphans; /* job id -> reservation of a lost instance */
+  metric_t *release_s[2]; /* index: is_own */
+  GHashTable *orphans;    /* job id -> reservation of a lost instance */
   uint32_t open_count;
 };
 
+/** Upper bounds of the histogram of release times, closest around the times
+ * after which unused memory is missed. */
+static const double release_bounds_s[]
+    = { 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 4, 6, 9 };
+
 static double
 read_open_count (void *context)
 {
@@ -93,6 +103,15 @@
   return 0;
 }
 
+static metric_t *
+add_release_histogram (metrics_t *metrics, const char *labels)
+{
+  return metrics_histogram (
+      metrics, "lwm_engine_memory_release_seconds",
+      "Time from the end of a reservation's use to the confirmed release.",
+      labels, release_bounds_s, G_N_ELEMENTS (release_bounds_s));
+}
+
 engine_memory_t *
 engine_memory_new (void *parent, const engine_memory_options_t *options)
 {
@@ -110,6 +129,8 @@
   memory->released
       = metrics_counter (metrics, "lwm_engine_memory_released_total",
                          "Reservations given back.", NULL);
+  memory->release_s[true] = add_release_histogram (metrics, "by=\"owner\"");
+  memory->release_s[false] = add_release_histogram (metrics, "by=\"other\"");
   metrics_gauge_read (metrics, "lwm_engine_memory_open",
                       "Reservations held or asked for.", NULL, read_open_count,
                       memory);
@@ -157,6 +178,34 @@
   talloc_free (ticket);
 }
 
+/** Returns how much longer the lease lasts without a release, at most. */
+static uint64_t
+lease_left_ms (const engine_reservation_t *ticket, uint64_t now_ms)
+{
+  return ticket->lease_end_ms > now_ms ? ticket->lease_end_ms - now_ms : 0;
+}
+
+/** Records the first answer to a release, or that none came; @a status is 0
+ * then. */
+static void
+record_release (engine_reservation_t *ticket, uint32_t status)
+{
+  uint64_t now_ms = clock_mono_ms ();
+  uint64_t took_ms = now_ms - ticket->releasing_since_ms;
+
+  if (ticket->is_release_recorded)
+    return;
+  ticket->is_release_recorded = true;
+  metric_observe (ticket->memory->release_s[ticket->is_own],
+                  (double)took_ms / 1000);
+  log_info ("Released engine memory. ticket=%s status=%u by=%s orders=%u "
+            "took_ms=%ju lease_left_ms=%ju unanswered_renewals=%u",
+            ticket->name, status, ticket->is_own ? "owner" : "other",
+            ticket->releases_sent, (uintmax_t)took_ms,
+            (uintmax_t)lease_left_ms (ticket, now_ms),
+            ticket->unanswered_renewals);
+}
+
 /** Handles the answer to a release; @a status is 0 when no answer came. */
 static void
 handle_release (engine_reservation_t *ticket, uint32_t status)
@@ -166,15 +215,13 @@
       set_timer (ticket, RETRY_DELAY_MS);
       return;
     }
+  record_release (ticket, status);
   if (ticket->late_until_ms > clock_mono_ms ())
     {
       set_timer (ticket, LATE_ORDER_RELEASE_MS);
       return;
     }
   metric_add (ticket->memory->released, 1);
-  log_info ("Released engine memory. ticket=%s status=%u orders=%u took_ms=%ju",
-            ticket->name, status, ticket->releases_sent,
-            (uintmax_t)(clock_mono_ms () - ticket->releasing_since_ms));
   finish (ticket);
 }
 
@@ -191,6 +238,8 @@
     }
   if (ticket->state == RESERVATION_GRANTED)
     {
+      if (status == 0)
+        ticket->unanswered_renewals++;
       set_timer (ticket,
                  status == HTTP_STATUS_OK ? RENEW_INTERVAL_MS : RETRY_DELAY_MS);
       return;
@@ -288,11 +337,12 @@
 static void
 send_reserve (engine_reservation_t *ticket)
 {
-  send_order (ticket,
-              ticket->memory->options.protocol->write_reserve_order (
-                  ticket->name, ticket->tokens,
-                  ticket->state == RESERVATION_GRANTED ? RENEWED_LEASE_MS
-                                                       : ticket->lease_ms));
+  uint32_t lease_ms = ticket->state == RESERVATION_GRANTED ? RENEWED_LEASE_MS
+                                                           : ticket->lease_ms;
+
+  ticket->lease_end_ms = clock_mono_ms () + lease_ms;
+  send_order (ticket, ticket->memory->options.protocol->write_reserve_order (
+                          ticket->name, ticket->tokens, lease_ms));
 }
 
 static void
--- a/load-share.c
+++ b/load-share.c
@@ -237,9 +237,11 @@
 void
 load_share_forget_sender (load_share_t *share, const load_sender_t *sender)
 {
-  log_info ("Lost contact with an entry instance. incarnation=%ju zone=%s",
+  log_info ("Lost contact with an entry instance. incarnation=%ju zone=%s "
+            "silent_ms=%ju",
             (uintmax_t)sender->incarnation,
-            sender->zone != NULL ? sender->zone : "-");
+            sender->zone != NULL ? sender->zone : "-",
+            (uintmax_t)(clock_mono_ms () - sender->heard_ms));
   /* Another zone reports only to the placer of this one, so that others cannot
    * tell whether the lost one's stand-by has taken over. */
   if (sender->is_own_zone
