--- a/engine-memory.c
+++ b/engine-memory.c
@@ -11,22 +11,19 @@
 #include "logging.h"
 
 /**
- * Longest lease of a new reservation, and how long a lease lasts beyond the
- * predicted end of its use. A lease covers nearly every request, because a
- * renewal that the engine processes after the release would reserve the memory
- * again. It is short enough that a reservation whose release is late or lost
- * expires before the engine counts it as leaked.
+ * Lease of every order that reserves. It is shorter than the time after which
+ * the engine counts unused memory as leaked, so that this holds also when all
+ * instances that know of the reservation are lost, or all its releases.
  */
-#define LEASE_MS        8500
-#define LEASE_MARGIN_MS 3400
-/** A longer request renews its reservation this long before the lease ends, and
- * then at intervals, each time for a shorter lease. */
-#define RENEW_BEFORE_MS      1500
-#define RENEWED_LEASE_MS     3500
-#define RENEW_INTERVAL_MS    2500
-#define ANSWER_TIMEOUT_MS    500
-#define RETRY_DELAY_MS       250
-#define MAX_RELEASE_ATTEMPTS 36
+#define LEASE_MS 3500
+/** The lease is renewed at this interval while the request runs. An unanswered
+ * renewal is repeated quickly: the request is cut off when the lease ends, and
+ * engines may leave most orders unanswered. */
+#define RENEW_INTERVAL_MS       1000
+#define RENEW_ANSWER_TIMEOUT_MS 150
+#define ANSWER_TIMEOUT_MS       500
+#define RETRY_DELAY_MS          250
+#define MAX_RELEASE_ATTEMPTS    36
 /** The first orders that release are repeated at this interval, because engines
  * may leave most of them unanswered and each is one more chance. They cover the
  * time after which the memory counts as leaked. */
@@ -57,10 +54,13 @@
   char *address;
   uint64_t upstream;
   uint32_t tokens;
-  uint32_t lease_ms; /* of the first order */
   uint32_t release_attempts;
   uint32_t releases_sent;
   uint64_t releasing_since_ms;
+  bool is_release_recorded;
+  uint64_t lease_end_ms; /* of the last order that reserves, counted from
+                            its sending */
+  uint32_t unanswered_renewals;
   engine_reservation_cb_t done;
   void *context;
   exchange_t *order; /* order in progress, or NULL */
@@ -73,10 +73,16 @@
   metric_t *requested;
   metric_t *refused;
   metric_t *released;
-  GHashTable *orphans; /* job id -> reservation of a lost instance */
+  metric_t *release_s[2]; /* index: is_own */
+  GHashTable *orphans;    /* job id -> reservation of a lost instance */
   uint32_t open_count;
 };
 
+/** Upper bounds of the histogram of release times, closest around the times
+ * after which unused memory is missed. */
+static const double release_bounds_s[]
+    = { 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 4, 6, 9 };
+
 static double
 read_open_count (void *context)
 {
@@ -93,6 +99,15 @@
   return 0;
 }
 
+static metric_t *
+add_release_histogram (metrics_t *metrics, const char *labels)
+{
+  return metrics_histogram (
+      metrics, "lwm_engine_memory_release_seconds",
+      "Time from the end of a reservation's use to the confirmed release.",
+      labels, release_bounds_s, G_N_ELEMENTS (release_bounds_s));
+}
+
 engine_memory_t *
 engine_memory_new (void *parent, const engine_memory_options_t *options)
 {
@@ -110,6 +125,8 @@
   memory->released
       = metrics_counter (metrics, "lwm_engine_memory_released_total",
                          "Reservations given back.", NULL);
+  memory->release_s[true] = add_release_histogram (metrics, "by=\"owner\"");
+  memory->release_s[false] = add_release_histogram (metrics, "by=\"other\"");
   metrics_gauge_read (metrics, "lwm_engine_memory_open",
                       "Reservations held or asked for.", NULL, read_open_count,
                       memory);
@@ -157,6 +174,34 @@
   talloc_free (ticket);
 }
 
+/** Returns how much longer the lease lasts without a release, at most. */
+static uint64_t
+lease_left_ms (const engine_reservation_t *ticket, uint64_t now_ms)
+{
+  return ticket->lease_end_ms > now_ms ? ticket->lease_end_ms - now_ms : 0;
+}
+
+/** Records the first answer to a release, or that none came; @a status is 0
+ * then. */
+static void
+record_release (engine_reservation_t *ticket, uint32_t status)
+{
+  uint64_t now_ms = clock_mono_ms ();
+  uint64_t took_ms = now_ms - ticket->releasing_since_ms;
+
+  if (ticket->is_release_recorded)
+    return;
+  ticket->is_release_recorded = true;
+  metric_observe (ticket->memory->release_s[ticket->is_own],
+                  (double)took_ms / 1000);
+  log_info ("Released engine memory. ticket=%s status=%u by=%s orders=%u "
+            "took_ms=%ju lease_left_ms=%ju unanswered_renewals=%u",
+            ticket->name, status, ticket->is_own ? "owner" : "other",
+            ticket->releases_sent, (uintmax_t)took_ms,
+            (uintmax_t)lease_left_ms (ticket, now_ms),
+            ticket->unanswered_renewals);
+}
+
 /** Handles the answer to a release; @a status is 0 when no answer came. */
 static void
 handle_release (engine_reservation_t *ticket, uint32_t status)
@@ -166,15 +211,13 @@
       set_timer (ticket, RETRY_DELAY_MS);
       return;
     }
+  record_release (ticket, status);
   if (ticket->late_until_ms > clock_mono_ms ())
     {
       set_timer (ticket, LATE_ORDER_RELEASE_MS);
       return;
     }
   metric_add (ticket->memory->released, 1);
-  log_info ("Released engine memory. ticket=%s status=%u orders=%u took_ms=%ju",
-            ticket->name, status, ticket->releases_sent,
-            (uintmax_t)(clock_mono_ms () - ticket->releasing_since_ms));
   finish (ticket);
 }
 
@@ -200,7 +243,7 @@
   if (status == HTTP_STATUS_OK)
     {
       ticket->state = RESERVATION_GRANTED;
-      set_timer (ticket, ticket->lease_ms - RENEW_BEFORE_MS);
+      set_timer (ticket, RENEW_INTERVAL_MS);
     }
   else
     {
@@ -257,6 +300,16 @@
          && ticket->release_attempts < QUICK_RELEASES;
 }
 
+/** Returns how long the engine may take to answer the order that is sent. */
+static uint32_t
+answer_timeout_ms (const engine_reservation_t *ticket)
+{
+  if (ticket->state == RESERVATION_GRANTED)
+    return RENEW_ANSWER_TIMEOUT_MS;
+  return is_quick_release (ticket) ? QUICK_RELEASE_INTERVAL_MS
+                                   : ANSWER_TIMEOUT_MS;
+}
+
 static void
 send_order (engine_reservation_t *ticket, char *body)
 {
@@ -279,8 +332,7 @@
   http_fields_add (scratch, &fields, "Host", ticket->address);
   http_fields_add (scratch, &fields, "Content-Type", "application/json");
   ticket->order = exchange_send (options->pool, &order);
-  set_timer (ticket, is_quick_release (ticket) ? QUICK_RELEASE_INTERVAL_MS
-                                               : ANSWER_TIMEOUT_MS);
+  set_timer (ticket, answer_timeout_ms (ticket));
   g_free (body);
   talloc_free (scratch);
 }
@@ -288,11 +340,9 @@
 static void
 send_reserve (engine_reservation_t *ticket)
 {
-  send_order (ticket,
-              ticket->memory->options.protocol->write_reserve_order (
-                  ticket->name, ticket->tokens,
-                  ticket->state == RESERVATION_GRANTED ? RENEWED_LEASE_MS
-                                                       : ticket->lease_ms));
+  ticket->lease_end_ms = clock_mono_ms () + LEASE_MS;
+  send_order (ticket, ticket->memory->options.protocol->write_reserve_order (
+                          ticket->name, ticket->tokens, LEASE_MS));
 }
 
 static void
@@ -303,24 +353,34 @@
                           ticket->name));
 }
 
+/** Handles an order that was not answered in time: the engine does not answer,
+ * or the order was lost. */
+static void
+on_order_timeout (engine_reservation_t *ticket)
+{
+  exchange_cancel (ticket->order);
+  ticket->order = NULL;
+  if (is_quick_release (ticket))
+    {
+      ticket->release_attempts++;
+      send_release (ticket);
+    }
+  else if (ticket->state == RESERVATION_GRANTED)
+    {
+      ticket->unanswered_renewals++;
+      send_reserve (ticket);
+    }
+  else
+    handle_answer (ticket, 0);
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *context)
 {
   engine_reservation_t *ticket = context;
 
   if (ticket->order != NULL)
-    {
-      /* The engine does not answer, or the order was lost. */
-      exchange_cancel (ticket->order);
-      ticket->order = NULL;
-      if (is_quick_release (ticket))
-        {
-          ticket->release_attempts++;
-          send_release (ticket);
-        }
-      else
-        handle_answer (ticket, 0);
-    }
+    on_order_timeout (ticket);
   else if (ticket->state == RESERVATION_RELEASING)
     send_release (ticket);
   else
@@ -355,8 +415,6 @@
       memory, options->upstream, options->address, options->job_id);
 
   ticket->is_own = true;
-  ticket->lease_ms = CLAMP (options->expected_ms + LEASE_MARGIN_MS,
-                            RENEWED_LEASE_MS, LEASE_MS);
   ticket->tokens = options->tokens;
   ticket->done = options->done;
   ticket->context = options->context;
@@ -392,11 +450,11 @@
       finish (ticket);
       return;
     }
-  ticket->state = RESERVATION_RELEASING;
-  ticket->releasing_since_ms = clock_mono_ms ();
   if (ticket->order != NULL)
     exchange_cancel (ticket->order);
   ticket->order = NULL;
+  ticket->state = RESERVATION_RELEASING;
+  ticket->releasing_since_ms = clock_mono_ms ();
   send_release (ticket);
 }
 
