gateway: name each request that ends without being answered

On the way to a traceable stop, four ends left no line, or one without the id: a request that is open when its process ends for good, one whose caller closes while it is held at the start, one that is refused before it was read in full, and one whose connection ends before that.

The server for callers asks its user for the id in the fields of a head.

Tests, on the code before: - /gateway-lines/process-ends: Placed a request. is the last line - /gateway-lines/held-caller-closes: held=0 without request= - /gateway-lines/partial-caller-closes: no line - /gateway-lines/partial-refused: status=503 without request=

--- a/caller-connection.c
+++ b/caller-connection.c
@@ -75,6 +75,29 @@
          || caller_connection_is_receiving (connection);
 }
 
+const char *
+caller_connection_read_id (const caller_connection_t *connection)
+{
+  const caller_server_options_t *options = &connection->server->options;
+  const char *id = NULL;
+
+  if (options->request_id != NULL && http_reader_has_head (connection->reader))
+    id = options->request_id (http_reader_fields (connection->reader),
+                              options->context);
+  return id != NULL && id[0] != '\0' ? id : "-";
+}
+
+/** Records the end of a connection whose request was not read in full. */
+static void
+record_unread_request (const caller_connection_t *connection)
+{
+  if (caller_connection_is_receiving (connection))
+    log_info ("Connection ended before its request was read in full. "
+              "request=%s end=%s",
+              caller_connection_read_id (connection),
+              end_name (connection->end));
+}
+
 /** Records the end of a connection without an open request if its last answer
  * has not reached the caller: bytes of it are left here or in the kernel, which
  * drops them if the caller's own bytes are unread. */
@@ -106,10 +129,13 @@
 {
   caller_server_t *server = connection->server;
 
-  if (!connection->is_open)
-    record_undelivered (connection);
   if (connection->is_open)
     server->open_requests--;
+  else
+    {
+      record_undelivered (connection);
+      record_unread_request (connection);
+    }
   g_hash_table_remove (server->connections, connection);
   bufferevent_free (connection->stream);
   g_byte_array_free (connection->body, TRUE);
--- a/caller-connection.h
+++ b/caller-connection.h
@@ -87,6 +87,10 @@
 /** Returns whether a part of a request has arrived that is not refused yet. */
 bool caller_connection_is_receiving (const caller_connection_t *connection);
 
+/** Returns the id of the request that is being received, for log lines; "-"
+ * while its head is not read. */
+const char *caller_connection_read_id (const caller_connection_t *connection);
+
 /** Returns whether the connection still owes its caller an answer or a part of
  * one, which may be on its way in the kernel. */
 bool caller_connection_is_busy (const caller_connection_t *connection);
--- a/caller-server.c
+++ b/caller-server.c
@@ -35,7 +35,9 @@
 {
   struct evbuffer *out = bufferevent_get_output (connection->stream);
 
-  log_info ("Rejected a request before it was read in full. status=%s", status);
+  log_info ("Rejected a request before it was read in full. request=%s "
+            "status=%s",
+            caller_connection_read_id (connection), status);
   evbuffer_add_printf (out,
                        "HTTP/1.1 %s\r\nContent-Length: 0\r\n"
                        "Connection: close\r\n\r\n",
--- a/caller-server.h
+++ b/caller-server.h
@@ -43,6 +43,8 @@
   /** The caller closed the connection; the request is freed after the callback
    * returns. */
   void (*on_gone) (caller_request_t *request, void *context);
+  /** Returns the id of a request, for log lines; it may be NULL. */
+  const char *(*request_id) (const http_fields_t *fields, void *context);
   /** All data written to the caller has been sent. */
   void (*on_drained) (caller_request_t *request, void *context);
   void *context;
--- a/gateway-startup.c
+++ b/gateway-startup.c
@@ -66,11 +66,15 @@
 void
 gateway_drop_held_at_startup (gateway_t *gateway, caller_request_t *caller)
 {
+  gateway_request_info_t terms = { .id = "" };
+
   if (!g_ptr_array_remove (gateway->startup_queue, caller))
     return;
+  gateway->options.protocol->read_request_info (caller_request_fields (caller),
+                                                &terms);
   metric_add (gateway->counters.gone, 1);
-  log_info ("A caller closed before the startup ended. held=%u",
-            gateway->startup_queue->len);
+  log_info ("A caller closed before the startup ended. request=%s held=%u",
+            terms.id, gateway->startup_queue->len);
 }
 
 void
--- a/gateway.c
+++ b/gateway.c
@@ -319,6 +319,16 @@
   gateway_admit (gateway, caller);
 }
 
+static const char *
+read_request_id (const http_fields_t *fields, void *context)
+{
+  gateway_t *gateway = context;
+  gateway_request_info_t terms = { .id = "" };
+
+  gateway->options.protocol->read_request_info (fields, &terms);
+  return terms.id;
+}
+
 static void
 on_gone (caller_request_t *caller, void *context)
 {
@@ -399,7 +409,12 @@
 free_gateway (gateway_t *gateway)
 {
   while (gateway->open->len > 0)
-    talloc_free (g_ptr_array_index (gateway->open, 0));
+    {
+      gateway_request_t *request = g_ptr_array_index (gateway->open, 0);
+
+      log_request_end (request, "process_ended", 0);
+      talloc_free (request);
+    }
   g_ptr_array_free (gateway->open, TRUE);
   TALLOC_FREE (gateway->callers);
   event_free (gateway->tick);
@@ -417,6 +432,7 @@
                                       .limits = empty->limits,
                                       .on_request = on_request,
                                       .on_gone = on_gone,
+                                      .request_id = read_request_id,
                                       .on_drained = on_drained,
                                       .context = gateway,
                                       .metrics = gateway->options.metrics };
