node: read what came before the last answers of a stop

Cause: the instance did not run for 2.97 s. When it ran again its last answers were due, and the tick ended all requests in the same turn of the event loop, before the answers in the sockets were read. Change: when the process did not run as the last answers became due, they wait until 0.2 s before the stop timeout, or until nothing is open.

--- a/node-entry.c
+++ b/node-entry.c
@@ -16,6 +16,8 @@
 #include "logging.h"
 
 #define TICK_INTERVAL_MS 50
+/** A longer time between two ticks means that the process did not run. */
+#define LATE_TICK_MS (3 * TICK_INTERVAL_MS)
 /** Time after the first configuration in which upstreams announce themselves.
  * An instance that has received no announcement by then counts as ready. */
 #define UPSTREAM_DISCOVERY_MS 3000
@@ -28,6 +30,8 @@
  * requests that are still open, and for the exit of the process. */
 #define LAST_ANSWERS_MARGIN_MS 700
 #define EXIT_MARGIN_MS         400
+/** Part that is left when the last answers wait for a turn of the loop. */
+#define LAST_TURN_MARGIN_MS 200
 /** Cost of a round trip to another zone. */
 #define ZONE_COST_MS 12
 
@@ -57,7 +61,8 @@
   uint64_t stop_earliest_ms;  /* when it may have been sent */
   uint64_t stop_timeout_ms;   /* that was in force when it was handled */
   bool was_ready;
-  bool has_ended; /* daemon_exit() was called */
+  bool has_missed_end; /* it did not run when the last answers were due */
+  bool has_ended;      /* daemon_exit() was called */
 };
 
 static bool
@@ -243,6 +248,16 @@
   node_settings_reload (entry->options.settings);
 }
 
+/** Returns whether the last answers wait, because the process did not run when
+ * they were due: what came meanwhile is read first. */
+static bool
+must_read_first (node_entry_t *entry, uint64_t now_ms, uint64_t end_ms)
+{
+  if (now_ms - entry->ticked_before_ms > LATE_TICK_MS)
+    entry->has_missed_end = true;
+  return entry->has_missed_end && now_ms + LAST_TURN_MARGIN_MS < end_ms;
+}
+
 /** Ends the process once callers have had time to move to another instance and
  * have their answers, or shortly before the stop timeout. What may be refused
  * follows the earliest time of the signal; no answer is cut by that. */
@@ -252,6 +267,7 @@
   uint64_t limit_ms = entry->stop_timeout_ms;
   uint64_t passed_ms = now_ms - entry->stop_requested_ms;
   uint64_t longest_ms = now_ms - entry->stop_earliest_ms;
+  bool must_wait = false;
 
   if (longest_ms < ACCEPT_WHILE_STOPPING_MS)
     return;
@@ -259,9 +275,14 @@
   if ((double)longest_ms >= WAIT_SHARE * (double)limit_ms)
     gateway_refuse_waiting (entry->gateway);
   if (passed_ms + LAST_ANSWERS_MARGIN_MS >= limit_ms)
-    gateway_end_open (entry->gateway);
+    {
+      must_wait = must_read_first (entry, now_ms,
+                                   entry->stop_requested_ms + limit_ms);
+      if (!must_wait)
+        gateway_end_open (entry->gateway);
+    }
   if (!gateway_has_ended (entry->gateway)
-      && passed_ms + EXIT_MARGIN_MS < limit_ms)
+      && (must_wait || passed_ms + EXIT_MARGIN_MS < limit_ms))
     return;
   log_info ("Stopped. open_requests=%u took_ms=%ju",
             gateway_open_requests (entry->gateway), (uintmax_t)passed_ms);
--- a/t/t8211-site-stop.c
+++ b/t/t8211-site-stop.c
@@ -30,6 +30,11 @@
 #define NOTICED_AFTER_MS 700
 #define LATE_REQUEST_MS  3050
 #define PATIENCE_MS      10000
+#define SHORT_STOP_S     4
+#define LAST_STREAMS     80
+#define PAUSED_FROM_MS   2700
+#define PAUSED_UNTIL_MS                                                        \
+  3450 /* the last answers of a short stop are due before */
 /** A sanitized process looks for leaks after its last answer. */
 #ifdef __SANITIZE_ADDRESS__
 #define LEAK_CHECK_MS 5000
@@ -386,6 +391,13 @@
   process_signal (process, SIGCONT);
 }
 
+static void
+sleep_until (int64_t since_us, uint32_t ms)
+{
+  while (passed_ms (since_us) < ms)
+    cluster_sleep_ms (LOOK_MS);
+}
+
 /** Guards against streams that are admitted so late that they are cut: a
  * process that noticed SIGTERM late, as on a busy machine, counted the stop
  * timeout from then. */
@@ -409,8 +421,7 @@
   sigterm_us = g_get_monotonic_time ();
   send_unnoticed_sigterm (nodes->process[NODES_ENTRY]);
   g_assert_true (receive_stream (socket));
-  while (passed_ms (sigterm_us) < LATE_REQUEST_MS)
-    cluster_sleep_ms (LOOK_MS);
+  sleep_until (sigterm_us, LATE_REQUEST_MS);
   send_stream (nodes, socket, "/stream/70/40/100", "late");
   is_lost = !receive_stream (socket)
             && node_upstreams_find_run (upstreams, "late").runs > 0;
@@ -422,6 +433,51 @@
   g_assert_false (is_lost);
 }
 
+/** Guards against answers that are cut though they have arrived whole: a
+ * process that did not run until its last answers were due, as on a busy
+ * machine, ended its requests before it had read what came meanwhile. */
+static void
+test_late_last_turn (void)
+{
+  nodes_options_t options
+      = { .version = 5, .stop_timeout_s = SHORT_STOP_S, .has_all_kinds = true };
+  nodes_t *nodes = nodes_new_with (&options);
+  node_upstreams_t *upstreams = node_upstreams_new (nodes, MAX_SLOTS);
+  process_t *process = nodes->process[NODES_ENTRY];
+  char *address = nodes_address (nodes, NODES_ENTRY, 3);
+  http_socket_t *sockets[LAST_STREAMS];
+  uint32_t whole = 0;
+  int64_t sigterm_us;
+
+  node_callers_wait_served (nodes, "/safe/0");
+  for (int i = 0; i < LAST_STREAMS; i++)
+    {
+      char *id = g_strdup_printf ("last-%d", i);
+
+      sockets[i] = http_socket_connect (address);
+      send_stream (nodes, sockets[i], "/stream/20/40/150", id);
+      g_free (id);
+    }
+  for (int i = 0; i < LAST_STREAMS; i++)
+    g_assert_true (http_socket_wait (sockets[i], PATIENCE_MS));
+  sigterm_us = g_get_monotonic_time ();
+  process_signal (process, SIGTERM);
+  sleep_until (sigterm_us, PAUSED_FROM_MS);
+  process_signal (process, SIGSTOP);
+  sleep_until (sigterm_us, PAUSED_UNTIL_MS);
+  process_signal (process, SIGCONT);
+  for (int i = 0; i < LAST_STREAMS; i++)
+    {
+      whole += receive_stream (sockets[i]);
+      http_socket_free (sockets[i]);
+    }
+  process_expect_success (process);
+  node_upstreams_free (upstreams);
+  nodes_free (nodes);
+  g_free (address);
+  g_assert_cmpuint (whole, ==, LAST_STREAMS);
+}
+
 static uint32_t
 number_from_environment (const char *name, uint32_t value)
 {
@@ -460,6 +516,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/site-stop/two-zones", test_two_zones);
   g_test_add_func ("/site-stop/late-notice", test_late_notice);
+  g_test_add_func ("/site-stop/late-last-turn", test_late_last_turn);
   g_test_add_func ("/site-stop/soak", test_soak);
   return g_test_run ();
 }
