entry: answer what is live shortly before the stop timeout

Callers of the product's own path whose requests were live when a stop took longer than its timeout saw their connections end without an answer. Cause: the process ended at once then. Change: a second before it (half of the timeout at most) all live requests are ended: refused if they have not run, else failed; a stream gets its error event and its end. The cancels at their upstreams go out too.

--- a/dispatch.c
+++ b/dispatch.c
@@ -552,3 +552,25 @@
   dispatch->draining = true;
   dispatch_wake (dispatch);
 }
+
+void
+dispatch_end_live (dispatch_t *dispatch)
+{
+  GHashTableIter iterator;
+  void *item;
+
+  /* The end of one may end others. */
+  for (;;)
+    {
+      request_t *request;
+      ran_t ran;
+
+      g_hash_table_iter_init (&iterator, dispatch->by_id);
+      if (!g_hash_table_iter_next (&iterator, NULL, &item))
+        return;
+      request = item;
+      ran = dispatch_run_state (dispatch, request);
+      dispatch_fail (dispatch, request,
+                     ran == RAN_NO ? ERROR_STOPPING : ERROR_UPSTREAM_FAILED);
+    }
+}
--- a/dispatch.h
+++ b/dispatch.h
@@ -152,4 +152,8 @@
 /** Starts to drain: calls options.idle repeatedly while no request is live. */
 void dispatch_drain (dispatch_t *dispatch);
 
+/** Ends all live requests with an answer, as the process is about to end: those
+ * that have not run as refused, the others as failed. */
+void dispatch_end_live (dispatch_t *dispatch);
+
 #endif
--- a/entry.c
+++ b/entry.c
@@ -36,6 +36,8 @@
 /* Delay before the process ends, in which other instances learn that it leaves,
  * and between checks whether administration calls are still open. */
 #define EXIT_DELAY_MS 100
+/* Time for the last answers before the end of the stop timeout. */
+#define LAST_ANSWERS_MARGIN_MS 1000
 /* Upper bound of the wait for confirmations of the last cancels. A dead
  * upstream never confirms. The other instances of the zone have a record of the
  * objects that this one held, so the process may end without the confirmation.
@@ -61,6 +63,7 @@
   entry_members_t *members;
   upstream_http_t *upstreams; /* context of upstream_http_ops */
   struct event *stop_timer;
+  struct event *last_answers_timer;
   struct event *exit_timer;
   bool is_awaiting_cancels;
   bool stopping;
@@ -72,6 +75,8 @@
 {
   if (entry->stop_timer != NULL)
     event_free (entry->stop_timer);
+  if (entry->last_answers_timer != NULL)
+    event_free (entry->last_answers_timer);
   if (entry->exit_timer != NULL)
     event_free (entry->exit_timer);
   talloc_free (entry->parts);
@@ -245,6 +250,12 @@
   event_add (entry->exit_timer, &delay);
 }
 
+static void
+on_last_answers (evutil_socket_t fd, short what, void *arg)
+{
+  dispatch_end_live (((entry_t *)arg)->dispatch);
+}
+
 static void
 on_stop_timeout (evutil_socket_t fd, short what, void *arg)
 {
@@ -263,6 +274,8 @@
   entry_t *entry = context;
   uint32_t timeout_ms = entry->settings->stop_timeout_ms;
   struct timeval timeout = timeval_from_ms (timeout_ms);
+  struct timeval last_answers = timeval_from_ms (
+      timeout_ms - MIN (LAST_ANSWERS_MARGIN_MS, timeout_ms / 2));
 
   if (entry->stopping)
     return;
@@ -272,7 +285,10 @@
   frontend_set_stopping (entry->frontend, true);
   entry->stop_timer
       = evtimer_new (daemon_base (entry->daemon), on_stop_timeout, entry);
+  entry->last_answers_timer
+      = evtimer_new (daemon_base (entry->daemon), on_last_answers, entry);
   event_add (entry->stop_timer, &timeout);
+  event_add (entry->last_answers_timer, &last_answers);
   dispatch_drain (entry->dispatch);
 }
 
