--- a/t/lib-node-routes.c
+++ b/t/lib-node-routes.c
@@ -20,7 +20,7 @@
 };
 
 static const char engine[]
-    = "{\"name\":\"e\",\"engine\":{\"slots\":16,\"kv-capacity\":%d,"
+    = "{\"name\":\"e\",\"engine\":{\"slots\":16,\"" NODES_MEMBER_MEMORY "\":%d,"
       "\"stride\":43,\"models\":[{\"name\":\"m\"}],\"step_ms\":1.02,"
       "\"per_seq_ms\":0.00226,\"context_per_k\":0.00431,"
       "\"read_per_s\":206000.0,\"pairs_per_m\":0.138,\"chunk\":2048,"
@@ -48,7 +48,7 @@
 
   g_string_append_printf (
       text,
-      "%s{\"name\":\"%s\",\"host\":\"%s\",\"path-prefix\":\"/%s/\","
+      "%s{\"name\":\"%s\",\"host\":\"%s\",\"" NODES_MEMBER_PREFIX "\":\"/%s/\","
       "\"kind\":\"%s\",\"timeout-ms\":%u,\"service\":\"%s\",\"attempts\":2,"
       "\"resumable\":%s,\"gap-target-ms\":%d,\"public\":true}",
       text->len > 0 ? "," : "", route->name, nodes->ip[NODES_ENTRY],
@@ -79,7 +79,7 @@
                          "\"max-body-bytes\":4194304,"
                          "\"header-timeout-ms\":3000,"
                          "\"idle-timeout-ms\":15000}}");
-  status = nodes_call (nodes, index, 0, "POST", "/config/put", text->str);
+  status = nodes_call (nodes, index, 0, "POST", NODES_PATH_CONFIG, text->str);
   g_string_free (list, TRUE);
   g_string_free (text, TRUE);
   return status;
--- a/t/lib-node-upstreams-internal.h
+++ b/t/lib-node-upstreams-internal.h
@@ -18,7 +18,6 @@
   node_upstreams_t *all;
   char id[16];
   const char *service;
-  const char *zone;
   char *address;
   int slots;
   int sequence;
--- a/t/lib-node-upstreams.c
+++ b/t/lib-node-upstreams.c
@@ -118,18 +118,15 @@
 static void
 announce (node_upstream_t *upstream, int control)
 {
-  bool is_leaving = g_atomic_int_get (&upstream->is_leaving) != 0;
-  char *path = g_strdup_printf ("/instances/%s/heartbeat", upstream->id);
-  char *body = g_strdup_printf (
-      "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\","
-      "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"seq\":%d,"
-      "\"born\":1000}",
-      upstream->service, upstream->address, upstream->zone, upstream->slots,
-      is_leaving ? "draining" : "ready", ++upstream->sequence);
-
-  nodes_call (upstream->all->options.nodes, control, 0, "POST", path, body);
-  g_free (path);
-  g_free (body);
+  nodes_announcement_t announcement
+      = { .id = upstream->id,
+          .service = upstream->service,
+          .address = upstream->address,
+          .slots = upstream->slots,
+          .sequence = ++upstream->sequence,
+          .is_leaving = g_atomic_int_get (&upstream->is_leaving) != 0 };
+
+  nodes_announce (upstream->all->options.nodes, control, &announcement);
 }
 
 static gpointer
@@ -155,7 +152,6 @@
 
   upstream->all = all;
   upstream->service = places[index].service;
-  upstream->zone = nodes->zone[machine];
   upstream->slots = all->options.slots;
   snprintf (upstream->id, sizeof upstream->id, "i-%d", index);
   upstream->address = nodes_address (nodes, machine, places[index].offset);
--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -171,11 +171,11 @@
   char *path = g_strdup_printf ("/instances/%s/heartbeat", announcement->id);
   char *body = g_strdup_printf (
       "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\","
-      "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"seq\":%d,"
+      "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"seq\":%d,"
       "\"born\":1000}",
       announcement->service, announcement->address,
       find_zone (nodes, announcement->address), announcement->slots,
-      announcement->sequence);
+      announcement->is_leaving ? "draining" : "ready", announcement->sequence);
   int status = nodes_call (nodes, index, 0, "POST", path, body);
 
   g_free (path);
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -39,6 +39,13 @@
 #define NODES_FIELD_UPSTREAM  "Expect-Instance"
 #define NODES_FIELD_SIGNATURE "Server-Stamp"
 #define NODES_FIELD_NOT_RUN   "Not-Run"
+#define NODES_FIELD_TOKENS    "Token-Count"
+
+/** Members of a configuration, and the path of the call that puts one in
+ * force. */
+#define NODES_MEMBER_PREFIX "path-prefix"
+#define NODES_MEMBER_MEMORY "kv-capacity"
+#define NODES_PATH_CONFIG   "/config/put"
 
 typedef struct
 {
@@ -96,6 +103,7 @@
   const char *address;
   int slots;
   int sequence;
+  bool is_leaving;
 } nodes_announcement_t;
 
 /** Announces an upstream, in the zone of its machine, to a control instance;
--- a/t/t8212-node-stop-beside.c
+++ b/t/t8212-node-stop-beside.c
@@ -33,7 +33,7 @@
 /** When SIGTERM is sent, after the first requests. */
 #define SIGTERM_MS 800
 /** A long prompt, which needs the memory of two engines. */
-#define LONG_PROMPT "Model: m\r\nToken-Count: 150000,300\r\n"
+#define LONG_PROMPT "Model: m\r\n" NODES_FIELD_TOKENS ": 150000,300\r\n"
 
 /** The processes that all cases share; each case stops the entry instance. */
 typedef struct
