engine-memory: release again after renewals without an answer

An engine may carry out an order seconds after newer ones. The first order that reserves was allowed for: its release is repeated until such an order would have expired. A renewal was not: one that was unanswered, or under way when the request ended, could set the memory aside again after the release had been confirmed and reported, so that the placer counted memory as free that was not.

Any order that reserves and has no answer now counts, until its lease would have ended.

/engine-memory/late-renewal failed before: 'is_set_aside (&orders->engine)' should be FALSE.

--- a/engine-memory.c
+++ b/engine-memory.c
@@ -49,8 +49,8 @@
   char name[UPSTREAM_RESERVATION_ID_BYTES];
   uint64_t job_id;
   bool is_own;            /* of this instance, not adopted from a lost one */
-  uint64_t late_until_ms; /* until when the order may be carried out late; 0
-                             once it was answered */
+  uint64_t late_until_ms; /* until when an unanswered order that reserves has
+                             an effect if it is carried out late, or 0 */
   char *address;
   uint64_t upstream;
   uint32_t tokens;
@@ -221,6 +221,18 @@
   finish (ticket);
 }
 
+/** Records that the order in progress has no answer: the engine may carry it
+ * out late, which matters if it reserves. */
+static void
+record_unanswered (engine_reservation_t *ticket)
+{
+  if (ticket->state == RESERVATION_RELEASING)
+    return;
+  ticket->late_until_ms = ticket->lease_end_ms;
+  if (ticket->state == RESERVATION_GRANTED)
+    ticket->unanswered_renewals++;
+}
+
 /** Handles the answer to an order; @a status is 0 when no answer came. */
 static void
 handle_answer (engine_reservation_t *ticket, uint32_t status)
@@ -238,8 +250,6 @@
                  status == HTTP_STATUS_OK ? RENEW_INTERVAL_MS : RETRY_DELAY_MS);
       return;
     }
-  if (status > 0)
-    ticket->late_until_ms = 0;
   if (status == HTTP_STATUS_OK)
     {
       ticket->state = RESERVATION_GRANTED;
@@ -285,6 +295,7 @@
 
   ticket->order = NULL;
   event_del (ticket->timer);
+  record_unanswered (ticket);
   handle_answer (ticket, 0);
 }
 
@@ -360,16 +371,14 @@
 {
   exchange_cancel (ticket->order);
   ticket->order = NULL;
+  record_unanswered (ticket);
   if (is_quick_release (ticket))
     {
       ticket->release_attempts++;
       send_release (ticket);
     }
   else if (ticket->state == RESERVATION_GRANTED)
-    {
-      ticket->unanswered_renewals++;
-      send_reserve (ticket);
-    }
+    send_reserve (ticket);
   else
     handle_answer (ticket, 0);
 }
@@ -398,7 +407,6 @@
   ticket->memory = memory;
   ticket->job_id = job_id;
   upstream_reservation_name (job_id, ticket->name);
-  ticket->late_until_ms = clock_mono_ms () + LEASE_MS;
   ticket->address = talloc_strdup (ticket, address);
   ticket->upstream = upstream;
   ticket->timer = event_new (memory->options.base, -1, 0, on_timer, ticket);
@@ -434,6 +442,8 @@
   if (g_hash_table_contains (memory->orphans, &job_id))
     return;
   ticket = reservation_new (memory, upstream, address, job_id);
+  /* Its owner may have sent an order just before it was lost. */
+  ticket->late_until_ms = clock_mono_ms () + LEASE_MS;
   g_hash_table_insert (memory->orphans, &ticket->job_id, ticket);
   log_info ("Releasing engine memory reserved by a lost instance. ticket=%s "
             "address=%s",
@@ -451,7 +461,10 @@
       return;
     }
   if (ticket->order != NULL)
-    exchange_cancel (ticket->order);
+    {
+      exchange_cancel (ticket->order);
+      record_unanswered (ticket);
+    }
   ticket->order = NULL;
   ticket->state = RESERVATION_RELEASING;
   ticket->releasing_since_ms = clock_mono_ms ();
--- a/t/t8075-engine-memory.c
+++ b/t/t8075-engine-memory.c
@@ -264,6 +264,30 @@
   orders_free (orders);
 }
 
+/* Guards against: memory that is reserved again after its release, by a renewal
+ * that the engine carries out late (LEAK). Once the release is reported,
+ * nothing may set the memory aside. */
+static void
+test_late_renewal (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+  engine_reservation_t *ticket = reserve (orders, 52);
+  uint64_t since_ms;
+
+  WAIT (orders->held == 1);
+  orders->engine.late_ms = 2800;
+  orders->engine.late_from = 2;
+  WAIT (orders->engine.reserves == 2);
+  engine_memory_release (ticket);
+  WAIT (orders->released == 52);
+  since_ms = clock_mono_ms ();
+  WAIT (is_set_aside (&orders->engine)
+        || clock_mono_ms () > since_ms + MEMORY_FREE_MS);
+  g_assert_false (is_set_aside (&orders->engine));
+  orders_free (orders);
+}
+
 /** A release is repeated until it is answered; a refused reservation needs no
  * release. */
 static void
@@ -432,6 +456,7 @@
                    test_all_instances_lost);
   g_test_add_func ("/engine-memory/unanswered-renewals",
                    test_unanswered_renewals);
+  g_test_add_func ("/engine-memory/late-renewal", test_late_renewal);
   g_test_add_func ("/engine-memory/unanswered-releases",
                    test_unanswered_releases);
   g_test_add_func ("/engine-memory/many-unanswered-releases",
