engine-memory: let some renewals wait for a slow link

Each unanswered renewal was given up after 150 ms. Over a link on which a connection takes longer than that to set up, but whose first order (500 ms) is answered, no renewal was ever sent: the lease ended after 3.5 s, and the request that used the memory was cut off. Change: of the unanswered renewals in a row, each fourth waits 500 ms, as the first order does. There are still 10 tries in the first 2.05 s of the 2.5 s that remain.

--- a/engine-memory.c
+++ b/engine-memory.c
@@ -21,9 +21,13 @@
  * engines may leave most orders unanswered. */
 #define RENEW_INTERVAL_MS       1000
 #define RENEW_ANSWER_TIMEOUT_MS 150
-#define ANSWER_TIMEOUT_MS       500
-#define RETRY_DELAY_MS          250
-#define MAX_RELEASE_ATTEMPTS    36
+/** Of the unanswered renewals in a row, each one with a multiple of this number
+ * waits as long as the first order: over a slow link, the connection may take
+ * longer to set up than the others wait. */
+#define PATIENT_RENEWAL      4
+#define ANSWER_TIMEOUT_MS    500
+#define RETRY_DELAY_MS       250
+#define MAX_RELEASE_ATTEMPTS 36
 /** The first orders that release are repeated at this interval, because engines
  * may leave most of them unanswered and each is one more chance. They cover the
  * time after which the memory counts as leaked. */
@@ -61,6 +65,7 @@
   uint64_t lease_end_ms; /* of the last order that reserves, counted from
                             its sending */
   uint32_t unanswered_renewals;
+  uint32_t unanswered_in_row; /* since the newest answer to one */
   engine_reservation_cb_t done;
   void *context;
   exchange_t *order; /* order in progress, or NULL */
@@ -234,6 +239,8 @@
     }
   if (ticket->state == RESERVATION_GRANTED)
     {
+      if (status > 0)
+        ticket->unanswered_in_row = 0;
       set_timer (ticket,
                  status == HTTP_STATUS_OK ? RENEW_INTERVAL_MS : RETRY_DELAY_MS);
       return;
@@ -300,12 +307,19 @@
          && ticket->release_attempts < QUICK_RELEASES;
 }
 
+static bool
+is_patient_renewal (const engine_reservation_t *ticket)
+{
+  return (ticket->unanswered_in_row + 1) % PATIENT_RENEWAL == 0;
+}
+
 /** Returns how long the engine may take to answer the order that is sent. */
 static uint32_t
 answer_timeout_ms (const engine_reservation_t *ticket)
 {
   if (ticket->state == RESERVATION_GRANTED)
-    return RENEW_ANSWER_TIMEOUT_MS;
+    return is_patient_renewal (ticket) ? ANSWER_TIMEOUT_MS
+                                       : RENEW_ANSWER_TIMEOUT_MS;
   return is_quick_release (ticket) ? QUICK_RELEASE_INTERVAL_MS
                                    : ANSWER_TIMEOUT_MS;
 }
@@ -368,6 +382,7 @@
   else if (ticket->state == RESERVATION_GRANTED)
     {
       ticket->unanswered_renewals++;
+      ticket->unanswered_in_row++;
       send_reserve (ticket);
     }
   else
--- a/t/t8075-engine-memory.c
+++ b/t/t8075-engine-memory.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
 
 #include "base.h"
@@ -36,8 +37,9 @@
   /* The engine leaves reserving orders unanswered and carries them out after
    * this time; 0: it answers them at once. */
   uint32_t late_ms;
-  uint32_t late_from;    /* the first reserving order that is late */
-  uint32_t answer_every; /* loses the other reserving orders; 0: none */
+  uint32_t late_from;     /* the first reserving order that is late */
+  uint32_t answer_every;  /* loses the other reserving orders; 0: none */
+  uint32_t round_trip_ms; /* of the link to the engine */
   bool is_held;
   uint32_t lease_ms;      /* of the last order that reserves */
   uint64_t held_until_ms; /* end of the lease, from the arrival of its order */
@@ -94,6 +96,66 @@
   return true;
 }
 
+/** An order on its way over a slow link. */
+typedef struct
+{
+  engine_t *engine;
+  struct evhttp_request *request;
+  struct event *timer;
+  bool has_arrived;
+} slow_order_t;
+
+/** Returns whether the sender has given up the connection of an order. */
+static bool
+is_given_up (const slow_order_t *order)
+{
+  evutil_socket_t socket
+      = bufferevent_getfd (evhttp_connection_get_bufferevent (
+          evhttp_request_get_connection (order->request)));
+  char byte;
+
+  return recv (socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/** Carries out a reserving order once its connection is set up, and answers it
+ * after another round trip. Nothing is sent on a connection that is given up
+ * before. */
+static void
+on_slow_order (evutil_socket_t fd, short what, void *context)
+{
+  slow_order_t *order = context;
+  engine_t *engine = order->engine;
+  struct timeval wait = timeval_from_ms (engine->round_trip_ms);
+
+  if (!order->has_arrived && !is_given_up (order))
+    {
+      order->has_arrived = true;
+      engine->is_held = true;
+      engine->held_until_ms = clock_mono_ms () + engine->lease_ms;
+      event_add (order->timer, &wait);
+      return;
+    }
+  evhttp_send_reply (order->request, engine->status, "Answer", NULL);
+  event_free (order->timer);
+  g_free (order);
+}
+
+/** Takes an order that reserves, over a slow link. */
+static void
+delay_order (engine_t *engine, struct evhttp_request *request, const char *text)
+{
+  slow_order_t *order = g_new0 (slow_order_t, 1);
+  struct timeval wait = timeval_from_ms (engine->round_trip_ms);
+
+  engine->reserves++;
+  g_assert_cmpint (sscanf (text, "reserve %*s %*u %u", &engine->lease_ms), ==,
+                   1);
+  order->engine = engine;
+  order->request = request;
+  order->timer = event_new (engine->base, -1, 0, on_slow_order, order);
+  event_add (order->timer, &wait);
+}
+
 static void
 on_order (struct evhttp_request *request, void *context)
 {
@@ -108,6 +170,11 @@
         return;
       engine->is_held = false;
     }
+  else if (engine->round_trip_ms > 0)
+    {
+      delay_order (engine, request, text);
+      return;
+    }
   else if (!take_reservation (engine, text))
     return;
   evhttp_send_reply (request, engine->status, "Answer", NULL);
@@ -264,6 +331,22 @@
   orders_free (orders);
 }
 
+/* Guards against: a request that is cut off because each renewal is given up
+ * before it is sent, over a link that is slow enough to set up a connection
+ * later than that, and fast enough for the first order. */
+static void
+test_renewals_over_slow_link (void)
+{
+  orders_t *orders = orders_new ();
+  struct event_base *base = orders->base;
+
+  reserve (orders, 52);
+  WAIT (orders->held == 1);
+  orders->engine.round_trip_ms = 200;
+  expect_set_aside (orders, 9000);
+  orders_free (orders);
+}
+
 /** A release is repeated until it is answered; a refused reservation needs no
  * release. */
 static void
@@ -432,6 +515,8 @@
                    test_all_instances_lost);
   g_test_add_func ("/engine-memory/unanswered-renewals",
                    test_unanswered_renewals);
+  g_test_add_func ("/engine-memory/renewals-over-slow-link",
+                   test_renewals_over_slow_link);
   g_test_add_func ("/engine-memory/unanswered-releases",
                    test_unanswered_releases);
   g_test_add_func ("/engine-memory/many-unanswered-releases",
