t: add a failing test of a sink that changes a shared pipe's mode

FAILS: t0004-log-sink, /log-sink/shared-pipe: 'fcntl (shared, F_GETFL) & O_NONBLOCK == 0: (2048 == 0)'.

log_sink_new() sets O_NONBLOCK on the open file description, which all programs share that got the same pipe, and leaves it set when it exits. Run: lwm-entryd, lwm-controld and lwm-upstream with a wrong option (exit 2), then a shell script that writes 2000 lines to the same pipe whose reader is 0.7 s late: 'echo: I/O error' after 848 lines, 3 of 3 programs.

--- a/t/t0004-log-sink.c
+++ b/t/t0004-log-sink.c
@@ -195,6 +195,29 @@
   close (fds[1]);
 }
 
+/** Guards against other programs that write to the same pipe, such as the
+ * script that started this one, and whose writes fail because a sink changed
+ * the mode that all of them share. */
+static void
+test_shared_pipe (void)
+{
+  int fds[2];
+  log_sink_options_t options = { .buffer_bytes = 1000, .report = report_count };
+  log_sink_t *sink;
+  int shared;
+
+  g_assert_cmpint (pipe (fds), ==, 0);
+  shared = dup (fds[1]);
+  options.fd = fds[1];
+  sink = log_sink_new (NULL, &options);
+  write_lines (sink, LINES);
+  g_assert_cmpint (fcntl (shared, F_GETFL) & O_NONBLOCK, ==, 0);
+  talloc_free (sink);
+  close (shared);
+  close (fds[0]);
+  close (fds[1]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -204,5 +227,6 @@
   g_test_add_func ("/log-sink/flush-waits", test_flush_waits);
   g_test_add_func ("/log-sink/flush-is-bounded", test_flush_is_bounded);
   g_test_add_func ("/log-sink/flush-without-reader", test_flush_without_reader);
+  g_test_add_func ("/log-sink/shared-pipe", test_shared_pipe);
   return g_test_run ();
 }
