node: allow for another tick between a signal and its handling

The earliest time of a SIGTERM was the tick before the newest one. A process that did not run for a while sees the signal in the second turn of its loop: the first one only runs the timers that were due. If that turn takes longer than a tick (50 ms), as it may on a busy machine, a second tick comes before the signal, and the pause was not counted: the listener closed, and late requests were refused, that much too late, as before. Change: the earliest time is the third newest tick.

--- a/node-entry.c
+++ b/node-entry.c
@@ -11,6 +11,7 @@
 #include "daemon.h"
 #include "http.h"
 #include "packed-text.h"
+#include "signal-time.h"
 #include "statemachine.h"
 #define LOG_PART "entry"
 #include "logging.h"
@@ -51,8 +52,7 @@
   uint64_t started_ms;
   uint64_t first_config_ms; /* when the first configuration came into force,
                                else 0 */
-  uint64_t ticked_ms;       /* the newest tick, and the one before it */
-  uint64_t ticked_before_ms;
+  signal_time_t signal_time;
   uint64_t stop_requested_ms; /* when a stop request was handled, else 0 */
   uint64_t stop_earliest_ms;  /* when it may have been sent */
   uint64_t stop_timeout_ms;   /* that was in force when it was handled */
@@ -206,13 +206,11 @@
 }
 
 /** Returns the earliest time at which a signal that is handled now may have
- * been sent. A process that did not run for a while handles it late, and the
- * tick that was due meanwhile may come before it. */
+ * been sent. */
 static uint64_t
 earliest_signal_ms (const node_entry_t *entry)
 {
-  return entry->ticked_before_ms > 0 ? entry->ticked_before_ms
-                                     : entry->started_ms;
+  return MAX (signal_time_earliest_ms (&entry->signal_time), entry->started_ms);
 }
 
 static void
@@ -289,8 +287,7 @@
   node_entry_t *entry = context;
   uint64_t now_ms = clock_mono_ms ();
 
-  entry->ticked_before_ms = entry->ticked_ms;
-  entry->ticked_ms = now_ms;
+  signal_time_tick (&entry->signal_time, now_ms);
   update_readiness (entry);
   if (entry->stop_requested_ms > 0 && !entry->has_ended)
     exit_if_drained (entry, now_ms);
