node: ask signal-time for the gap between two ticks

The last answers of a stop and the earliest time of its signal both need the ticks of the event loop; signal-time.h holds them now. The line "Stopping." names its time for what it is, an upper bound.

--- a/node-entry.c
+++ b/node-entry.c
@@ -233,7 +233,7 @@
                                      - LAST_ANSWERS_MARGIN_MS);
   gateway_close_at (entry->gateway,
                     entry->stop_earliest_ms + ACCEPT_WHILE_STOPPING_MS);
-  log_info ("Stopping. open_requests=%u late_ms=%ju",
+  log_info ("Stopping. open_requests=%u late_at_most_ms=%ju",
             gateway_open_requests (entry->gateway),
             (uintmax_t)(entry->stop_requested_ms - entry->stop_earliest_ms));
 }
@@ -251,7 +251,7 @@
 static bool
 must_read_first (node_entry_t *entry, uint64_t now_ms, uint64_t end_ms)
 {
-  if (now_ms - entry->ticked_before_ms > LATE_TICK_MS)
+  if (signal_time_last_gap_ms (&entry->signal_time) > LATE_TICK_MS)
     entry->has_missed_end = true;
   return entry->has_missed_end && now_ms + LAST_TURN_MARGIN_MS < end_ms;
 }
--- a/signal-time.c
+++ b/signal-time.c
@@ -15,3 +15,9 @@
 {
   return times->ticks_ms[SIGNAL_TIME_TURNS];
 }
+
+uint64_t
+signal_time_last_gap_ms (const signal_time_t *times)
+{
+  return times->ticks_ms[1] > 0 ? times->ticks_ms[0] - times->ticks_ms[1] : 0;
+}
--- a/signal-time.h
+++ b/signal-time.h
@@ -26,4 +26,7 @@
  * sent, or 0 if there were too few ticks. */
 uint64_t signal_time_earliest_ms (const signal_time_t *times);
 
+/** Returns the time between the two newest ticks, 0 if there are fewer. */
+uint64_t signal_time_last_gap_ms (const signal_time_t *times);
+
 #endif
