node-settings: start without a stop timeout, refuse to lose it

Now such a process has one of 8 s; settings that are read again without one are refused, as the file may be half written. /node-settings/default-stop-timeout failed before ('settings' should not be NULL); /node-settings/reload-without-stop-timeout holds what mended.

--- a/node-settings.c
+++ b/node-settings.c
@@ -14,6 +14,8 @@
 
 #define POLL_INTERVAL_MS 500
 #define MAX_PORT         65535
+/** Stop timeout of a process that is started without one. */
+#define DEFAULT_STOP_TIMEOUT_S 8
 
 struct node_settings
 {
@@ -80,10 +82,6 @@
         reader, NULL,
         "first_port: expected a range of ports, from first_port to "
         "last_port");
-  /* A file that is half written may be valid otherwise. */
-  if (content->stop_timeout_s <= 0)
-    yamlmsg_add_mistake (reader, NULL,
-                         "stop_timeout_s: expected a time above 0");
   check_address (reader, "callers", content->callers);
   check_address (reader, "status", content->status);
   check_address (reader, "control", content->control);
@@ -137,7 +135,11 @@
   settings->content
       = parse_settings (settings, settings->path, settings->text, &mistakes);
   if (settings->content != NULL)
-    return settings;
+    {
+      if (settings->content->stop_timeout_s <= 0)
+        settings->content->stop_timeout_s = DEFAULT_STOP_TIMEOUT_S;
+      return settings;
+    }
   print_error ("%s", mistakes);
   talloc_free (settings);
   return NULL;
@@ -149,6 +151,22 @@
   return settings->content;
 }
 
+/** Parses settings that replace others. A file that is half written may be
+ * valid but for the stop timeout, which the process was started with. */
+static Lwm__NodeSettings *
+parse_replacement (node_settings_t *settings, const char *text, char **mistakes)
+{
+  Lwm__NodeSettings *content
+      = parse_settings (settings, settings->path, text, mistakes);
+
+  if (content == NULL || content->stop_timeout_s > 0)
+    return content;
+  *mistakes
+      = talloc_strdup (settings, "stop_timeout_s: expected a time above 0");
+  talloc_free (content);
+  return NULL;
+}
+
 static void
 apply_text (node_settings_t *settings, const char *text)
 {
@@ -157,7 +175,7 @@
 
   talloc_free (settings->text);
   settings->text = talloc_strdup (settings, text);
-  content = parse_settings (settings, settings->path, text, &mistakes);
+  content = parse_replacement (settings, text, &mistakes);
   if (content == NULL)
     {
       log_error (
--- a/t/t8190-node-settings.c
+++ b/t/t8190-node-settings.c
@@ -121,6 +121,46 @@
       "*node.yaml:*: spare_retries: expected a number from 0 to * got 'many'*");
 }
 
+/** A process that is started without a stop timeout has one all the same. */
+static void
+test_default_stop_timeout (void)
+{
+  void *parent = talloc_new (NULL);
+  numbers_t numbers = whole;
+  node_settings_t *settings;
+
+  numbers.stop_timeout_s = "0";
+  settings = read_numbers (parent, &numbers);
+  g_assert_nonnull (settings);
+  g_assert_cmpfloat (node_settings_get (settings)->stop_timeout_s, >, 1);
+  talloc_free (parent);
+}
+
+/** Guards against a stop that ends everything at once: a file that is half
+ * written when it is read again may lack the stop timeout. */
+static void
+test_reload_without_stop_timeout (void)
+{
+  void *parent = talloc_new (NULL);
+  char *folder = g_dir_make_tmp ("node-settings-XXXXXX", NULL);
+  char *path = write_file (folder, &whole);
+  node_settings_t *settings = node_settings_new (parent, path);
+  numbers_t numbers = whole;
+
+  numbers.stop_timeout_s = "0";
+  numbers.announce_ms = "2400";
+  g_free (path);
+  path = write_file (folder, &numbers);
+  node_settings_reload (settings);
+  g_assert_cmpfloat (node_settings_get (settings)->stop_timeout_s, ==, 8);
+  g_assert_cmpuint (node_settings_get (settings)->announce_ms, ==, 1200);
+  g_remove (path);
+  g_rmdir (folder);
+  g_free (path);
+  g_free (folder);
+  talloc_free (parent);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -128,5 +168,9 @@
   g_test_add_func ("/node-settings/fractions", test_fractions);
   g_test_add_func ("/node-settings/invalid", test_invalid_numbers);
   g_test_add_func ("/node-settings/mistake", test_mistake_is_one_line);
+  g_test_add_func ("/node-settings/default-stop-timeout",
+                   test_default_stop_timeout);
+  g_test_add_func ("/node-settings/reload-without-stop-timeout",
+                   test_reload_without_stop_timeout);
   return g_test_run ();
 }
