log-sink: keep the mode of a pipe that others share

Found by the review: the sink set O_NONBLOCK on the open file that all programs share which write to the same pipe. A script that started a daemon with its own stderr got an error from its next write when the reader was slow (3 of 3 programs), also after the daemon's end. Change: a pipe is opened once more, through its descriptor, and only that open file is non-blocking.

--- a/log-sink.c
+++ b/log-sink.c
@@ -3,7 +3,9 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <talloc.h>
 #include <unistd.h>
 
@@ -14,6 +16,7 @@
 struct log_sink
 {
   int fd;
+  bool owns_fd; /* opened by the sink */
   log_sink_report_cb_t report;
   char *buffer;
   size_t capacity;
@@ -23,19 +26,53 @@
   bool has_failed;           /* the last write, and not for a slow reader */
 };
 
+/** Opens a pipe once more, in non-blocking mode. The mode of an open file
+ * belongs to all programs that share it, such as the one that started this one.
+ * Returns -1 if @a fd is no pipe or cannot be opened. */
+static int
+reopen_pipe (int fd)
+{
+  struct stat status;
+  char path[64];
+
+  if (fstat (fd, &status) != 0 || !S_ISFIFO (status.st_mode))
+    return -1;
+  snprintf (path, sizeof path, "/proc/self/fd/%d", fd);
+  return open (path, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+}
+
+static void
+set_non_blocking (int fd)
+{
+  int flags = fcntl (fd, F_GETFL);
+
+  /* A terminal is shared with the shell, which expects it to block. */
+  if (flags >= 0 && !isatty (fd))
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+static int
+free_sink (log_sink_t *sink)
+{
+  if (sink->owns_fd)
+    close (sink->fd);
+  return 0;
+}
+
 log_sink_t *
 log_sink_new (void *parent, const log_sink_options_t *options)
 {
   log_sink_t *sink = talloc_zero (parent, log_sink_t);
-  int flags = fcntl (options->fd, F_GETFL);
+  int own = reopen_pipe (options->fd);
 
-  sink->fd = options->fd;
+  sink->owns_fd = own >= 0;
+  sink->fd = sink->owns_fd ? own : options->fd;
+  if (!sink->owns_fd)
+    set_non_blocking (sink->fd);
+  talloc_set_destructor (sink, free_sink);
   sink->report = options->report;
   sink->capacity = options->buffer_bytes;
   sink->buffer = talloc_size (sink, options->buffer_bytes);
-  /* A terminal is shared with the shell, which expects it to block. */
-  if (flags >= 0 && !isatty (options->fd))
-    fcntl (options->fd, F_SETFL, flags | O_NONBLOCK);
   return sink;
 }
 
--- a/log-sink.h
+++ b/log-sink.h
@@ -22,7 +22,9 @@
 /** Parameters of log_sink_new(). */
 typedef struct
 {
-  int fd;              /**< set to non-blocking mode, unless it is a terminal */
+  /** A pipe is opened once more; what is neither a pipe nor a terminal is set
+   * to non-blocking mode. */
+  int fd;
   size_t buffer_bytes; /**< bound of the lines that wait for the reader */
   log_sink_report_cb_t report;
 } log_sink_options_t;
--- a/t/t0004-log-sink.c
+++ b/t/t0004-log-sink.c
@@ -132,6 +132,7 @@
   log_sink_t *sink;
   GThread *reader;
   GString *text;
+  uint64_t dropped;
 
   g_assert_cmpint (pipe (fds), ==, 0);
   options.fd = fds[1];
@@ -141,13 +142,13 @@
   reader = g_thread_new ("reader", read_late, GINT_TO_POINTER (fds[0]));
   g_assert_true (log_sink_flush (sink, LONG_WAIT_MS));
   g_assert_false (log_sink_has_unwritten (sink));
+  dropped = log_sink_dropped_lines (sink);
+  talloc_free (sink);
   close (fds[1]);
   text = g_thread_join (reader);
-  g_assert_cmpuint (text->len, >,
-                    (LINES - log_sink_dropped_lines (sink)) * LINE_BYTES);
+  g_assert_cmpuint (text->len, >, (LINES - dropped) * LINE_BYTES);
   g_assert_nonnull (strstr (text->str, "lines left out. count="));
   g_string_free (text, TRUE);
-  talloc_free (sink);
   close (fds[0]);
 }
 
