--- a/node-entry.c
+++ b/node-entry.c
@@ -32,7 +32,7 @@
 #define LAST_ANSWERS_MARGIN_MS 700
 #define EXIT_MARGIN_MS         400
 /** Part that is left when the last answers wait for a turn of the loop. */
-#define LAST_TURN_MARGIN_MS 200
+#define LAST_TURN_MARGIN_MS 300
 /** Cost of a round trip to another zone. */
 #define ZONE_COST_MS 12
 
