--- a/t/t8075-engine-memory.c
+++ b/t/t8075-engine-memory.c
@@ -40,6 +40,7 @@
   uint32_t late_from;     /* the first reserving order that is late */
   uint32_t answer_every;  /* loses the other reserving orders; 0: none */
   uint32_t round_trip_ms; /* of the link to the engine */
+  GSList *slow_orders;    /* slow_order_t on their way over the link */
   bool is_held;
   uint32_t lease_ms;      /* of the last order that reserves */
   uint64_t held_until_ms; /* end of the lease, from the arrival of its order */
@@ -117,6 +118,15 @@
   return recv (socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+static void
+free_slow_order (gpointer data)
+{
+  slow_order_t *order = data;
+
+  event_free (order->timer);
+  g_free (order);
+}
+
 /** Carries out a reserving order once its connection is set up, and answers it
  * after another round trip. Nothing is sent on a connection that is given up
  * before. */
@@ -136,8 +146,8 @@
       return;
     }
   evhttp_send_reply (order->request, engine->status, "Answer", NULL);
-  event_free (order->timer);
-  g_free (order);
+  engine->slow_orders = g_slist_remove (engine->slow_orders, order);
+  free_slow_order (order);
 }
 
 /** Takes an order that reserves, over a slow link. */
@@ -153,6 +163,7 @@
   order->engine = engine;
   order->request = request;
   order->timer = event_new (engine->base, -1, 0, on_slow_order, order);
+  engine->slow_orders = g_slist_prepend (engine->slow_orders, order);
   event_add (order->timer, &wait);
 }
 
@@ -263,6 +274,7 @@
 orders_free (orders_t *orders)
 {
   talloc_free (orders->parent);
+  g_slist_free_full (orders->engine.slow_orders, free_slow_order);
   evhttp_free (orders->http);
   event_base_free (orders->base);
   g_free (orders);
