--- a/node-settings.c
+++ b/node-settings.c
@@ -46,6 +46,12 @@
   { &lwm__node_settings__descriptor,
     "spare_retries",
     { 0, UINT32_MAX, NUMBER_DOWN } },
+  { &lwm__node_settings__descriptor,
+    "memory_mb",
+    { 0, UINT32_MAX, NUMBER_DOWN } },
+  { &lwm__node_settings__descriptor,
+    "max_descriptors",
+    { 0, UINT32_MAX, NUMBER_DOWN } },
   { NULL, NULL, { 0 } },
 };
 
