control: replicate orders to drain availability zones

Operators need upstreams of a zone to get no new requests while the zone is being emptied. The control group keeps the last order for each zone, reports it with each watch and pushes changes; entry instances skip the upstreams of drained zones.

--- a/control-calls.c
+++ b/control-calls.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "base.h"
 #include "control-client.h"
 
 /* Time for which the client tries to release a claim that may be granted after
@@ -136,6 +137,73 @@
   control_client_call (client, &request, timeout_ms, done, context);
 }
 
+/** An order for a zone that has not ended. */
+typedef struct
+{
+  control_client_t *client;
+  Lwm__ControlZoneOrder order;
+  uint64_t deadline_ms;
+  control_answer_cb_t done;
+  void *context;
+} pending_order_t;
+
+static void send_order (pending_order_t *pending);
+
+/** Ends an order, or sends it again when another order for the zone, or an
+ * earlier copy of this one, was accepted before it. */
+static void
+on_ordered (const Lwm__ControlAnswer *answer, void *context)
+{
+  pending_order_t *pending = context;
+
+  if (answer->result == LWM__CONTROL_RESULT__RESULT_CONFLICT
+      && clock_mono_ms () < pending->deadline_ms)
+    {
+      pending->order.known_index
+          = answer->zone_drain != NULL ? answer->zone_drain->index : 0;
+      send_order (pending);
+      return;
+    }
+  if (pending->done != NULL)
+    pending->done (answer, pending->context);
+  talloc_free (pending);
+}
+
+static void
+send_order (pending_order_t *pending)
+{
+  Lwm__ControlRequest request = LWM__CONTROL_REQUEST__INIT;
+  uint64_t now_ms = clock_mono_ms ();
+  uint64_t left_ms
+      = pending->deadline_ms > now_ms ? pending->deadline_ms - now_ms : 0;
+
+  request.what_case = LWM__CONTROL_REQUEST__WHAT_ZONE_ORDER;
+  request.zone_order = &pending->order;
+  control_client_call (pending->client, &request, (uint32_t)left_ms, on_ordered,
+                       pending);
+}
+
+void
+control_client_order_zone (control_client_t *client,
+                           const Lwm__ControlZoneOrder *order,
+                           uint32_t timeout_ms,
+                           control_answer_cb_t done,
+                           void *context)
+{
+  pending_order_t *pending = talloc_zero (client, pending_order_t);
+
+  pending->client = client;
+  pending->done = done;
+  pending->context = context;
+  pending->deadline_ms = clock_mono_ms () + timeout_ms;
+  lwm__control_zone_order__init (&pending->order);
+  pending->order.zone = talloc_strdup (pending, order->zone);
+  pending->order.drained = order->drained;
+  pending->order.who = talloc_strdup (pending, order->who);
+  pending->order.when_ms = order->when_ms;
+  send_order (pending);
+}
+
 /** A removal by name that waits for a status with the member's incarnation. */
 typedef struct
 {
--- a/control-client-internal.h
+++ b/control-client-internal.h
@@ -10,6 +10,7 @@
 
 #include "control-client.h"
 #include "mq.h"
+#include "zone-drains.h"
 
 #define CONTROL_CLIENT_MAX_PEERS 16
 
@@ -60,6 +61,9 @@
   uint64_t source_since_ms; /* when it became the source; 0: at the start */
   uint64_t known;           /* number of the last revision, or 0 */
   uint64_t behind_since_ms; /* since another peer has a later revision, or 0 */
+  /* The drained zones with the highest version that was reported. */
+  zone_drains_t *drains;
+  bool knows_drains; /* they were passed on */
   control_client_counters_t counters;
 };
 
--- a/control-client.c
+++ b/control-client.c
@@ -367,6 +367,7 @@
   client->known = options->known_number;
   client->last_id = random_id ();
   client->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  client->drains = zone_drains_new (client);
   talloc_set_destructor (client, free_client);
   for (size_t i = 0; i < options->peer_count; i++)
     add_peer (client, options->peers[i]);
--- a/control-client.h
+++ b/control-client.h
@@ -17,6 +17,8 @@
  *
  * A client with on_directory watches the upstreams at every control instance
  * that it knows, and learns of new control instances from their answers.
+ *
+ * A client with on_drains as well watches the drained zones at each of them.
  */
 #ifndef CONTROL_CLIENT_H
 #define CONTROL_CLIENT_H
@@ -46,6 +48,11 @@
 typedef void (*control_directory_cb_t) (const Lwm__ControlDirectory *part,
                                         void *context);
 
+/** Called with the drained zones when they are first known, and whenever a later
+ * order for some zone was accepted. @a drains is valid only in the callback. */
+typedef void (*control_drains_cb_t) (const Lwm__ControlDrains *drains,
+                                     void *context);
+
 typedef struct
 {
   struct event_base *base;
@@ -54,6 +61,7 @@
   uint64_t known_number; /**< number of the last known revision, or 0 */
   control_revision_cb_t on_revision;   /**< NULL: do not watch */
   control_directory_cb_t on_directory; /**< NULL: do not watch upstreams */
+  control_drains_cb_t on_drains; /**< NULL: do not watch drained zones */
   /** Address at which other entry instances reach this instance, or NULL. */
   const char *address;
   const char *zone; /**< availability zone of this instance, or NULL */
@@ -144,6 +152,18 @@
                                 control_answer_cb_t done,
                                 void *context);
 
+/**
+ * Orders that a zone's upstreams get no new requests, or revokes that. The
+ * known index in @a order is not used: the call finds it out. Answers: OK, SAME
+ * (the zone was in that state before), BAD_REQUEST, LIMIT, NO_QUORUM, CONFLICT
+ * (other orders for the zone came first until the end of the time).
+ */
+void control_client_order_zone (control_client_t *client,
+                                const Lwm__ControlZoneOrder *order,
+                                uint32_t timeout_ms,
+                                control_answer_cb_t done,
+                                void *context);
+
 /**
  * Adds, promotes or removes one member of the control group. Answers: OK, SAME
  * (the change was made before), NOT_FOUND, NOT_READY (another change is in
--- a/control-disk.c
+++ b/control-disk.c
@@ -40,6 +40,7 @@
             (uintmax_t)snapshot->index);
   lwm__control_snapshot__free_unpacked (snapshot, NULL);
   control_watch_push (server->watch);
+  control_watch_push_drains (server->watch);
 }
 
 /** Records whether the disk is full. If so, discards the messages that wait for
--- a/control-internal.h
+++ b/control-internal.h
@@ -166,6 +166,13 @@
  */
 void control_watch_push_directory (control_watch_t *watch, bool is_urgent);
 
+/** Pushes the drained zones to the clients that watch them. */
+void control_watch_push_drains (control_watch_t *watch);
+
+/** Returns the number of clients that watch the drained zones and have not
+ * stated that they know the present ones. */
+size_t control_watch_count_behind (const control_watch_t *watch);
+
 /** Returns the number of clients that watch. */
 size_t control_watch_count (const control_watch_t *watch);
 
@@ -173,6 +180,11 @@
  * has not applied all entries that it knows to be committed. */
 bool control_server_is_stale (const control_server_t *server);
 
+/** Returns whether the replica may lack orders to drain zones that were
+ * acknowledged some time ago. Unlike control_server_is_stale(), this is also so
+ * until a new leader has committed an entry, and while a log is behind. */
+bool control_server_may_lack_orders (const control_server_t *server);
+
 /** Creates the membership part of a replica, freed with @a server (talloc). */
 control_group_t *control_group_new (control_server_t *server);
 
--- a/control-requests.c
+++ b/control-requests.c
@@ -244,6 +244,10 @@
       command->what_case = LWM__CONTROL_COMMAND__WHAT_DROP;
       command->drop = request->drop;
       return true;
+    case LWM__CONTROL_REQUEST__WHAT_ZONE_ORDER:
+      command->what_case = LWM__CONTROL_COMMAND__WHAT_ZONE_ORDER;
+      command->zone_order = request->zone_order;
+      return true;
     default:
       return false;
     }
--- a/control-server.c
+++ b/control-server.c
@@ -197,6 +197,13 @@
          || server->applied < raft_status (server->raft).commit;
 }
 
+bool
+control_server_may_lack_orders (const control_server_t *server)
+{
+  return !raft_has_recent_commit (server->raft, clock_mono_ms ())
+         || server->applied < raft_status (server->raft).commit;
+}
+
 static void
 handle_peer_message (control_server_t *server,
                      const Lwm__ControlPeerMessage *message)
@@ -264,6 +271,7 @@
   const Lwm__ControlEntry *entry;
   Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
   uint64_t before = statemachine_revision (server->machine)->number;
+  uint64_t drains = statemachine_drains (server->machine)->version;
 
   while ((entry = raft_next_committed (server->raft)) != NULL)
     {
@@ -278,6 +286,8 @@
    * are long out of date. */
   if (statemachine_revision (server->machine)->number != before)
     control_watch_push (server->watch);
+  if (statemachine_drains (server->machine)->version != drains)
+    control_watch_push_drains (server->watch);
 }
 
 /** When the membership has changed, records the addresses of its members and
--- a/control-watch.c
+++ b/control-watch.c
@@ -4,6 +4,9 @@
 
 #include "base.h"
 #include "control-internal.h"
+#include "zone-drains.h"
+#define LOG_PART "control"
+#include "logging.h"
 
 #define MAX_WATCHERS  4096
 #define MAX_INSTANCES 16384
@@ -22,7 +25,9 @@
   uint64_t expires_ms;
   bool wants_config;
   bool wants_directory;
-  uint64_t version; /* version of the directory last sent */
+  bool wants_drains;
+  uint64_t version;        /* version of the directory last sent */
+  uint64_t drains_version; /* of the drained zones that it says it knows */
 } watcher_t;
 
 /** An entry instance that has watched. It is kept when it stops, because it may
@@ -40,6 +45,8 @@
   GHashTable *watchers;  /* GBytes client -> watcher_t */
   GHashTable *instances; /* address -> instance_t, children of watch */
   uint64_t last_version; /* version of the last instance */
+  uint64_t drains_known_by_all; /* version that all watchers knew, see
+                                   log_when_all_know() */
   struct event *push_timer;
 };
 
@@ -133,6 +140,33 @@
   return part;
 }
 
+/** Returns the drained zones as this replica knows them. The content points
+ * into the state and is valid until its next change. */
+static Lwm__ControlDrainReport
+make_drain_report (const control_watch_t *watch)
+{
+  Lwm__ControlDrainReport report = LWM__CONTROL_DRAIN_REPORT__INIT;
+
+  report.drains = statemachine_drains (watch->server->machine);
+  report.behind = control_server_may_lack_orders (watch->server);
+  return report;
+}
+
+/** Logs once for each version that all watchers know the drained zones. */
+static void
+log_when_all_know (control_watch_t *watch)
+{
+  uint64_t version = statemachine_drains (watch->server->machine)->version;
+
+  if (watch->drains_known_by_all == version
+      || control_watch_count_behind (watch) > 0)
+    return;
+  watch->drains_known_by_all = version;
+  log_info ("All watching instances know the drained zones. version=%ju "
+            "watchers=%zu",
+            (uintmax_t)version, control_watch_count (watch));
+}
+
 static void
 update_watcher (control_watch_t *watch,
                 watcher_t *watcher,
@@ -148,6 +182,10 @@
   watcher->wants_config = !request->no_config;
   watcher->wants_directory = request->directory;
   watcher->version = control_directory_version (server->directory);
+  watcher->wants_drains = request->drains;
+  watcher->drains_version = request->drains_version;
+  if (watcher->wants_drains)
+    log_when_all_know (watch);
 }
 
 void
@@ -159,6 +197,7 @@
   watcher_t *watcher = find_or_add_watcher (watch, client);
   Lwm__ControlRevision *revision = statemachine_revision (server->machine);
   Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
+  Lwm__ControlDrainReport report = make_drain_report (watch);
   bool is_same_epoch
       = request->epoch == control_directory_epoch (server->directory);
   void *scratch = talloc_new (watch);
@@ -170,6 +209,8 @@
   answer.stale = control_server_is_stale (server);
   if (!request->no_config && revision->number > request->known)
     answer.revision = revision;
+  if (request->drains)
+    answer.drain_report = &report;
   if (request->directory)
     {
       answer.directory = make_directory_part (
@@ -231,6 +272,63 @@
     }
 }
 
+static void
+log_drains (const control_watch_t *watch, const Lwm__ControlDrains *drains)
+{
+  void *scratch = talloc_new (watch);
+  size_t count;
+  char **names = zone_drains_names (scratch, drains, &count);
+
+  log_info ("The drained zones have changed. zones=%s version=%ju watchers=%zu",
+            zone_drains_text (scratch, names, count),
+            (uintmax_t)drains->version, control_watch_count (watch));
+  talloc_free (scratch);
+}
+
+void
+control_watch_push_drains (control_watch_t *watch)
+{
+  control_server_t *server = watch->server;
+  Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
+  Lwm__ControlDrainReport report = make_drain_report (watch);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  log_drains (watch, report.drains);
+  expire_watchers (watch);
+  answer.stale = control_server_is_stale (server);
+  answer.drain_report = &report;
+  g_hash_table_iter_init (&iter, watch->watchers);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const watcher_t *watcher = value;
+      gsize size_bytes;
+      const uint8_t *client = g_bytes_get_data (key, &size_bytes);
+
+      if (watcher->wants_drains)
+        control_server_answer (server, client, size_bytes, &answer);
+    }
+}
+
+size_t
+control_watch_count_behind (const control_watch_t *watch)
+{
+  uint64_t version = statemachine_drains (watch->server->machine)->version;
+  size_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, watch->watchers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const watcher_t *watcher = value;
+
+      count += watcher->wants_drains && watcher->drains_version < version;
+    }
+  return count;
+}
+
 static void
 on_push_timer (evutil_socket_t fd, short what, void *context)
 {
--- a/gateway-helpers.c
+++ b/gateway-helpers.c
@@ -46,20 +46,25 @@
     add_helper (request, placed, answer, i);
 }
 
-/** Ends the attempt because a helper has no free memory, and queues the request
- * for another attempt. */
+/** Ends an attempt that was not sent, and asks for an upstream again. */
 static void
-on_memory_refused (gateway_request_t *request, gateway_helper_t *helper)
+place_again (gateway_request_t *request)
 {
-  gateway_t *gateway = request->gateway;
-
-  end_job (gateway, &helper->job_id, UPSTREAM_JOB_REFUSED);
   gateway_end_jobs (request, UPSTREAM_JOB_NEUTRAL);
   /* Nothing was sent, so the upstream may be tried again. */
   request->attempt_count--;
   gateway_place (request);
 }
 
+/** Ends the attempt because a helper has no free memory, and queues the request
+ * for another attempt. */
+static void
+on_memory_refused (gateway_request_t *request, gateway_helper_t *helper)
+{
+  end_job (request->gateway, &helper->job_id, UPSTREAM_JOB_REFUSED);
+  place_again (request);
+}
+
 static void
 on_ticket_answered (engine_reservation_t *ticket, bool is_held, void *context)
 {
@@ -71,7 +76,11 @@
         on_memory_refused (request, &request->helpers[i]);
         return;
       }
-  if (--request->tickets_pending == 0)
+  if (--request->tickets_pending > 0)
+    return;
+  if (gateway_has_unavailable (request))
+    place_again (request);
+  else
     gateway_send (request);
 }
 
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -216,6 +216,10 @@
 /** Creates the placement; returns false when its address cannot be bound. */
 bool gateway_open_placement (gateway_t *gateway);
 
+/** Returns whether this instance may not send the current attempt any more,
+ * because its upstream or a helper has become unavailable. */
+bool gateway_has_unavailable (const gateway_request_t *request);
+
 /** Starts an attempt at the upstream in @a answer. */
 void gateway_start_attempt (gateway_request_t *request,
                             const placement_request_t *placed,
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -149,6 +149,15 @@
                         UPSTREAM_JOB_NEUTRAL);
 }
 
+static bool
+is_available (const gateway_t *gateway, uint64_t key)
+{
+  const upstream_member_t *member = upstream_set_find (gateway->set, key);
+
+  return member != NULL
+         && upstream_member_is_available (member, clock_mono_ms ());
+}
+
 /** Returns whether this instance knows no reason not to send to an upstream.
  * @param is_granted the placer counted the request within its rate limit */
 static bool
@@ -173,6 +182,19 @@
   return 0;
 }
 
+bool
+gateway_has_unavailable (const gateway_request_t *request)
+{
+  const gateway_t *gateway = request->gateway;
+
+  if (!is_available (gateway, request->upstream_key))
+    return true;
+  for (uint32_t i = 0; i < request->helper_count; i++)
+    if (!is_available (gateway, request->helpers[i].upstream_key))
+      return true;
+  return false;
+}
+
 /** Asks for another upstream than one that is not available here. */
 static void
 place_elsewhere (gateway_request_t *request,
--- a/gateway.c
+++ b/gateway.c
@@ -524,6 +524,13 @@
   zone_placement_recheck (gateway->placement);
 }
 
+void
+gateway_drain_zones (gateway_t *gateway, char *const *zones, size_t count)
+{
+  upstream_set_drain_zones (gateway->set, zones, count);
+  zone_placement_recheck (gateway->placement);
+}
+
 zone_placement_t *
 gateway_placement (gateway_t *gateway)
 {
--- a/gateway.h
+++ b/gateway.h
@@ -129,6 +129,9 @@
 /** Updates the set of upstreams after a change of the directory. */
 void gateway_set_directory (gateway_t *gateway, const directory_t *directory);
 
+/** Sets the drained zones, see upstream_set_drain_zones(). */
+void gateway_drain_zones (gateway_t *gateway, char *const *zones, size_t count);
+
 /** Returns the placement of the gateway, which owns it. */
 zone_placement_t *gateway_placement (gateway_t *gateway);
 
--- a/node-control.c
+++ b/node-control.c
@@ -47,6 +47,8 @@
   node_control_done_cb_t done;
   void *context;
   uint64_t number; /* proposed configuration, 0 for a read */
+  char *zone;      /* of an order to drain it, or NULL */
+  bool is_drained; /* what the order asks for */
   uint64_t started_ms;
 } pending_call_t;
 
@@ -182,6 +184,87 @@
                       call_new (control, 0, done, context));
 }
 
+/** Returns whether the zone exists, as far as the settings tell. */
+static bool
+is_known_zone (const node_control_t *control, const char *zone)
+{
+  const Lwm__NodeSettings *settings
+      = node_settings_get (control->options.settings);
+
+  for (size_t i = 0; i < settings->n_zones; i++)
+    if (strcmp (settings->zones[i], zone) == 0)
+      return true;
+  return settings->n_zones == 0;
+}
+
+/** Ends an order without asking the control group. */
+static void
+refuse_order (pending_call_t *call, const char *zone)
+{
+  node_control_answer_t answer = { .kind = ERROR_NOT_FOUND };
+
+  log_info ("Refused an order for an unknown zone. zone=%s", zone);
+  call->done (&answer, call->context);
+  talloc_free (call);
+}
+
+static error_kind_t
+to_order_error (const Lwm__ControlAnswer *answer)
+{
+  switch (answer->result)
+    {
+    case LWM__CONTROL_RESULT__RESULT_OK:
+    case LWM__CONTROL_RESULT__RESULT_SAME:
+      return ERROR_NONE;
+    case LWM__CONTROL_RESULT__RESULT_BAD_REQUEST:
+    case LWM__CONTROL_RESULT__RESULT_LIMIT:
+      return ERROR_BAD_REQUEST;
+    default:
+      return ERROR_NO_QUORUM;
+    }
+}
+
+static void
+on_order_answer (const Lwm__ControlAnswer *control_answer, void *context)
+{
+  pending_call_t *call = context;
+  node_control_answer_t answer = { .kind = to_order_error (control_answer) };
+  const Lwm__ControlZoneDrain *drain = control_answer->zone_drain;
+
+  log_info ("An order to drain a zone ended. zone=%s drained=%d result=%d "
+            "version=%ju took_ms=%ju maybe_done=%d detail='%s'",
+            call->zone, call->is_drained, (int)control_answer->result,
+            (uintmax_t)(drain != NULL ? drain->index : 0),
+            (uintmax_t)(clock_mono_ms () - call->started_ms),
+            control_answer->maybe_done, control_answer->detail);
+  call->done (&answer, call->context);
+  talloc_free (call);
+}
+
+void
+node_control_order_zone (node_control_t *control,
+                         const char *zone,
+                         bool is_drained,
+                         node_control_done_cb_t done,
+                         void *context)
+{
+  Lwm__ControlZoneOrder order = LWM__CONTROL_ZONE_ORDER__INIT;
+  pending_call_t *call = call_new (control, 0, done, context);
+
+  if (!is_known_zone (control, zone))
+    {
+      refuse_order (call, zone);
+      return;
+    }
+  call->zone = order.zone = talloc_strdup (call, zone);
+  call->is_drained = is_drained;
+  order.drained = is_drained;
+  order.who = (char *)"operator";
+  order.when_ms = clock_wall_ms ();
+  control_client_order_zone (control->client, &order, CALL_TIMEOUT_MS,
+                             on_order_answer, call);
+}
+
 directory_result_t
 node_control_announce (node_control_t *control,
                        const directory_statement_t *statement)
--- a/node-control.h
+++ b/node-control.h
@@ -60,6 +60,17 @@
                         node_control_done_cb_t done,
                         void *context);
 
+/**
+ * Orders that the upstreams of an availability zone get no new requests, or
+ * revokes that. It has succeeded once the order is durable at a quorum.
+ * ERROR_NOT_FOUND means that the settings have no such zone.
+ */
+void node_control_order_zone (node_control_t *control,
+                              const char *zone,
+                              bool is_drained,
+                              node_control_done_cb_t done,
+                              void *context);
+
 /** Passes an upstream's announcement to the directory of the control group. */
 directory_result_t
 node_control_announce (node_control_t *control,
--- a/node-entry.c
+++ b/node-entry.c
@@ -13,6 +13,7 @@
 #include "packed-text.h"
 #include "signal-time.h"
 #include "statemachine.h"
+#include "zone-drains.h"
 #define LOG_PART "entry"
 #include "logging.h"
 
@@ -60,6 +61,10 @@
   uint64_t stop_requested_ms; /* when a stop request was handled, else 0 */
   uint64_t stop_earliest_ms;  /* when it may have been sent */
   uint64_t stop_timeout_ms;   /* that was in force when it was handled */
+  gateway_config_t *held_config; /* waits for the drained zones, or NULL */
+  bool knows_drains;
+  uint64_t drains_version;
+  size_t drained_count;
   bool was_ready;
   bool has_missed_end; /* it did not run when the last answers were due */
   bool has_ended;      /* daemon_exit() was called */
@@ -85,10 +90,17 @@
                     < clock_mono_ms ());
 }
 
+/** Puts a configuration in force. An instance that does not know the drained
+ * zones yet holds it, as it must not send to their upstreams. */
 static void
 apply_config (node_entry_t *entry, gateway_config_t *config)
 {
-  config->number = entry->parsing_number;
+  if (!entry->knows_drains)
+    {
+      talloc_free (entry->held_config);
+      entry->held_config = talloc_steal (entry, config);
+      return;
+    }
   gateway_set_config (entry->gateway, config);
   if (entry->first_config_ms == 0)
     entry->first_config_ms = clock_mono_ms ();
@@ -136,6 +148,7 @@
       event_add (entry->parse_timer, &parse_pause);
       break;
     case CONFIG_PARSED:
+      config->number = entry->parsing_number;
       apply_config (entry, config);
       begin_parsing_revision (entry);
       break;
@@ -184,6 +197,26 @@
     gateway_set_directory (entry->gateway, entry->directory);
 }
 
+static void
+on_drains (const Lwm__ControlDrains *drains, void *context)
+{
+  node_entry_t *entry = context;
+  void *scratch = talloc_new (entry);
+  gateway_config_t *config = entry->held_config;
+  char **zones = zone_drains_names (scratch, drains, &entry->drained_count);
+
+  log_info ("Drained zones are in force. zones=%s version=%ju before=%ju",
+            zone_drains_text (scratch, zones, entry->drained_count),
+            (uintmax_t)drains->version, (uintmax_t)entry->drains_version);
+  entry->knows_drains = true;
+  entry->drains_version = drains->version;
+  gateway_drain_zones (entry->gateway, zones, entry->drained_count);
+  talloc_free (scratch);
+  entry->held_config = NULL;
+  if (config != NULL)
+    apply_config (entry, config);
+}
+
 static void
 on_status (struct evhttp_request *request, void *context)
 {
@@ -343,6 +376,7 @@
       = { .base = daemon_base (entry->daemon),
           .on_revision = on_revision,
           .on_directory = on_directory,
+          .on_drains = on_drains,
           .address = node_settings_own_address (entry, settings),
           .zone = talloc_strdup (entry, settings->zone),
           .context = entry,
--- a/raft-follower.c
+++ b/raft-follower.c
@@ -74,6 +74,7 @@
   uint64_t term;
   uint64_t end = message->index + message->n_entries;
 
+  raft->leader_commit = MAX (raft->leader_commit, message->commit);
   if (message->index < raft->commit_index)
     {
       raft_follower_send_answer (raft, message, raft->commit_index, false);
@@ -117,6 +118,7 @@
   Lwm__RaftMessage answer = LWM__RAFT_MESSAGE__INIT;
   uint64_t term;
 
+  raft->leader_commit = MAX (raft->leader_commit, message->index);
   /* A log that contains the snapshot's last entry contains all entries before
    * it. It may also hold acknowledged entries after it, which installing the
    * snapshot would remove. */
--- a/raft-internal.h
+++ b/raft-internal.h
@@ -52,6 +52,8 @@
   raft_log_t *log;
   uint64_t saved_index; /**< last durable entry */
   uint64_t commit_index;
+  uint64_t leader_commit; /**< highest commit index that a leader stated; this
+                             log may not have its entry yet */
   uint64_t applied_index; /**< last entry that raft_next_committed() returned */
   uint64_t uncommitted_bytes;
   uint64_t flushed_index;   /**< last entry the leader has broadcast */
--- a/raft.c
+++ b/raft.c
@@ -339,6 +339,20 @@
          && raft->heard_leader_ms + raft->options.election_timeout_ms > now_ms;
 }
 
+bool
+raft_has_recent_commit (const raft_t *raft, uint64_t now_ms)
+{
+  uint64_t term;
+
+  /* Without a recent tick, the process did not run, and a leader does not know
+   * yet whether a quorum still follows it. */
+  return raft->now_ms + raft->options.election_timeout_ms > now_ms
+         && raft_has_recent_contact (raft, now_ms)
+         && raft->commit_index >= raft->leader_commit
+         && raft_log_term (raft->log, raft->commit_index, &term)
+         && term == raft->term;
+}
+
 static bool
 is_log_up_to_date (const raft_t *raft, const Lwm__RaftMessage *message)
 {
--- a/raft.h
+++ b/raft.h
@@ -232,6 +232,14 @@
  */
 bool raft_has_recent_contact (const raft_t *raft, uint64_t now_ms);
 
+/**
+ * Tells whether the commit index of this replica covers all entries that were
+ * committed when it last heard the leader, or a quorum if it is the leader. A
+ * replica that has just started, or whose log is behind, does not know this
+ * until an entry of the leader's term is committed here.
+ */
+bool raft_has_recent_commit (const raft_t *raft, uint64_t now_ms);
+
 /** Returns the current role, term and log indexes. */
 raft_status_t raft_status (const raft_t *raft);
 
--- a/statemachine.c
+++ b/statemachine.c
@@ -5,6 +5,7 @@
 
 #include "claims.h"
 #include "leases.h"
+#include "zone-drains.h"
 
 #define MAX_DIGEST_BYTES 128
 #define MAX_WHO_BYTES    128
@@ -18,6 +19,7 @@
   size_t audit_count;
   claims_t *claims;
   leases_t *leases;
+  zone_drains_t *drains;
 };
 
 static Lwm__ControlRevision *
@@ -54,6 +56,7 @@
 
   machine->claims = claims_new (machine);
   machine->leases = leases_new (machine);
+  machine->drains = zone_drains_new (machine);
   set_revision (machine, &none);
   return machine;
 }
@@ -69,6 +72,8 @@
   copy->who = talloc_strdup (copy, audit->who);
   copy->when_ms = audit->when_ms;
   copy->result = audit->result;
+  copy->zone = talloc_strdup (copy, audit->zone);
+  copy->drained = audit->drained;
   if (machine->audit_count == STATEMACHINE_MAX_AUDIT)
     {
       talloc_free (machine->audit[0]);
@@ -134,6 +139,32 @@
   add_audit (machine, &audit);
 }
 
+static void
+apply_zone_order (statemachine_t *machine,
+                  uint64_t index,
+                  const Lwm__ControlZoneOrder *order,
+                  Lwm__ControlAnswer *answer)
+{
+  Lwm__ControlAudit audit = LWM__CONTROL_AUDIT__INIT;
+
+  if (strlen (order->who) > MAX_WHO_BYTES)
+    {
+      answer->result = LWM__CONTROL_RESULT__RESULT_BAD_REQUEST;
+      answer->detail = "author is out of bounds";
+      return;
+    }
+  answer->result = zone_drains_apply (machine->drains, index, order,
+                                      &answer->zone_drain);
+  if (answer->result != LWM__CONTROL_RESULT__RESULT_OK)
+    return;
+  audit.who = order->who;
+  audit.when_ms = order->when_ms;
+  audit.result = answer->result;
+  audit.zone = order->zone;
+  audit.drained = order->drained;
+  add_audit (machine, &audit);
+}
+
 void
 statemachine_apply (statemachine_t *machine,
                     uint64_t index,
@@ -169,6 +200,9 @@
       claims_expire (machine->claims, now_ms);
       leases_expire (machine->leases, now_ms);
       break;
+    case LWM__CONTROL_COMMAND__WHAT_ZONE_ORDER:
+      apply_zone_order (machine, index, command->zone_order, answer);
+      break;
     default:
       answer->result = LWM__CONTROL_RESULT__RESULT_BAD_REQUEST;
       answer->detail = "unknown command";
@@ -199,6 +233,12 @@
   return leases_count (machine->leases);
 }
 
+Lwm__ControlDrains *
+statemachine_drains (statemachine_t *machine)
+{
+  return zone_drains_state (machine->drains);
+}
+
 Lwm__ControlAudit **
 statemachine_audit (const statemachine_t *machine, size_t *count)
 {
@@ -218,6 +258,7 @@
   state->claims = claims_list (machine->claims, state, &state->n_claims);
   state->leases = leases_list (machine->leases, state, &state->n_leases);
   state->last_fencing = leases_last_fencing (machine->leases);
+  state->drains = statemachine_drains (machine);
   return state;
 }
 
@@ -242,4 +283,5 @@
   for (size_t i = 0; i < state->n_leases; i++)
     leases_restore (machine->leases, state->leases[i]);
   leases_restore_fencing (machine->leases, state->last_fencing);
+  zone_drains_restore (machine->drains, state->drains);
 }
--- a/statemachine.h
+++ b/statemachine.h
@@ -1,7 +1,7 @@
 /**
  * @file statemachine.h
- * The replicated state: configuration, claims and order leases. Only committed
- * commands change it.
+ * The replicated state: configuration, claims, order leases and drained zones.
+ * Only committed commands change it.
  *
  * Its time is the control clock, which the leader writes into each command. The
  * clock never runs faster than real time and never goes back, so a lease or a
@@ -47,6 +47,10 @@
 /** Returns the number of leases. */
 size_t statemachine_lease_count (const statemachine_t *machine);
 
+/** Returns the last orders to drain zones, owned by the state and valid until
+ * the next change. */
+Lwm__ControlDrains *statemachine_drains (statemachine_t *machine);
+
 /** Returns the audit entries, oldest first, owned by the state. */
 Lwm__ControlAudit **statemachine_audit (const statemachine_t *machine,
                                         size_t *count);
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -184,7 +184,7 @@
 {
   uint64_t at_ms = MAX (member->paused_until_ms, now_ms);
 
-  if (!member->is_usable || member->is_leaving
+  if (!member->is_usable || member->is_leaving || member->is_drained
       || strcmp (member->service, request->service) != 0)
     return;
   if (upstream_limit_holds (&member->limit))
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -29,6 +29,7 @@
   GHashTable *by_key; /* key -> upstream_member_t, children of set */
   GPtrArray *members;
   GHashTable *jobs; /* id -> upstream_job_t, children of their member */
+  GHashTable *drained_zones; /* names */
 };
 
 double
@@ -58,6 +59,7 @@
   g_ptr_array_free (set->members, TRUE);
   g_hash_table_destroy (set->by_key);
   g_hash_table_destroy (set->jobs);
+  g_hash_table_destroy (set->drained_zones);
   return 0;
 }
 
@@ -70,6 +72,8 @@
   set->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
   set->members = g_ptr_array_new ();
   set->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
+  set->drained_zones
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   talloc_set_destructor (set, free_set);
   return set;
 }
@@ -104,6 +108,12 @@
   *text = talloc_strdup (member, value);
 }
 
+static void
+update_drained (const upstream_set_t *set, upstream_member_t *member)
+{
+  member->is_drained = g_hash_table_contains (set->drained_zones, member->zone);
+}
+
 static void
 update_member (upstream_set_t *set,
                const directory_t *directory,
@@ -122,6 +132,7 @@
   replace_text (member, &member->zone, entry->said.zone);
   replace_text (member, &member->service, entry->said.service);
   member->slots = entry->said.slots;
+  update_drained (set, member);
   member->is_silent = state == DIRECTORY_SILENT;
   member->is_usable = (state == DIRECTORY_READY || state == DIRECTORY_SILENT)
                       && !directory_is_replaced (directory, entry);
@@ -360,10 +371,22 @@
     member->answer_ms += CALL_TIME_WEIGHT * (took_ms - member->answer_ms);
 }
 
+void
+upstream_set_drain_zones (upstream_set_t *set,
+                          char *const *zones,
+                          size_t count)
+{
+  g_hash_table_remove_all (set->drained_zones);
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (set->drained_zones, g_strdup (zones[i]));
+  for (guint i = 0; i < set->members->len; i++)
+    update_drained (set, g_ptr_array_index (set->members, i));
+}
+
 bool
 upstream_member_is_available (const upstream_member_t *member, uint64_t now_ms)
 {
-  return member->is_usable && !member->is_leaving
+  return member->is_usable && !member->is_drained && !member->is_leaving
          && member->paused_until_ms <= now_ms;
 }
 
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -80,6 +80,7 @@
   char *service;
   uint32_t slots;
   bool is_usable; /**< ready or silent, and not replaced */
+  bool is_drained; /**< its zone gets no new requests, by an operator's order */
   bool is_silent; /**< its announcements are missing at the control instances */
   upstream_trust_t trust;
   uint64_t ejected_until_ms;
@@ -187,8 +188,17 @@
 void
 upstream_set_add_call_time (upstream_set_t *set, uint64_t key, double took_ms);
 
-/** Returns whether new requests may go to an upstream: it is usable, does not
- * leave and has not asked for a pause that still lasts. */
+/**
+ * Sets the availability zones whose upstreams get no new requests. Requests
+ * that were sent there before go on.
+ */
+void upstream_set_drain_zones (upstream_set_t *set,
+                               char *const *zones,
+                               size_t count);
+
+/** Returns whether new requests may go to an upstream: it is usable, its zone
+ * is not drained, it does not leave and has not asked for a pause that still
+ * lasts. */
 bool upstream_member_is_available (const upstream_member_t *member,
                                    uint64_t now_ms);
 
