--- a/control-client-watch.c
+++ b/control-client-watch.c
@@ -125,8 +125,9 @@
   set_revision_source (client, peer->index);
 }
 
-/** Returns whether a report may be the first one to be passed on: a replica that
- * may lack orders is believed only if no other one has answered for long. */
+/** Returns whether a report may be the first one to be passed on: a replica
+ * that may lack orders is believed only if no other one has answered for long.
+ */
 static bool
 may_begin_with (const control_client_t *client,
                 const Lwm__ControlDrainReport *report)
--- a/control-client.h
+++ b/control-client.h
@@ -48,8 +48,9 @@
 typedef void (*control_directory_cb_t) (const Lwm__ControlDirectory *part,
                                         void *context);
 
-/** Called with the drained zones when they are first known, and whenever a later
- * order for some zone was accepted. @a drains is valid only in the callback. */
+/** Called with the drained zones when they are first known, and whenever a
+ * later order for some zone was accepted. @a drains is valid only in the
+ * callback. */
 typedef void (*control_drains_cb_t) (const Lwm__ControlDrains *drains,
                                      void *context);
 
@@ -61,7 +62,7 @@
   uint64_t known_number; /**< number of the last known revision, or 0 */
   control_revision_cb_t on_revision;   /**< NULL: do not watch */
   control_directory_cb_t on_directory; /**< NULL: do not watch upstreams */
-  control_drains_cb_t on_drains; /**< NULL: do not watch drained zones */
+  control_drains_cb_t on_drains;       /**< NULL: do not watch drained zones */
   /** Address at which other entry instances reach this instance, or NULL. */
   const char *address;
   const char *zone; /**< availability zone of this instance, or NULL */
--- a/control-internal.h
+++ b/control-internal.h
@@ -2,10 +2,10 @@
  * @file control-internal.h
  * Interfaces shared by the source files that implement a control replica:
  * control-server.c (event loop, messages, applying entries), control-disk.c
- * (saving, snapshots), control-report.c (metrics, status), control-requests.c
- * (client requests), control-watch.c (clients that watch), control-group.c
- * (founding, joining, stopping) and control-group-change.c (membership). Other
- * files include control-server.h instead.
+ * (saving, snapshots), control-report.c (metrics, status, staleness),
+ * control-requests.c (client requests), control-watch.c (clients that watch),
+ * control-group.c (founding, joining, stopping) and control-group-change.c
+ * (membership). Other files include control-server.h instead.
  */
 #ifndef CONTROL_INTERNAL_H
 #define CONTROL_INTERNAL_H
--- a/control-report.c
+++ b/control-report.c
@@ -46,6 +46,32 @@
       ((control_server_t *)context)->machine);
 }
 
+static double
+read_drained_zones (void *context)
+{
+  const Lwm__ControlDrains *drains
+      = statemachine_drains (((control_server_t *)context)->machine);
+  size_t count = 0;
+
+  for (size_t i = 0; i < drains->n_zones; i++)
+    count += drains->zones[i]->drained;
+  return (double)count;
+}
+
+static double
+read_drains_version (void *context)
+{
+  return (double)statemachine_drains (((control_server_t *)context)->machine)
+      ->version;
+}
+
+static double
+read_watchers_behind (void *context)
+{
+  return (double)control_watch_count_behind (
+      ((control_server_t *)context)->watch);
+}
+
 static double
 read_voters (void *context)
 {
@@ -64,6 +90,20 @@
   return self != NULL && self->voter;
 }
 
+bool
+control_server_is_stale (const control_server_t *server)
+{
+  return !raft_has_recent_contact (server->raft, clock_mono_ms ())
+         || server->applied < raft_status (server->raft).commit;
+}
+
+bool
+control_server_may_lack_orders (const control_server_t *server)
+{
+  return !raft_has_recent_commit (server->raft, clock_mono_ms ())
+         || server->applied < raft_status (server->raft).commit;
+}
+
 void
 control_report_metrics (control_server_t *server)
 {
@@ -88,6 +128,15 @@
                       read_watchers, server);
   metrics_gauge_read (metrics, "lwm_control_claims", "Claims kept.", NULL,
                       read_claims, server);
+  metrics_gauge_read (metrics, "lwm_control_drained_zones",
+                      "Availability zones that are drained.", NULL,
+                      read_drained_zones, server);
+  metrics_gauge_read (metrics, "lwm_control_drains_version",
+                      "Log index of the last order to drain a zone.", NULL,
+                      read_drains_version, server);
+  metrics_gauge_read (metrics, "lwm_control_watchers_behind_drains",
+                      "Clients that have not confirmed the drained zones.",
+                      NULL, read_watchers_behind, server);
   counters->messages_in
       = metrics_counter (metrics, "lwm_control_messages_total",
                          "ZeroMQ messages.", "direction=\"in\"");
@@ -170,6 +219,7 @@
   status->config_digest = revision->digest;
   status->claims = (uint32_t)statemachine_claim_count (server->machine);
   status->leases = (uint32_t)statemachine_lease_count (server->machine);
+  status->drains = statemachine_drains (server->machine);
   status->audit = statemachine_audit (server->machine, &status->n_audit);
   return status;
 }
--- a/control-server.c
+++ b/control-server.c
@@ -190,20 +190,6 @@
   g_free (data);
 }
 
-bool
-control_server_is_stale (const control_server_t *server)
-{
-  return !raft_has_recent_contact (server->raft, clock_mono_ms ())
-         || server->applied < raft_status (server->raft).commit;
-}
-
-bool
-control_server_may_lack_orders (const control_server_t *server)
-{
-  return !raft_has_recent_commit (server->raft, clock_mono_ms ())
-         || server->applied < raft_status (server->raft).commit;
-}
-
 static void
 handle_peer_message (control_server_t *server,
                      const Lwm__ControlPeerMessage *message)
--- a/control-watch.c
+++ b/control-watch.c
@@ -42,9 +42,9 @@
 struct control_watch
 {
   control_server_t *server;
-  GHashTable *watchers;  /* GBytes client -> watcher_t */
-  GHashTable *instances; /* address -> instance_t, children of watch */
-  uint64_t last_version; /* version of the last instance */
+  GHashTable *watchers;         /* GBytes client -> watcher_t */
+  GHashTable *instances;        /* address -> instance_t, children of watch */
+  uint64_t last_version;        /* version of the last instance */
   uint64_t drains_known_by_all; /* version that all watchers knew, see
                                    log_when_all_know() */
   struct event *push_timer;
--- a/node-entry.c
+++ b/node-entry.c
@@ -58,9 +58,9 @@
   uint64_t first_config_ms; /* when the first configuration came into force,
                                else 0 */
   signal_time_t signal_time;
-  uint64_t stop_requested_ms; /* when a stop request was handled, else 0 */
-  uint64_t stop_earliest_ms;  /* when it may have been sent */
-  uint64_t stop_timeout_ms;   /* that was in force when it was handled */
+  uint64_t stop_requested_ms;    /* when a stop request was handled, else 0 */
+  uint64_t stop_earliest_ms;     /* when it may have been sent */
+  uint64_t stop_timeout_ms;      /* that was in force when it was handled */
   gateway_config_t *held_config; /* waits for the drained zones, or NULL */
   bool knows_drains;
   uint64_t drains_version;
@@ -387,6 +387,41 @@
   entry->control = control_client_new (entry, &options);
 }
 
+static double
+read_drained_zones (void *context)
+{
+  return (double)((node_entry_t *)context)->drained_count;
+}
+
+static double
+read_drains_version (void *context)
+{
+  return (double)((node_entry_t *)context)->drains_version;
+}
+
+static double
+read_drains_known (void *context)
+{
+  return ((node_entry_t *)context)->knows_drains;
+}
+
+static void
+add_metrics (node_entry_t *entry)
+{
+  metrics_t *metrics = daemon_metrics (entry->daemon);
+
+  metrics_gauge_read (metrics, "lwm_entry_drained_zones",
+                      "Availability zones whose upstreams get no new requests.",
+                      NULL, read_drained_zones, entry);
+  metrics_gauge_read (metrics, "lwm_entry_drains_version",
+                      "Log index of the last order to drain a zone.", NULL,
+                      read_drains_version, entry);
+  metrics_gauge_read (metrics, "lwm_entry_drains_known",
+                      "1 once the drained zones are known; without them no "
+                      "configuration comes into force.",
+                      NULL, read_drains_known, entry);
+}
+
 static int
 free_entry (node_entry_t *entry)
 {
@@ -426,6 +461,7 @@
     goto out;
   entry->parse_timer
       = event_new (daemon_base (entry->daemon), -1, 0, on_parse_timer, entry);
+  add_metrics (entry);
   set_up_control (entry);
   entry->tick
       = event_new (daemon_base (entry->daemon), -1, EV_PERSIST, on_tick, entry);
--- a/statemachine.c
+++ b/statemachine.c
@@ -153,8 +153,8 @@
       answer->detail = "author is out of bounds";
       return;
     }
-  answer->result = zone_drains_apply (machine->drains, index, order,
-                                      &answer->zone_drain);
+  answer->result
+      = zone_drains_apply (machine->drains, index, order, &answer->zone_drain);
   if (answer->result != LWM__CONTROL_RESULT__RESULT_OK)
     return;
   audit.who = order->who;
--- a/t/lib-node-serve.c
+++ b/t/lib-node-serve.c
@@ -28,6 +28,7 @@
   node_run_t *run;
   uint32_t number;
 
+  g_atomic_int_inc (&served->upstream->runs);
   g_mutex_lock (&all->lock);
   run = node_upstreams_record (all, served->id);
   number = ++run->runs;
--- a/t/lib-node-upstreams-internal.h
+++ b/t/lib-node-upstreams-internal.h
@@ -23,6 +23,7 @@
   int sequence;
   int listener;
   gint is_leaving;
+  gint runs; /* requests that it began to run */
   GThread *thread;
 } node_upstream_t;
 
--- a/t/lib-node-upstreams.c
+++ b/t/lib-node-upstreams.c
@@ -82,6 +82,12 @@
   g_atomic_int_set (&all->upstreams[index].is_leaving, is_leaving);
 }
 
+int
+node_upstreams_runs (node_upstreams_t *all, int index)
+{
+  return g_atomic_int_get (&all->upstreams[index].runs);
+}
+
 static gpointer
 accept_connections (gpointer context)
 {
--- a/t/lib-node-upstreams.h
+++ b/t/lib-node-upstreams.h
@@ -74,6 +74,10 @@
                                  int index,
                                  bool is_leaving);
 
+/** Returns how many requests an upstream has begun to run; the upstreams of "s"
+ * are 0 to 2, that of "p" is 3 and those of "e" are 4 to 6. */
+int node_upstreams_runs (node_upstreams_t *upstreams, int index);
+
 /** Returns the body that belongs to a request, freed with g_free(). */
 char *node_upstreams_request_body (const char *id);
 
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -46,6 +46,7 @@
 #define NODES_MEMBER_PREFIX "path-prefix"
 #define NODES_MEMBER_MEMORY "kv-capacity"
 #define NODES_PATH_CONFIG   "/config/put"
+#define NODES_PATH_DRAIN    "/evacuate/"
 
 typedef struct
 {
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -372,9 +372,7 @@
 }
 
 void
-upstream_set_drain_zones (upstream_set_t *set,
-                          char *const *zones,
-                          size_t count)
+upstream_set_drain_zones (upstream_set_t *set, char *const *zones, size_t count)
 {
   g_hash_table_remove_all (set->drained_zones);
   for (size_t i = 0; i < count; i++)
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -79,7 +79,7 @@
   char *zone;
   char *service;
   uint32_t slots;
-  bool is_usable; /**< ready or silent, and not replaced */
+  bool is_usable;  /**< ready or silent, and not replaced */
   bool is_drained; /**< its zone gets no new requests, by an operator's order */
   bool is_silent; /**< its announcements are missing at the control instances */
   upstream_trust_t trust;
--- a/zone-drains.c
+++ b/zone-drains.c
@@ -53,8 +53,7 @@
   bool was_drained = drain != NULL && drain->drained;
 
   *current = drain;
-  if (*order->zone == '\0'
-      || strlen (order->zone) > ZONE_DRAINS_MAX_NAME_BYTES)
+  if (*order->zone == '\0' || strlen (order->zone) > ZONE_DRAINS_MAX_NAME_BYTES)
     return LWM__CONTROL_RESULT__RESULT_BAD_REQUEST;
   if (order->known_index != (drain != NULL ? drain->index : 0))
     return LWM__CONTROL_RESULT__RESULT_CONFLICT;
--- a/zone-drains.h
+++ b/zone-drains.h
@@ -53,7 +53,6 @@
 
 /** Returns names of zones as one text for log lines, "none" without any; freed
  * with @a parent (talloc). */
-char *
-zone_drains_text (void *parent, char *const *names, size_t count);
+char *zone_drains_text (void *parent, char *const *names, size_t count);
 
 #endif
