zone drain: tell clients of orders that may not be committed

After a restart of the whole group, a replica holds acknowledged orders in its log before a leader has committed them again. An entry instance that starts while no replica is up to date treats these zones as drained until one is.

--- a/control-client-internal.h
+++ b/control-client-internal.h
@@ -1,7 +1,8 @@
 /**
  * @file control-client-internal.h
- * Shared by control-client.c (calls, connections) and control-client-watch.c
- * (watching revisions and upstreams). No other file includes this header.
+ * Shared by control-client.c (calls, connections), control-client-watch.c
+ * (watching revisions and upstreams) and control-client-drains.c (drained
+ * zones). No other file includes this header.
  */
 #ifndef CONTROL_CLIENT_INTERNAL_H
 #define CONTROL_CLIENT_INTERNAL_H
@@ -13,6 +14,9 @@
 #include "zone-drains.h"
 
 #define CONTROL_CLIENT_MAX_PEERS 16
+/** Time from the start in which the statements of replicas that may be behind
+ * are not used, as another replica may answer. */
+#define CONTROL_CLIENT_REJECT_STALE_MS 2000
 
 struct event;
 
@@ -63,7 +67,11 @@
   uint64_t behind_since_ms; /* since another peer has a later revision, or 0 */
   /* The drained zones with the highest version that was reported. */
   zone_drains_t *drains;
-  bool knows_drains; /* they were passed on */
+  /* Names of zones that orders drain which may not be committed; only while no
+     replica that is up to date has answered. */
+  GHashTable *uncommitted_drains;
+  bool knows_drains;     /* they were passed on */
+  bool confirmed_drains; /* a replica that was up to date has reported them */
   control_client_counters_t counters;
 };
 
@@ -83,6 +91,10 @@
 void control_client_accept_revision (control_client_t *client,
                                      const Lwm__ControlRevision *revision);
 
+/** Handles a report of drained zones, and passes them on when they change. */
+void control_client_accept_drains (control_client_t *client,
+                                   const Lwm__ControlDrainReport *report);
+
 /** Handles the answer of a peer to a watch request, or its later push. */
 void control_client_watch_answered (control_client_t *client,
                                     control_peer_t *peer,
--- a/control-client-watch.c
+++ b/control-client-watch.c
@@ -12,7 +12,6 @@
 #define FIRST_REPEAT_MS  250
 #define MAX_REPEAT_MS    2000
 #define WATCH_TIMEOUT_MS 2500 /* source timeout: next peer becomes source */
-#define REJECT_STALE_MS  2000 /* see is_watch_answer_usable() */
 #define MAX_BEHIND_MS    100  /* tolerated lag: the source may push later */
 #define KEEP_SOURCE_MS   5000 /* a new source is kept at least this long */
 
@@ -125,47 +124,16 @@
   set_revision_source (client, peer->index);
 }
 
-/** Returns whether a report may be the first one to be passed on: a replica
- * that may lack orders is believed only if no other one has answered for long.
- */
-static bool
-may_begin_with (const control_client_t *client,
-                const Lwm__ControlDrainReport *report)
-{
-  return !report->behind
-         || client->started_ms + REJECT_STALE_MS < clock_mono_ms ();
-}
-
-/** Passes the drained zones on when they are first known, and when a report has
- * a later version. */
-static void
-handle_drain_report (control_client_t *client,
-                     const Lwm__ControlDrainReport *report)
-{
-  const Lwm__ControlDrains *known = zone_drains_state (client->drains);
-  bool is_later
-      = report->drains != NULL && report->drains->version > known->version;
-
-  if (client->options.on_drains == NULL)
-    return;
-  if (is_later)
-    zone_drains_restore (client->drains, report->drains);
-  if (!is_later && client->knows_drains)
-    return;
-  client->knows_drains
-      = client->knows_drains || may_begin_with (client, report);
-  if (client->knows_drains)
-    client->options.on_drains (known, client->options.context);
-}
-
 /** Returns whether a revision may be used. The first one must not come from a
- * replica that may be behind, until REJECT_STALE_MS after the start. */
+ * replica that may be behind, until CONTROL_CLIENT_REJECT_STALE_MS after the
+ * start. */
 static bool
 is_watch_answer_usable (const control_client_t *client,
                         const Lwm__ControlAnswer *answer)
 {
   return !answer->stale || client->known > 0
-         || client->started_ms + REJECT_STALE_MS < clock_mono_ms ();
+         || client->started_ms + CONTROL_CLIENT_REJECT_STALE_MS
+                < clock_mono_ms ();
 }
 
 void
@@ -176,7 +144,7 @@
   if (!answer->stale)
     peer->fruitless_watches = 0;
   if (answer->drain_report != NULL)
-    handle_drain_report (client, answer->drain_report);
+    control_client_accept_drains (client, answer->drain_report);
   if (answer->revision != NULL && is_watch_answer_usable (client, answer))
     {
       control_client_accept_revision (client, answer->revision);
--- a/control-client.c
+++ b/control-client.c
@@ -353,6 +353,7 @@
   if (client->tick != NULL)
     event_free (client->tick);
   g_hash_table_destroy (client->calls);
+  g_hash_table_destroy (client->uncommitted_drains);
   return 0;
 }
 
@@ -368,6 +369,8 @@
   client->last_id = random_id ();
   client->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   client->drains = zone_drains_new (client);
+  client->uncommitted_drains
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   talloc_set_destructor (client, free_client);
   for (size_t i = 0; i < options->peer_count; i++)
     add_peer (client, options->peers[i]);
--- a/control-client.h
+++ b/control-client.h
@@ -48,10 +48,20 @@
 typedef void (*control_directory_cb_t) (const Lwm__ControlDirectory *part,
                                         void *context);
 
-/** Called with the drained zones when they are first known, and whenever a
- * later order for some zone was accepted. @a drains is valid only in the
- * callback. */
-typedef void (*control_drains_cb_t) (const Lwm__ControlDrains *drains,
+/** Availability zones whose upstreams get no new requests. */
+typedef struct
+{
+  uint64_t version; /**< log index of the last order */
+  char *const *zones;
+  size_t count;
+  /** A replica that was up to date has reported them or earlier ones. If not,
+   * zones of orders that may not be committed are included. */
+  bool is_confirmed;
+} control_drains_t;
+
+/** Called with the drained zones when they are first known, and when they may
+ * have changed. @a drains is valid only in the callback. */
+typedef void (*control_drains_cb_t) (const control_drains_t *drains,
                                      void *context);
 
 typedef struct
--- a/control-internal.h
+++ b/control-internal.h
@@ -4,8 +4,9 @@
  * control-server.c (event loop, messages, applying entries), control-disk.c
  * (saving, snapshots), control-report.c (metrics, status, staleness),
  * control-requests.c (client requests), control-watch.c (clients that watch),
- * control-group.c (founding, joining, stopping) and control-group-change.c
- * (membership). Other files include control-server.h instead.
+ * control-drains.c (report of drained zones), control-group.c (founding,
+ * joining, stopping) and control-group-change.c (membership). Other files
+ * include control-server.h instead.
  */
 #ifndef CONTROL_INTERNAL_H
 #define CONTROL_INTERNAL_H
@@ -166,6 +167,14 @@
  */
 void control_watch_push_directory (control_watch_t *watch, bool is_urgent);
 
+/** Returns the drained zones as this replica knows them, freed with @a parent
+ * (talloc). It points into the state and is valid until the next change. */
+Lwm__ControlDrainReport *control_drains_report (control_server_t *server,
+                                                void *parent);
+
+/** Logs the drained zones after a change. */
+void control_drains_log (control_server_t *server, size_t watchers);
+
 /** Pushes the drained zones to the clients that watch them. */
 void control_watch_push_drains (control_watch_t *watch);
 
--- a/control-report.c
+++ b/control-report.c
@@ -264,6 +264,12 @@
       json_object_set_string_member (object, "who", audit[i]->who);
       json_object_set_int_member (object, "when_ms", (gint64)audit[i]->when_ms);
       json_object_set_string_member (object, "result", result);
+      if (*audit[i]->zone != '\0')
+        {
+          json_object_set_string_member (object, "zone", audit[i]->zone);
+          json_object_set_string_member (object, "order",
+                                         audit[i]->drained ? "start" : "end");
+        }
       json_array_add_object_element (array, object);
     }
   return array;
--- a/control-watch.c
+++ b/control-watch.c
@@ -4,7 +4,6 @@
 
 #include "base.h"
 #include "control-internal.h"
-#include "zone-drains.h"
 #define LOG_PART "control"
 #include "logging.h"
 
@@ -140,18 +139,6 @@
   return part;
 }
 
-/** Returns the drained zones as this replica knows them. The content points
- * into the state and is valid until its next change. */
-static Lwm__ControlDrainReport
-make_drain_report (const control_watch_t *watch)
-{
-  Lwm__ControlDrainReport report = LWM__CONTROL_DRAIN_REPORT__INIT;
-
-  report.drains = statemachine_drains (watch->server->machine);
-  report.behind = control_server_may_lack_orders (watch->server);
-  return report;
-}
-
 /** Logs once for each version that all watchers know the drained zones. */
 static void
 log_when_all_know (control_watch_t *watch)
@@ -197,7 +184,6 @@
   watcher_t *watcher = find_or_add_watcher (watch, client);
   Lwm__ControlRevision *revision = statemachine_revision (server->machine);
   Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
-  Lwm__ControlDrainReport report = make_drain_report (watch);
   bool is_same_epoch
       = request->epoch == control_directory_epoch (server->directory);
   void *scratch = talloc_new (watch);
@@ -210,7 +196,7 @@
   if (!request->no_config && revision->number > request->known)
     answer.revision = revision;
   if (request->drains)
-    answer.drain_report = &report;
+    answer.drain_report = control_drains_report (server, scratch);
   if (request->directory)
     {
       answer.directory = make_directory_part (
@@ -272,33 +258,20 @@
     }
 }
 
-static void
-log_drains (const control_watch_t *watch, const Lwm__ControlDrains *drains)
-{
-  void *scratch = talloc_new (watch);
-  size_t count;
-  char **names = zone_drains_names (scratch, drains, &count);
-
-  log_info ("The drained zones have changed. zones=%s version=%ju watchers=%zu",
-            zone_drains_text (scratch, names, count),
-            (uintmax_t)drains->version, control_watch_count (watch));
-  talloc_free (scratch);
-}
-
 void
 control_watch_push_drains (control_watch_t *watch)
 {
   control_server_t *server = watch->server;
   Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
-  Lwm__ControlDrainReport report = make_drain_report (watch);
+  void *scratch = talloc_new (watch);
   GHashTableIter iter;
   gpointer key;
   gpointer value;
 
-  log_drains (watch, report.drains);
   expire_watchers (watch);
+  control_drains_log (server, g_hash_table_size (watch->watchers));
   answer.stale = control_server_is_stale (server);
-  answer.drain_report = &report;
+  answer.drain_report = control_drains_report (server, scratch);
   g_hash_table_iter_init (&iter, watch->watchers);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
@@ -309,6 +282,7 @@
       if (watcher->wants_drains)
         control_server_answer (server, client, size_bytes, &answer);
     }
+  talloc_free (scratch);
 }
 
 size_t
--- a/entry-control.c
+++ b/entry-control.c
@@ -248,6 +248,12 @@
       http_json_add_text (builder, "who", audit->who);
       http_json_add_number (builder, "when_ms", audit->when_ms);
       http_json_add_text (builder, "result", audit_result_name (audit->result));
+      if (*audit->zone != '\0')
+        {
+          http_json_add_text (builder, "zone", audit->zone);
+          http_json_add_text (builder, "order",
+                              audit->drained ? "start" : "end");
+        }
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -148,6 +148,7 @@
   replace_text (request, &request->upstream_address, member->address);
   request->predicted_ms = answer->first_ms;
   request->is_limited = answer->is_limited;
+  request->places_locally = false;
   request->has_head = false;
   g_byte_array_set_size (request->body, 0);
   gateway_begin_jobs (request, placed, answer);
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -124,6 +124,7 @@
   uint64_t sent_to[GATEWAY_MAX_ATTEMPTS];
   uint32_t sent_count;
   bool may_have_run;
+  bool places_locally; /* the placer does not know of a drained zone yet */
   zone_ask_t *ask; /* for an upstream, or to move a stalled attempt, or NULL */
 
   /* The current attempt. */
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -158,6 +158,14 @@
          && upstream_member_is_available (member, clock_mono_ms ());
 }
 
+static bool
+is_drained (const gateway_t *gateway, uint64_t key)
+{
+  const upstream_member_t *member = upstream_set_find (gateway->set, key);
+
+  return member != NULL && member->is_drained;
+}
+
 /** Returns whether this instance knows no reason not to send to an upstream.
  * @param is_granted the placer counted the request within its rate limit */
 static bool
@@ -205,6 +213,13 @@
   static const placement_answer_t none = { .kind = PLACEMENT_NO_UPSTREAM };
 
   drop_placement (request, placed, answer);
+  if (is_drained (request->gateway, unavailable))
+    {
+      /* Other upstreams of that placer may be in the same zone. */
+      request->places_locally = true;
+      gateway_place (request);
+      return;
+    }
   if (request->attempt_count >= GATEWAY_MAX_ATTEMPTS)
     {
       refuse_unplaced (request, &none);
@@ -252,6 +267,7 @@
 {
   placement_request_t placement = make_placement_request (request);
 
+  placement.is_local = request->places_locally;
   if (request->ask != NULL)
     zone_ask_cancel (request->ask);
   request->ask = NULL;
--- a/node-entry.c
+++ b/node-entry.c
@@ -198,20 +198,21 @@
 }
 
 static void
-on_drains (const Lwm__ControlDrains *drains, void *context)
+on_drains (const control_drains_t *drains, void *context)
 {
   node_entry_t *entry = context;
-  void *scratch = talloc_new (entry);
+  char *text = zone_drains_text (entry, drains->zones, drains->count);
   gateway_config_t *config = entry->held_config;
-  char **zones = zone_drains_names (scratch, drains, &entry->drained_count);
 
-  log_info ("Drained zones are in force. zones=%s version=%ju before=%ju",
-            zone_drains_text (scratch, zones, entry->drained_count),
-            (uintmax_t)drains->version, (uintmax_t)entry->drains_version);
+  log_info ("Drained zones are in force. zones=%s version=%ju before=%ju "
+            "confirmed=%d",
+            text, (uintmax_t)drains->version, (uintmax_t)entry->drains_version,
+            drains->is_confirmed);
+  talloc_free (text);
   entry->knows_drains = true;
   entry->drains_version = drains->version;
-  gateway_drain_zones (entry->gateway, zones, entry->drained_count);
-  talloc_free (scratch);
+  entry->drained_count = drains->count;
+  gateway_drain_zones (entry->gateway, drains->zones, drains->count);
   entry->held_config = NULL;
   if (config != NULL)
     apply_config (entry, config);
--- a/placer.h
+++ b/placer.h
@@ -45,6 +45,9 @@
   /** The request has been sent and gets no events: it is never queued, and
    * placed only if its upstreams should have sent one. */
   bool is_move;
+  /** This instance decides, as the placer does not know of a drained zone; not
+   * passed on to others. */
+  bool is_local;
   bool is_alone;      /**< see choice_request_t; not passed on to others */
   uint32_t silent_ms; /**< with is_move: time without an event */
   uint64_t current[PLACEMENT_MAX_JOBS]; /**< with is_move: its upstreams */
--- a/zone-ask.c
+++ b/zone-ask.c
@@ -35,7 +35,8 @@
   static const char *const names[ZONE_FALLBACK_COUNT]
       = { [ZONE_FALLBACK_TIMEOUT] = "timeout",
           [ZONE_FALLBACK_UNABLE] = "unable",
-          [ZONE_FALLBACK_UNKNOWN] = "unknown_upstream" };
+          [ZONE_FALLBACK_UNKNOWN] = "unknown_upstream",
+          [ZONE_FALLBACK_DRAINED] = "drained_zone" };
 
   return names[why];
 }
@@ -222,7 +223,9 @@
   placer_peer_t *peer
       = placer_ranking_placer (placement->ranking, NULL, clock_mono_ms ());
 
-  if (peer != ask->peer)
+  if (ask->request.is_local)
+    set_timer (ask, KEEP_ALIVE_MS);
+  else if (peer != ask->peer)
     {
       withdraw (ask);
       ask->tries = 0;
@@ -270,6 +273,11 @@
   ask->context = context;
   ask->timer = event_new (placement->options.base, -1, 0, on_ask_timer, ask);
   talloc_set_destructor (ask, free_ask);
+  if (request->is_local)
+    {
+      ask_locally (ask, ZONE_FALLBACK_DRAINED);
+      return ask;
+    }
   record_placer (placement, peer);
   ask_instance (ask, peer);
   return ask;
--- a/zone-placement-internal.h
+++ b/zone-placement-internal.h
@@ -22,6 +22,7 @@
   ZONE_FALLBACK_TIMEOUT, /* no instance answered in time */
   ZONE_FALLBACK_UNABLE,  /* the placer said that it cannot decide */
   ZONE_FALLBACK_UNKNOWN, /* the placer chose an upstream unknown here */
+  ZONE_FALLBACK_DRAINED, /* the placer did not know of a drained zone */
   ZONE_FALLBACK_COUNT,
 } zone_fallback_t;
 
