merge: draining of availability zones (first part)

Orders are replicated in the control group, pushed to entry instances and keep upstreams of drained zones from new requests. Cause: orders of operators to empty a zone were answered 404.

--- a/control-client-watch.c
+++ b/control-client-watch.c
@@ -12,7 +12,6 @@
 #define FIRST_REPEAT_MS  250
 #define MAX_REPEAT_MS    2000
 #define WATCH_TIMEOUT_MS 2500 /* source timeout: next peer becomes source */
-#define REJECT_STALE_MS  2000 /* see is_watch_answer_usable() */
 #define MAX_BEHIND_MS    100  /* tolerated lag: the source may push later */
 #define KEEP_SOURCE_MS   5000 /* a new source is kept at least this long */
 
@@ -126,13 +125,15 @@
 }
 
 /** Returns whether a revision may be used. The first one must not come from a
- * replica that may be behind, until REJECT_STALE_MS after the start. */
+ * replica that may be behind, until CONTROL_CLIENT_REJECT_STALE_MS after the
+ * start. */
 static bool
 is_watch_answer_usable (const control_client_t *client,
                         const Lwm__ControlAnswer *answer)
 {
   return !answer->stale || client->known > 0
-         || client->started_ms + REJECT_STALE_MS < clock_mono_ms ();
+         || client->started_ms + CONTROL_CLIENT_REJECT_STALE_MS
+                < clock_mono_ms ();
 }
 
 void
@@ -142,6 +143,8 @@
 {
   if (!answer->stale)
     peer->fruitless_watches = 0;
+  if (answer->drain_report != NULL)
+    control_client_accept_drains (client, answer->drain_report);
   if (answer->revision != NULL && is_watch_answer_usable (client, answer))
     {
       control_client_accept_revision (client, answer->revision);
@@ -181,6 +184,8 @@
   what.directory = client->options.on_directory != NULL;
   what.epoch = peer->epoch;
   what.version = peer->version;
+  what.drains = client->options.on_drains != NULL;
+  what.drains_version = zone_drains_state (client->drains)->version;
   if (client->options.address != NULL)
     what.address = (char *)client->options.address;
   if (client->options.zone != NULL)
--- a/control-internal.h
+++ b/control-internal.h
@@ -2,10 +2,11 @@
  * @file control-internal.h
  * Interfaces shared by the source files that implement a control replica:
  * control-server.c (event loop, messages, applying entries), control-disk.c
- * (saving, snapshots), control-report.c (metrics, status), control-requests.c
- * (client requests), control-watch.c (clients that watch), control-group.c
- * (founding, joining, stopping) and control-group-change.c (membership). Other
- * files include control-server.h instead.
+ * (saving, snapshots), control-report.c (metrics, status, staleness),
+ * control-requests.c (client requests), control-watch.c (clients that watch),
+ * control-drains.c (report of drained zones), control-group.c (founding,
+ * joining, stopping) and control-group-change.c (membership). Other files
+ * include control-server.h instead.
  */
 #ifndef CONTROL_INTERNAL_H
 #define CONTROL_INTERNAL_H
@@ -166,6 +167,21 @@
  */
 void control_watch_push_directory (control_watch_t *watch, bool is_urgent);
 
+/** Returns the drained zones as this replica knows them, freed with @a parent
+ * (talloc). It points into the state and is valid until the next change. */
+Lwm__ControlDrainReport *control_drains_report (control_server_t *server,
+                                                void *parent);
+
+/** Logs the drained zones after a change. */
+void control_drains_log (control_server_t *server, size_t watchers);
+
+/** Pushes the drained zones to the clients that watch them. */
+void control_watch_push_drains (control_watch_t *watch);
+
+/** Returns the number of clients that watch the drained zones and have not
+ * stated that they know the present ones. */
+size_t control_watch_count_behind (const control_watch_t *watch);
+
 /** Returns the number of clients that watch. */
 size_t control_watch_count (const control_watch_t *watch);
 
@@ -173,6 +189,11 @@
  * has not applied all entries that it knows to be committed. */
 bool control_server_is_stale (const control_server_t *server);
 
+/** Returns whether the replica may lack orders to drain zones that were
+ * acknowledged some time ago. Unlike control_server_is_stale(), this is also so
+ * until a new leader has committed an entry, and while a log is behind. */
+bool control_server_may_lack_orders (const control_server_t *server);
+
 /** Creates the membership part of a replica, freed with @a server (talloc). */
 control_group_t *control_group_new (control_server_t *server);
 
--- a/control-watch.c
+++ b/control-watch.c
@@ -4,6 +4,8 @@
 
 #include "base.h"
 #include "control-internal.h"
+#define LOG_PART "control"
+#include "logging.h"
 
 #define MAX_WATCHERS  4096
 #define MAX_INSTANCES 16384
@@ -22,7 +24,9 @@
   uint64_t expires_ms;
   bool wants_config;
   bool wants_directory;
-  uint64_t version; /* version of the directory last sent */
+  bool wants_drains;
+  uint64_t version;        /* version of the directory last sent */
+  uint64_t drains_version; /* of the drained zones that it says it knows */
 } watcher_t;
 
 /** An entry instance that has watched. It is kept when it stops, because it may
@@ -37,9 +41,11 @@
 struct control_watch
 {
   control_server_t *server;
-  GHashTable *watchers;  /* GBytes client -> watcher_t */
-  GHashTable *instances; /* address -> instance_t, children of watch */
-  uint64_t last_version; /* version of the last instance */
+  GHashTable *watchers;         /* GBytes client -> watcher_t */
+  GHashTable *instances;        /* address -> instance_t, children of watch */
+  uint64_t last_version;        /* version of the last instance */
+  uint64_t drains_known_by_all; /* version that all watchers knew, see
+                                   log_when_all_know() */
   struct event *push_timer;
 };
 
@@ -133,6 +139,21 @@
   return part;
 }
 
+/** Logs once for each version that all watchers know the drained zones. */
+static void
+log_when_all_know (control_watch_t *watch)
+{
+  uint64_t version = statemachine_drains (watch->server->machine)->version;
+
+  if (watch->drains_known_by_all == version
+      || control_watch_count_behind (watch) > 0)
+    return;
+  watch->drains_known_by_all = version;
+  log_info ("All watching instances know the drained zones. version=%ju "
+            "watchers=%zu",
+            (uintmax_t)version, control_watch_count (watch));
+}
+
 static void
 update_watcher (control_watch_t *watch,
                 watcher_t *watcher,
@@ -148,6 +169,10 @@
   watcher->wants_config = !request->no_config;
   watcher->wants_directory = request->directory;
   watcher->version = control_directory_version (server->directory);
+  watcher->wants_drains = request->drains;
+  watcher->drains_version = request->drains_version;
+  if (watcher->wants_drains)
+    log_when_all_know (watch);
 }
 
 void
@@ -170,6 +195,8 @@
   answer.stale = control_server_is_stale (server);
   if (!request->no_config && revision->number > request->known)
     answer.revision = revision;
+  if (request->drains)
+    answer.drain_report = control_drains_report (server, scratch);
   if (request->directory)
     {
       answer.directory = make_directory_part (
@@ -231,6 +258,51 @@
     }
 }
 
+void
+control_watch_push_drains (control_watch_t *watch)
+{
+  control_server_t *server = watch->server;
+  Lwm__ControlAnswer answer = LWM__CONTROL_ANSWER__INIT;
+  void *scratch = talloc_new (watch);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  expire_watchers (watch);
+  control_drains_log (server, g_hash_table_size (watch->watchers));
+  answer.stale = control_server_is_stale (server);
+  answer.drain_report = control_drains_report (server, scratch);
+  g_hash_table_iter_init (&iter, watch->watchers);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const watcher_t *watcher = value;
+      gsize size_bytes;
+      const uint8_t *client = g_bytes_get_data (key, &size_bytes);
+
+      if (watcher->wants_drains)
+        control_server_answer (server, client, size_bytes, &answer);
+    }
+  talloc_free (scratch);
+}
+
+size_t
+control_watch_count_behind (const control_watch_t *watch)
+{
+  uint64_t version = statemachine_drains (watch->server->machine)->version;
+  size_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, watch->watchers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const watcher_t *watcher = value;
+
+      count += watcher->wants_drains && watcher->drains_version < version;
+    }
+  return count;
+}
+
 static void
 on_push_timer (evutil_socket_t fd, short what, void *context)
 {
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -124,6 +124,7 @@
   uint64_t sent_to[GATEWAY_MAX_ATTEMPTS];
   uint32_t sent_count;
   bool may_have_run;
+  bool places_locally; /* the placer does not know of a drained zone yet */
   zone_ask_t *ask; /* for an upstream, or to move a stalled attempt, or NULL */
 
   /* The current attempt. */
@@ -216,6 +217,10 @@
 /** Creates the placement; returns false when its address cannot be bound. */
 bool gateway_open_placement (gateway_t *gateway);
 
+/** Returns whether this instance may not send the current attempt any more,
+ * because its upstream or a helper has become unavailable. */
+bool gateway_has_unavailable (const gateway_request_t *request);
+
 /** Starts an attempt at the upstream in @a answer. */
 void gateway_start_attempt (gateway_request_t *request,
                             const placement_request_t *placed,
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -149,6 +149,23 @@
                         UPSTREAM_JOB_NEUTRAL);
 }
 
+static bool
+is_available (const gateway_t *gateway, uint64_t key)
+{
+  const upstream_member_t *member = upstream_set_find (gateway->set, key);
+
+  return member != NULL
+         && upstream_member_is_available (member, clock_mono_ms ());
+}
+
+static bool
+is_drained (const gateway_t *gateway, uint64_t key)
+{
+  const upstream_member_t *member = upstream_set_find (gateway->set, key);
+
+  return member != NULL && member->is_drained;
+}
+
 /** Returns whether this instance knows no reason not to send to an upstream.
  * @param is_granted the placer counted the request within its rate limit */
 static bool
@@ -173,6 +190,19 @@
   return 0;
 }
 
+bool
+gateway_has_unavailable (const gateway_request_t *request)
+{
+  const gateway_t *gateway = request->gateway;
+
+  if (!is_available (gateway, request->upstream_key))
+    return true;
+  for (uint32_t i = 0; i < request->helper_count; i++)
+    if (!is_available (gateway, request->helpers[i].upstream_key))
+      return true;
+  return false;
+}
+
 /** Asks for another upstream than one that is not available here. */
 static void
 place_elsewhere (gateway_request_t *request,
@@ -183,6 +213,13 @@
   static const placement_answer_t none = { .kind = PLACEMENT_NO_UPSTREAM };
 
   drop_placement (request, placed, answer);
+  if (is_drained (request->gateway, unavailable))
+    {
+      /* Other upstreams of that placer may be in the same zone. */
+      request->places_locally = true;
+      gateway_place (request);
+      return;
+    }
   if (request->attempt_count >= GATEWAY_MAX_ATTEMPTS)
     {
       refuse_unplaced (request, &none);
@@ -230,6 +267,7 @@
 {
   placement_request_t placement = make_placement_request (request);
 
+  placement.is_local = request->places_locally;
   if (request->ask != NULL)
     zone_ask_cancel (request->ask);
   request->ask = NULL;
--- a/node-entry.c
+++ b/node-entry.c
@@ -13,6 +13,7 @@
 #include "packed-text.h"
 #include "signal-time.h"
 #include "statemachine.h"
+#include "zone-drains.h"
 #define LOG_PART "entry"
 #include "logging.h"
 
@@ -57,9 +58,13 @@
   uint64_t first_config_ms; /* when the first configuration came into force,
                                else 0 */
   signal_time_t signal_time;
-  uint64_t stop_requested_ms; /* when a stop request was handled, else 0 */
-  uint64_t stop_earliest_ms;  /* when it may have been sent */
-  uint64_t stop_timeout_ms;   /* that was in force when it was handled */
+  uint64_t stop_requested_ms;    /* when a stop request was handled, else 0 */
+  uint64_t stop_earliest_ms;     /* when it may have been sent */
+  uint64_t stop_timeout_ms;      /* that was in force when it was handled */
+  gateway_config_t *held_config; /* waits for the drained zones, or NULL */
+  bool knows_drains;
+  uint64_t drains_version;
+  size_t drained_count;
   bool was_ready;
   bool has_missed_end; /* it did not run when the last answers were due */
   bool has_ended;      /* daemon_exit() was called */
@@ -85,10 +90,17 @@
                     < clock_mono_ms ());
 }
 
+/** Puts a configuration in force. An instance that does not know the drained
+ * zones yet holds it, as it must not send to their upstreams. */
 static void
 apply_config (node_entry_t *entry, gateway_config_t *config)
 {
-  config->number = entry->parsing_number;
+  if (!entry->knows_drains)
+    {
+      talloc_free (entry->held_config);
+      entry->held_config = talloc_steal (entry, config);
+      return;
+    }
   gateway_set_config (entry->gateway, config);
   if (entry->first_config_ms == 0)
     entry->first_config_ms = clock_mono_ms ();
@@ -136,6 +148,7 @@
       event_add (entry->parse_timer, &parse_pause);
       break;
     case CONFIG_PARSED:
+      config->number = entry->parsing_number;
       apply_config (entry, config);
       begin_parsing_revision (entry);
       break;
@@ -184,6 +197,27 @@
     gateway_set_directory (entry->gateway, entry->directory);
 }
 
+static void
+on_drains (const control_drains_t *drains, void *context)
+{
+  node_entry_t *entry = context;
+  char *text = zone_drains_text (entry, drains->zones, drains->count);
+  gateway_config_t *config = entry->held_config;
+
+  log_info ("Drained zones are in force. zones=%s version=%ju before=%ju "
+            "confirmed=%d",
+            text, (uintmax_t)drains->version, (uintmax_t)entry->drains_version,
+            drains->is_confirmed);
+  talloc_free (text);
+  entry->knows_drains = true;
+  entry->drains_version = drains->version;
+  entry->drained_count = drains->count;
+  gateway_drain_zones (entry->gateway, drains->zones, drains->count);
+  entry->held_config = NULL;
+  if (config != NULL)
+    apply_config (entry, config);
+}
+
 static void
 on_status (struct evhttp_request *request, void *context)
 {
@@ -343,6 +377,7 @@
       = { .base = daemon_base (entry->daemon),
           .on_revision = on_revision,
           .on_directory = on_directory,
+          .on_drains = on_drains,
           .address = node_settings_own_address (entry, settings),
           .zone = talloc_strdup (entry, settings->zone),
           .context = entry,
@@ -353,6 +388,41 @@
   entry->control = control_client_new (entry, &options);
 }
 
+static double
+read_drained_zones (void *context)
+{
+  return (double)((node_entry_t *)context)->drained_count;
+}
+
+static double
+read_drains_version (void *context)
+{
+  return (double)((node_entry_t *)context)->drains_version;
+}
+
+static double
+read_drains_known (void *context)
+{
+  return ((node_entry_t *)context)->knows_drains;
+}
+
+static void
+add_metrics (node_entry_t *entry)
+{
+  metrics_t *metrics = daemon_metrics (entry->daemon);
+
+  metrics_gauge_read (metrics, "lwm_entry_drained_zones",
+                      "Availability zones whose upstreams get no new requests.",
+                      NULL, read_drained_zones, entry);
+  metrics_gauge_read (metrics, "lwm_entry_drains_version",
+                      "Log index of the last order to drain a zone.", NULL,
+                      read_drains_version, entry);
+  metrics_gauge_read (metrics, "lwm_entry_drains_known",
+                      "1 once the drained zones are known; without them no "
+                      "configuration comes into force.",
+                      NULL, read_drains_known, entry);
+}
+
 static int
 free_entry (node_entry_t *entry)
 {
@@ -392,6 +462,7 @@
     goto out;
   entry->parse_timer
       = event_new (daemon_base (entry->daemon), -1, 0, on_parse_timer, entry);
+  add_metrics (entry);
   set_up_control (entry);
   entry->tick
       = event_new (daemon_base (entry->daemon), -1, EV_PERSIST, on_tick, entry);
