--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -144,10 +144,9 @@
 gateway_fixture_new (void)
 {
   gateway_fixture_t *fixture = g_new0 (gateway_fixture_t, 1);
-  char share[32];
   gateway_options_t options = { .listen = fixture->listen,
                                 .zone = "z",
-                                .share_listen = share,
+                                .share_listen = fixture->share,
                                 .protocol = &protocol,
                                 .retry_percent = 20,
                                 .spare_retries = 3,
@@ -157,7 +156,7 @@
   fixture->metrics = options.metrics = metrics_new (NULL);
   fixture->directory = directory_new (NULL);
   scripted_find_free_address (fixture->base, fixture->listen);
-  scripted_find_free_address (fixture->base, share);
+  scripted_find_free_address (fixture->base, fixture->share);
   fixture->gateway = gateway_new (NULL, &options);
   g_assert_nonnull (fixture->gateway);
   for (int i = 0; i < GATEWAY_UPSTREAMS; i++)
--- a/t/lib-gateway.h
+++ b/t/lib-gateway.h
@@ -26,6 +26,7 @@
   directory_t *directory;
   scripted_t upstreams[GATEWAY_UPSTREAMS];
   char listen[32];
+  char share[32]; /* for other entry instances */
   /* The current caller. */
   struct bufferevent *caller;
   GString *answer;
