--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -516,3 +516,19 @@
 {
   g_usleep ((gulong)ms * 1000);
 }
+
+void
+cluster_empty_folder (const char *folder)
+{
+  GDir *dir = g_dir_open (folder, 0, NULL);
+  const char *name;
+
+  while ((name = g_dir_read_name (dir)) != NULL)
+    {
+      char *path = g_build_filename (folder, name, NULL);
+
+      g_unlink (path);
+      g_free (path);
+    }
+  g_dir_close (dir);
+}
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -45,6 +45,9 @@
  */
 const char *cluster_subfolder (cluster_t *cluster, const char *name);
 
+/** Removes the files in a folder. */
+void cluster_empty_folder (const char *folder);
+
 /** Writes a file below cluster_folder() and creates its parent folders. */
 void cluster_write (cluster_t *cluster, const char *path, const char *text);
 
--- a/t/t8200-node.c
+++ b/t/t8200-node.c
@@ -4,7 +4,6 @@
  * entry instance serves by them, also after restarts and lost disks.
  */
 #include <glib.h>
-#include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
 
@@ -107,22 +106,6 @@
   nodes_free (nodes);
 }
 
-static void
-empty_folder (const char *folder)
-{
-  GDir *dir = g_dir_open (folder, 0, NULL);
-  const char *name;
-
-  while ((name = g_dir_read_name (dir)) != NULL)
-    {
-      char *path = g_build_filename (folder, name, NULL);
-
-      g_unlink (path);
-      g_free (path);
-    }
-  g_dir_close (dir);
-}
-
 /** Returns whether the third instance votes and its first incarnation no longer
  * does. */
 static bool
@@ -146,7 +129,7 @@
   cluster_allow_self_kills (nodes->cluster);
   g_assert_cmpint (nodes_put_config (nodes, 1, 9), ==, 200);
   process_signal (nodes->process[2], SIGKILL);
-  empty_folder (cluster_subfolder (nodes->cluster, "node-2"));
+  cluster_empty_folder (cluster_subfolder (nodes->cluster, "node-2"));
   nodes->process[2] = nodes_start (nodes, 2, false);
   /* With another instance down, the quorum needs its vote. */
   CLUSTER_WAIT (is_voter_again (nodes));
--- a/t/t8323-gateway-zone-drain.c
+++ b/t/t8323-gateway-zone-drain.c
@@ -11,6 +11,8 @@
 #include "lib-gateway.h"
 
 #define REQUESTS 6
+/** Time between calls, in which the instances exchange their jobs. */
+#define CALL_INTERVAL_MS 100
 /** Longest time until a request is refused that no zone may serve. */
 #define REFUSAL_MS 500
 
@@ -111,9 +113,13 @@
          >= XXH64 (fixture->share, strlen (fixture->share), 0));
 }
 
+/** Returns whether the placer decides, after a call that tells. */
 static bool
 is_placed_by_other (gateway_fixture_t *fixture)
 {
+  uint64_t next_ms = clock_mono_ms () + CALL_INTERVAL_MS;
+
+  GATEWAY_WAIT (clock_mono_ms () >= next_ms);
   gateway_fixture_call (fixture, GET ("/safe/"), "body");
   return !gateway_fixture_metrics_have (
       fixture, "lwm_placement_decisions_total{by=\"placer\"} 0");
