--- a/control-client-drains.c
+++ b/control-client-drains.c
@@ -65,28 +65,59 @@
   talloc_free (scratch);
 }
 
+/** Returns whether a report may be used: of a new group that was started after
+ * the loss of the old one, a replica that is up to date must have told. */
+static bool
+is_of_group (const control_client_t *client,
+             const Lwm__ControlDrainReport *report)
+{
+  return client->drains_group == 0 || client->drains_group == report->group
+         || !report->behind;
+}
+
+/** Stores a state if it is later than the known one, or of a new group. Returns
+ * whether it is. */
+static bool
+store_state (control_client_t *client, const Lwm__ControlDrainReport *report)
+{
+  bool is_later
+      = report->drains->version > zone_drains_state (client->drains)->version;
+  bool is_new_group
+      = client->drains_group != 0 && client->drains_group != report->group;
+
+  client->drains_group = report->group;
+  if (is_later || is_new_group)
+    zone_drains_restore (client->drains, report->drains);
+  return is_later || is_new_group;
+}
+
+/** Records that a replica that is up to date has reported the known state.
+ * Returns whether it is the first one. */
+static bool
+confirm_state (control_client_t *client)
+{
+  if (client->confirmed_drains)
+    return false;
+  client->confirmed_drains = true;
+  g_hash_table_remove_all (client->uncommitted_drains);
+  return true;
+}
+
 void
 control_client_accept_drains (control_client_t *client,
                               const Lwm__ControlDrainReport *report)
 {
-  uint64_t version = zone_drains_state (client->drains)->version;
-  bool is_changed = false;
+  bool is_changed;
 
-  if (client->options.on_drains == NULL || report->drains == NULL)
+  if (client->options.on_drains == NULL || report->drains == NULL
+      || !is_of_group (client, report))
     return;
-  if (report->drains->version > version)
-    {
-      zone_drains_restore (client->drains, report->drains);
-      is_changed = true;
-    }
+  is_changed = store_state (client, report);
   if (!client->confirmed_drains && report->behind)
     is_changed = add_uncommitted (client, report) || is_changed;
-  if (!client->confirmed_drains && !report->behind
-      && report->drains->version >= version)
-    {
-      client->confirmed_drains = is_changed = true;
-      g_hash_table_remove_all (client->uncommitted_drains);
-    }
+  if (!report->behind
+      && report->drains->version == zone_drains_state (client->drains)->version)
+    is_changed = confirm_state (client) || is_changed;
   if ((is_changed || !client->knows_drains) && are_usable (client))
     pass_on (client);
 }
--- a/control-client-internal.h
+++ b/control-client-internal.h
@@ -70,6 +70,7 @@
   /* Names of zones that orders drain which may not be committed; only while no
      replica that is up to date has answered. */
   GHashTable *uncommitted_drains;
+  uint64_t drains_group; /* group that the version is of, 0 for none yet */
   bool knows_drains;     /* they were passed on */
   bool confirmed_drains; /* a replica that was up to date has reported them */
   control_client_counters_t counters;
--- a/control-drains.c
+++ b/control-drains.c
@@ -40,6 +40,7 @@
 
   lwm__control_drain_report__init (report);
   report->drains = statemachine_drains (server->machine);
+  report->group = raft_status (server->raft).group;
   report->behind = control_server_may_lack_orders (server);
   if (!report->behind)
     return report;
--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -67,7 +67,7 @@
     g_string_append_printf (text, "%s\"%s:%d\"", i > 0 ? ", " : "",
                             nodes->ip[nodes->seeds[i]], nodes->port);
   g_string_append (text, "]\nzones: [");
-  for (int i = 0; i < nodes->zones; i++)
+  for (int i = 0; i < nodes->zones && i < MAX_ZONES; i++)
     g_string_append_printf (text, "%s%s", i > 0 ? ", " : "", zone_names[i]);
   g_string_append (text, "]\n");
   if (!is_entry (nodes, index))
--- a/t/t8321-zone-drain-reports.c
+++ b/t/t8321-zone-drain-reports.c
@@ -148,6 +148,7 @@
 {
   mq_t *router;
   char address[ADDRESS_BYTES];
+  uint64_t group;
   uint64_t version;
   bool is_behind;
   const char *drained;     /* or NULL */
@@ -188,6 +189,7 @@
   drains.n_zones = instance->drained != NULL;
   report.drains = &drains;
   report.behind = instance->is_behind;
+  report.group = instance->group;
   report.uncommitted = (char **)&instance->uncommitted;
   report.n_uncommitted = instance->uncommitted != NULL;
   answer.name = instance->address;
@@ -296,6 +298,33 @@
   clear (&fixture);
 }
 
+/** Guards against an instance that keeps the drained zones of a lost group for
+ * ever, as the log of the new one is shorter; and against one that believes a
+ * replica of a new group that is not up to date. */
+static void
+test_new_group (void)
+{
+  fixture_t fixture;
+  instance_t instance = { .group = 1, .version = 9, .drained = "a" };
+  struct event_base *base;
+  uint64_t quiet_until_ms;
+
+  set_up (&fixture, &instance);
+  base = fixture.base;
+  WAIT (fixture.reports > 0);
+  fixture.instance.group = 2;
+  fixture.instance.version = 3;
+  fixture.instance.drained = NULL;
+  fixture.instance.is_behind = true;
+  quiet_until_ms = clock_mono_ms () + 2500;
+  WAIT (clock_mono_ms () >= quiet_until_ms);
+  g_assert_cmpuint (fixture.version, ==, 9);
+  fixture.instance.is_behind = false;
+  WAIT (fixture.version == 3);
+  g_assert_cmpuint (fixture.count, ==, 0);
+  clear (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -305,5 +334,6 @@
   g_test_add_func ("/zone-drain-reports/pause", test_pause);
   g_test_add_func ("/zone-drain-reports/replica-behind", test_replica_behind);
   g_test_add_func ("/zone-drain-reports/older-version", test_older_version);
+  g_test_add_func ("/zone-drain-reports/new-group", test_new_group);
   return g_test_run ();
 }
--- a/zone-drains.c
+++ b/zone-drains.c
@@ -1,5 +1,6 @@
 #include "zone-drains.h"
 
+#include <stdbool.h>
 #include <string.h>
 #include <talloc.h>
 
