placement: give a zone its placer at once after a common start

Cause: after all instances started together, a zone had its placer only after 2 to 3 s: the first report came at a random time of a second, the view of the jobs had to be 1.2 s old, and the others learned of it with the acknowledgement of their next report. All interrupted requests come back in that time and each instance placed alone.

Change: reports and acknowledgements state the age of the zone's oldest known instance. While it is below 3 s there are no older jobs, and the first instance in rank is placer when all have reported, another one after 250 ms. A new receiver is sent all jobs at once, and a change of is_able is acknowledged at once. Requests wait up to 100 ms for the placer. The first 150 ms are spread over all engines. An instance that is not able answers so, instead of choosing without its zone's jobs.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -79,7 +79,7 @@
 {
   double cost = RANDOM_COST_SHARE * random_share (request, member);
 
-  if (load->held == 0)
+  if (load->held == 0 && !request->spreads)
     cost += EMPTY_ENGINE_COST_SHARE;
   if (strcmp (member->zone, request->zone) != 0)
     cost += OTHER_ZONE_COST_SHARE;
--- a/load-batch.c
+++ b/load-batch.c
@@ -93,9 +93,13 @@
  * Sends @a jobs together with the other changes of a batch, which becomes
  * empty.
  * @param whole @a jobs are all jobs
+ * @param zone_age_ms with @a whole, see load_batch_send_whole()
  */
 static void
-send_update (load_batch_t *batch, const GArray *jobs, bool whole)
+send_update (load_batch_t *batch,
+             const GArray *jobs,
+             bool whole,
+             uint32_t zone_age_ms)
 {
   Lwm__ShareUpdate update = LWM__SHARE_UPDATE__INIT;
   uint64_t now_ms = clock_mono_ms ();
@@ -123,6 +127,7 @@
       update.zone = (char *)batch->options.zone;
       update.address = (char *)batch->options.address;
       update.sent_ms = (uint32_t)now_ms;
+      update.zone_age_ms = zone_age_ms;
     }
   send_to_targets (batch, &update);
   g_array_set_size (batch->begun, 0);
@@ -142,7 +147,7 @@
 {
   load_batch_t *batch = context;
 
-  send_update (batch, batch->begun, false);
+  send_update (batch, batch->begun, false, 0);
 }
 
 /** Schedules a batch, unless one is scheduled. */
@@ -215,13 +220,15 @@
   if (!event_pending (batch->timer, EV_TIMEOUT, NULL))
     return;
   event_del (batch->timer);
-  send_update (batch, batch->begun, false);
+  send_update (batch, batch->begun, false, 0);
 }
 
 void
-load_batch_send_whole (load_batch_t *batch, const GArray *jobs)
+load_batch_send_whole (load_batch_t *batch,
+                       const GArray *jobs,
+                       uint32_t zone_age_ms)
 {
-  send_update (batch, jobs, true);
+  send_update (batch, jobs, true, zone_age_ms);
 }
 
 GPtrArray *
--- a/load-batch.h
+++ b/load-batch.h
@@ -54,7 +54,10 @@
 /**
  * Sends all jobs, with the changes that wait.
  * @param jobs array of upstream_job_t
+ * @param zone_age_ms see ShareUpdate in proto/share.proto
  */
-void load_batch_send_whole (load_batch_t *batch, const GArray *jobs);
+void load_batch_send_whole (load_batch_t *batch,
+                            const GArray *jobs,
+                            uint32_t zone_age_ms);
 
 #endif
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -186,9 +186,10 @@
     share->options.on_change (share->options.context);
 }
 
-/** Acknowledges a whole update. */
-static void
-send_ack (load_share_t *share, uint64_t incarnation, uint32_t sent_ms)
+void
+load_share_send_ack (load_share_t *share,
+                     uint64_t incarnation,
+                     uint32_t sent_ms)
 {
   Lwm__ShareMessage message = LWM__SHARE_MESSAGE__INIT;
   Lwm__ShareAck ack = LWM__SHARE_ACK__INIT;
@@ -196,6 +197,7 @@
 
   ack.sent_ms = sent_ms;
   ack.is_able = share->options.is_able (share->options.context);
+  ack.zone_age_ms = load_share_zone_age_ms (share, clock_mono_ms ());
   if (share->options.quarantine != NULL)
     quarantine_to_ack (share->options.quarantine, clock_mono_ms (), scratch,
                        &ack);
@@ -205,16 +207,6 @@
   talloc_free (scratch);
 }
 
-/** Extends the time for which this instance has known its zone's jobs. */
-static void
-extend_view (load_share_t *share, uint64_t now_ms)
-{
-  if (share->view_since_ms == 0
-      || share->view_heard_ms + LOAD_VIEW_TIMEOUT_MS < now_ms)
-    share->view_since_ms = now_ms;
-  share->view_heard_ms = now_ms;
-}
-
 /** Forgets earlier incarnations of an instance of the own zone: another one
  * listens at their address. */
 static void
@@ -256,8 +248,14 @@
       sender->address = g_strdup (update->address);
       forget_earlier_incarnations (share, sender);
     }
+  sender->sent_ms = update->sent_ms;
   if (update->is_zone && peer != NULL)
     placer_ranking_on_acting (peer, now_ms);
+  if (update->is_zone)
+    return;
+  load_share_on_zone_age (share, update->zone_age_ms, now_ms);
+  if (peer != NULL)
+    placer_ranking_on_report (peer, now_ms);
 }
 
 static void
@@ -275,10 +273,11 @@
   if (update->whole)
     update_sender (share, sender, update, now_ms);
   if (sender->is_own_zone)
-    extend_view (share, now_ms);
+    load_share_extend_view (share, now_ms);
   apply_update (share, sender, update, now_ms);
+  load_share_check_able (share);
   if (update->whole)
-    send_ack (share, incarnation, update->sent_ms);
+    load_share_send_ack (share, incarnation, update->sent_ms);
 }
 
 void
@@ -295,9 +294,12 @@
     receive_update (share, message->sender, message->update);
   else if (message->what_case == LWM__SHARE_MESSAGE__WHAT_ACK && peer != NULL)
     {
+      if (placer_ranking_is_own_zone (share->options.ranking, peer))
+        load_share_on_zone_age (share, message->ack->zone_age_ms, now_ms);
       placer_ranking_on_ack (peer, message->ack->is_able,
                              (uint32_t)now_ms - message->ack->sent_ms, now_ms);
       if (share->options.quarantine != NULL)
         quarantine_from_ack (share->options.quarantine, message->ack, now_ms);
+      load_share_check_able (share);
     }
 }
--- a/load-share.c
+++ b/load-share.c
@@ -21,8 +21,10 @@
 /** Time for which an instance that placed a request for another one reports its
  * zone's jobs. */
 #define ACTING_MS 3000
-/** Time after which a view without a gap is complete. */
-#define COMPLETE_MS 1200
+/** Shortest time between two updates of all jobs; one that a new receiver needs
+ * is sent after a random delay, as many instances may learn of it together. */
+#define MIN_WHOLE_INTERVAL_MS 100
+#define MAX_WHOLE_DELAY_MS    20
 
 static void
 free_sender (gpointer data)
@@ -39,6 +41,7 @@
 {
   event_free (share->tick);
   event_free (share->check);
+  event_free (share->gather);
   g_hash_table_destroy (share->senders);
   return 0;
 }
@@ -127,10 +130,14 @@
           .jobs = g_array_new (FALSE, FALSE, sizeof (upstream_job_t)) };
 
   load_batch_t *batch = is_zone ? share->zone : share->own;
+  uint64_t now_ms = clock_mono_ms ();
 
   upstream_set_each_job (share->options.set, collect_job, &collection);
   add_limits (share, batch);
-  load_batch_send_whole (batch, collection.jobs);
+  load_batch_send_whole (batch, collection.jobs,
+                         load_share_zone_age_ms (share, now_ms));
+  if (!is_zone)
+    share->whole_ms = now_ms;
   g_array_free (collection.jobs, TRUE);
 }
 
@@ -278,16 +285,59 @@
     }
 }
 
+static void
+schedule_tick (load_share_t *share, uint64_t wait_ms)
+{
+  struct timeval wait = timeval_from_ms (wait_ms);
+
+  share->tick_ms = clock_mono_ms () + wait_ms;
+  event_add (share->tick, &wait);
+}
+
+/** Sends all jobs soon, to receivers that do not know them yet. */
+static void
+send_whole_soon (load_share_t *share, uint64_t now_ms)
+{
+  uint64_t earliest_ms = MAX (share->whole_ms + MIN_WHOLE_INTERVAL_MS, now_ms);
+  uint64_t due_ms = earliest_ms + random_id () % MAX_WHOLE_DELAY_MS;
+
+  if (due_ms < share->tick_ms)
+    schedule_tick (share, due_ms - now_ms);
+}
+
+/** Returns whether an array of instances has one that another lacks. */
+static bool
+has_new (const GPtrArray *now, const GPtrArray *before)
+{
+  for (guint i = 0; i < now->len; i++)
+    if (!g_ptr_array_find ((GPtrArray *)before, g_ptr_array_index (now, i),
+                           NULL))
+      return true;
+  return false;
+}
+
+/** Chooses the instances of the own zone that receive updates. */
+static void
+update_own_targets (load_share_t *share, uint64_t now_ms)
+{
+  GPtrArray *own = load_batch_targets (share->own);
+  GPtrArray *before = g_ptr_array_copy (own, NULL, NULL);
+
+  g_ptr_array_set_size (own, 0);
+  placer_ranking_own_targets (share->options.ranking, now_ms, own);
+  if (has_new (own, before))
+    send_whole_soon (share, now_ms);
+  g_ptr_array_free (before, TRUE);
+}
+
 void
 load_share_update_targets (load_share_t *share)
 {
   uint64_t now_ms = clock_mono_ms ();
-  GPtrArray *own = load_batch_targets (share->own);
   GPtrArray *zone = load_batch_targets (share->zone);
 
-  g_ptr_array_set_size (own, 0);
   g_ptr_array_set_size (zone, 0);
-  placer_ranking_own_targets (share->options.ranking, now_ms, own);
+  update_own_targets (share, now_ms);
   if (is_acting (share, now_ms))
     placer_ranking_zone_targets (share->options.ranking, now_ms, zone);
 }
@@ -296,17 +346,15 @@
 on_tick (evutil_socket_t fd, short what, void *context)
 {
   load_share_t *share = context;
-  /* Instances that started together must not report at the same moment. */
-  struct timeval wait
-      = timeval_from_ms (WHOLE_INTERVAL_MS - WHOLE_INTERVAL_MS / 8
-                         + random_id () % (WHOLE_INTERVAL_MS / 4));
 
   load_share_update_targets (share);
   send_whole (share, false);
   if (load_batch_targets (share->zone)->len > 0)
     send_whole (share, true);
   share_link_tick (share->options.link, clock_mono_ms ());
-  event_add (share->tick, &wait);
+  /* Instances that started together must not report at the same moment. */
+  schedule_tick (share, WHOLE_INTERVAL_MS - WHOLE_INTERVAL_MS / 8
+                            + random_id () % (WHOLE_INTERVAL_MS / 4));
 }
 
 static void
@@ -314,26 +362,24 @@
 {
   load_share_t *share = context;
   uint64_t now_ms = clock_mono_ms ();
-  bool was_acting = load_batch_targets (share->zone)->len > 0;
 
   remove_silent_senders (share, now_ms);
-  if (was_acting || !is_acting (share, now_ms))
+  load_share_check_able (share);
+  load_share_check_acting (share, now_ms);
+}
+
+void
+load_share_check_acting (load_share_t *share, uint64_t now_ms)
+{
+  if (load_batch_targets (share->zone)->len > 0 || !is_acting (share, now_ms))
     return;
-  /* The placer was lost: other zones must learn that the jobs that it reported
-   * go on. */
+  /* The placer was lost, or the zone has just started: other zones must learn
+   * of the jobs that go on. */
   load_share_update_targets (share);
   if (load_batch_targets (share->zone)->len > 0)
     send_whole (share, true);
 }
 
-bool
-load_share_is_complete (const load_share_t *share, uint64_t now_ms)
-{
-  return share->view_since_ms > 0
-         && share->view_heard_ms + LOAD_VIEW_TIMEOUT_MS > now_ms
-         && share->view_since_ms + COMPLETE_MS <= now_ms;
-}
-
 void
 load_share_act (load_share_t *share, uint64_t now_ms)
 {
@@ -387,10 +433,10 @@
 load_share_new (void *parent, const load_share_options_t *options)
 {
   load_share_t *share = talloc_zero (parent, load_share_t);
-  struct timeval first = timeval_from_ms (random_id () % WHOLE_INTERVAL_MS);
   struct timeval check = timeval_from_ms (CHECK_INTERVAL_MS);
 
   share->options = *options;
+  share->zone_born_ms = clock_mono_ms ();
   pause_detector_update (&share->pauses, CHECK_INTERVAL_MS, clock_mono_ms ());
   share->senders
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_sender);
@@ -399,9 +445,10 @@
   share->zone = new_batch (share, true);
   share->tick = event_new (options->base, -1, 0, on_tick, share);
   share->check = event_new (options->base, -1, EV_PERSIST, on_check, share);
+  share->gather = event_new (options->base, -1, 0, load_share_on_gather, share);
   talloc_set_destructor (share, free_share);
   event_add (share->check, &check);
-  event_add (share->tick, &first);
+  schedule_tick (share, random_id () % WHOLE_INTERVAL_MS);
   return share;
 }
 
--- a/load-share.h
+++ b/load-share.h
@@ -64,11 +64,28 @@
                          const char *address);
 
 /**
- * Returns whether this instance has received the jobs of its zone for long
- * enough to know them all.
+ * Returns whether this instance knows all jobs of its zone: it has received
+ * them for long enough, or all instances of the zone have just started and have
+ * reported their jobs.
  */
 bool load_share_is_complete (const load_share_t *share, uint64_t now_ms);
 
+/**
+ * Returns whether the zone has just started as a whole, as far as this instance
+ * knows, and this instance does not yet know its jobs. A placer is to be
+ * expected within a fraction of a second.
+ */
+bool load_share_is_starting (const load_share_t *share, uint64_t now_ms);
+
+/** Returns whether no instance of the zone has run for long, as far as this one
+ * knows. */
+bool load_share_is_new_zone (const load_share_t *share, uint64_t now_ms);
+
+/** Informs the instances that report to this one if it has become able to
+ * choose upstreams for them, or is no longer. To be called after a change on
+ * which is_able() depends. */
+void load_share_check_able (load_share_t *share);
+
 /** Records that this instance chooses upstreams for others now, and so reports
  * the jobs of its zone to other zones for some time. */
 void load_share_act (load_share_t *share, uint64_t now_ms);
--- a/placer-ranking.c
+++ b/placer-ranking.c
@@ -103,8 +103,9 @@
   return g_hash_table_lookup (ranking->by_address, address);
 }
 
-static bool
-is_own_zone (const placer_ranking_t *ranking, const placer_peer_t *peer)
+bool
+placer_ranking_is_own_zone (const placer_ranking_t *ranking,
+                            const placer_peer_t *peer)
 {
   return strcmp (peer->zone, ranking->own_zone) == 0;
 }
@@ -113,11 +114,39 @@
 placer_ranking_has_own_zone (const placer_ranking_t *ranking)
 {
   for (guint i = 0; i < ranking->peers->len; i++)
-    if (is_own_zone (ranking, g_ptr_array_index (ranking->peers, i)))
+    if (placer_ranking_is_own_zone (ranking,
+                                    g_ptr_array_index (ranking->peers, i)))
       return true;
   return false;
 }
 
+bool
+placer_ranking_has_all_reports (const placer_ranking_t *ranking)
+{
+  for (guint i = 0; i < ranking->peers->len; i++)
+    {
+      const placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
+
+      if (placer_ranking_is_own_zone (ranking, peer) && peer->reported_ms == 0)
+        return false;
+    }
+  return true;
+}
+
+bool
+placer_ranking_is_first (const placer_ranking_t *ranking)
+{
+  for (guint i = 0; i < ranking->peers->len; i++)
+    {
+      const placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
+
+      if (placer_ranking_is_own_zone (ranking, peer)
+          && peer->rank < ranking->own_rank)
+        return false;
+    }
+  return true;
+}
+
 static bool
 is_usable (const placer_peer_t *peer, uint64_t now_ms)
 {
@@ -142,7 +171,7 @@
     {
       placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
 
-      if (!is_own_zone (ranking, peer) || peer == skipped
+      if (!placer_ranking_is_own_zone (ranking, peer) || peer == skipped
           || !is_usable (peer, now_ms))
         continue;
       return peer->rank < ranking->own_rank ? peer : NULL;
@@ -168,7 +197,8 @@
     {
       placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
 
-      if (!is_own_zone (ranking, peer) || !is_tried (peer, now_ms))
+      if (!placer_ranking_is_own_zone (ranking, peer)
+          || !is_tried (peer, now_ms))
         continue;
       if (usable >= OWN_ZONE_TARGETS || count >= MAX_ZONE_TARGETS)
         break;
@@ -193,7 +223,7 @@
       bool is_acting
           = peer->acting_ms > 0 && peer->acting_ms + ACTING_MS > now_ms;
 
-      if (is_own_zone (ranking, peer))
+      if (placer_ranking_is_own_zone (ranking, peer))
         continue;
       if (strcmp (zone, peer->zone) != 0)
         {
@@ -228,6 +258,12 @@
   peer->acting_ms = now_ms;
 }
 
+void
+placer_ranking_on_report (placer_peer_t *peer, uint64_t now_ms)
+{
+  peer->reported_ms = now_ms;
+}
+
 void
 placer_ranking_on_timeout (placer_peer_t *peer)
 {
--- a/placer-ranking.h
+++ b/placer-ranking.h
@@ -26,12 +26,13 @@
 {
   char *address; /**< IP:PORT */
   char *zone;
-  uint64_t rank;      /**< the lowest of a zone comes first */
-  uint64_t acked_ms;  /**< when its last acknowledgement came, 0 for none */
-  uint64_t added_ms;  /**< when it became known */
-  uint64_t acting_ms; /**< when it last reported its zone's jobs, 0: never */
-  bool is_able;       /**< as it said in its last acknowledgement */
-  bool is_slow;       /**< a request to it timed out */
+  uint64_t rank;        /**< the lowest of a zone comes first */
+  uint64_t acked_ms;    /**< when its last acknowledgement came, 0 for none */
+  uint64_t added_ms;    /**< when it became known */
+  uint64_t acting_ms;   /**< when it last reported its zone's jobs, 0: never */
+  uint64_t reported_ms; /**< when it last reported all its jobs, 0: never */
+  bool is_able;         /**< as it said in its last acknowledgement */
+  bool is_slow;         /**< a request to it timed out */
 } placer_peer_t;
 
 typedef struct placer_ranking placer_ranking_t;
@@ -51,9 +52,21 @@
 /** Returns the number of other instances. */
 uint32_t placer_ranking_count (const placer_ranking_t *ranking);
 
+/** Returns whether an instance is in the own zone. */
+bool placer_ranking_is_own_zone (const placer_ranking_t *ranking,
+                                 const placer_peer_t *peer);
+
 /** Returns whether another instance of the own zone is known. */
 bool placer_ranking_has_own_zone (const placer_ranking_t *ranking);
 
+/** Returns whether all known instances of the own zone have reported their
+ * jobs. */
+bool placer_ranking_has_all_reports (const placer_ranking_t *ranking);
+
+/** Returns whether no known instance of the own zone, usable or not, precedes
+ * this one. */
+bool placer_ranking_is_first (const placer_ranking_t *ranking);
+
 /** Returns the instance with this address, or NULL. */
 placer_peer_t *placer_ranking_find (const placer_ranking_t *ranking,
                                     const char *address);
@@ -99,6 +112,9 @@
 /** Records that an instance reported the jobs of its zone. */
 void placer_ranking_on_acting (placer_peer_t *peer, uint64_t now_ms);
 
+/** Records that an instance of the own zone reported all its jobs. */
+void placer_ranking_on_report (placer_peer_t *peer, uint64_t now_ms);
+
 /** Records that an instance did not answer a request in time. */
 void placer_ranking_on_timeout (placer_peer_t *peer);
 
--- a/placer.c
+++ b/placer.c
@@ -32,7 +32,8 @@
 struct placer
 {
   placer_options_t options;
-  GPtrArray *queue; /* queued_t, children of placer */
+  GPtrArray *queue;         /* queued_t, children of placer */
+  uint64_t spread_until_ms; /* see placer_spread_until() */
 };
 
 /** The smallest requests of a pass that found no room, by service. */
@@ -60,6 +61,12 @@
   return placer;
 }
 
+void
+placer_spread_until (placer_t *placer, uint64_t until_ms)
+{
+  placer->spread_until_ms = until_ms;
+}
+
 uint32_t
 placement_jobs (const placement_request_t *request,
                 const placement_answer_t *answer,
@@ -127,6 +134,7 @@
     .zone_cost_ms = placer->options.zone_cost_ms,
     .queued = placer->queue->len,
     .is_alone = request->is_alone,
+    .spreads = now_ms < placer->spread_until_ms,
     .random = (uint32_t)random_id (),
   };
 }
--- a/placer.h
+++ b/placer.h
@@ -140,6 +140,10 @@
  */
 void placer_run (placer_t *placer, uint64_t now_ms);
 
+/** Makes the placer spread requests over all engines until a time, as long as
+ * little is known of them. */
+void placer_spread_until (placer_t *placer, uint64_t until_ms);
+
 /** Returns the number of queued requests. */
 uint32_t placer_queued (const placer_t *placer);
 
--- a/t/bench-placement.c
+++ b/t/bench-placement.c
@@ -1,15 +1,16 @@
 /*
  * Compares ways of choosing upstreams with 24, 80 and 300 instances on
  * simulated engines: each instance by a view of its own, and one placer for
- * each zone.
+ * each zone. Then compares the seconds after a common restart.
  *
- * usage: bench-placement [SEEDS]
+ * usage: bench-placement [SEEDS [restart]]
  */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
-#include "lib-engines.h"
+#include "lib-engines-restart.h"
 
 #define DEFAULT_SEEDS 2
 
@@ -177,11 +178,57 @@
   g_array_free (row.decide_ms, TRUE);
 }
 
+static const engines_restart_fleet_t restart_fleets[]
+    = { { 24, 18, 3 }, { 83, 45, 3 }, { 300, 112, 5 } };
+
+static const engines_restart_way_t restart_ways[] = {
+  { "usual load", 0, 0, 0, true },
+  { "crowd without restart", 0, 0, 0, false },
+  { "placer after 2.5 s", 2500, 0, 0, false },
+  { "placer after 2.5 s, held 0.1 s", 2500, 100, 0, false },
+  { "placer after 2.5 s, spread 0.5 s", 2500, 0, 500, false },
+  { "placer after 0.3 s, held 0.1 s", 300, 100, 0, false },
+  { "placer after 0.3 s, held 0.1 s, spread 0.15 s", 300, 100, 150, false },
+  { "placer after 0.03 s, held 0.1 s", 30, 100, 0, false },
+  { "placer after 0.03 s, spread 0.5 s", 30, 0, 500, false },
+  { "placer after 0.03 s, held 0.1 s, spread 0.15 s", 30, 100, 150, false },
+  { "placer after 0.03 s, held 0.1 s, spread 0.5 s", 30, 100, 500, false },
+  { "placer after 0.03 s, held 0.1 s, spread 1 s", 30, 100, 1000, false }
+};
+
+/** Prints the share of the value by the second after a common restart. */
+static void
+print_restarts (uint32_t seeds)
+{
+  printf ("\n| instances | common restart | second 1 | 2 | 3 | 4 | 5 | 6 | 7 | "
+          "8 |\n"
+          "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  for (guint i = 0; i < G_N_ELEMENTS (restart_fleets); i++)
+    for (guint j = 0; j < G_N_ELEMENTS (restart_ways); j++)
+      {
+        double shares[ENGINES_SECONDS];
+
+        engines_restart_simulate (&restart_fleets[i], &restart_ways[j], seeds,
+                                  shares);
+        printf ("| %u | %s |", restart_fleets[i].instances,
+                restart_ways[j].name);
+        for (uint32_t k = 0; k < ENGINES_SECONDS; k++)
+          printf (" %.3f |", shares[k]);
+        printf ("\n");
+        fflush (stdout);
+      }
+}
+
 int
 main (int argc, char **argv)
 {
   uint32_t seeds = argc > 1 ? (uint32_t)atoi (argv[1]) : DEFAULT_SEEDS;
 
+  if (argc > 2 && strcmp (argv[2], "restart") == 0)
+    {
+      print_restarts (MAX (seeds, 1));
+      return 0;
+    }
   printf (
       "| instances | pattern | way | value | collisions %% | decided p50 ms "
       "| p99 ms | messages per request |\n"
@@ -190,5 +237,6 @@
     for (pattern_t pattern = 0; pattern < PATTERN_COUNT; pattern++)
       for (way_t way = 0; way < WAY_COUNT; way++)
         print_row (&fleets[i], way, pattern, MAX (seeds, 1));
+  print_restarts (MAX (seeds, 1));
   return 0;
 }
--- a/t/lib-engines-internal.h
+++ b/t/lib-engines-internal.h
@@ -9,6 +9,9 @@
 
 #include "lib-engines.h"
 
+/** Start of the simulated time; not 0, since a time of 0 means never. */
+#define ENGINES_START_MS 100000
+
 typedef struct request request_t;
 
 /** The prefill of a request, or of a part of its prompt, at one engine. */
@@ -25,7 +28,8 @@
 struct request
 {
   const engines_kind_t *kind;
-  uint32_t instance; /* instance that received the request */
+  uint32_t instance; /* view that decides on the request */
+  uint32_t zone;     /* with zones: view of the placer of its zone */
   uint32_t kind_index;
   uint32_t tenth; /* of its kind, by the size of the prompt */
   uint32_t prompt_tokens;
@@ -77,10 +81,11 @@
   GRand *rand; /* draws the arrivals: the same ones for all policies */
   GRand *placement_rand; /* draws placements and retries */
   directory_t *directory;
-  upstream_set_t *sets[ENGINES_MAX_INSTANCES]; /* the view of each instance */
+  upstream_set_t *sets[ENGINES_MAX_VIEWS]; /* shared views come first */
   uint32_t set_count;
-  double placer_free_ms[ENGINES_MAX_INSTANCES]; /* end of its last decision */
-  GQueue notices;                               /* notice_t, oldest first */
+  uint32_t shared_count;                    /* views that learn of all jobs */
+  double placer_free_ms[ENGINES_MAX_VIEWS]; /* end of its last decision */
+  GQueue notices;                           /* notice_t, oldest first */
   engine_t *engines;
   GPtrArray *requests; /* all requests that arrived */
   GPtrArray *waiting;
@@ -90,6 +95,12 @@
   engines_result_t result;
 } world_t;
 
+/** Creates a request that arrives now. */
+request_t *engines_request_new (world_t *world, uint32_t kind_index);
+
+/** Returns the rate per second at which requests of a kind arrive now. */
+double engines_rate_s (const world_t *world, uint32_t kind_index);
+
 /** Returns the slots that requests hold or wait for. */
 uint32_t engines_taken_slots (const engine_t *engine);
 
--- a/t/lib-engines.c
+++ b/t/lib-engines.c
@@ -9,28 +9,7 @@
 
 #define STEP_MS          2
 #define WAKE_INTERVAL_MS 20
-#define START_TIME_MS    100000 /* not 0, since a time of 0 means never */
 #define DRAIN_MS         16000
-/**
- * Spread of the estimated answer length around the real one. An answer is
- * longer than estimated as often as it is shorter.
- */
-#define HINT_SPREAD 0.5
-
-static double
-draw_normal (GRand *rand)
-{
-  double u = g_rand_double_range (rand, 1e-9, 1);
-
-  return sqrt (-2 * log (u)) * cos (2 * G_PI * g_rand_double (rand));
-}
-
-static double
-draw_lognormal (GRand *rand, double mean, double spread)
-{
-  return mean * exp (spread * draw_normal (rand) - spread * spread / 2);
-}
-
 directory_t *
 engines_directory_new (void *parent,
                        uint32_t count,
@@ -68,12 +47,12 @@
   size_t ignored;
 
   world->directory = engines_directory_new (
-      NULL, count, one_zone, world->load->model->slots, START_TIME_MS);
+      NULL, count, one_zone, world->load->model->slots, ENGINES_START_MS);
   world->engines = g_new0 (engine_t, count);
   for (uint32_t i = 0; i < world->set_count; i++)
     {
       world->sets[i] = upstream_set_new (NULL, &options);
-      upstream_set_sync (world->sets[i], world->directory, START_TIME_MS);
+      upstream_set_sync (world->sets[i], world->directory, ENGINES_START_MS);
     }
   for (uint32_t i = 0; i < count; i++)
     {
@@ -111,6 +90,7 @@
     .waited_ms = (uint32_t)waited_ms,
     .left_ms = (uint32_t)(request->first_attempt_ms + request->kind->deadline_ms
                           - world->now_ms),
+    .spreads = world->now_ms < ENGINES_START_MS + world->load->spread_ms,
     .random = g_rand_int (world->placement_rand),
   };
 }
@@ -144,7 +124,7 @@
   while ((notice = g_queue_peek_head (&world->notices)) != NULL
          && notice->due_ms <= world->now_ms)
     {
-      for (uint32_t i = 0; i < world->set_count; i++)
+      for (uint32_t i = 0; i < world->shared_count; i++)
         if (i != notice->from && !is_message_lost (world))
           apply_notice (world->sets[i], notice, world->now_ms);
       g_free (g_queue_pop_head (&world->notices));
@@ -165,7 +145,7 @@
     return;
   /* Within a zone, the placer and its stand-by learn of it. */
   world->result.messages
-      += world->set_count - 1 + (world->load->zones > 0 ? 2 : 0);
+      += world->shared_count - 1 + (world->load->zones > 0 ? 2 : 0);
   g_queue_push_tail (&world->notices, g_memdup2 (&notice, sizeof notice));
 }
 
@@ -266,9 +246,11 @@
 static void
 end_request (world_t *world, request_t *request, bool is_served)
 {
+  uint64_t second = (request->first_attempt_ms - ENGINES_START_MS) / 1000;
   engines_tally_t *tallies[]
       = { &world->result.all, &world->result.kinds[request->kind_index],
-          &world->result.tenths[request->kind_index][request->tenth] };
+          &world->result.tenths[request->kind_index][request->tenth],
+          &world->result.seconds[MIN (second, ENGINES_SECONDS)] };
   double worth = calculate_request_value (request);
   double late = worth * request->kind->late_worth / request->kind->worth;
 
@@ -335,7 +317,7 @@
 lost_placer_delay_ms (const world_t *world)
 {
   const engines_load_t *load = world->load;
-  uint64_t since_ms = world->now_ms - START_TIME_MS;
+  uint64_t since_ms = world->now_ms - ENGINES_START_MS;
 
   return load->placers_lost_ms > 0 && since_ms >= load->placers_lost_ms
                  && since_ms < load->placers_lost_ms + load->ask_timeout_ms
@@ -343,12 +325,41 @@
              : 0;
 }
 
+/** Returns whether no zone has a placer yet. */
+static bool
+is_placerless (const world_t *world)
+{
+  return world->now_ms < ENGINES_START_MS + world->load->placerless_ms;
+}
+
+/** Holds a request for the placer that its zone does not have yet, or has it
+ * decided on by the view of its own instance. */
+static void
+ask_without_placer (world_t *world, request_t *request)
+{
+  const engines_load_t *load = world->load;
+  uint64_t placer_ms = ENGINES_START_MS + load->placerless_ms;
+
+  if (placer_ms <= world->now_ms + load->hold_ms)
+    {
+      double *free_ms = &world->placer_free_ms[request->zone];
+
+      *free_ms = fmax (*free_ms, (double)placer_ms) + load->decide_ms;
+      request->place_at_ms = (uint64_t)*free_ms + load->ask_ms;
+      return;
+    }
+  request->instance
+      = load->zones
+        + g_rand_int_range (world->placement_rand, 0, (gint32)load->instances);
+  request->place_at_ms = world->now_ms + load->hold_ms + 1;
+}
+
 /** Asks for a decision on a request that arrived or came back. */
 static void
 ask_for_decision (world_t *world, request_t *request)
 {
   const engines_load_t *load = world->load;
-  double *free_ms = &world->placer_free_ms[request->instance];
+  double *free_ms = &world->placer_free_ms[request->zone];
 
   request->begun_ms = world->now_ms;
   request->retry_at_ms = 0;
@@ -357,6 +368,12 @@
       place_or_enqueue (world, request);
       return;
     }
+  request->instance = request->zone;
+  if (is_placerless (world))
+    {
+      ask_without_placer (world, request);
+      return;
+    }
   world->result.messages += 2;
   *free_ms
       = fmax (*free_ms, (double)world->now_ms + lost_placer_delay_ms (world))
@@ -397,6 +414,8 @@
       bool is_late = world->now_ms
                      >= request->first_attempt_ms + request->kind->deadline_ms;
 
+      if (!is_placerless (world))
+        request->instance = request->zone;
       if (is_late)
         end_request (world, request, false);
       if (is_late || place_request (world, request))
@@ -443,81 +462,13 @@
   request->events_left--;
 }
 
-/** Returns the tenth of its kind to which a prompt belongs by its size. */
-static uint32_t
-find_tenth (const engines_kind_t *kind, double tokens)
-{
-  double spread = kind->prompt_spread;
-  double deviation
-      = (log (tokens / kind->prompt_tokens) + spread * spread / 2) / spread;
-  double quantile = erfc (-deviation / sqrt (2)) / 2;
-
-  return MIN ((uint32_t)(quantile * ENGINES_TENTHS), ENGINES_TENTHS - 1);
-}
-
-static request_t *
-request_new (world_t *world, uint32_t kind_index)
-{
-  const engines_kind_t *kind = &world->load->kinds[kind_index];
-  request_t *request = g_new0 (request_t, 1);
-  double tokens
-      = draw_lognormal (world->rand, kind->prompt_tokens, kind->prompt_spread);
-  double events = draw_lognormal (world->rand, kind->answer_events, 0.5);
-  double hint = draw_lognormal (world->rand, 1, HINT_SPREAD);
-
-  request->kind = kind;
-  request->kind_index = kind_index;
-  if (world->set_count > 1)
-    request->instance
-        = g_rand_int_range (world->rand, 0, (gint32)world->set_count);
-  request->prompt_tokens = (uint32_t)fmin (tokens, kind->prompt_max_tokens);
-  request->events_left = (uint32_t)fmax (events, 1);
-  request->answer_tokens
-      = (uint32_t)(request->events_left * hint * world->load->event_tokens);
-  request->tenth = find_tenth (kind, tokens);
-  request->first_attempt_ms = world->now_ms;
-  g_ptr_array_add (world->requests, request);
-  return request;
-}
-
-/** Returns the factor of the bursts of a kind on its rate. */
-static double
-burst_factor (const engines_load_t *load, uint32_t kind, uint64_t since_ms)
-{
-  double factor = 1;
-
-  for (uint32_t i = 0; i < load->burst_count; i++)
-    {
-      const engines_burst_t *burst = &load->bursts[i];
-
-      if (burst->kind == kind && since_ms >= burst->from_ms
-          && since_ms < burst->from_ms + burst->for_ms)
-        factor *= burst->factor;
-    }
-  return factor;
-}
-
-static double
-current_rate_s (const world_t *world, uint32_t kind_index)
-{
-  const engines_load_t *load = world->load;
-  const engines_kind_t *kind = &load->kinds[kind_index];
-  uint64_t since_ms = world->now_ms - START_TIME_MS;
-  double turn = 2 * G_PI * (double)since_ms / load->swing_ms;
-  double rate = kind->rate_s * (1 + load->swing * sin (turn));
-
-  if (load->burst > 1 && since_ms % load->swing_ms < load->swing_ms / 5)
-    rate *= load->burst;
-  return rate * burst_factor (load, kind_index, since_ms);
-}
-
 static void
 draw_arrivals (world_t *world)
 {
   for (uint32_t i = 0; i < world->load->kind_count; i++)
     if (g_rand_double (world->rand)
-        < current_rate_s (world, i) * STEP_MS / 1000.0)
-      ask_for_decision (world, request_new (world, i));
+        < engines_rate_s (world, i) * STEP_MS / 1000.0)
+      ask_for_decision (world, engines_request_new (world, i));
 }
 
 static void
@@ -557,24 +508,28 @@
 engines_result_t
 engines_simulate (const engines_load_t *load)
 {
-  world_t world = { .load = load,
-                    .rand = g_rand_new_with_seed (load->seed),
-                    .placement_rand = g_rand_new_with_seed (load->seed + 1),
-                    .requests = g_ptr_array_new (),
-                    .waiting = g_ptr_array_new (),
-                    .set_count = load->zones > 0 ? load->zones
-                                                 : MAX (load->instances, 1) };
-  uint64_t end_ms = START_TIME_MS + load->length_ms;
-
+  world_t world
+      = { .load = load,
+          .rand = g_rand_new_with_seed (load->seed),
+          .placement_rand = g_rand_new_with_seed (load->seed + 1),
+          .requests = g_ptr_array_new (),
+          .waiting = g_ptr_array_new (),
+          .shared_count
+          = load->zones > 0 ? load->zones : MAX (load->instances, 1) };
+  uint64_t end_ms = ENGINES_START_MS + load->length_ms;
+
+  world.set_count = world.shared_count;
+  if (load->placerless_ms > 0)
+    world.set_count += load->instances;
   g_assert_cmpuint (load->kind_count, <=, ENGINES_MAX_KINDS);
-  g_assert_cmpuint (world.set_count, <=, ENGINES_MAX_INSTANCES);
+  g_assert_cmpuint (world.set_count, <=, ENGINES_MAX_VIEWS);
   world.result.decide_ms = g_array_new (FALSE, FALSE, sizeof (double));
   create_engines (&world);
   world.shortest_gap_ms = load->kinds[0].gap_target_ms;
   for (uint32_t i = 1; i < load->kind_count; i++)
     world.shortest_gap_ms
         = MIN (world.shortest_gap_ms, load->kinds[i].gap_target_ms);
-  for (world.now_ms = START_TIME_MS; world.now_ms < end_ms + DRAIN_MS;
+  for (world.now_ms = ENGINES_START_MS; world.now_ms < end_ms + DRAIN_MS;
        world.now_ms += STEP_MS)
     {
       if (world.now_ms < end_ms)
--- a/t/lib-engines.h
+++ b/t/lib-engines.h
@@ -59,7 +59,12 @@
    * never. Its instances ask it in vain for the time-out, then another one. */
   uint32_t placers_lost_ms;
   uint32_t ask_timeout_ms;
-  bool is_blind;         /**< views learn nothing of each other */
+  /** With zones: until this time after the start, no zone has a placer, and
+   * each instance decides by what it has sent itself. */
+  uint32_t placerless_ms;
+  uint32_t spread_ms; /**< time from the start with choice_request_t.spreads */
+  uint32_t hold_ms; /**< longest time for which a request waits for a placer */
+  bool is_blind;    /**< views learn nothing of each other */
   uint32_t event_tokens; /**< answer tokens in one event */
   const engines_kind_t *kinds;
   uint32_t kind_count;
@@ -84,9 +89,12 @@
 void engines_fleet_kinds (uint32_t engines,
                           engines_kind_t kinds[ENGINES_FLEET_KINDS]);
 
-#define ENGINES_MAX_KINDS     4
-#define ENGINES_TENTHS        10
-#define ENGINES_MAX_INSTANCES 300
+#define ENGINES_MAX_KINDS 4
+#define ENGINES_TENTHS    10
+#define ENGINES_MAX_VIEWS 320
+/** Seconds of a load whose requests are counted by the second; the others are
+ * counted together. */
+#define ENGINES_SECONDS 8
 
 /** Counts the outcomes of a group of requests. */
 typedef struct
@@ -106,6 +114,8 @@
   engines_tally_t all;
   /** Of each kind, by the size of the prompt: the smallest tenth first. */
   engines_tally_t tenths[ENGINES_MAX_KINDS][ENGINES_TENTHS];
+  /** By the second in which the request first arrived. */
+  engines_tally_t seconds[ENGINES_SECONDS + 1];
   uint32_t placed;     /**< whole prompts sent to an engine */
   uint32_t collisions; /**< those that found no free slot there */
   uint64_t messages;   /**< between instances */
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -59,6 +59,9 @@
   /** Others may choose at the same time without knowing of this choice, so that
    * no upstream with a rate limit is chosen. */
   bool is_alone;
+  /** Engines without requests are not passed over for those that decode
+   * already, as little is known of the engines. */
+  bool spreads;
   uint32_t random;
 } choice_request_t;
 
--- a/zone-ask.c
+++ b/zone-ask.c
@@ -12,6 +12,10 @@
 /** Interval at which a queued request is asked for again, which shows whether
  * its placer still lives. */
 #define KEEP_ALIVE_MS 400
+/** Time for which a request is held for the placer of a zone that has just
+ * started, and the interval at which that is checked. */
+#define HOLD_MS          100
+#define HOLD_INTERVAL_MS 5
 /** Instances asked before this one decides itself. */
 #define MAX_REMOTE_TRIES 2
 
@@ -23,7 +27,8 @@
   placer_peer_t *peer; /* instance asked; NULL: this one */
   uint32_t tries;      /* other instances asked so far */
   bool is_queued;
-  bool is_answered; /* by the instance asked now */
+  bool is_answered;       /* by the instance asked now */
+  uint64_t held_until_ms; /* for a placer of a zone that starts, or 0 */
   struct event *timer;
   zone_ask_cb_t on_answer;
   void *context;
@@ -35,7 +40,8 @@
   static const char *const names[ZONE_FALLBACK_COUNT]
       = { [ZONE_FALLBACK_TIMEOUT] = "timeout",
           [ZONE_FALLBACK_UNABLE] = "unable",
-          [ZONE_FALLBACK_UNKNOWN] = "unknown_upstream" };
+          [ZONE_FALLBACK_UNKNOWN] = "unknown_upstream",
+          [ZONE_FALLBACK_STARTING] = "starting" };
 
   return names[why];
 }
@@ -191,26 +197,44 @@
   on_answer (&request, answer, context);
 }
 
+/** Asks the next usable instance instead of one that does not decide, or
+ * decides here. */
+static void
+ask_next (zone_ask_t *ask, zone_fallback_t why)
+{
+  placer_peer_t *next = placer_ranking_placer (ask->placement->ranking,
+                                               ask->peer, clock_mono_ms ());
+
+  set_queued (ask, false);
+  load_share_update_targets (ask->placement->share);
+  if (next != NULL && ask->tries < MAX_REMOTE_TRIES)
+    ask_instance (ask, next);
+  else
+    ask_locally (ask, why);
+}
+
 /** Handles a request that its placer did not answer in time. */
 static void
 on_timeout (zone_ask_t *ask)
 {
   zone_placement_t *placement = ask->placement;
   placer_peer_t *silent = ask->peer;
-  placer_peer_t *next;
 
   metric_add (placement->counters.timeouts, 1);
   log_info ("A placer did not answer in time. ask=%ju placer=%s",
             (uintmax_t)ask->request.id, silent->address);
   placer_ranking_on_timeout (silent);
-  load_share_update_targets (placement->share);
   withdraw (ask);
-  set_queued (ask, false);
-  next = placer_ranking_placer (placement->ranking, silent, clock_mono_ms ());
-  if (next != NULL && ask->tries < MAX_REMOTE_TRIES)
-    ask_instance (ask, next);
-  else
-    ask_locally (ask, ZONE_FALLBACK_TIMEOUT);
+  ask_next (ask, ZONE_FALLBACK_TIMEOUT);
+}
+
+/** Returns whether a request that this instance placed alone can be placed for
+ * all instances of the zone now. */
+static bool
+is_alone_no_more (const zone_ask_t *ask, uint64_t now_ms)
+{
+  return ask->request.is_alone
+         && load_share_is_complete (ask->placement->share, now_ms);
 }
 
 /** Asks for a queued request again: its placer may be gone, or another instance
@@ -219,13 +243,15 @@
 renew_ask (zone_ask_t *ask)
 {
   zone_placement_t *placement = ask->placement;
+  uint64_t now_ms = clock_mono_ms ();
   placer_peer_t *peer
-      = placer_ranking_placer (placement->ranking, NULL, clock_mono_ms ());
+      = placer_ranking_placer (placement->ranking, NULL, now_ms);
 
-  if (peer != ask->peer)
+  if (peer != ask->peer || (peer == NULL && is_alone_no_more (ask, now_ms)))
     {
       withdraw (ask);
       ask->tries = 0;
+      ask->request.is_alone = false;
       record_placer (placement, peer);
       ask_instance (ask, peer);
     }
@@ -239,13 +265,48 @@
     set_timer (ask, KEEP_ALIVE_MS);
 }
 
+/** Asks the placer of the zone. A request that comes while the zone starts is
+ * held for a while, as each instance would choose the same upstreams. */
+static void
+ask_placer_or_hold (zone_ask_t *ask)
+{
+  zone_placement_t *placement = ask->placement;
+  uint64_t now_ms = clock_mono_ms ();
+  placer_peer_t *peer
+      = placer_ranking_placer (placement->ranking, NULL, now_ms);
+
+  record_placer (placement, peer);
+  if (peer != NULL || ask->request.is_move
+      || !load_share_is_starting (placement->share, now_ms))
+    {
+      ask->held_until_ms = 0;
+      ask_instance (ask, peer);
+      return;
+    }
+  if (ask->held_until_ms == 0)
+    {
+      ask->held_until_ms = now_ms + HOLD_MS;
+      set_new_id (ask);
+      metric_add (placement->counters.held, 1);
+    }
+  if (now_ms < ask->held_until_ms)
+    {
+      set_timer (ask, HOLD_INTERVAL_MS);
+      return;
+    }
+  ask->held_until_ms = 0;
+  ask_locally (ask, ZONE_FALLBACK_STARTING);
+}
+
 static void
 on_ask_timer (evutil_socket_t fd, short what, void *context)
 {
   zone_ask_t *ask = context;
 
-  if (ask->peer == NULL && !ask->is_answered)
-    placer_ask (ask->placement->placer, &ask->request, clock_mono_ms ());
+  if (ask->held_until_ms > 0)
+    ask_placer_or_hold (ask);
+  else if (ask->peer == NULL && !ask->is_answered)
+    zone_placement_decide (ask->placement, &ask->request, clock_mono_ms ());
   else if (ask->is_answered)
     renew_ask (ask);
   else
@@ -259,8 +320,6 @@
                     void *context)
 {
   zone_ask_t *ask = talloc_zero (placement, zone_ask_t);
-  placer_peer_t *peer
-      = placer_ranking_placer (placement->ranking, NULL, clock_mono_ms ());
 
   ask->placement = placement;
   ask->request = *request;
@@ -270,8 +329,7 @@
   ask->context = context;
   ask->timer = event_new (placement->options.base, -1, 0, on_ask_timer, ask);
   talloc_set_destructor (ask, free_ask);
-  record_placer (placement, peer);
-  ask_instance (ask, peer);
+  ask_placer_or_hold (ask);
   return ask;
 }
 
@@ -333,7 +391,10 @@
     }
   ask->is_answered = true;
   if (answer.kind == PLACEMENT_UNABLE)
-    ask_locally (ask, ZONE_FALLBACK_UNABLE);
+    {
+      withdraw (ask);
+      ask_next (ask, ZONE_FALLBACK_UNABLE);
+    }
   else if (!knows_upstreams (placement, &answer))
     {
       end_jobs_of_answer (placement, message);
--- a/zone-placement-internal.h
+++ b/zone-placement-internal.h
@@ -19,9 +19,10 @@
 /** Why this instance decided on a request although it is not the placer. */
 typedef enum
 {
-  ZONE_FALLBACK_TIMEOUT, /* no instance answered in time */
-  ZONE_FALLBACK_UNABLE,  /* the placer said that it cannot decide */
-  ZONE_FALLBACK_UNKNOWN, /* the placer chose an upstream unknown here */
+  ZONE_FALLBACK_TIMEOUT,  /* no instance answered in time */
+  ZONE_FALLBACK_UNABLE,   /* the placer said that it cannot decide */
+  ZONE_FALLBACK_UNKNOWN,  /* the placer chose an upstream unknown here */
+  ZONE_FALLBACK_STARTING, /* the zone has just started and has no placer */
   ZONE_FALLBACK_COUNT,
 } zone_fallback_t;
 
@@ -33,6 +34,7 @@
   metric_t *served; /* decisions made here for other instances */
   metric_t *timeouts;
   metric_t *handovers;
+  metric_t *held; /* requests held while the zone started */
   metric_t *fallbacks[ZONE_FALLBACK_COUNT];
 } zone_counters_t;
 
@@ -48,9 +50,15 @@
   const placer_peer_t *last_placer; /* NULL: this instance */
   uint32_t queued;
   struct event *queue_timer;
+  bool has_placed; /* has been asked for an upstream */
   zone_counters_t counters;
 };
 
+/** Asks this instance's placer. */
+void zone_placement_decide (zone_placement_t *placement,
+                            const placement_request_t *request,
+                            uint64_t now_ms);
+
 /** Returns the name of a reason in log lines and metrics. */
 const char *zone_fallback_name (zone_fallback_t why);
 
--- a/zone-placement.c
+++ b/zone-placement.c
@@ -16,6 +16,10 @@
 /** Interval of further passes while requests are queued. */
 #define QUEUE_INTERVAL_MS 20
 
+/** Time from the first request in which a zone that has just started spreads
+ * its requests. */
+#define SPREAD_MS 150
+
 static void
 schedule_queue (zone_placement_t *placement, uint32_t wait_ms)
 {
@@ -35,6 +39,21 @@
   schedule_queue (placement, QUEUE_INTERVAL_MS);
 }
 
+/** Answers a request of another instance. */
+static void
+send_answer (zone_placement_t *placement,
+             const placement_request_t *request,
+             const placement_answer_t *answer)
+{
+  Lwm__ShareMessage message = LWM__SHARE_MESSAGE__INIT;
+  Lwm__PlaceAnswer reply;
+
+  placement_answer_to_message (answer, request->id, &reply);
+  message.what_case = LWM__SHARE_MESSAGE__WHAT_ANSWER;
+  message.answer = &reply;
+  share_link_reply (placement->link, request->owner, &message);
+}
+
 /** Handles a decision of this instance's placer. */
 static void
 on_decision (const placement_request_t *request,
@@ -42,8 +61,6 @@
              void *context)
 {
   zone_placement_t *placement = context;
-  Lwm__ShareMessage message = LWM__SHARE_MESSAGE__INIT;
-  Lwm__PlaceAnswer reply;
 
   if (answer->kind == PLACEMENT_QUEUED)
     schedule_queue (placement, QUEUE_INTERVAL_MS);
@@ -62,12 +79,26 @@
     }
   if (answer->kind != PLACEMENT_QUEUED)
     metric_add (placement->counters.served, 1);
-  placement_answer_to_message (answer, request->id, &reply);
-  message.what_case = LWM__SHARE_MESSAGE__WHAT_ANSWER;
-  message.answer = &reply;
-  share_link_reply (placement->link, request->owner, &message);
+  send_answer (placement, request, answer);
 }
 
+void
+zone_placement_decide (zone_placement_t *placement,
+                       const placement_request_t *request,
+                       uint64_t now_ms)
+{
+  /* The crowd that comes back after a common start would be packed onto the few
+   * engines that got the first requests, and it is unknown what the engines
+   * hold from before. */
+  if (!placement->has_placed
+      && load_share_is_new_zone (placement->share, now_ms))
+    placer_spread_until (placement->placer, now_ms + SPREAD_MS);
+  placement->has_placed = true;
+  placer_ask (placement->placer, request, now_ms);
+}
+
+static bool is_able (void *context);
+
 static void
 receive_request (zone_placement_t *placement,
                  uint64_t sender,
@@ -81,8 +112,16 @@
       log_warn ("Dropped a malformed request of an entry instance.");
       return;
     }
+  if (!is_able (placement))
+    {
+      /* The sender may have known an earlier incarnation of this instance. */
+      static const placement_answer_t unable = { .kind = PLACEMENT_UNABLE };
+
+      send_answer (placement, &request, &unable);
+      return;
+    }
   load_share_act (placement->share, now_ms);
-  placer_ask (placement->placer, &request, now_ms);
+  zone_placement_decide (placement, &request, now_ms);
 }
 
 static void
@@ -196,6 +235,9 @@
   counters->handovers = metrics_counter (
       metrics, "lwm_placement_handovers_total",
       "Changes of the instance that decides for this one.", NULL);
+  counters->held = metrics_counter (
+      metrics, "lwm_placement_held_total",
+      "Requests held for the placer of a zone that had just started.", NULL);
   for (int i = 0; i < ZONE_FALLBACK_COUNT; i++)
     {
       g_snprintf (labels, sizeof labels, "reason=\"%s\"",
@@ -371,5 +413,6 @@
 void
 zone_placement_recheck (zone_placement_t *placement)
 {
+  load_share_check_able (placement->share);
   schedule_queue (placement, QUEUE_DELAY_MS);
 }
