upstream-cold: bound the requests to cold upstreams

A cold upstream crashes when it gets requests well above its rate. The rate and the time after a start come from the service (cold-per-s, cold-start-s), the tolerances from the settings (cold_excess, cold_slack); without them the bound is off.

Requests without room go elsewhere, wait, or are refused.

--- a/engine-choice.c
+++ b/engine-choice.c
@@ -379,10 +379,11 @@
 
 /** Returns if @a member may read a part; a failed part fails the request. */
 static bool
-is_usable_as_helper (const upstream_member_t *member)
+is_usable_as_helper (const upstream_member_t *member, uint64_t now_ms)
 {
   return member->trust == UPSTREAM_TRUSTED && !member->is_silent
-         && !upstream_limit_holds (&member->limit);
+         && !upstream_limit_holds (&member->limit)
+         && !upstream_cold_holds (&member->cold, now_ms);
 }
 
 /** Fills in and counts the engines, possible helpers first. */
@@ -408,7 +409,7 @@
           const upstream_member_t *member
               = members[(i + request->random) % members_count];
 
-          if (is_usable_as_helper (member) == (phase == 0)
+          if (is_usable_as_helper (member, now_ms) == (phase == 0)
               && upstream_choice_is_candidate (request, member, any_usable,
                                                now_ms))
             init_engine (request, member, now_ms, &engines[count++]);
--- a/gateway-config.h
+++ b/gateway-config.h
@@ -53,7 +53,9 @@
 {
   const char *name;
   uint32_t max_connections; /**< of all callers to one upstream */
-  engine_model_t *engine;   /**< NULL: a plain service */
+  double cold_per_s;      /**< requests per second of a cold upstream; 0: any */
+  double cold_start_s;    /**< time for which an upstream is cold */
+  engine_model_t *engine; /**< NULL: a plain service */
   /** Shortest gap target of the routes to this service, or 0; set by
    * gateway_config_finalize(). */
   uint32_t shortest_gap_ms;
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -56,6 +56,7 @@
   metric_t *broken;
   metric_t *leaving; /* answers in which an upstream said that it leaves */
   metric_t *paused;  /* answers in which an upstream asked for a pause */
+  metric_t *cold;    /* times that an upstream was taken for cold */
   metric_t *limited; /* answers in which an upstream named a rate limit */
   metric_t *refusals[ERROR_KIND_COUNT];
   metric_t *first_event_s[GATEWAY_CLASS_COUNT]; /* time to the first event */
--- a/gateway-metrics.c
+++ b/gateway-metrics.c
@@ -1,7 +1,16 @@
 #include <stdio.h>
 
+#include "base.h"
 #include "gateway-internal.h"
 
+static double
+read_cold (void *context)
+{
+  const gateway_t *gateway = context;
+
+  return upstream_set_count_cold (gateway->set, clock_mono_ms ());
+}
+
 static void
 add_counters (gateway_t *gateway)
 {
@@ -31,6 +40,12 @@
   counters->paused = metrics_counter (
       metrics, "lwm_gateway_upstream_states_total",
       "Answers in which an upstream limited its use.", "state=\"paused\"");
+  counters->cold = metrics_counter (
+      metrics, "lwm_gateway_cold_upstreams_total",
+      "Times that an upstream with a bound was taken for cold.", NULL);
+  metrics_gauge_read (metrics, "lwm_gateway_cold_upstreams",
+                      "Upstreams that are taken for cold.", NULL, read_cold,
+                      gateway);
   for (int kind = 0; kind < ERROR_KIND_COUNT; kind++)
     {
       snprintf (labels, sizeof labels, "reason=\"%s\"",
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -150,14 +150,20 @@
 }
 
 /** Returns whether this instance knows no reason not to send to an upstream.
- * @param is_granted the placer counted the request within its rate limit */
+ * @param is_limited the placer counted the request within its rate limit
+ * @param is_cold it counted it within the bound on cold upstreams */
 static bool
-may_send_to (const gateway_t *gateway, uint64_t key, bool is_granted)
+may_send_to (const gateway_t *gateway,
+             uint64_t key,
+             bool is_limited,
+             bool is_cold)
 {
   const upstream_member_t *member = upstream_set_find (gateway->set, key);
+  uint64_t now_ms = clock_mono_ms ();
 
-  return upstream_member_is_available (member, clock_mono_ms ())
-         && (is_granted || !upstream_limit_holds (&member->limit));
+  return upstream_member_is_available (member, now_ms)
+         && (is_limited || !upstream_limit_holds (&member->limit))
+         && (is_cold || !upstream_cold_holds (&member->cold, now_ms));
 }
 
 /** Returns the key of an upstream of a placement to which this instance may not
@@ -165,10 +171,12 @@
 static uint64_t
 find_unavailable (const gateway_t *gateway, const placement_answer_t *answer)
 {
-  if (!may_send_to (gateway, answer->upstream, answer->is_limited))
+  if (!may_send_to (gateway, answer->upstream, answer->is_limited,
+                    answer->is_cold))
     return answer->upstream;
   for (uint32_t i = 0; i < answer->helper_count; i++)
-    if (!may_send_to (gateway, answer->helpers[i], false))
+    /* The part of a helper is not counted. */
+    if (!may_send_to (gateway, answer->helpers[i], false, true))
       return answer->helpers[i];
   return 0;
 }
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -16,6 +16,8 @@
 #define MAX_PAUSE_SPREAD_MS    1000
 #define FIRST_SERVER_ERROR     500
 #define STATUS_GATEWAY_TIMEOUT 504
+/** Least change of a cold time that is passed on. */
+#define COLD_NEWS_MS 250
 
 /** Saves the answer's head, as the answer of a failed attempt may be relayed
  * later. */
@@ -203,6 +205,20 @@
                                  request->attempt_ms);
 }
 
+/** Records for how long the upstream says that it is cold, if that is news. */
+static void
+record_cold_time (const gateway_request_t *request)
+{
+  const upstream_member_t *member
+      = upstream_set_find (request->gateway->set, request->upstream_key);
+  uint32_t cold_ms = request->answer.cold_ms;
+
+  if (member != NULL && cold_ms > 0
+      && clock_mono_ms () + cold_ms > member->cold.until_ms + COLD_NEWS_MS)
+    zone_placement_report_cold (request->gateway->placement,
+                                request->upstream_key, cold_ms);
+}
+
 static void
 on_head (exchange_t *exchange, void *context)
 {
@@ -229,6 +245,7 @@
   request->answer.request_id = request->answer.failed_helper = NULL;
   record_upstream_state (request);
   record_upstream_limit (request);
+  record_cold_time (request);
   save_answer_head (request);
   if (is_stream (request))
     request->events = event_stream_new (request, on_event, request);
--- a/gateway.h
+++ b/gateway.h
@@ -60,6 +60,7 @@
   uint32_t pause_ms; /**< the upstream wants no requests for this time, or 0 */
   double limit_s;    /**< requests per second that it takes from all instances;
                           0: it names no limit */
+  uint32_t cold_ms;  /**< the upstream is cold for this time, or 0 */
   bool has_invalid_limit; /**< it names one that cannot be read */
 } gateway_answer_info_t;
 
@@ -107,6 +108,10 @@
    * together. */
   uint32_t spare_retries;
   uint32_t zone_cost_ms; /**< cost of a round trip to another zone */
+  /** Requests that a cold upstream tolerates in any second: this multiple of
+   * the configured rate, 0 for no bound, and cold_slack more. */
+  double cold_excess;
+  double cold_slack;
   metrics_t *metrics;
 } gateway_options_t;
 
--- a/load-share-internal.h
+++ b/load-share-internal.h
@@ -38,6 +38,8 @@
   uint64_t acted_ms;      /* when this instance last placed for another one */
   uint64_t view_since_ms; /* since when updates have come without a gap, or 0 */
   uint64_t view_heard_ms; /* when the last update of the own zone came */
+  uint64_t placer_since_ms; /* since when this is the zone's placer, or 0 */
+  uint64_t placer_checked_ms;
   pause_detector_t pauses; /* pauses of this process */
   struct event *tick;      /* sends all jobs */
   struct event *check;     /* looks for lost instances */
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -102,6 +102,9 @@
         upstream_set_limit (
             set, observation->upstream, fmax ((double)observation->limit_s, 0),
             now_ms - MIN (observation->limit_ago_ms, now_ms), now_ms);
+      if (observation->cold_ms > 0)
+        upstream_set_mark_cold (set, observation->upstream,
+                                now_ms + observation->cold_ms, now_ms);
       if (observation->call_ms > 0)
         upstream_set_add_call_time (set, observation->upstream,
                                     (double)observation->call_ms);
@@ -256,8 +259,12 @@
       sender->address = g_strdup (update->address);
       forget_earlier_incarnations (share, sender);
     }
-  if (update->is_zone && peer != NULL)
+  if (peer == NULL)
+    return;
+  if (update->is_zone)
     placer_ranking_on_acting (peer, now_ms);
+  else
+    placer_ranking_on_heard (peer, now_ms);
 }
 
 static void
--- a/load-share.c
+++ b/load-share.c
@@ -23,6 +23,12 @@
 #define ACTING_MS 3000
 /** Time after which a view without a gap is complete. */
 #define COMPLETE_MS 1200
+/** Time after which a placer counts all requests. An earlier one that lost
+ * contact with most instances of the zone has noticed it by then. */
+#define COUNTING_MS 2000
+/** Longer time between two checks, after which this process may have been
+ * replaced as the placer without notice. */
+#define MAX_CHECK_GAP_MS 1000
 
 static void
 free_sender (gpointer data)
@@ -309,6 +315,38 @@
   event_add (share->tick, &wait);
 }
 
+static bool
+is_placer (const load_share_t *share, uint64_t now_ms)
+{
+  const placer_ranking_t *ranking = share->options.ranking;
+
+  return placer_ranking_is_placer (ranking, now_ms)
+         && (load_share_is_complete (share, now_ms)
+             || !placer_ranking_has_own_zone (ranking));
+}
+
+static void
+check_placer (load_share_t *share, uint64_t now_ms)
+{
+  bool has_gap = share->placer_checked_ms + MAX_CHECK_GAP_MS < now_ms;
+
+  if (!is_placer (share, now_ms))
+    share->placer_since_ms = 0;
+  else if (share->placer_since_ms == 0 || has_gap)
+    share->placer_since_ms = now_ms;
+  share->placer_checked_ms = now_ms;
+}
+
+bool
+load_share_is_counting (const load_share_t *share, uint64_t now_ms)
+{
+  return share->placer_since_ms > 0
+         && share->placer_since_ms + COUNTING_MS <= now_ms
+         && share->placer_checked_ms + MAX_CHECK_GAP_MS >= now_ms
+         && is_placer (share, now_ms)
+         && placer_ranking_has_majority (share->options.ranking, now_ms);
+}
+
 static void
 on_check (evutil_socket_t fd, short what, void *context)
 {
@@ -317,6 +355,7 @@
   bool was_acting = load_batch_targets (share->zone)->len > 0;
 
   remove_silent_senders (share, now_ms);
+  check_placer (share, now_ms);
   if (was_acting || !is_acting (share, now_ms))
     return;
   /* The placer was lost: other zones must learn that the jobs that it reported
@@ -467,6 +506,18 @@
   add_observation (share, &observation);
 }
 
+void
+load_share_report_cold (load_share_t *share,
+                        uint64_t upstream,
+                        uint32_t cold_ms)
+{
+  Lwm__ShareObservation observation = LWM__SHARE_OBSERVATION__INIT;
+
+  observation.upstream = upstream;
+  observation.cold_ms = cold_ms;
+  add_observation (share, &observation);
+}
+
 void
 load_share_report_limit (load_share_t *share, uint64_t upstream)
 {
--- a/load-share.h
+++ b/load-share.h
@@ -69,6 +69,14 @@
  */
 bool load_share_is_complete (const load_share_t *share, uint64_t now_ms);
 
+/**
+ * Returns whether this instance, as the placer of its zone, counts the requests
+ * of all instances: it has been the placer for long enough that another one
+ * which lost contact does not count them any more, and most instances of the
+ * zone report to it.
+ */
+bool load_share_is_counting (const load_share_t *share, uint64_t now_ms);
+
 /** Records that this instance chooses upstreams for others now, and so reports
  * the jobs of its zone to other zones for some time. */
 void load_share_act (load_share_t *share, uint64_t now_ms);
@@ -105,6 +113,12 @@
                               bool is_leaving,
                               uint32_t pause_ms);
 
+/** Announces that an upstream said in an answer that it is cold for @a cold_ms.
+ */
+void load_share_report_cold (load_share_t *share,
+                             uint64_t upstream,
+                             uint32_t cold_ms);
+
 /** Reports the rate limit of an upstream that the set knows, or its end. */
 void load_share_report_limit (load_share_t *share, uint64_t upstream);
 
--- a/node-entry.c
+++ b/node-entry.c
@@ -328,6 +328,8 @@
           .retry_percent = (uint32_t)(settings->retry_share * 100),
           .spare_retries = settings->spare_retries,
           .zone_cost_ms = ZONE_COST_MS,
+          .cold_excess = settings->cold_excess,
+          .cold_slack = settings->cold_slack,
           .metrics = daemon_metrics (entry->daemon) };
 
   entry->gateway = gateway_new (entry, &options);
--- a/placement-message.c
+++ b/placement-message.c
@@ -99,6 +99,7 @@
   message->usable = answer->usable;
   message->retry_ms = answer->retry_ms;
   message->is_limited = answer->is_limited;
+  message->is_cold = answer->is_cold;
 }
 
 bool
@@ -125,6 +126,7 @@
     .usable = message->usable,
     .retry_ms = message->retry_ms,
     .is_limited = message->is_limited,
+    .is_cold = message->is_cold,
   };
   COPY_LIST (answer->helpers, message->helpers, message->n_helpers);
   COPY_LIST (answer->memory_tokens, message->memory_tokens,
--- a/placer-ranking.c
+++ b/placer-ranking.c
@@ -20,6 +20,12 @@
 #define LOST_TRY_UNIT_MS 1000
 #define LOST_TRY_UNITS   8
 
+/** Time without a whole report after which an instance is not in contact;
+ * longer than the interval of these reports. */
+#define HEARD_TIMEOUT_MS 1500
+/** Time without one after which an instance does not count any more. */
+#define FORGOTTEN_MS 60000
+
 struct placer_ranking
 {
   char *own_zone;
@@ -222,6 +228,65 @@
     peer->is_slow = false;
 }
 
+void
+placer_ranking_on_heard (placer_peer_t *peer, uint64_t now_ms)
+{
+  peer->heard_ms = now_ms;
+}
+
+bool
+placer_ranking_has_majority (const placer_ranking_t *ranking, uint64_t now_ms)
+{
+  uint32_t known = 1;
+  uint32_t heard = 1;
+
+  for (guint i = 0; i < ranking->peers->len; i++)
+    {
+      const placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
+
+      if (!is_own_zone (ranking, peer))
+        continue;
+      known += MAX (peer->heard_ms, peer->added_ms) + FORGOTTEN_MS > now_ms;
+      heard += peer->heard_ms > 0 && peer->heard_ms + HEARD_TIMEOUT_MS > now_ms;
+    }
+  return 2 * heard > known;
+}
+
+bool
+placer_ranking_counts_zone (const placer_ranking_t *ranking, const char *zone)
+{
+  bool is_first = true;
+
+  if (strcmp (zone, ranking->own_zone) == 0)
+    return true;
+  for (guint i = 0; i < ranking->peers->len; i++)
+    {
+      const placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
+
+      if (strcmp (peer->zone, zone) == 0)
+        return false;
+      if (strcmp (peer->zone, ranking->own_zone) < 0)
+        is_first = false;
+    }
+  return is_first;
+}
+
+uint32_t
+placer_ranking_order (const placer_ranking_t *ranking, uint64_t seed)
+{
+  uint64_t own
+      = XXH64 (ranking->own_address, strlen (ranking->own_address), seed);
+  uint32_t before = 0;
+
+  for (guint i = 0; i < ranking->peers->len; i++)
+    {
+      const placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
+
+      before += XXH64 (peer->address, strlen (peer->address), seed) < own;
+    }
+  return ranking->peers->len > 0 ? before : UINT32_MAX;
+}
+
 void
 placer_ranking_on_acting (placer_peer_t *peer, uint64_t now_ms)
 {
--- a/placer-ranking.h
+++ b/placer-ranking.h
@@ -29,6 +29,7 @@
   uint64_t rank;      /**< the lowest of a zone comes first */
   uint64_t acked_ms;  /**< when its last acknowledgement came, 0 for none */
   uint64_t added_ms;  /**< when it became known */
+  uint64_t heard_ms;  /**< when it last reported all its jobs, 0: never */
   uint64_t acting_ms; /**< when it last reported its zone's jobs, 0: never */
   bool is_able;       /**< as it said in its last acknowledgement */
   bool is_slow;       /**< a request to it timed out */
@@ -96,6 +97,25 @@
                             uint32_t took_ms,
                             uint64_t now_ms);
 
+/** Records that an instance of the own zone reported all its jobs. */
+void placer_ranking_on_heard (placer_peer_t *peer, uint64_t now_ms);
+
+/** Returns whether more than half of the instances of the own zone, this one
+ * included, reported all their jobs lately. Those that were lost long ago do
+ * not count. */
+bool placer_ranking_has_majority (const placer_ranking_t *ranking,
+                                  uint64_t now_ms);
+
+/** Returns whether the own zone's placer is the one that counts the requests to
+ * upstreams in @a zone: it is the same zone, or none of its instances is known
+ * and the own zone is the first of those with instances. */
+bool placer_ranking_counts_zone (const placer_ranking_t *ranking,
+                                 const char *zone);
+
+/** Returns the place of this instance among all known ones in an order that
+ * differs for each @a seed. It is UINT32_MAX while no other is known. */
+uint32_t placer_ranking_order (const placer_ranking_t *ranking, uint64_t seed);
+
 /** Records that an instance reported the jobs of its zone. */
 void placer_ranking_on_acting (placer_peer_t *peer, uint64_t now_ms);
 
--- a/placer.c
+++ b/placer.c
@@ -127,12 +127,14 @@
     .zone_cost_ms = placer->options.zone_cost_ms,
     .queued = placer->queue->len,
     .is_alone = request->is_alone,
+    .find_cold_share = placer->options.find_cold_share,
+    .cold_context = placer->options.context,
     .random = (uint32_t)random_id (),
   };
 }
 
 static placement_answer_t
-make_answer (const choice_t *choice)
+make_answer (const choice_t *choice, uint64_t now_ms)
 {
   static const placement_kind_t kinds[]
       = { [CHOICE_SEND] = PLACEMENT_SEND,
@@ -156,6 +158,7 @@
     {
       answer.upstream = choice->member->key;
       answer.is_limited = upstream_limit_holds (&choice->member->limit);
+      answer.is_cold = upstream_cold_holds (&choice->member->cold, now_ms);
     }
   for (uint32_t i = 0; i < choice->helper_count; i++)
     answer.helpers[i] = choice->helpers[i]->key;
@@ -205,7 +208,7 @@
     }
   choice_request = make_choice_request (placer, request, &service, now_ms);
   choice = upstream_choose (options->set, &choice_request, now_ms);
-  answer = make_answer (&choice);
+  answer = make_answer (&choice, now_ms);
   if (request->is_move && answer.kind != PLACEMENT_SEND)
     answer.kind = PLACEMENT_KEEP;
   return answer;
@@ -221,7 +224,10 @@
   uint32_t count = placement_jobs (request, answer, now_ms, jobs);
 
   for (uint32_t i = 0; i < count; i++)
-    upstream_set_begin (placer->options.set, &jobs[i]);
+    {
+      jobs[i].is_granted = true;
+      upstream_set_begin (placer->options.set, &jobs[i]);
+    }
 }
 
 static void
--- a/placer.h
+++ b/placer.h
@@ -84,6 +84,7 @@
   uint32_t usable;
   uint32_t retry_ms; /**< time to the next try of a request not placed */
   bool is_limited;   /**< counted within the rate limit of the upstream */
+  bool is_cold;      /**< counted within the bound on cold upstreams */
 } placement_answer_t;
 
 /** What a placer must know of a service. */
@@ -105,6 +106,9 @@
   bool (*find_service) (const char *name,
                         placer_service_t *service,
                         void *context);
+  /** See choice_request_t; may be NULL. */
+  upstream_cold_share_t (*find_cold_share) (const upstream_member_t *member,
+                                            void *context);
   /** Receives each decision; may be called from within placer_ask(). */
   void (*on_answer) (const placement_request_t *request,
                      const placement_answer_t *answer,
--- a/t/t8100-platform.c
+++ b/t/t8100-platform.c
@@ -173,6 +173,20 @@
   g_free (digits);
 }
 
+/** Values of no sense are no cold time. */
+static void
+test_upstream_cold (void)
+{
+  static const char *const invalid[] = { "-1", "nan", "many", "", "1,2" };
+
+  g_assert_cmpuint (read_answer (200, "Cold-Ms", "1200").cold_ms, ==, 1200);
+  g_assert_cmpuint (read_answer (200, "Cold-Ms", "0").cold_ms, ==, 0);
+  g_assert_cmpuint (read_answer (200, "Cold-Ms", "1e18").cold_ms, ==, 60000);
+  g_assert_cmpuint (read_answer (200, "Other", "1").cold_ms, ==, 0);
+  for (guint i = 0; i < G_N_ELEMENTS (invalid); i++)
+    g_assert_cmpuint (read_answer (200, "Cold-Ms", invalid[i]).cold_ms, ==, 0);
+}
+
 /** The parts of a prompt are recognized by their names; the last one belongs to
  * the request alone. */
 static void
@@ -230,5 +244,6 @@
   g_test_add_func ("/platform/prompt-parts", test_parts);
   g_test_add_func ("/platform/upstream-states", test_upstream_states);
   g_test_add_func ("/platform/upstream-limit", test_upstream_limit);
+  g_test_add_func ("/platform/upstream-cold", test_upstream_cold);
   return g_test_run ();
 }
--- a/t/t8101-platform-config.c
+++ b/t/t8101-platform-config.c
@@ -18,6 +18,7 @@
       "{\"name\":\"q\",\"host\":\"h\",\"path-prefix\":\"/b/\","
       "\"kind\":\"unsafe\",\"timeout-ms\":1000,\"service\":\"t\"}],"
       "\"services\":[{\"name\":\"s\",\"health-path\":\"/health\","
+      "\"cold-start-s\":3.0,\"cold-per-s\":18,"
       "\"max-conns\":9,\"engine\":{\"slots\":16,\"kv-capacity\":232000,"
       "\"stride\":43,\"step_ms\":1.02,\"per_seq_ms\":0.002,"
       "\"context_per_k\":0.004,\"read_per_s\":206000.0,\"pairs_per_m\":0.138,"
@@ -56,6 +57,10 @@
   g_assert_cmpuint (config->services[0].engine->kv_tokens, ==, 232000);
   g_assert_cmpuint (config->services[0].engine->read_step_tokens, ==, 2048);
   g_assert_null (config->services[1].engine);
+  g_assert_cmpfloat (config->services[0].cold_start_s, ==, 3);
+  g_assert_cmpfloat (config->services[0].cold_per_s, ==, 18);
+  g_assert_cmpfloat (config->services[1].cold_start_s, ==, 0);
+  g_assert_cmpfloat (config->services[1].cold_per_s, ==, 0);
   g_assert_cmpstr (gateway_config_customer (config, "k2")->name, ==, "c");
   g_assert_cmpuint (config->limits.idle_timeout_ms, ==, 15000);
   talloc_free (parent);
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -54,6 +54,24 @@
              && upstream_limit_wait_ms (&member->limit, now_ms) == 0);
 }
 
+/** Returns the time until the upstream may get a request as far as the bound on
+ * cold ones matters; 0: now. */
+static uint32_t
+cold_wait_ms (const choice_request_t *request,
+              const upstream_member_t *member,
+              uint64_t now_ms)
+{
+  upstream_cold_share_t share = { .rank = UINT32_MAX };
+
+  if (!upstream_cold_holds (&member->cold, now_ms))
+    return 0;
+  if (request->find_cold_share != NULL)
+    share = request->find_cold_share (member, request->cold_context);
+  if (request->is_alone)
+    share.is_counting = false;
+  return upstream_cold_wait_ms (&member->cold, &share, now_ms);
+}
+
 bool
 upstream_choice_is_candidate (const choice_request_t *request,
                               const upstream_member_t *member,
@@ -63,6 +81,7 @@
   if (!upstream_member_is_available (member, now_ms)
       || strcmp (member->service, request->service) != 0
       || !is_within_limit (request, member, now_ms)
+      || cold_wait_ms (request, member, now_ms) > 0
       || is_avoided (request, member->key))
     return false;
   if (any_usable)
@@ -175,6 +194,19 @@
   double rate_s;     /* of those that take a limited number */
 } return_t;
 
+/** Adds a cold upstream that gets no request for @a wait_ms. */
+static void
+add_cold_return (const upstream_member_t *member,
+                 uint32_t wait_ms,
+                 uint64_t now_ms,
+                 return_t *returns)
+{
+  if (now_ms + wait_ms >= member->cold.until_ms)
+    returns->has_pause = true;
+  else
+    returns->rate_s += 1;
+}
+
 /** Adds an upstream that takes no requests now. */
 static void
 add_return (const choice_request_t *request,
@@ -183,6 +215,7 @@
             return_t *returns)
 {
   uint64_t at_ms = MAX (member->paused_until_ms, now_ms);
+  uint32_t cold_ms = cold_wait_ms (request, member, now_ms);
 
   if (!member->is_usable || member->is_leaving
       || strcmp (member->service, request->service) != 0)
@@ -196,8 +229,11 @@
     }
   else if (member->paused_until_ms > now_ms)
     returns->has_pause = true;
+  else if (cold_ms > 0 && !is_avoided (request, member->key))
+    add_cold_return (member, cold_ms, now_ms, returns);
   else
     return;
+  at_ms = MAX (at_ms, now_ms + cold_ms);
   if (returns->first_ms == 0 || at_ms < returns->first_ms)
     returns->first_ms = at_ms;
 }
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -59,6 +59,11 @@
   /** Others may choose at the same time without knowing of this choice, so that
    * no upstream with a rate limit is chosen. */
   bool is_alone;
+  /** Finds the part of the bound on a cold upstream's requests that may be
+   * granted here; NULL: none. */
+  upstream_cold_share_t (*find_cold_share) (const upstream_member_t *member,
+                                            void *context);
+  void *cold_context;
   uint32_t random;
 } choice_request_t;
 
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -1,4 +1,4 @@
-#include "upstream-set.h"
+#include "upstream-set-internal.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -23,14 +23,6 @@
 #define SLOWNESS_DECAY      0.995 /* factor per tick on the difference from 1 */
 #define ANSWER_TOKEN_VALUE  10.0  /* prompt tokens per answer token */
 
-struct upstream_set
-{
-  upstream_set_options_t options;
-  GHashTable *by_key; /* key -> upstream_member_t, children of set */
-  GPtrArray *members;
-  GHashTable *jobs; /* id -> upstream_job_t, children of their member */
-};
-
 double
 upstream_job_value (double prompt_tokens, double answer_tokens)
 {
@@ -74,8 +66,8 @@
   return set;
 }
 
-static upstream_member_t *
-find_member (const upstream_set_t *set, uint64_t key)
+upstream_member_t *
+upstream_set_find_member (const upstream_set_t *set, uint64_t key)
 {
   return g_hash_table_lookup (set->by_key, &key);
 }
@@ -107,10 +99,12 @@
 static void
 update_member (upstream_set_t *set,
                const directory_t *directory,
-               const directory_entry_t *entry)
+               const directory_entry_t *entry,
+               uint64_t now_ms)
 {
-  upstream_member_t *member = find_member (set, entry->key);
+  upstream_member_t *member = upstream_set_find_member (set, entry->key);
   directory_state_t state = entry->said.state;
+  bool is_new = member == NULL;
   bool was_usable;
 
   if (member == NULL && state == DIRECTORY_GONE)
@@ -125,6 +119,10 @@
   member->is_silent = state == DIRECTORY_SILENT;
   member->is_usable = (state == DIRECTORY_READY || state == DIRECTORY_SILENT)
                       && !directory_is_replaced (directory, entry);
+  if (is_new)
+    upstream_set_check_new (set, member, now_ms);
+  upstream_set_check_announced (set, member, entry, now_ms);
+  upstream_set_check_service (set, member, now_ms);
   if (was_usable && !member->is_usable && set->options.on_gone != NULL)
     set->options.on_gone (member, set->options.context);
 }
@@ -154,8 +152,10 @@
   const directory_entry_t *const *entries
       = directory_entries (directory, &count);
 
+  if (set->first_sync_ms == 0)
+    set->first_sync_ms = now_ms;
   for (size_t i = 0; i < count; i++)
-    update_member (set, directory, entries[i]);
+    update_member (set, directory, entries[i], now_ms);
   for (guint i = set->members->len; i-- > 0;)
     {
       const upstream_member_t *member = g_ptr_array_index (set->members, i);
@@ -175,7 +175,7 @@
 const upstream_member_t *
 upstream_set_find (const upstream_set_t *set, uint64_t key)
 {
-  return find_member (set, key);
+  return upstream_set_find_member (set, key);
 }
 
 const upstream_job_t *
@@ -194,14 +194,18 @@
 bool
 upstream_set_begin (upstream_set_t *set, const upstream_job_t *job)
 {
-  upstream_member_t *member = find_member (set, job->upstream);
+  upstream_member_t *member = upstream_set_find_member (set, job->upstream);
   upstream_job_t *copy;
 
   if (member == NULL || upstream_set_job (set, job->id) != NULL)
     return false;
   copy = talloc_memdup (member, job, sizeof *job);
   if (!job->is_part)
-    upstream_limit_spend (&member->limit, job->sent_ms);
+    {
+      upstream_limit_spend (&member->limit, job->sent_ms);
+      upstream_cold_count (&member->cold, job->id, job->sent_ms,
+                           job->is_granted);
+    }
   g_ptr_array_add (member->jobs, copy);
   g_hash_table_insert (set->jobs, &copy->id, copy);
   return true;
@@ -304,7 +308,7 @@
   if (how == UPSTREAM_JOB_BROKEN && job->first_ms == 0
       && set->options.on_broken != NULL)
     set->options.on_broken (job, now_ms, set->options.context);
-  member = find_member (set, job->upstream);
+  member = upstream_set_find_member (set, job->upstream);
   g_hash_table_remove (set->jobs, &job->id);
   g_ptr_array_remove (member->jobs, job);
   talloc_free (job);
@@ -350,7 +354,7 @@
 void
 upstream_set_add_call_time (upstream_set_t *set, uint64_t key, double took_ms)
 {
-  upstream_member_t *member = find_member (set, key);
+  upstream_member_t *member = upstream_set_find_member (set, key);
 
   if (member == NULL)
     return;
@@ -370,7 +374,7 @@
 void
 upstream_set_mark_leaving (upstream_set_t *set, uint64_t key)
 {
-  upstream_member_t *member = find_member (set, key);
+  upstream_member_t *member = upstream_set_find_member (set, key);
 
   if (member == NULL || member->is_leaving)
     return;
@@ -384,7 +388,7 @@
 void
 upstream_set_pause (upstream_set_t *set, uint64_t key, uint64_t until_ms)
 {
-  upstream_member_t *member = find_member (set, key);
+  upstream_member_t *member = upstream_set_find_member (set, key);
 
   if (member == NULL || member->paused_until_ms >= until_ms)
     return;
@@ -402,7 +406,7 @@
                     uint64_t stated_ms,
                     uint64_t now_ms)
 {
-  upstream_member_t *member = find_member (set, key);
+  upstream_member_t *member = upstream_set_find_member (set, key);
 
   if (member == NULL
       || !upstream_limit_set (&member->limit, rate_s, stated_ms, now_ms))
@@ -430,7 +434,7 @@
 void
 upstream_set_add_slowness (upstream_set_t *set, uint64_t key, double factor)
 {
-  upstream_member_t *member = find_member (set, key);
+  upstream_member_t *member = upstream_set_find_member (set, key);
 
   if (member == NULL)
     return;
@@ -450,5 +454,6 @@
       if (member->trust == UPSTREAM_EJECTED
           && now_ms >= member->ejected_until_ms)
         member->trust = UPSTREAM_ON_TRIAL;
+      upstream_set_check_service (set, member, now_ms);
     }
 }
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -17,6 +17,7 @@
 
 #include "directory.h"
 #include "prompt-parts.h"
+#include "upstream-cold.h"
 #include "upstream-limit.h"
 
 typedef struct upstream_set upstream_set_t;
@@ -47,6 +48,7 @@
   bool is_part;         /**< prefills a part of a prompt for another upstream */
   bool has_reservation; /**< memory is reserved there under the name of
                              upstream_reservation_name() */
+  bool is_granted;      /**< this instance placed it */
   prompt_parts_t parts; /**< of the prompt; none for a part's job */
 } upstream_job_t;
 
@@ -94,6 +96,8 @@
   uint64_t paused_until_ms; /**< it asked for no requests until then */
   upstream_limit_t limit;   /**< the rate that it named; each known job that
                                  begins there is counted, but no parts */
+  upstream_cold_t cold;     /**< counts as the limit does */
+  bool was_in_service;      /**< it was reachable at the last check */
   GPtrArray *jobs;          /**< upstream_job_t, oldest first */
 } upstream_member_t;
 
@@ -105,6 +109,10 @@
   void (*on_answer) (const upstream_job_t *job, uint64_t now_ms, void *context);
   /** A job was broken off before its answer began; may be NULL. */
   void (*on_broken) (const upstream_job_t *job, uint64_t now_ms, void *context);
+  /** Returns the bound for cold upstreams of a service; NULL: there is none. */
+  upstream_cold_rate_t (*find_cold_rate) (const char *service, void *context);
+  /** An upstream is taken for cold from now on; may be NULL. */
+  void (*on_cold) (const upstream_member_t *member, void *context);
   void *context;
 } upstream_set_options_t;
 
@@ -208,6 +216,22 @@
                          uint64_t stated_ms,
                          uint64_t now_ms);
 
+/** Records that an upstream said in an answer that it is cold until @a
+ * until_ms; an earlier time than is known has no effect. */
+void upstream_set_mark_cold (upstream_set_t *set,
+                             uint64_t key,
+                             uint64_t until_ms,
+                             uint64_t now_ms);
+
+/** Takes the upstreams of a zone for cold from now on, as after a time in which
+ * they got no requests. */
+void upstream_set_mark_zone_cold (upstream_set_t *set,
+                                  const char *zone,
+                                  uint64_t now_ms);
+
+/** Returns the number of upstreams that are taken for cold. */
+uint32_t upstream_set_count_cold (const upstream_set_t *set, uint64_t now_ms);
+
 /**
  * Records that an engine's first event came after @a factor times the predicted
  * time.
--- a/zone-placement-internal.h
+++ b/zone-placement-internal.h
@@ -45,6 +45,7 @@
   placer_t *placer;
   GHashTable *asks; /* id -> zone_ask_t */
   uint64_t last_id;
+  uint64_t started_ms;
   const placer_peer_t *last_placer; /* NULL: this instance */
   uint32_t queued;
   struct event *queue_timer;
--- a/zone-placement.c
+++ b/zone-placement.c
@@ -15,6 +15,9 @@
 #define QUEUE_DELAY_MS 2
 /** Interval of further passes while requests are queued. */
 #define QUEUE_INTERVAL_MS 20
+/** Time after the start in which no share of a cold upstream's bound is used.
+ */
+#define COLD_START_WAIT_MS 1100
 
 static void
 schedule_queue (zone_placement_t *placement, uint32_t wait_ms)
@@ -124,6 +127,24 @@
                                           placement->options.context);
 }
 
+/** Returns the part of the bound on a cold upstream's requests that may be
+ * granted here. */
+static upstream_cold_share_t
+find_cold_share (const upstream_member_t *member, void *context)
+{
+  const zone_placement_t *placement = context;
+  uint64_t now_ms = clock_mono_ms ();
+  upstream_cold_share_t share = { .rank = UINT32_MAX };
+
+  share.is_counting
+      = placer_ranking_counts_zone (placement->ranking, member->zone)
+        && load_share_is_counting (placement->share, now_ms);
+  /* A process that ran here before may have used the share lately. */
+  if (placement->started_ms + COLD_START_WAIT_MS <= now_ms)
+    share.rank = placer_ranking_order (placement->ranking, member->key);
+  return share;
+}
+
 static void
 on_share_change (void *context)
 {
@@ -245,11 +266,13 @@
                               .zone = options->zone,
                               .zone_cost_ms = options->zone_cost_ms,
                               .find_service = find_service,
+                              .find_cold_share = find_cold_share,
                               .on_answer = on_decision,
                               .context = placement };
 
   placement->options = *options;
   placement->last_id = random_id ();
+  placement->started_ms = clock_mono_ms ();
   placement->asks = g_hash_table_new (g_int64_hash, g_int64_equal);
   placement->queue_timer
       = event_new (options->base, -1, 0, on_queue_timer, placement);
@@ -342,6 +365,18 @@
   load_share_report_state (placement->share, upstream, is_leaving, pause_ms);
 }
 
+void
+zone_placement_report_cold (zone_placement_t *placement,
+                            uint64_t upstream,
+                            uint32_t cold_ms)
+{
+  uint64_t now_ms = clock_mono_ms ();
+
+  upstream_set_mark_cold (placement->options.set, upstream, now_ms + cold_ms,
+                          now_ms);
+  load_share_report_cold (placement->share, upstream, cold_ms);
+}
+
 void
 zone_placement_report_limit (zone_placement_t *placement,
                              uint64_t upstream,
--- a/zone-placement.h
+++ b/zone-placement.h
@@ -118,6 +118,12 @@
                                   bool is_leaving,
                                   uint32_t pause_ms);
 
+/** Records that an upstream said in an answer that it is cold for @a cold_ms.
+ */
+void zone_placement_report_cold (zone_placement_t *placement,
+                                 uint64_t upstream,
+                                 uint32_t cold_ms);
+
 /** Records the rate limit that an upstream named, see upstream_limit_set(). */
 void zone_placement_report_limit (zone_placement_t *placement,
                                   uint64_t upstream,
