--- a/t/t8330-upstream-cold.c
+++ b/t/t8330-upstream-cold.c
@@ -32,8 +32,9 @@
 static void
 test_parts_fit (void)
 {
-  for (double per_s = 0.5; per_s < 60; per_s += 0.5)
+  for (uint32_t half_s = 1; half_s < 120; half_s++)
     {
+      double per_s = half_s / 2.0;
       upstream_cold_rate_t rate
           = upstream_cold_make_rate (per_s, COLD_S, COLD_EXCESS, COLD_SLACK);
 
