upstream-pace: limit open requests at upstreams that start or return

An upstream that has just started, or returns from ejection, silence, a pause, an absence or coldness, may take less than its slots. It was used in full at once, or after one good answer on trial, and made requests late.

Its open requests are limited from one up. Answers in the predicted time double the limit in the time of an answer until the first overload, then add one; lateness, refusals and failures shrink it. It ends at the slots. When at least half of a service's upstreams have a limit, none is refused for it. An upstream without recent trouble has no limit.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 OWN_SRC  = $(wildcard *.c *.h builtin/*.c builtin/*.h t/*.c t/*.h \
 	fuzz/*.c platform/*.c platform/*.h)
 
-.PHONY: all platform tests check check-built soak demo bench bench-control bench-placement slopes model fuzz \
+.PHONY: all platform tests check check-built soak demo bench bench-control bench-placement bench-pace slopes model fuzz \
 	lint lint-deps format deps generate check-generated clean
 
 all: $(PROGRAMS:%=$(BUILD)/%) platform
@@ -134,6 +134,10 @@
 bench-placement: $(BUILD)/t/bench-placement
 	@$(BUILD)/t/bench-placement $(SEEDS)
 
+# Compares ways of limiting the requests at upstreams that start or return.
+bench-pace: $(BUILD)/t/bench-pace
+	@$(BUILD)/t/bench-pace $(SEEDS)
+
 slopes: all
 	@BUILD=$(BUILD) t/slopes.sh
 
--- a/gateway-metrics.c
+++ b/gateway-metrics.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <talloc.h>
 
 #include "base.h"
 #include "gateway-internal.h"
@@ -11,6 +12,41 @@
   return upstream_set_count_cold (gateway->set, clock_mono_ms ());
 }
 
+/** The upstreams whose open requests are limited for a reason. */
+typedef struct
+{
+  const upstream_set_t *set;
+  pace_reason_t reason;
+} paced_t;
+
+static double
+read_paced (void *context)
+{
+  const paced_t *paced = context;
+
+  return upstream_set_count_paced (paced->set, paced->reason);
+}
+
+static void
+add_pace_gauges (gateway_t *gateway)
+{
+  char labels[64];
+
+  for (int i = PACE_NONE + 1; i < PACE_REASON_COUNT; i++)
+    {
+      paced_t *paced = talloc (gateway, paced_t);
+
+      *paced = (paced_t){ .set = gateway->set, .reason = (pace_reason_t)i };
+      snprintf (labels, sizeof labels, "reason=\"%s\"",
+                upstream_pace_reason_name (paced->reason));
+      metrics_gauge_read (gateway->options.metrics,
+                          "lwm_gateway_paced_upstreams",
+                          "Upstreams whose open requests are limited after "
+                          "their start or return.",
+                          labels, read_paced, paced);
+    }
+}
+
 static void
 add_counters (gateway_t *gateway)
 {
@@ -46,6 +82,7 @@
   metrics_gauge_read (metrics, "lwm_gateway_cold_upstreams",
                       "Upstreams that are taken for cold.", NULL, read_cold,
                       gateway);
+  add_pace_gauges (gateway);
   for (int kind = 0; kind < ERROR_KIND_COUNT; kind++)
     {
       snprintf (labels, sizeof labels, "reason=\"%s\"",
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -114,6 +114,23 @@
                       &request->fields, -1);
 }
 
+/** Records the pause before an event, and reports the first one of the attempt
+ * that is too long. */
+static void
+record_progress (const gateway_request_t *request,
+                 uint64_t silent_ms,
+                 uint64_t now_ms)
+{
+  upstream_set_t *set = request->gateway->set;
+  const upstream_job_t *job = upstream_set_job (set, request->job_id);
+  bool was_late = job != NULL && job->is_late;
+
+  upstream_set_progress (set, request->job_id, silent_ms, now_ms);
+  if (job != NULL && job->is_late && !was_late)
+    zone_placement_report_late_gap (request->gateway->placement,
+                                    request->upstream_key);
+}
+
 /** Records an event. Only events show that the upstream makes progress: single
  * bytes and comments may come from one that is stuck. */
 static void
@@ -123,8 +140,7 @@
 
   if (request->attempt_events++ == 0)
     record_first_event (request, now_ms);
-  upstream_set_progress (request->gateway->set, request->job_id, silent_ms,
-                         now_ms);
+  record_progress (request, silent_ms, now_ms);
   if (request->event_count++ > 0)
     request->longest_gap_ms
         = MAX (request->longest_gap_ms,
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -107,10 +107,12 @@
                                 now_ms + observation->cold_ms, now_ms);
       if (observation->call_ms > 0)
         upstream_set_add_call_time (set, observation->upstream,
-                                    (double)observation->call_ms);
+                                    (double)observation->call_ms, now_ms);
       if (observation->slowness > 0)
         upstream_set_add_slowness (set, observation->upstream,
-                                   (double)observation->slowness);
+                                   (double)observation->slowness, now_ms);
+      if (observation->has_late_gap)
+        upstream_set_add_late_gap (set, observation->upstream, now_ms);
     }
 }
 
--- a/load-share.c
+++ b/load-share.c
@@ -518,6 +518,16 @@
   add_observation (share, &observation);
 }
 
+void
+load_share_report_late_gap (load_share_t *share, uint64_t upstream)
+{
+  Lwm__ShareObservation observation = LWM__SHARE_OBSERVATION__INIT;
+
+  observation.upstream = upstream;
+  observation.has_late_gap = true;
+  add_observation (share, &observation);
+}
+
 void
 load_share_report_limit (load_share_t *share, uint64_t upstream)
 {
--- a/load-share.h
+++ b/load-share.h
@@ -119,6 +119,9 @@
                              uint64_t upstream,
                              uint32_t cold_ms);
 
+/** Announces that an upstream was silent within an answer for too long. */
+void load_share_report_late_gap (load_share_t *share, uint64_t upstream);
+
 /** Reports the rate limit of an upstream that the set knows, or its end. */
 void load_share_report_limit (load_share_t *share, uint64_t upstream);
 
--- a/t/t8040-upstream-choice.c
+++ b/t/t8040-upstream-choice.c
@@ -538,7 +538,7 @@
   g_assert_cmpstr (choice.member->zone, ==, "a");
   for (uint32_t i = 0; i < ENGINES; i++)
     upstream_set_add_call_time (fixture->set, fixture->keys[i],
-                                i % 2 == 0 ? 400 : 50);
+                                i % 2 == 0 ? 400 : 50, NOW_MS);
   choice = upstream_choose (fixture->set, &request, NOW_MS);
   g_assert_cmpstr (choice.member->zone, ==, "b");
   fixture_free (fixture);
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -72,6 +72,14 @@
   return upstream_cold_wait_ms (&member->cold, &share, now_ms);
 }
 
+static bool
+is_within_pace (const choice_request_t *request,
+                const upstream_member_t *member)
+{
+  return request->ignores_pace
+         || upstream_pace_allows (&member->pace, member->jobs->len);
+}
+
 bool
 upstream_choice_is_candidate (const choice_request_t *request,
                               const upstream_member_t *member,
@@ -82,7 +90,7 @@
       || strcmp (member->service, request->service) != 0
       || !is_within_limit (request, member, now_ms)
       || cold_wait_ms (request, member, now_ms) > 0
-      || is_avoided (request, member->key))
+      || !is_within_pace (request, member) || is_avoided (request, member->key))
     return false;
   if (any_usable)
     return true;
@@ -276,15 +284,68 @@
   return engine_prefill_ms (request->model, request->prompt_tokens) / parts;
 }
 
+/** Returns whether at least half of a service's upstreams have just started or
+ * returned. None of them is then better than the others, and limits would only
+ * refuse requests. */
+static bool
+is_mostly_paced (const upstream_set_t *set,
+                 const choice_request_t *request,
+                 uint64_t now_ms)
+{
+  size_t count;
+  const upstream_member_t *const *members = upstream_set_members (set, &count);
+  uint32_t paced = 0;
+  uint32_t usable = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!upstream_member_is_available (members[i], now_ms)
+          || members[i]->trust == UPSTREAM_EJECTED
+          || strcmp (members[i]->service, request->service) != 0)
+        continue;
+      usable++;
+      paced += members[i]->pace.reason != PACE_NONE;
+    }
+  return paced > 0 && 2 * paced >= usable;
+}
+
+/** Chooses within the limits on open requests, and without them if that fails
+ * and most upstreams have one. */
+static choice_t
+choose_by_pace (const upstream_set_t *set,
+                const choice_request_t *request,
+                uint64_t now_ms)
+{
+  choice_t choice = choose_among (set, request, false, now_ms);
+  choice_request_t unlimited = *request;
+
+  if (choice.kind == CHOICE_SEND || !is_mostly_paced (set, request, now_ms))
+    return choice;
+  unlimited.ignores_pace = true;
+  return choose_among (set, &unlimited, false, now_ms);
+}
+
+/** Chooses among all upstreams, as no trusted one is left. */
+static choice_t
+choose_any (const upstream_set_t *set,
+            const choice_request_t *request,
+            uint64_t now_ms)
+{
+  choice_request_t unlimited = *request;
+
+  unlimited.ignores_pace = true;
+  return choose_among (set, &unlimited, true, now_ms);
+}
+
 choice_t
 upstream_choose (const upstream_set_t *set,
                  const choice_request_t *request,
                  uint64_t now_ms)
 {
-  choice_t choice = choose_among (set, request, false, now_ms);
+  choice_t choice = choose_by_pace (set, request, now_ms);
 
   if (choice.kind == CHOICE_NONE)
-    choice = choose_among (set, request, true, now_ms);
+    choice = choose_any (set, request, now_ms);
   if (choice.kind == CHOICE_WAIT && request->model != NULL
       && shortest_prefill_ms (request, choice.usable) > request->left_ms)
     choice.kind = CHOICE_UNMEETABLE;
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -59,6 +59,7 @@
   /** Others may choose at the same time without knowing of this choice, so that
    * no upstream with a rate limit is chosen. */
   bool is_alone;
+  bool ignores_pace; /**< see upstream-pace.h */
   /** Finds the part of the bound on a cold upstream's requests that may be
    * granted here; NULL: none. */
   upstream_cold_share_t (*find_cold_share) (const upstream_member_t *member,
--- a/upstream-set-cold.c
+++ b/upstream-set-cold.c
@@ -21,8 +21,12 @@
             uint64_t now_ms)
 {
   until_ms = MIN (until_ms, now_ms + MAX_COLD_MS);
-  if (!upstream_cold_begin (&member->cold, until_ms, now_ms)
-      || !upstream_cold_holds (&member->cold, now_ms))
+  if (!upstream_cold_begin (&member->cold, until_ms, now_ms))
+    return;
+  if (member->was_in_service && member->pace.reason == PACE_NONE
+      && upstream_set_is_settled (set, now_ms))
+    upstream_set_begin_pace (member, PACE_COLD, now_ms);
+  if (!upstream_cold_holds (&member->cold, now_ms))
     return;
   log_info ("An upstream is taken for cold. upstream=%s address=%s why=%s "
             "for_ms=%ju requests_s=%u",
@@ -72,14 +76,23 @@
   member->cold.until_ms = 0;
 }
 
+bool
+upstream_set_is_settled (const upstream_set_t *set, uint64_t now_ms)
+{
+  return set->first_sync_ms + SETTLED_MS <= now_ms;
+}
+
 void
 upstream_set_check_new (const upstream_set_t *set,
                         upstream_member_t *member,
                         uint64_t now_ms)
 {
   update_cold_rate (set, member);
-  if (set->first_sync_ms + SETTLED_MS <= now_ms)
-    assume_cold (set, member, "started", now_ms);
+  if (upstream_set_is_settled (set, now_ms))
+    {
+      upstream_set_begin_pace (member, PACE_STARTED, now_ms);
+      assume_cold (set, member, "started", now_ms);
+    }
   member->was_in_service = is_in_service (member, now_ms);
 }
 
@@ -103,6 +116,8 @@
   bool is_now = is_in_service (member, now_ms);
 
   update_cold_rate (set, member);
+  if (is_now && !member->was_in_service)
+    upstream_set_begin_pace (member, PACE_RETURNED, now_ms);
   if (member->is_usable && !(is_now && member->was_in_service))
     assume_cold (set, member, is_now ? "returned" : "out_of_service", now_ms);
   member->was_in_service = is_now;
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -271,6 +271,8 @@
                 upstream_job_end_t how,
                 uint64_t now_ms)
 {
+  if (how != UPSTREAM_JOB_GOOD && how != UPSTREAM_JOB_NEUTRAL)
+    upstream_pace_on_failure (&member->pace, now_ms);
   if (how == UPSTREAM_JOB_REFUSED)
     member->full_until_ms = now_ms + FULL_BACKOFF_MS;
   if (how == UPSTREAM_JOB_DEAD && member->trust != UPSTREAM_EJECTED)
@@ -352,12 +354,16 @@
 }
 
 void
-upstream_set_add_call_time (upstream_set_t *set, uint64_t key, double took_ms)
+upstream_set_add_call_time (upstream_set_t *set,
+                            uint64_t key,
+                            double took_ms,
+                            uint64_t now_ms)
 {
   upstream_member_t *member = upstream_set_find_member (set, key);
 
   if (member == NULL)
     return;
+  upstream_set_pace_call (set, member, took_ms, now_ms);
   if (member->answer_ms == 0)
     member->answer_ms = took_ms;
   else
@@ -429,15 +435,20 @@
   log_info ("The pause of an upstream is over. upstream=%s address=%s",
             member->id, member->address);
   member->paused_until_ms = 0;
+  upstream_set_begin_pace (member, PACE_PAUSED, now_ms);
 }
 
 void
-upstream_set_add_slowness (upstream_set_t *set, uint64_t key, double factor)
+upstream_set_add_slowness (upstream_set_t *set,
+                           uint64_t key,
+                           double factor,
+                           uint64_t now_ms)
 {
   upstream_member_t *member = upstream_set_find_member (set, key);
 
   if (member == NULL)
     return;
+  upstream_set_pace_answer (member, factor, now_ms);
   factor = CLAMP (factor, 0.5, MAX_SLOWNESS);
   member->slowness += SLOWNESS_WEIGHT * (factor - member->slowness);
 }
@@ -455,5 +466,6 @@
           && now_ms >= member->ejected_until_ms)
         member->trust = UPSTREAM_ON_TRIAL;
       upstream_set_check_service (set, member, now_ms);
+      upstream_set_pace_tick (member, now_ms);
     }
 }
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -19,6 +19,7 @@
 #include "prompt-parts.h"
 #include "upstream-cold.h"
 #include "upstream-limit.h"
+#include "upstream-pace.h"
 
 typedef struct upstream_set upstream_set_t;
 
@@ -97,6 +98,7 @@
   upstream_limit_t limit;   /**< the rate that it named; each known job that
                                  begins there is counted, but no parts */
   upstream_cold_t cold;     /**< counts as the limit does */
+  upstream_pace_t pace;     /**< after its start or return */
   bool was_in_service;      /**< it was reachable at the last check */
   GPtrArray *jobs;          /**< upstream_job_t, oldest first */
 } upstream_member_t;
@@ -192,8 +194,10 @@
                                 char name[UPSTREAM_RESERVATION_ID_BYTES]);
 
 /** Records that the upstream answered a plain call after @a took_ms. */
-void
-upstream_set_add_call_time (upstream_set_t *set, uint64_t key, double took_ms);
+void upstream_set_add_call_time (upstream_set_t *set,
+                                 uint64_t key,
+                                 double took_ms,
+                                 uint64_t now_ms);
 
 /** Returns whether new requests may go to an upstream: it is usable, does not
  * leave and has not asked for a pause that still lasts. */
@@ -232,12 +236,24 @@
 /** Returns the number of upstreams that are taken for cold. */
 uint32_t upstream_set_count_cold (const upstream_set_t *set, uint64_t now_ms);
 
+/** Records that an upstream was silent within an answer for longer than the
+ * target of the request. */
+void
+upstream_set_add_late_gap (upstream_set_t *set, uint64_t key, uint64_t now_ms);
+
+/** Returns the number of upstreams whose open requests are limited for a
+ * reason, see upstream-pace.h. */
+uint32_t upstream_set_count_paced (const upstream_set_t *set,
+                                   pace_reason_t reason);
+
 /**
  * Records that an engine's first event came after @a factor times the predicted
  * time.
  */
-void
-upstream_set_add_slowness (upstream_set_t *set, uint64_t key, double factor);
+void upstream_set_add_slowness (upstream_set_t *set,
+                                uint64_t key,
+                                double factor,
+                                uint64_t now_ms);
 
 /**
  * Ends ejections whose time is over. The caller runs it a few times a second.
--- a/zone-placement.c
+++ b/zone-placement.c
@@ -365,6 +365,14 @@
   load_share_report_state (placement->share, upstream, is_leaving, pause_ms);
 }
 
+void
+zone_placement_report_late_gap (zone_placement_t *placement, uint64_t upstream)
+{
+  upstream_set_add_late_gap (placement->options.set, upstream,
+                             clock_mono_ms ());
+  load_share_report_late_gap (placement->share, upstream);
+}
+
 void
 zone_placement_report_cold (zone_placement_t *placement,
                             uint64_t upstream,
@@ -395,11 +403,12 @@
                         double slowness)
 {
   upstream_set_t *set = placement->options.set;
+  uint64_t now_ms = clock_mono_ms ();
 
   if (call_ms > 0)
-    upstream_set_add_call_time (set, upstream, call_ms);
+    upstream_set_add_call_time (set, upstream, call_ms, now_ms);
   if (slowness > 0)
-    upstream_set_add_slowness (set, upstream, slowness);
+    upstream_set_add_slowness (set, upstream, slowness, now_ms);
   load_share_observe (placement->share, upstream, call_ms, slowness);
 }
 
--- a/zone-placement.h
+++ b/zone-placement.h
@@ -118,6 +118,11 @@
                                   bool is_leaving,
                                   uint32_t pause_ms);
 
+/** Records that an upstream was silent within an answer for longer than the
+ * target of the request. */
+void zone_placement_report_late_gap (zone_placement_t *placement,
+                                     uint64_t upstream);
+
 /** Records that an upstream said in an answer that it is cold for @a cold_ms.
  */
 void zone_placement_report_cold (zone_placement_t *placement,
