placer-ranking: keep the places in the order of an upstream

The place of an instance among those that hold single requests of a cold upstream was computed over all instances for each candidate of each decision. It is kept until an instance is added.

--- a/placer-ranking.c
+++ b/placer-ranking.c
@@ -25,6 +25,8 @@
 #define HEARD_TIMEOUT_MS 1500
 /** Time without one after which an instance does not count any more. */
 #define FORGOTTEN_MS 60000
+/** Places that are kept, so that they are not computed for each request. */
+#define MAX_ORDERS 4096
 
 struct placer_ranking
 {
@@ -33,6 +35,7 @@
   uint64_t own_rank;
   GPtrArray *peers; /* placer_peer_t, by zone and rank, children of ranking */
   GHashTable *by_address;
+  GHashTable *orders; /* seed -> own place, see placer_ranking_order() */
 };
 
 static int
@@ -40,6 +43,7 @@
 {
   g_ptr_array_free (ranking->peers, TRUE);
   g_hash_table_destroy (ranking->by_address);
+  g_hash_table_destroy (ranking->orders);
   return 0;
 }
 
@@ -59,6 +63,8 @@
   ranking->own_rank = rank_of (own_address);
   ranking->peers = g_ptr_array_new ();
   ranking->by_address = g_hash_table_new (g_str_hash, g_str_equal);
+  ranking->orders
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   talloc_set_destructor (ranking, free_ranking);
   return ranking;
 }
@@ -94,6 +100,7 @@
   g_hash_table_insert (ranking->by_address, peer->address, peer);
   g_ptr_array_add (ranking->peers, peer);
   g_ptr_array_sort (ranking->peers, compare_peers);
+  g_hash_table_remove_all (ranking->orders);
   return true;
 }
 
@@ -271,8 +278,8 @@
   return is_first;
 }
 
-uint32_t
-placer_ranking_order (const placer_ranking_t *ranking, uint64_t seed)
+static uint32_t
+compute_order (const placer_ranking_t *ranking, uint64_t seed)
 {
   uint64_t own
       = XXH64 (ranking->own_address, strlen (ranking->own_address), seed);
@@ -284,7 +291,25 @@
 
       before += XXH64 (peer->address, strlen (peer->address), seed) < own;
     }
-  return ranking->peers->len > 0 ? before : UINT32_MAX;
+  return before;
+}
+
+uint32_t
+placer_ranking_order (const placer_ranking_t *ranking, uint64_t seed)
+{
+  gpointer known;
+  uint32_t order;
+
+  if (ranking->peers->len == 0)
+    return UINT32_MAX;
+  if (g_hash_table_lookup_extended (ranking->orders, &seed, NULL, &known))
+    return GPOINTER_TO_UINT (known);
+  if (g_hash_table_size (ranking->orders) >= MAX_ORDERS)
+    g_hash_table_remove_all (ranking->orders);
+  order = compute_order (ranking, seed);
+  g_hash_table_insert (ranking->orders, g_memdup2 (&seed, sizeof seed),
+                       GUINT_TO_POINTER (order));
+  return order;
 }
 
 void
--- a/t/t8334-cold-state.c
+++ b/t/t8334-cold-state.c
@@ -185,6 +185,35 @@
   talloc_free (ranking);
 }
 
+/** The single requests of an upstream belong to other instances than those of
+ * another one, and the places follow a change of the known instances. */
+static void
+test_order (void)
+{
+  placer_ranking_t *ranking = placer_ranking_new (NULL, "x", "a");
+  uint32_t first = 0;
+  char address[16];
+
+  g_assert_cmpuint (placer_ranking_order (ranking, 1), ==, UINT32_MAX);
+  for (uint32_t i = 0; i < 99; i++)
+    {
+      g_snprintf (address, sizeof address, "y%u", i);
+      placer_ranking_add (ranking, address, "a", COLD_START_MS);
+      g_assert_cmpuint (placer_ranking_order (ranking, 1), <=, i + 1);
+    }
+  for (uint64_t seed = 1; seed <= 5000; seed++)
+    {
+      uint32_t order = placer_ranking_order (ranking, seed);
+
+      g_assert_cmpuint (order, <, 100);
+      g_assert_cmpuint (placer_ranking_order (ranking, seed), ==, order);
+      first += order < 10;
+    }
+  g_assert_cmpuint (first, >, 400);
+  g_assert_cmpuint (first, <, 600);
+  talloc_free (ranking);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -198,5 +227,6 @@
                    test_returned_from_ejection);
   g_test_add_func ("/cold-state/no-bound", test_no_bound);
   g_test_add_func ("/cold-state/majority", test_majority);
+  g_test_add_func ("/cold-state/order", test_order);
   return g_test_run ();
 }
