merge: rate of cold upstreams, pace of upstreams that start or return

Cause: nothing kept the requests to cold upstreams within their rate, and one that starts or returns was flooded or idle.

--- a/gateway-metrics.c
+++ b/gateway-metrics.c
@@ -1,7 +1,52 @@
 #include <stdio.h>
+#include <talloc.h>
 
+#include "base.h"
 #include "gateway-internal.h"
 
+static double
+read_cold (void *context)
+{
+  const gateway_t *gateway = context;
+
+  return upstream_set_count_cold (gateway->set, clock_mono_ms ());
+}
+
+/** The upstreams whose open requests are limited for a reason. */
+typedef struct
+{
+  const upstream_set_t *set;
+  pace_reason_t reason;
+} paced_t;
+
+static double
+read_paced (void *context)
+{
+  const paced_t *paced = context;
+
+  return upstream_set_count_paced (paced->set, paced->reason);
+}
+
+static void
+add_pace_gauges (gateway_t *gateway)
+{
+  char labels[64];
+
+  for (int i = PACE_NONE + 1; i < PACE_REASON_COUNT; i++)
+    {
+      paced_t *paced = talloc (gateway, paced_t);
+
+      *paced = (paced_t){ .set = gateway->set, .reason = (pace_reason_t)i };
+      snprintf (labels, sizeof labels, "reason=\"%s\"",
+                upstream_pace_reason_name (paced->reason));
+      metrics_gauge_read (gateway->options.metrics,
+                          "lwm_gateway_paced_upstreams",
+                          "Upstreams whose open requests are limited after "
+                          "their start or return.",
+                          labels, read_paced, paced);
+    }
+}
+
 static void
 add_counters (gateway_t *gateway)
 {
@@ -31,6 +76,13 @@
   counters->paused = metrics_counter (
       metrics, "lwm_gateway_upstream_states_total",
       "Answers in which an upstream limited its use.", "state=\"paused\"");
+  counters->cold = metrics_counter (
+      metrics, "lwm_gateway_cold_upstreams_total",
+      "Times that an upstream with a bound was taken for cold.", NULL);
+  metrics_gauge_read (metrics, "lwm_gateway_cold_upstreams",
+                      "Upstreams that are taken for cold.", NULL, read_cold,
+                      gateway);
+  add_pace_gauges (gateway);
   for (int kind = 0; kind < ERROR_KIND_COUNT; kind++)
     {
       snprintf (labels, sizeof labels, "reason=\"%s\"",
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -16,6 +16,8 @@
 #define MAX_PAUSE_SPREAD_MS    1000
 #define FIRST_SERVER_ERROR     500
 #define STATUS_GATEWAY_TIMEOUT 504
+/** Least change of a cold time that is passed on. */
+#define COLD_NEWS_MS 250
 
 /** Saves the answer's head, as the answer of a failed attempt may be relayed
  * later. */
@@ -112,6 +114,23 @@
                       &request->fields, -1);
 }
 
+/** Records the pause before an event, and reports the first one of the attempt
+ * that is too long. */
+static void
+record_progress (const gateway_request_t *request,
+                 uint64_t silent_ms,
+                 uint64_t now_ms)
+{
+  upstream_set_t *set = request->gateway->set;
+  const upstream_job_t *job = upstream_set_job (set, request->job_id);
+  bool was_late = job != NULL && job->is_late;
+
+  upstream_set_progress (set, request->job_id, silent_ms, now_ms);
+  if (job != NULL && job->is_late && !was_late)
+    zone_placement_report_late_gap (request->gateway->placement,
+                                    request->upstream_key);
+}
+
 /** Records an event. Only events show that the upstream makes progress: single
  * bytes and comments may come from one that is stuck. */
 static void
@@ -121,8 +140,7 @@
 
   if (request->attempt_events++ == 0)
     record_first_event (request, now_ms);
-  upstream_set_progress (request->gateway->set, request->job_id, silent_ms,
-                         now_ms);
+  record_progress (request, silent_ms, now_ms);
   if (request->event_count++ > 0)
     request->longest_gap_ms
         = MAX (request->longest_gap_ms,
@@ -203,6 +221,20 @@
                                  request->attempt_ms);
 }
 
+/** Records for how long the upstream says that it is cold, if that is news. */
+static void
+record_cold_time (const gateway_request_t *request)
+{
+  const upstream_member_t *member
+      = upstream_set_find (request->gateway->set, request->upstream_key);
+  uint32_t cold_ms = request->answer.cold_ms;
+
+  if (member != NULL && cold_ms > 0
+      && clock_mono_ms () + cold_ms > member->cold.until_ms + COLD_NEWS_MS)
+    zone_placement_report_cold (request->gateway->placement,
+                                request->upstream_key, cold_ms);
+}
+
 static void
 on_head (exchange_t *exchange, void *context)
 {
@@ -229,6 +261,7 @@
   request->answer.request_id = request->answer.failed_helper = NULL;
   record_upstream_state (request);
   record_upstream_limit (request);
+  record_cold_time (request);
   save_answer_head (request);
   if (is_stream (request))
     request->events = event_stream_new (request, on_event, request);
--- a/load-share-internal.h
+++ b/load-share-internal.h
@@ -47,6 +47,8 @@
   uint64_t whole_ms;      /* when all jobs were last sent */
   uint64_t tick_ms;       /* when they are sent next */
   bool was_able;          /* as the instances of the zone were told */
+  uint64_t placer_since_ms; /* since when this is the zone's placer, or 0 */
+  uint64_t placer_checked_ms;
   pause_detector_t pauses; /* pauses of this process */
   struct event *tick;      /* sends all jobs */
   struct event *gather;    /* ends the wait for reports after a common start */
--- a/load-share.h
+++ b/load-share.h
@@ -86,6 +86,14 @@
  * which is_able() depends. */
 void load_share_check_able (load_share_t *share);
 
+/**
+ * Returns whether this instance, as the placer of its zone, counts the requests
+ * of all instances: it has been the placer for long enough that another one
+ * which lost contact does not count them any more, and most instances of the
+ * zone report to it.
+ */
+bool load_share_is_counting (const load_share_t *share, uint64_t now_ms);
+
 /** Records that this instance chooses upstreams for others now, and so reports
  * the jobs of its zone to other zones for some time. */
 void load_share_act (load_share_t *share, uint64_t now_ms);
@@ -122,6 +130,15 @@
                               bool is_leaving,
                               uint32_t pause_ms);
 
+/** Announces that an upstream said in an answer that it is cold for @a cold_ms.
+ */
+void load_share_report_cold (load_share_t *share,
+                             uint64_t upstream,
+                             uint32_t cold_ms);
+
+/** Announces that an upstream was silent within an answer for too long. */
+void load_share_report_late_gap (load_share_t *share, uint64_t upstream);
+
 /** Reports the rate limit of an upstream that the set knows, or its end. */
 void load_share_report_limit (load_share_t *share, uint64_t upstream);
 
--- a/placer-ranking.c
+++ b/placer-ranking.c
@@ -20,6 +20,14 @@
 #define LOST_TRY_UNIT_MS 1000
 #define LOST_TRY_UNITS   8
 
+/** Time without a whole report after which an instance is not in contact;
+ * longer than the interval of these reports. */
+#define HEARD_TIMEOUT_MS 1500
+/** Time without one after which an instance does not count any more. */
+#define FORGOTTEN_MS 60000
+/** Places that are kept, so that they are not computed for each request. */
+#define MAX_ORDERS 4096
+
 struct placer_ranking
 {
   char *own_zone;
@@ -27,6 +35,7 @@
   uint64_t own_rank;
   GPtrArray *peers; /* placer_peer_t, by zone and rank, children of ranking */
   GHashTable *by_address;
+  GHashTable *orders; /* seed -> own place, see placer_ranking_order() */
 };
 
 static int
@@ -34,6 +43,7 @@
 {
   g_ptr_array_free (ranking->peers, TRUE);
   g_hash_table_destroy (ranking->by_address);
+  g_hash_table_destroy (ranking->orders);
   return 0;
 }
 
@@ -53,6 +63,8 @@
   ranking->own_rank = rank_of (own_address);
   ranking->peers = g_ptr_array_new ();
   ranking->by_address = g_hash_table_new (g_str_hash, g_str_equal);
+  ranking->orders
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   talloc_set_destructor (ranking, free_ranking);
   return ranking;
 }
@@ -88,6 +100,7 @@
   g_hash_table_insert (ranking->by_address, peer->address, peer);
   g_ptr_array_add (ranking->peers, peer);
   g_ptr_array_sort (ranking->peers, compare_peers);
+  g_hash_table_remove_all (ranking->orders);
   return true;
 }
 
@@ -252,6 +265,78 @@
     peer->is_slow = false;
 }
 
+bool
+placer_ranking_has_majority (const placer_ranking_t *ranking, uint64_t now_ms)
+{
+  uint32_t known = 1;
+  uint32_t heard = 1;
+
+  for (guint i = 0; i < ranking->peers->len; i++)
+    {
+      const placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
+
+      if (!placer_ranking_is_own_zone (ranking, peer))
+        continue;
+      known += MAX (peer->reported_ms, peer->added_ms) + FORGOTTEN_MS > now_ms;
+      heard += peer->reported_ms > 0
+               && peer->reported_ms + HEARD_TIMEOUT_MS > now_ms;
+    }
+  return 2 * heard > known;
+}
+
+bool
+placer_ranking_counts_zone (const placer_ranking_t *ranking, const char *zone)
+{
+  bool is_first = true;
+
+  if (strcmp (zone, ranking->own_zone) == 0)
+    return true;
+  for (guint i = 0; i < ranking->peers->len; i++)
+    {
+      const placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
+
+      if (strcmp (peer->zone, zone) == 0)
+        return false;
+      if (strcmp (peer->zone, ranking->own_zone) < 0)
+        is_first = false;
+    }
+  return is_first;
+}
+
+static uint32_t
+compute_order (const placer_ranking_t *ranking, uint64_t seed)
+{
+  uint64_t own
+      = XXH64 (ranking->own_address, strlen (ranking->own_address), seed);
+  uint32_t before = 0;
+
+  for (guint i = 0; i < ranking->peers->len; i++)
+    {
+      const placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
+
+      before += XXH64 (peer->address, strlen (peer->address), seed) < own;
+    }
+  return before;
+}
+
+uint32_t
+placer_ranking_order (const placer_ranking_t *ranking, uint64_t seed)
+{
+  gpointer known;
+  uint32_t order;
+
+  if (ranking->peers->len == 0)
+    return UINT32_MAX;
+  if (g_hash_table_lookup_extended (ranking->orders, &seed, NULL, &known))
+    return GPOINTER_TO_UINT (known);
+  if (g_hash_table_size (ranking->orders) >= MAX_ORDERS)
+    g_hash_table_remove_all (ranking->orders);
+  order = compute_order (ranking, seed);
+  g_hash_table_insert (ranking->orders, g_memdup2 (&seed, sizeof seed),
+                       GUINT_TO_POINTER (order));
+  return order;
+}
+
 void
 placer_ranking_on_acting (placer_peer_t *peer, uint64_t now_ms)
 {
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -54,6 +54,42 @@
              && upstream_limit_wait_ms (&member->limit, now_ms) == 0);
 }
 
+static upstream_cold_share_t
+find_cold_share (const choice_request_t *request,
+                 const upstream_member_t *member)
+{
+  upstream_cold_share_t share = { .rank = UINT32_MAX };
+
+  if (request->find_cold_share != NULL)
+    share = request->find_cold_share (member, request->cold_context);
+  if (request->is_alone)
+    share.is_counting = false;
+  return share;
+}
+
+/** Returns the time until the upstream may get a request as far as the bound on
+ * cold ones matters; 0: now. */
+static uint32_t
+cold_wait_ms (const choice_request_t *request,
+              const upstream_member_t *member,
+              uint64_t now_ms)
+{
+  upstream_cold_share_t share;
+
+  if (!upstream_cold_holds (&member->cold, now_ms))
+    return 0;
+  share = find_cold_share (request, member);
+  return upstream_cold_wait_ms (&member->cold, &share, now_ms);
+}
+
+static bool
+is_within_pace (const choice_request_t *request,
+                const upstream_member_t *member)
+{
+  return request->ignores_pace
+         || upstream_pace_allows (&member->pace, member->jobs->len);
+}
+
 bool
 upstream_choice_is_candidate (const choice_request_t *request,
                               const upstream_member_t *member,
@@ -63,7 +99,8 @@
   if (!upstream_member_is_available (member, now_ms)
       || strcmp (member->service, request->service) != 0
       || !is_within_limit (request, member, now_ms)
-      || is_avoided (request, member->key))
+      || cold_wait_ms (request, member, now_ms) > 0
+      || !is_within_pace (request, member) || is_avoided (request, member->key))
     return false;
   if (any_usable)
     return true;
@@ -175,6 +212,22 @@
   double rate_s;     /* of those that take a limited number */
 } return_t;
 
+/** Adds a cold upstream that gets no request for @a wait_ms. */
+static void
+add_cold_return (const choice_request_t *request,
+                 const upstream_member_t *member,
+                 uint32_t wait_ms,
+                 uint64_t now_ms,
+                 return_t *returns)
+{
+  if (now_ms + wait_ms >= member->cold.until_ms)
+    returns->has_pause = true;
+  else if (find_cold_share (request, member).is_counting)
+    returns->rate_s += upstream_cold_counted_s (&member->cold.rate);
+  else
+    returns->rate_s += 1;
+}
+
 /** Adds an upstream that takes no requests now. */
 static void
 add_return (const choice_request_t *request,
@@ -183,6 +236,7 @@
             return_t *returns)
 {
   uint64_t at_ms = MAX (member->paused_until_ms, now_ms);
+  uint32_t cold_ms = cold_wait_ms (request, member, now_ms);
 
   if (!member->is_usable || member->is_leaving || member->is_drained
       || strcmp (member->service, request->service) != 0)
@@ -196,8 +250,11 @@
     }
   else if (member->paused_until_ms > now_ms)
     returns->has_pause = true;
+  else if (cold_ms > 0 && !is_avoided (request, member->key))
+    add_cold_return (request, member, cold_ms, now_ms, returns);
   else
     return;
+  at_ms = MAX (at_ms, now_ms + cold_ms);
   if (returns->first_ms == 0 || at_ms < returns->first_ms)
     returns->first_ms = at_ms;
 }
@@ -240,15 +297,68 @@
   return engine_prefill_ms (request->model, request->prompt_tokens) / parts;
 }
 
+/** Returns whether at least half of a service's upstreams have just started or
+ * returned. None of them is then better than the others, and limits would only
+ * refuse requests. */
+static bool
+is_mostly_paced (const upstream_set_t *set,
+                 const choice_request_t *request,
+                 uint64_t now_ms)
+{
+  size_t count;
+  const upstream_member_t *const *members = upstream_set_members (set, &count);
+  uint32_t paced = 0;
+  uint32_t usable = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!upstream_member_is_available (members[i], now_ms)
+          || members[i]->trust == UPSTREAM_EJECTED
+          || strcmp (members[i]->service, request->service) != 0)
+        continue;
+      usable++;
+      paced += members[i]->pace.reason != PACE_NONE;
+    }
+  return paced > 0 && 2 * paced >= usable;
+}
+
+/** Chooses within the limits on open requests, and without them if that fails
+ * and most upstreams have one. */
+static choice_t
+choose_by_pace (const upstream_set_t *set,
+                const choice_request_t *request,
+                uint64_t now_ms)
+{
+  choice_t choice = choose_among (set, request, false, now_ms);
+  choice_request_t unlimited = *request;
+
+  if (choice.kind == CHOICE_SEND || !is_mostly_paced (set, request, now_ms))
+    return choice;
+  unlimited.ignores_pace = true;
+  return choose_among (set, &unlimited, false, now_ms);
+}
+
+/** Chooses among all upstreams, as no trusted one is left. */
+static choice_t
+choose_any (const upstream_set_t *set,
+            const choice_request_t *request,
+            uint64_t now_ms)
+{
+  choice_request_t unlimited = *request;
+
+  unlimited.ignores_pace = true;
+  return choose_among (set, &unlimited, true, now_ms);
+}
+
 choice_t
 upstream_choose (const upstream_set_t *set,
                  const choice_request_t *request,
                  uint64_t now_ms)
 {
-  choice_t choice = choose_among (set, request, false, now_ms);
+  choice_t choice = choose_by_pace (set, request, now_ms);
 
   if (choice.kind == CHOICE_NONE)
-    choice = choose_among (set, request, true, now_ms);
+    choice = choose_any (set, request, now_ms);
   if (choice.kind == CHOICE_WAIT && request->model != NULL
       && shortest_prefill_ms (request, choice.usable) > request->left_ms)
     choice.kind = CHOICE_UNMEETABLE;
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -62,6 +62,12 @@
   /** Engines without requests are not passed over for those that decode
    * already, as little is known of the engines. */
   bool spreads;
+  bool ignores_pace; /**< see upstream-pace.h */
+  /** Finds the part of the bound on a cold upstream's requests that may be
+   * granted here; NULL: none. */
+  upstream_cold_share_t (*find_cold_share) (const upstream_member_t *member,
+                                            void *context);
+  void *cold_context;
   uint32_t random;
 } choice_request_t;
 
