t: start listeners beside crowds of clients outside the limits

Clients that are not under our control can make any evhttp listener hold memory and descriptors without bound. Add crowds of such clients (stalled bodies in large and small chunks, chunk sizes and heads without end, bodies over the limit, slow readers, more connections than descriptors, mixes, beside a planned stop) against real processes: lwm-platform-control, lwm-controld, lwm-entryd and the status listener of lwm-platform-entry. Each case checks that the process lives, VmHWM and descriptors against the bounds in its settings, and one ordinary call.

lwm-entryd and lwm-controld read memory_mb and max_descriptors, not yet used.

--- a/builtin/lwm-controld.c
+++ b/builtin/lwm-controld.c
@@ -75,6 +75,18 @@
   { .field = "join",
     .help = "do not create a group; wait to be added to one",
     .kind = SETTING_SWITCH },
+  { .field = "memory_mb",
+    .arg = "MB",
+    .help = "memory of the machine that this process may use; 0: unknown",
+    .kind = SETTING_NUMBER,
+    .fallback = "0",
+    .max = UINT32_MAX },
+  { .field = "max_descriptors",
+    .arg = "NUMBER",
+    .help = "descriptors that this process may open; 0: unknown",
+    .kind = SETTING_NUMBER,
+    .fallback = "0",
+    .max = UINT32_MAX },
   { .field = NULL },
 };
 
--- a/builtin/lwm-entryd.c
+++ b/builtin/lwm-entryd.c
@@ -100,6 +100,18 @@
     .arg = "FILE",
     .help = "PEM file with the private key of the certificate",
     .kind = SETTING_TEXT },
+  { .field = "memory_mb",
+    .arg = "MB",
+    .help = "memory of the machine that this process may use; 0: unknown",
+    .kind = SETTING_NUMBER,
+    .fallback = "0",
+    .max = UINT32_MAX },
+  { .field = "max_descriptors",
+    .arg = "NUMBER",
+    .help = "descriptors that this process may open; 0: unknown",
+    .kind = SETTING_NUMBER,
+    .fallback = "0",
+    .max = UINT32_MAX },
   { 0 },
 };
 
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -30,6 +30,8 @@
   int zones;
   int port;
   uint32_t stop_timeout_s;
+  uint32_t memory_mb;
+  uint32_t max_descriptors;
   bool has_all_kinds;
 } nodes_t;
 
@@ -41,18 +43,21 @@
 #define NODES_FIELD_NOT_RUN   "Not-Run"
 #define NODES_FIELD_TOKENS    "Token-Count"
 
-/** Members of a configuration, and the path of the call that puts one in
- * force. */
-#define NODES_MEMBER_PREFIX "path-prefix"
-#define NODES_MEMBER_MEMORY "kv-capacity"
-#define NODES_PATH_CONFIG   "/config/put"
+/** Members of a configuration, and the paths of the calls that put one in force
+ * and read it. */
+#define NODES_MEMBER_PREFIX    "path-prefix"
+#define NODES_MEMBER_MEMORY    "kv-capacity"
+#define NODES_PATH_CONFIG      "/config/put"
+#define NODES_PATH_READ_CONFIG "/config/get"
 
 typedef struct
 {
-  int version;             /**< number of the first configuration */
-  int entries;             /**< entry instances, 0 for one */
-  int zones;               /**< zones that machines take in turn, 0 for one */
-  uint32_t stop_timeout_s; /**< 0 for the default */
+  int version;              /**< number of the first configuration */
+  int entries;              /**< entry instances, 0 for one */
+  int zones;                /**< zones that machines take in turn, 0 for one */
+  uint32_t stop_timeout_s;  /**< 0 for the default */
+  uint32_t memory_mb;       /**< of each machine, 0: not in the settings */
+  uint32_t max_descriptors; /**< of each process, 0: not in the settings */
   /** Whether the configurations have a route for each kind of request: /safe/,
    * /unsafe/ and /stream/ of the service "s", and the streams /paused/ of the
    * service "p". */
