archive: evict answers behind one that is read slowly

The oldest answer with a listener kept all newer ones from being freed, so a caller that reads one answer slowly let the archive grow without bound. Skip it instead.

archive_share() limits the archive to a sixth of the machine's memory where that is known; the default of 64 MiB stays.

--- a/archive.c
+++ b/archive.c
@@ -5,6 +5,10 @@
 
 #define DEFAULT_MAX_ANSWER_BYTES (64 * 1024 * 1024)
 #define DEFAULT_MAX_REQUESTS     4096
+#define BYTES_PER_MB             1000000u
+/** The part of the memory that kept answers may take, beside a third for what
+ * clients make the process hold. */
+#define MEMORY_SHARE 6
 
 struct archive
 {
@@ -34,6 +38,13 @@
   return (double)archive->answer_bytes;
 }
 
+uint64_t
+archive_share (uint32_t memory_mb)
+{
+  return MIN ((uint64_t)memory_mb * BYTES_PER_MB / MEMORY_SHARE,
+              DEFAULT_MAX_ANSWER_BYTES);
+}
+
 archive_t *
 archive_new (void *parent, const archive_options_t *options)
 {
@@ -95,19 +106,31 @@
   return request->listener.context != NULL;
 }
 
+static bool
+must_evict (const archive_t *archive, const request_t *request, uint64_t now_ms)
+{
+  return archive->answer_bytes > archive->max_answer_bytes
+         || now_ms > request->ended_ms + archive->answer_kept_ms;
+}
+
+/* A caller that reads one answer slowly must not keep all newer ones. */
 static void
 evict_answers (archive_t *archive, uint64_t now_ms)
 {
-  request_t *request;
+  GList *item = archive->with_answer->head;
 
-  while ((request = g_queue_peek_head (archive->with_answer)) != NULL
-         && !has_listener (request)
-         && (archive->answer_bytes > archive->max_answer_bytes
-             || now_ms > request->ended_ms + archive->answer_kept_ms))
+  while (item != NULL && must_evict (archive, item->data, now_ms))
     {
-      g_queue_pop_head (archive->with_answer);
-      archive->answer_bytes -= answer_size_bytes (request);
-      request_drop_answer (request);
+      request_t *request = item->data;
+      GList *next = item->next;
+
+      if (!has_listener (request))
+        {
+          g_queue_delete_link (archive->with_answer, item);
+          archive->answer_bytes -= answer_size_bytes (request);
+          request_drop_answer (request);
+        }
+      item = next;
     }
 }
 
--- a/archive.h
+++ b/archive.h
@@ -26,6 +26,10 @@
   metrics_t *metrics;        /**< registry for the archive's gauge */
 } archive_options_t;
 
+/** Returns how many bytes of answers may be kept on a machine with
+ * @a memory_mb, 0 for the default. */
+uint64_t archive_share (uint32_t memory_mb);
+
 /**
  * Creates an empty archive.
  * @param parent owner of the archive and of its requests (talloc)
@@ -44,9 +48,9 @@
 
 /**
  * Frees expired responses, oldest first, and responses above the size limit.
- * A response that a listener is still reading stays, and so does every newer
- * one. Then frees the oldest requests above the number limit, up to the first
- * one that still has its response.
+ * A response that a listener is still reading stays. Then frees the oldest
+ * requests above the number limit, up to the first one that still has its
+ * response.
  * @param now_ms monotonic clock
  */
 void archive_evict (archive_t *archive, uint64_t now_ms);
--- a/dispatch.c
+++ b/dispatch.c
@@ -273,8 +273,10 @@
                                 .ops_context = options->ops_context,
                                 .closed = on_cancel_closed,
                                 .context = dispatch };
-  archive_options_t archive = { .answer_kept_ms = DEFAULT_ANSWER_KEPT_MS,
-                                .metrics = options->metrics };
+  archive_options_t archive
+      = { .answer_kept_ms = DEFAULT_ANSWER_KEPT_MS,
+          .max_answer_bytes = archive_share (options->memory_mb),
+          .metrics = options->metrics };
 
   dispatch->retry = retry_new (dispatch, options->metrics);
   dispatch->cancels = cancels_new (dispatch, &cancels);
--- a/dispatch.h
+++ b/dispatch.h
@@ -47,6 +47,9 @@
 typedef struct
 {
   struct event_base *base;
+  /** Memory that the process may use, of which kept answers may take a part; 0:
+   * unknown. */
+  uint32_t memory_mb;
   metrics_t *metrics;
   sched_t *sched;
   registry_t *registry;
