http-connections: bound what clients of evhttp listeners hold

evhttp limits one head and one body, but not their sum, the number of connections, the time in which a request arrives, the input that it has not consumed, or the answers that clients do not read. A few hundred connections that stall made each program grow without bound, and took the descriptors that upstreams, peers and the log need.

http-connections creates the bufferevents of a server, watches their buffers and keeps a reference to each, as evhttp reports neither begin nor end of a connection. All bytes are in a memory account: who held most for longest is refused with 503 if its request has not arrived whole, else closed. At the limit of connections the listener pauses, and stalled connections are closed while others wait. Requests that arrive, and answers that are read, below 1 KiB/s after a grace time end with 408 or are closed. A connection that evhttp has freed is read for up to 2 s, so that the client reads the refusal.

The limits come from memory_mb and max_descriptors; the status listener of lwm-platform-entry has a small part of its own. Ordinary clients meet none.

--- a/builtin/lwm-controld.c
+++ b/builtin/lwm-controld.c
@@ -108,10 +108,13 @@
 run (void *parent, Lwm__ControlSettings *control_settings)
 {
   control_server_t *server = NULL;
-  daemon_options_t daemon_options = { .listen = control_settings->listen,
-                                      .log_level = control_settings->log_level,
-                                      .fallback = serve,
-                                      .context = &server };
+  daemon_options_t daemon_options
+      = { .listen = control_settings->listen,
+          .log_level = control_settings->log_level,
+          .max_descriptors = control_settings->max_descriptors,
+          .memory_mb = control_settings->memory_mb,
+          .fallback = serve,
+          .context = &server };
   control_server_options_t options
       = { .name = control_settings->instance,
           .listen = control_settings->control_listen,
--- a/daemon.c
+++ b/daemon.c
@@ -12,6 +12,7 @@
 #include "base.h"
 #include "framing.h"
 #include "http-backlog.h"
+#include "http-connections.h"
 #include "http.h"
 #include "logging.h"
 #include "settings.h"
@@ -35,6 +36,8 @@
   struct evhttp *http;
   tls_t *tls; /* NULL for plain HTTP */
   http_backlog_t *backlog;
+  memory_account_t *memory;
+  http_connections_t *connections;
   metrics_t *metrics;
   struct event *signals[3];
   struct event *exit_check;
@@ -58,6 +61,7 @@
   event_free (daemon->log_flush);
   if (daemon->http != NULL)
     evhttp_free (daemon->http);
+  TALLOC_FREE (daemon->connections);
   /* A connection with a deferred callback is released in the next turn. */
   event_base_loop (daemon->base, EVLOOP_NONBLOCK);
   event_base_free (daemon->base);
@@ -168,6 +172,7 @@
       = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
   const char *mistake = framing_error (request);
 
+  http_connections_handle (daemon->connections, request);
   http_backlog_watch (daemon->backlog, request);
   if (mistake != NULL)
     refuse_framing (request, mistake);
@@ -195,6 +200,25 @@
   signal (SIGPIPE, SIG_IGN);
 }
 
+/** Creates the account of the HTTP clients. The account of the main listener
+ * has the metrics. */
+static void
+set_up_memory (daemon_t *daemon)
+{
+  const daemon_options_t *options = &daemon->options;
+  memory_account_options_t memory = { 0 };
+
+  if (options->is_secondary)
+    memory.limit_bytes
+        = http_connections_small_memory_limit (options->memory_mb);
+  else
+    {
+      memory.limit_bytes = http_connections_memory_limit (options->memory_mb);
+      memory.metrics = daemon->metrics;
+    }
+  daemon->memory = memory_account_new (daemon, &memory);
+}
+
 static bool
 set_up_tls (daemon_t *daemon)
 {
@@ -204,10 +228,29 @@
     return true;
   daemon->tls
       = tls_server_new (daemon, options->tls_certificate, options->tls_key);
-  if (daemon->tls == NULL)
-    return false;
-  tls_server_attach (daemon->tls, daemon->http);
-  return true;
+  return daemon->tls != NULL;
+}
+
+static void
+set_up_connections (daemon_t *daemon)
+{
+  const daemon_options_t *options = &daemon->options;
+  http_connections_options_t connections
+      = { .base = daemon->base,
+          .http = daemon->http,
+          .account = daemon->memory,
+          .metrics = daemon->metrics,
+          .tls = daemon->tls,
+          .max_connections
+          = options->is_secondary
+                ? http_connections_small_share (options->max_descriptors)
+                : http_connections_share (options->max_descriptors),
+          .max_head_bytes = MAX_HEADERS_BYTES,
+          .max_body_bytes = options->max_body_bytes > 0
+                                ? options->max_body_bytes
+                                : DEFAULT_MAX_BODY_BYTES };
+
+  daemon->connections = http_connections_new (daemon, &connections);
 }
 
 static bool
@@ -217,28 +260,29 @@
   uint32_t idle_ms = options->idle_timeout_ms > 0 ? options->idle_timeout_ms
                                                   : DEFAULT_IDLE_TIMEOUT_MS;
   struct timeval idle = timeval_from_ms (idle_ms);
+  struct evhttp_bound_socket *socket = NULL;
   char ip[64];
   uint16_t port;
 
+  if (!set_up_tls (daemon))
+    return false;
   daemon->http = evhttp_new (daemon->base);
-  evhttp_set_max_headers_size (daemon->http, MAX_HEADERS_BYTES);
-  evhttp_set_max_body_size (daemon->http,
-                            (ev_ssize_t)(options->max_body_bytes > 0
-                                             ? options->max_body_bytes
-                                             : DEFAULT_MAX_BODY_BYTES));
   evhttp_set_timeout_tv (daemon->http, &idle);
   evhttp_set_allowed_methods (daemon->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST
                                                 | EVHTTP_REQ_PUT
                                                 | EVHTTP_REQ_DELETE);
   evhttp_set_gencb (daemon->http, serve, daemon);
-  if (!settings_split_address (daemon->listen, ip, &port)
-      || evhttp_bind_socket (daemon->http, ip, port) != 0)
+  set_up_connections (daemon);
+  if (settings_split_address (daemon->listen, ip, &port))
+    socket = evhttp_bind_socket_with_handle (daemon->http, ip, port);
+  if (socket == NULL)
     {
       print_error ("cannot listen on '%s': %s", daemon->listen,
                    strerror (errno));
       return false;
     }
-  return set_up_tls (daemon);
+  http_connections_listen (daemon->connections, socket);
+  return true;
 }
 
 static double
@@ -266,6 +310,7 @@
   metrics_gauge_read (daemon->metrics, "lwm_log_lines_dropped_total",
                       "Log lines left out because their reader was too slow.",
                       NULL, read_dropped_lines, NULL);
+  set_up_memory (daemon);
   daemon->backlog = http_backlog_new (daemon);
   daemon->exit_check = event_new (daemon->base, -1, 0, on_exit_check, daemon);
   daemon->log_flush = event_new (daemon->base, -1, 0, on_log_flush, daemon);
--- a/daemon.h
+++ b/daemon.h
@@ -33,12 +33,17 @@
 /** Parameters of daemon_new(). */
 typedef struct
 {
-  const char *listen;           /**< IP:PORT of the HTTP server */
-  const char *log_level;        /**< valid name of a level of logging.h */
-  const char *tls_certificate;  /**< PEM file, or NULL or "" for plain HTTP */
-  const char *tls_key;          /**< PEM file */
-  uint64_t max_body_bytes;      /**< 0 for 1 MiB */
-  uint32_t idle_timeout_ms;     /**< of an HTTP connection; 0 for 60 s */
+  const char *listen;          /**< IP:PORT of the HTTP server */
+  const char *log_level;       /**< valid name of a level of logging.h */
+  const char *tls_certificate; /**< PEM file, or NULL or "" for plain HTTP */
+  const char *tls_key;         /**< PEM file */
+  uint64_t max_body_bytes;     /**< 0 for 1 MiB */
+  uint32_t idle_timeout_ms;    /**< of an HTTP connection; 0 for 60 s */
+  /** Memory and descriptors that the process may use, of which clients may
+   * take a part; 0: no limit. */
+  uint32_t memory_mb;
+  uint32_t max_descriptors;
+  bool is_secondary; /**< clients have another listener, which takes most */
   daemon_route_cb_t fallback;   /**< all paths except /healthz and /metrics */
   daemon_stop_cb_t on_stop;     /**< NULL: exit immediately */
   daemon_reload_cb_t on_reload; /**< may be NULL */
--- a/entry.c
+++ b/entry.c
@@ -26,12 +26,10 @@
 #define LOG_PART "entry"
 #include "logging.h"
 
-/* evhttp refuses larger bodies. Bodies up to this size reach the routes, whose
- * refusals use the error table. */
+/* evhttp refuses larger bodies, the routes refuse those over their limits. */
 #define MAX_BODY_BYTES (16 * 1024 * 1024)
-/* INSTANCE/INCARNATION and the NUL. */
-#define OWNER_SIZE 128
-/* IP:PORT and the NUL. */
+/* INSTANCE/INCARNATION and IP:PORT, each with the NUL. */
+#define OWNER_SIZE   128
 #define ADDRESS_SIZE 80
 /* Delay before the process ends, in which other instances learn that it leaves,
  * and between checks whether administration calls are still open. */
@@ -301,6 +299,8 @@
     .tls_key = entry->settings->tls_key,
     .log_level = entry->settings->log_level,
     .max_body_bytes = MAX_BODY_BYTES,
+    .max_descriptors = entry->settings->max_descriptors,
+    .memory_mb = entry->settings->memory_mb,
     .fallback = on_request,
     .on_stop = on_stop,
     .on_reload = on_reload,
@@ -447,6 +447,7 @@
   struct event_base *base = daemon_base (entry->daemon);
   dispatch_options_t dispatch = {
     .base = base,
+    .memory_mb = entry->settings->memory_mb,
     .metrics = daemon_metrics (entry->daemon),
     .sched = entry->sched,
     .registry = entry->registry,
--- a/node-entry.c
+++ b/node-entry.c
@@ -372,12 +372,16 @@
 {
   node_entry_t *entry = talloc_zero (parent, node_entry_t);
   const Lwm__NodeSettings *settings = node_settings_get (options->settings);
-  daemon_options_t daemon_options = { .listen = settings->status,
-                                      .log_level = settings->log_level,
-                                      .fallback = on_status,
-                                      .on_stop = on_stop,
-                                      .on_reload = on_reload,
-                                      .context = entry };
+  daemon_options_t daemon_options
+      = { .listen = settings->status,
+          .log_level = settings->log_level,
+          .max_descriptors = settings->max_descriptors,
+          .memory_mb = settings->memory_mb,
+          .is_secondary = true,
+          .fallback = on_status,
+          .on_stop = on_stop,
+          .on_reload = on_reload,
+          .context = entry };
   struct timeval interval = { .tv_usec = TICK_INTERVAL_MS * 1000 };
   int code = EXIT_CODE_FAILED;
 
--- a/tls.c
+++ b/tls.c
@@ -97,22 +97,15 @@
   return true;
 }
 
-static struct bufferevent *
-accept_connection (struct event_base *base, void *arg)
+struct bufferevent *
+tls_server_bufferevent (tls_t *tls, struct event_base *base)
 {
-  tls_t *tls = arg;
   SSL *ssl = SSL_new (tls->context);
 
   return bufferevent_openssl_socket_new (
       base, -1, ssl, BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE);
 }
 
-void
-tls_server_attach (tls_t *tls, struct evhttp *http)
-{
-  evhttp_set_bevcb (http, accept_connection, tls);
-}
-
 tls_t *
 tls_client_new (void *parent, const char *trust_file)
 {
--- a/tls.h
+++ b/tls.h
@@ -10,7 +10,6 @@
 
 struct bufferevent;
 struct event_base;
-struct evhttp;
 
 typedef struct tls tls_t;
 
@@ -30,9 +29,10 @@
  */
 bool tls_server_reload (tls_t *tls);
 
-/** Enables TLS on every connection that @a http accepts after this call. @a tls
- * must outlive @a http. */
-void tls_server_attach (tls_t *tls, struct evhttp *http);
+/** Creates a bufferevent for a connection that a server accepts. @return owned
+ * by the caller */
+struct bufferevent *tls_server_bufferevent (tls_t *tls,
+                                            struct event_base *base);
 
 /**
  * Creates a client context that trusts the certificates in a PEM file.
