node-control: share the text that is read and bound waiting calls

lwm-platform-control now has the limits of http-connections. That was not enough for reads of a large configuration: each answer of the control group was unpacked and copied, and those of one turn of the loop come before a connection can be closed. 100 reads of 2.4 MB took 217,312 KiB.

All answers now hold one unpacked text. 8 configurations and 64 reads may wait for the group; further ones are refused with queue_full (503).

--- a/node-control.c
+++ b/node-control.c
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <glib.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "base.h"
@@ -29,6 +30,11 @@
 /** Longest wait of a stopping instance for the answers to open calls. */
 #define OPEN_CALLS_TIMEOUT_MS (2 * CALL_TIMEOUT_MS)
 
+/** Calls that may wait for the group. Each one to apply a configuration holds
+ * its text, packed. */
+#define MAX_WAITING_APPLIES 8
+#define MAX_WAITING_READS   64
+
 struct node_control
 {
   node_control_options_t options;
@@ -37,7 +43,12 @@
   control_client_t *client;
   struct event *exit_timer;
   uint32_t open_calls;
+  uint32_t waiting_applies;
+  uint32_t waiting_reads;
   uint64_t stopped_ms;
+  GBytes *text; /* that was unpacked last, or NULL */
+  uint64_t text_number;
+  char *text_digest;
 };
 
 /** A call to the control group that has no answer yet. */
@@ -46,7 +57,8 @@
   node_control_t *control;
   node_control_done_cb_t done;
   void *context;
-  uint64_t number; /* proposed configuration, 0 for a read */
+  uint32_t *waiting; /* the counter of such calls */
+  uint64_t number;   /* proposed configuration, 0 for a read */
   uint64_t started_ms;
 } pending_call_t;
 
@@ -70,6 +82,37 @@
     }
 }
 
+static void
+free_text (void *text)
+{
+  talloc_free (text);
+}
+
+/** Unpacks the configuration of a revision, unless that was done last. All
+ * answers that are being written then hold one text together.
+ * @return owned by @a control, NULL when the revision is damaged */
+static GBytes *
+unpack_text (node_control_t *control, const Lwm__ControlRevision *revision)
+{
+  size_t text_bytes;
+  uint8_t *text;
+
+  if (control->text != NULL && control->text_number == revision->number
+      && strcmp (control->text_digest, revision->digest) == 0)
+    return control->text;
+  text = packed_text_unpack (NULL, revision->config.data, revision->config.len,
+                             STATEMACHINE_MAX_CONFIG_BYTES, &text_bytes);
+  if (text == NULL)
+    return NULL;
+  g_clear_pointer (&control->text, g_bytes_unref);
+  talloc_free (control->text_digest);
+  control->text
+      = g_bytes_new_with_free_func (text, text_bytes, free_text, text);
+  control->text_number = revision->number;
+  control->text_digest = talloc_strdup (control, revision->digest);
+  return control->text;
+}
+
 /** Copies the number of the revision into @a answer, and its unpacked
  * configuration when the revision carries one. */
 static void
@@ -82,9 +125,7 @@
   answer->number = revision->number;
   if (revision->config.len == 0)
     return;
-  answer->text
-      = packed_text_unpack (call, revision->config.data, revision->config.len,
-                            STATEMACHINE_MAX_CONFIG_BYTES, &answer->text_bytes);
+  answer->text = unpack_text (call->control, revision);
   if (answer->text != NULL)
     return;
   log_error ("A revision is damaged. number=%ju bytes=%zu",
@@ -113,11 +154,13 @@
 free_call (pending_call_t *call)
 {
   call->control->open_calls--;
+  (*call->waiting)--;
   return 0;
 }
 
 static pending_call_t *
 call_new (node_control_t *control,
+          uint32_t *waiting,
           uint64_t number,
           node_control_done_cb_t done,
           void *context)
@@ -125,15 +168,34 @@
   pending_call_t *call = talloc_zero (control, pending_call_t);
 
   call->control = control;
+  call->waiting = waiting;
   call->done = done;
   call->context = context;
   call->number = number;
   call->started_ms = clock_mono_ms ();
   control->open_calls++;
+  (*waiting)++;
   talloc_set_destructor (call, free_call);
   return call;
 }
 
+/** Refuses a call when too many wait for the group, as their answers may not
+ * come. */
+static bool
+refuse_as_too_many (uint32_t waiting,
+                    uint32_t max_waiting,
+                    node_control_done_cb_t done,
+                    void *context)
+{
+  node_control_answer_t answer = { .kind = ERROR_QUEUE_FULL };
+
+  if (waiting < max_waiting)
+    return false;
+  log_info ("Refused a call, as too many wait. waiting=%u", waiting);
+  done (&answer, context);
+  return true;
+}
+
 static void
 refuse_as_too_large (pending_call_t *call, size_t text_bytes)
 {
@@ -154,9 +216,13 @@
                     void *context)
 {
   Lwm__ControlApply apply = LWM__CONTROL_APPLY__INIT;
-  pending_call_t *call = call_new (control, number, done, context);
+  pending_call_t *call;
   char digest[CONFIG_DIGEST_SIZE];
 
+  if (refuse_as_too_many (control->waiting_applies, MAX_WAITING_APPLIES, done,
+                          context))
+    return;
+  call = call_new (control, &control->waiting_applies, number, done, context);
   if (text_bytes > STATEMACHINE_MAX_CONFIG_BYTES)
     {
       refuse_as_too_large (call, text_bytes);
@@ -178,8 +244,12 @@
                    node_control_done_cb_t done,
                    void *context)
 {
-  control_client_get (control->client, 0, CALL_TIMEOUT_MS, on_answer,
-                      call_new (control, 0, done, context));
+  if (refuse_as_too_many (control->waiting_reads, MAX_WAITING_READS, done,
+                          context))
+    return;
+  control_client_get (
+      control->client, 0, CALL_TIMEOUT_MS, on_answer,
+      call_new (control, &control->waiting_reads, 0, done, context));
 }
 
 directory_result_t
@@ -311,6 +381,7 @@
 {
   if (control->exit_timer != NULL)
     event_free (control->exit_timer);
+  g_clear_pointer (&control->text, g_bytes_unref);
   TALLOC_FREE (control->client);
   TALLOC_FREE (control->server);
   return 0;
@@ -321,13 +392,16 @@
 {
   node_control_t *control = talloc_zero (parent, node_control_t);
   const Lwm__NodeSettings *settings = node_settings_get (options->settings);
-  daemon_options_t daemon_options = { .listen = settings->control,
-                                      .log_level = settings->log_level,
-                                      .max_body_bytes = MAX_BODY_BYTES,
-                                      .fallback = on_request,
-                                      .on_stop = on_stop,
-                                      .on_reload = on_reload,
-                                      .context = control };
+  daemon_options_t daemon_options
+      = { .listen = settings->control,
+          .log_level = settings->log_level,
+          .max_body_bytes = MAX_BODY_BYTES,
+          .max_descriptors = settings->max_descriptors,
+          .memory_mb = settings->memory_mb,
+          .fallback = on_request,
+          .on_stop = on_stop,
+          .on_reload = on_reload,
+          .context = control };
   int code = EXIT_CODE_FAILED;
 
   control->options = *options;
--- a/node-control.h
+++ b/node-control.h
@@ -6,6 +6,7 @@
 #ifndef NODE_CONTROL_H
 #define NODE_CONTROL_H
 
+#include <glib.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -30,12 +31,11 @@
 /** The result of a call to the control group; valid only in the callback. */
 typedef struct
 {
-  error_kind_t kind;   /**< ERROR_NONE on success */
-  uint64_t number;     /**< number of the configuration in force, 0
-                          for none */
-  const uint8_t *text; /**< text of the configuration; NULL when the
-                          answer does not carry it */
-  size_t text_bytes;
+  error_kind_t kind; /**< ERROR_NONE on success */
+  uint64_t number;   /**< number of the configuration in force, 0
+                        for none */
+  GBytes *text;      /**< text of the configuration, which all answers share;
+                        NULL when the answer does not carry it */
 } node_control_answer_t;
 
 /** Receives the result of a call. */
@@ -46,7 +46,8 @@
  * Proposes a configuration, which the caller has validated. A configuration
  * whose number is not higher than the present one is accepted and changes
  * nothing.
- * ERROR_NUMBER_CONFLICT means that the number is in use with other content.
+ * ERROR_NUMBER_CONFLICT means that the number is in use with other content,
+ * ERROR_QUEUE_FULL that too many calls wait for the group.
  */
 void node_control_apply (node_control_t *control,
                          uint64_t number,
@@ -55,7 +56,8 @@
                          node_control_done_cb_t done,
                          void *context);
 
-/** Reads the last configuration, which a quorum confirms. */
+/** Reads the last configuration, which a quorum confirms. ERROR_QUEUE_FULL
+ * means that too many calls wait for the group. */
 void node_control_read (node_control_t *control,
                         node_control_done_cb_t done,
                         void *context);
