--- a/t/lib-crowd-cases.c
+++ b/t/lib-http-crowd-cases.c
@@ -1,4 +1,4 @@
-#include "lib-crowd-cases.h"
+#include "lib-http-crowd-cases.h"
 
 #include <glib.h>
 #include <string.h>
@@ -19,19 +19,19 @@
 
 typedef struct
 {
-  crowd_t *crowds[8];
+  http_crowd_t *crowds[8];
   size_t crowd_count;
 } run_t;
 
-static const crowd_program_t *current;
+static const http_crowd_program_t *current;
 
 /** Starts a crowd whose head is a request line and @a fields. */
 static void
 start (run_t *run,
-       const crowd_target_t *target,
+       const http_crowd_target_t *target,
        const char *method,
        const char *fields,
-       crowd_options_t options)
+       http_crowd_options_t options)
 {
   char *head = g_strdup_printf (
       "%s %s HTTP/1.1\r\nHost: x\r\n%s", method,
@@ -39,7 +39,7 @@
 
   options.address = target->address;
   options.head = head;
-  run->crowds[run->crowd_count++] = crowd_start (&options);
+  run->crowds[run->crowd_count++] = http_crowd_start (&options);
   g_free (head);
 }
 
@@ -56,7 +56,7 @@
 /** Starts clients that send chunks of @a chunk_bytes and then stall. */
 static void
 start_chunks (run_t *run,
-              const crowd_target_t *target,
+              const http_crowd_target_t *target,
               uint32_t clients,
               uint32_t chunk_bytes,
               uint64_t content_bytes)
@@ -66,17 +66,17 @@
 
   /* The block of the crowd refers to no part of the chunk once it is made. */
   start (run, target, "POST", CHUNKED,
-         (crowd_options_t){ .connections = clients,
-                            .unit = chunk,
-                            .unit_bytes = unit_bytes,
-                            .repeated_bytes
-                            = content_bytes / chunk_bytes * unit_bytes });
+         (http_crowd_options_t){ .connections = clients,
+                                 .unit = chunk,
+                                 .unit_bytes = unit_bytes,
+                                 .repeated_bytes
+                                 = content_bytes / chunk_bytes * unit_bytes });
   g_free (chunk);
 }
 
 static void
 start_body (run_t *run,
-            const crowd_target_t *target,
+            const http_crowd_target_t *target,
             uint32_t clients,
             uint64_t declared_bytes,
             uint64_t sent_bytes)
@@ -85,85 +85,85 @@
                                  (uintmax_t)declared_bytes);
 
   start (run, target, "POST", field,
-         (crowd_options_t){ .connections = clients,
-                            .unit = " ",
-                            .unit_bytes = 1,
-                            .repeated_bytes = sent_bytes });
+         (http_crowd_options_t){ .connections = clients,
+                                 .unit = " ",
+                                 .unit_bytes = 1,
+                                 .repeated_bytes = sent_bytes });
   g_free (field);
 }
 
 static void
-start_large_chunks (run_t *run, const crowd_target_t *target)
+start_large_chunks (run_t *run, const http_crowd_target_t *target)
 {
   start_chunks (run, target, target->body_clients, CHUNK_BYTES,
                 target->body_bytes);
 }
 
 static void
-start_small_chunks (run_t *run, const crowd_target_t *target)
+start_small_chunks (run_t *run, const http_crowd_target_t *target)
 {
   start_chunks (run, target, target->body_clients, 8, target->body_bytes);
 }
 
 static void
-start_endless_chunk_size (run_t *run, const crowd_target_t *target)
+start_endless_chunk_size (run_t *run, const http_crowd_target_t *target)
 {
   start (run, target, "POST", CHUNKED,
-         (crowd_options_t){ .connections = target->body_clients,
-                            .unit = "0",
-                            .unit_bytes = 1,
-                            .repeated_bytes = 2 * target->body_bytes });
+         (http_crowd_options_t){ .connections = target->body_clients,
+                                 .unit = "0",
+                                 .unit_bytes = 1,
+                                 .repeated_bytes = 2 * target->body_bytes });
 }
 
 static void
-start_stalled_body (run_t *run, const crowd_target_t *target)
+start_stalled_body (run_t *run, const http_crowd_target_t *target)
 {
   start_body (run, target, target->body_clients, target->body_bytes + 1,
               target->body_bytes);
 }
 
 static void
-start_declared_too_large (run_t *run, const crowd_target_t *target)
+start_declared_too_large (run_t *run, const http_crowd_target_t *target)
 {
   start_body (run, target, target->body_clients, TOO_LARGE,
               2 * target->body_bytes);
 }
 
 static void
-start_past_limit (run_t *run, const crowd_target_t *target)
+start_past_limit (run_t *run, const http_crowd_target_t *target)
 {
   start_chunks (run, target, REFUSED_CLIENTS, CHUNK_BYTES, REFUSED_BODY_BYTES);
 }
 
 static void
-start_endless_heads (run_t *run, const crowd_target_t *target)
+start_endless_heads (run_t *run, const http_crowd_target_t *target)
 {
   start (run, target, "GET", "",
-         (crowd_options_t){ .connections = CROWD_CONNECTIONS,
-                            .unit = "a:\r\n",
-                            .unit_bytes = 4,
-                            .repeated_bytes = HEAD_BYTES });
+         (http_crowd_options_t){ .connections = CROWD_CONNECTIONS,
+                                 .unit = "a:\r\n",
+                                 .unit_bytes = 4,
+                                 .repeated_bytes = HEAD_BYTES });
 }
 
 static void
-start_slow_readers (run_t *run, const crowd_target_t *target)
+start_slow_readers (run_t *run, const http_crowd_target_t *target)
 {
   start (run, target, "GET", "\r\n",
-         (crowd_options_t){ .connections = target->slow_clients,
-                            .read_bytes_s = SLOW_BYTES_S });
+         (http_crowd_options_t){ .connections = target->slow_clients,
+                                 .read_bytes_s = SLOW_BYTES_S });
 }
 
 static void
-start_connections (run_t *run, const crowd_target_t *target)
+start_connections (run_t *run, const http_crowd_target_t *target)
 {
-  start (run, target, "GET",
-         "Accept: ", (crowd_options_t){ .connections = CROWD_CONNECTIONS });
+  start (run, target, "GET", "Accept: ",
+         (http_crowd_options_t){ .connections = CROWD_CONNECTIONS });
 }
 
 static void
-start_mix (run_t *run, const crowd_target_t *target)
+start_mix (run_t *run, const http_crowd_target_t *target)
 {
-  crowd_target_t part = *target;
+  http_crowd_target_t part = *target;
 
   part.body_clients = target->body_clients / MIX_DIVISOR + 1;
   part.slow_clients = target->slow_clients / MIX_DIVISOR + 1;
@@ -178,15 +178,15 @@
 end_crowds (run_t *run)
 {
   for (size_t i = 0; i < run->crowd_count; i++)
-    crowd_free (run->crowds[i]);
+    http_crowd_free (run->crowds[i]);
   run->crowd_count = 0;
 }
 
 static void
-check_bounds (const crowd_target_t *target)
+check_bounds (const http_crowd_target_t *target)
 {
-  uint64_t peak_kb = crowd_peak_kb (target->process);
-  uint32_t descriptors = crowd_most_descriptors ();
+  uint64_t peak_kb = http_crowd_peak_kb (target->process);
+  uint32_t descriptors = http_crowd_most_descriptors ();
 
   g_test_message ("peak_kb=%ju descriptors=%u", (uintmax_t)peak_kb,
                   descriptors);
@@ -197,19 +197,19 @@
   g_assert_cmpuint (descriptors, <, CROWD_MAX_DESCRIPTORS);
 }
 
-typedef void (*start_cb_t) (run_t *run, const crowd_target_t *target);
+typedef void (*start_cb_t) (run_t *run, const http_crowd_target_t *target);
 
 static void
 run_case (gconstpointer data)
 {
   start_cb_t start_crowds = (start_cb_t)data;
   run_t run = { 0 };
-  crowd_target_t *target = current->set_up ();
+  http_crowd_target_t *target = current->set_up ();
 
-  crowd_watch (target->process);
+  http_crowd_watch (target->process);
   start_crowds (&run, target);
   for (size_t i = 0; i < run.crowd_count; i++)
-    crowd_wait (run.crowds[i]);
+    http_crowd_wait (run.crowds[i]);
   CLUSTER_WAIT (target->call (target->context));
   check_bounds (target);
   end_crowds (&run);
@@ -222,12 +222,12 @@
 run_stop_case (void)
 {
   run_t run = { 0 };
-  crowd_target_t *target = current->set_up ();
+  http_crowd_target_t *target = current->set_up ();
 
-  crowd_watch (target->process);
+  http_crowd_watch (target->process);
   start_mix (&run, target);
   for (size_t i = 0; i < run.crowd_count; i++)
-    crowd_wait (run.crowds[i]);
+    http_crowd_wait (run.crowds[i]);
   check_bounds (target);
   current->stop (target);
   end_crowds (&run);
@@ -238,16 +238,16 @@
 static void
 check_refusal (const char *fields, const char *unit)
 {
-  crowd_target_t *target = current->set_up ();
+  http_crowd_target_t *target = current->set_up ();
   char *head = g_strdup_printf ("POST %s HTTP/1.1\r\nHost: x\r\n%s\r\n",
                                 target->post, fields);
-  crowd_options_t options = { .address = target->address,
-                              .head = head,
-                              .unit = unit,
-                              .unit_bytes = (uint32_t)strlen (unit),
-                              .repeated_bytes = REFUSED_BODY_BYTES };
+  http_crowd_options_t options = { .address = target->address,
+                                   .head = head,
+                                   .unit = unit,
+                                   .unit_bytes = (uint32_t)strlen (unit),
+                                   .repeated_bytes = REFUSED_BODY_BYTES };
 
-  g_assert_cmpint (crowd_send_one (&options), ==, STATUS_TOO_LARGE);
+  g_assert_cmpint (http_crowd_send_one (&options), ==, STATUS_TOO_LARGE);
   CLUSTER_WAIT (target->call (target->context));
   g_free (head);
   current->tear_down (target);
@@ -273,18 +273,18 @@
 static void
 run_many_values (void)
 {
-  crowd_target_t *target = current->set_up ();
+  http_crowd_target_t *target = current->set_up ();
   char *head = g_strdup_printf (
       "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %ju\r\n\r\n{\"a\":[",
       target->post_json, (uintmax_t)target->body_bytes + strlen ("{\"a\":["));
-  crowd_options_t options = { .address = target->address,
-                              .head = head,
-                              .unit = "{},",
-                              .unit_bytes = strlen ("{},"),
-                              .repeated_bytes = target->body_bytes };
-
-  crowd_watch (target->process);
-  g_assert_cmpint (crowd_send_one (&options), >=, STATUS_BAD_REQUEST);
+  http_crowd_options_t options = { .address = target->address,
+                                   .head = head,
+                                   .unit = "{},",
+                                   .unit_bytes = strlen ("{},"),
+                                   .repeated_bytes = target->body_bytes };
+
+  http_crowd_watch (target->process);
+  g_assert_cmpint (http_crowd_send_one (&options), >=, STATUS_BAD_REQUEST);
   CLUSTER_WAIT (target->call (target->context));
   check_bounds (target);
   g_free (head);
@@ -301,7 +301,7 @@
 }
 
 void
-crowd_cases_add (const crowd_program_t *program)
+http_crowd_cases_add (const http_crowd_program_t *program)
 {
   static const struct
   {
@@ -320,7 +320,7 @@
   char *path;
 
   current = program;
-  crowd_raise_limit ();
+  http_crowd_raise_limit ();
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     add (program->prefix, cases[i].name, run_case, (void *)cases[i].start);
   add (program->prefix, "refusal-declared", (GTestDataFunc)run_declared_refusal,
--- a/t/lib-crowd-cases.h
+++ b/t/lib-http-crowd-cases.h
@@ -1,13 +1,13 @@
 /**
- * @file lib-crowd-cases.h
+ * @file lib-http-crowd-cases.h
  * The same crowds of clients against the listener of any program. Each case
  * checks that the process lives, that its memory and its descriptors stay
  * within its settings, and that it answers one ordinary call beside the crowd.
  */
-#ifndef LIB_CROWD_CASES_H
-#define LIB_CROWD_CASES_H
+#ifndef LIB_HTTP_CROWD_CASES_H
+#define LIB_HTTP_CROWD_CASES_H
 
-#include "lib-crowd.h"
+#include "lib-http-crowd.h"
 
 /** Settings of a process under test, and the bounds of the checks. */
 #define CROWD_MEMORY_MB       96
@@ -27,20 +27,20 @@
   /** Makes an ordinary call; returns whether it was answered. */
   bool (*call) (void *context);
   void *context;
-} crowd_target_t;
+} http_crowd_target_t;
 
 /** Registers the cases "/PREFIX/..." of a program. @a set_up and @a tear_down
  * are called around each; tear_down() expects the process to live. */
 typedef struct
 {
   const char *prefix;
-  crowd_target_t *(*set_up) (void);
-  void (*tear_down) (crowd_target_t *target);
+  http_crowd_target_t *(*set_up) (void);
+  void (*tear_down) (http_crowd_target_t *target);
   /** Stops the process with SIGTERM and expects exit code 0; NULL: no case
    * for it. */
-  void (*stop) (crowd_target_t *target);
-} crowd_program_t;
+  void (*stop) (http_crowd_target_t *target);
+} http_crowd_program_t;
 
-void crowd_cases_add (const crowd_program_t *program);
+void http_crowd_cases_add (const http_crowd_program_t *program);
 
 #endif
--- a/t/lib-crowd.c
+++ b/t/lib-http-crowd.c
@@ -1,4 +1,4 @@
-#include "lib-crowd.h"
+#include "lib-http-crowd.h"
 
 #include <errno.h>
 #include <event2/util.h>
@@ -33,9 +33,9 @@
   uint64_t sent;
 } client_t;
 
-struct crowd
+struct http_crowd
 {
-  crowd_options_t options;
+  http_crowd_options_t options;
   char *head;
   GByteArray *block; /* repeated units */
   client_t *clients;
@@ -50,7 +50,7 @@
 static uint32_t most_descriptors;
 
 void
-crowd_raise_limit (void)
+http_crowd_raise_limit (void)
 {
   struct rlimit limit;
 
@@ -60,7 +60,7 @@
 }
 
 uint64_t
-crowd_peak_kb (const process_t *process)
+http_crowd_peak_kb (const process_t *process)
 {
   char *path = g_strdup_printf ("/proc/%d/status", (int)process_pid (process));
   char *text = NULL;
@@ -76,7 +76,7 @@
 }
 
 uint32_t
-crowd_descriptors (const process_t *process)
+http_crowd_descriptors (const process_t *process)
 {
   char *path = g_strdup_printf (DESCRIPTORS_DIR, (int)process_pid (process));
   GDir *folder = g_dir_open (path, 0, NULL);
@@ -91,29 +91,29 @@
 }
 
 void
-crowd_watch (const process_t *process)
+http_crowd_watch (const process_t *process)
 {
   watched = process;
   most_descriptors = 0;
 }
 
 uint32_t
-crowd_most_descriptors (void)
+http_crowd_most_descriptors (void)
 {
   if (watched != NULL)
-    most_descriptors = MAX (most_descriptors, crowd_descriptors (watched));
+    most_descriptors = MAX (most_descriptors, http_crowd_descriptors (watched));
   return most_descriptors;
 }
 
 static uint64_t
-total_bytes (const crowd_t *crowd)
+total_bytes (const http_crowd_t *crowd)
 {
   return strlen (crowd->head)
          + (crowd->options.unit_bytes > 0 ? crowd->options.repeated_bytes : 0);
 }
 
 static int
-connect_client (const crowd_options_t *options)
+connect_client (const http_crowd_options_t *options)
 {
   struct sockaddr_in peer;
   int size = sizeof peer;
@@ -142,14 +142,14 @@
 }
 
 static void
-note_progress (crowd_t *crowd)
+note_progress (http_crowd_t *crowd)
 {
   crowd->last_ms = g_get_monotonic_time () / US_PER_MS;
 }
 
 /** Sends what the socket takes. */
 static void
-send_more (crowd_t *crowd, client_t *client)
+send_more (http_crowd_t *crowd, client_t *client)
 {
   uint64_t head_bytes = strlen (crowd->head);
   uint64_t total = total_bytes (crowd);
@@ -191,7 +191,7 @@
 }
 
 static void
-poll_clients (crowd_t *crowd)
+poll_clients (http_crowd_t *crowd)
 {
   uint32_t count = crowd->options.connections;
   struct pollfd *pollers = g_new0 (struct pollfd, count);
@@ -220,7 +220,7 @@
 }
 
 static void
-read_slowly (crowd_t *crowd)
+read_slowly (http_crowd_t *crowd)
 {
   gint64 now_us = g_get_monotonic_time ();
   size_t bytes = crowd->options.read_bytes_s * SLOW_READ_MS / MS_PER_S;
@@ -237,7 +237,7 @@
 static void *
 run_crowd (void *context)
 {
-  crowd_t *crowd = context;
+  http_crowd_t *crowd = context;
 
   while (g_atomic_int_get (&crowd->stopping) == 0)
     {
@@ -248,7 +248,7 @@
 }
 
 static GByteArray *
-make_block (const crowd_options_t *options)
+make_block (const http_crowd_options_t *options)
 {
   GByteArray *block = g_byte_array_new ();
 
@@ -258,10 +258,10 @@
   return block;
 }
 
-crowd_t *
-crowd_start (const crowd_options_t *options)
+http_crowd_t *
+http_crowd_start (const http_crowd_options_t *options)
 {
-  crowd_t *crowd = g_new0 (crowd_t, 1);
+  http_crowd_t *crowd = g_new0 (http_crowd_t, 1);
 
   crowd->options = *options;
   crowd->head = g_strdup (options->head);
@@ -276,26 +276,26 @@
 }
 
 static bool
-stands_still (const crowd_t *crowd)
+stands_still (const http_crowd_t *crowd)
 {
   return g_get_monotonic_time () / US_PER_MS - crowd->last_ms > STANDSTILL_MS;
 }
 
 void
-crowd_wait (crowd_t *crowd)
+http_crowd_wait (http_crowd_t *crowd)
 {
   while (g_atomic_int_get (&crowd->unfinished) > 0 && !stands_still (crowd))
     {
-      crowd_most_descriptors ();
+      http_crowd_most_descriptors ();
       cluster_sleep_ms (SAMPLE_MS);
     }
   /* What was sent last is still being read. */
   cluster_sleep_ms (STANDSTILL_MS);
-  crowd_most_descriptors ();
+  http_crowd_most_descriptors ();
 }
 
 void
-crowd_free (crowd_t *crowd)
+http_crowd_free (http_crowd_t *crowd)
 {
   g_atomic_int_set (&crowd->stopping, 1);
   g_thread_join (crowd->thread);
@@ -309,7 +309,7 @@
 }
 
 int
-crowd_send_one (const crowd_options_t *options)
+http_crowd_send_one (const http_crowd_options_t *options)
 {
   http_socket_t *client = http_socket_connect (options->address);
   GByteArray *block = make_block (options);
--- a/t/lib-crowd.h
+++ b/t/lib-http-crowd.h
@@ -1,18 +1,18 @@
 /**
- * @file lib-crowd.h
+ * @file lib-http-crowd.h
  * Clients outside the limits, for tests of a real process: many connections
  * that send or read slowly, in part or without end. They run in a thread of
  * the test program.
  */
-#ifndef LIB_CROWD_H
-#define LIB_CROWD_H
+#ifndef LIB_HTTP_CROWD_H
+#define LIB_HTTP_CROWD_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "lib-cluster.h"
 
-typedef struct crowd crowd_t;
+typedef struct http_crowd http_crowd_t;
 
 /** What each client of a crowd sends and reads. */
 typedef struct
@@ -25,33 +25,33 @@
   uint64_t repeated_bytes; /**< total of the units, cut off inside one */
   /** Bytes of an answer that a client reads in a second; 0: all at once. */
   uint32_t read_bytes_s;
-} crowd_options_t;
+} http_crowd_options_t;
 
 /** Connects the clients and starts to send. */
-crowd_t *crowd_start (const crowd_options_t *options);
+http_crowd_t *http_crowd_start (const http_crowd_options_t *options);
 
 /** Waits until each client has sent all, or none has got on for a second. */
-void crowd_wait (crowd_t *crowd);
+void http_crowd_wait (http_crowd_t *crowd);
 
 /** Closes the connections that are still open. */
-void crowd_free (crowd_t *crowd);
+void http_crowd_free (http_crowd_t *crowd);
 
 /** Lets this program open as many descriptors as the machine permits. */
-void crowd_raise_limit (void);
+void http_crowd_raise_limit (void);
 
 /** Returns the peak resident memory of a process, in KiB. */
-uint64_t crowd_peak_kb (const process_t *process);
+uint64_t http_crowd_peak_kb (const process_t *process);
 
 /** Returns the number of descriptors that a process has open. */
-uint32_t crowd_descriptors (const process_t *process);
+uint32_t http_crowd_descriptors (const process_t *process);
 
-/** Returns the highest number that crowd_wait() saw in the watched process
- * since crowd_watch(). */
-void crowd_watch (const process_t *process);
-uint32_t crowd_most_descriptors (void);
+/** Returns the highest number that http_crowd_wait() saw in the watched process
+ * since http_crowd_watch(). */
+void http_crowd_watch (const process_t *process);
+uint32_t http_crowd_most_descriptors (void);
 
 /** Sends one request, of which the body is @a unit repeatedly, all of it or
  * until the connection ends. Returns the status of the answer, 0 for none. */
-int crowd_send_one (const crowd_options_t *options);
+int http_crowd_send_one (const http_crowd_options_t *options);
 
 #endif
--- a/t/t8310-crowd-control.c
+++ b/t/t8310-crowd-control.c
@@ -6,7 +6,7 @@
 #include <signal.h>
 #include <string.h>
 
-#include "lib-crowd-cases.h"
+#include "lib-http-crowd-cases.h"
 #include "lib-nodes.h"
 
 #define ROUTES           14000
@@ -19,7 +19,7 @@
 
 typedef struct
 {
-  crowd_target_t target;
+  http_crowd_target_t target;
   nodes_t *nodes;
   int sequence;
 } fixture_t;
@@ -60,7 +60,7 @@
   return status == HTTP_OK;
 }
 
-static crowd_target_t *
+static http_crowd_target_t *
 set_up (void)
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
@@ -75,7 +75,7 @@
       nodes_call (fixture->nodes, 0, 0, "POST", NODES_PATH_CONFIG, config), ==,
       HTTP_OK);
   g_free (config);
-  fixture->target = (crowd_target_t){
+  fixture->target = (http_crowd_target_t){
     .process = fixture->nodes->process[0],
     .address = nodes_address (fixture->nodes, 0, 0),
     .post = NODES_PATH_CONFIG,
@@ -91,7 +91,7 @@
 }
 
 static void
-tear_down (crowd_target_t *target)
+tear_down (http_crowd_target_t *target)
 {
   fixture_t *fixture = target->context;
 
@@ -101,7 +101,7 @@
 }
 
 static void
-stop (crowd_target_t *target)
+stop (http_crowd_target_t *target)
 {
   fixture_t *fixture = target->context;
 
@@ -114,7 +114,7 @@
 static void
 test_largest_config (void)
 {
-  crowd_target_t *target = set_up ();
+  http_crowd_target_t *target = set_up ();
   fixture_t *fixture = target->context;
   GString *config = g_string_new (NULL);
   char *large = make_large_config (fixture->nodes, 3);
@@ -143,13 +143,13 @@
 int
 main (int argc, char **argv)
 {
-  static const crowd_program_t program = { .prefix = "crowd-control",
-                                           .set_up = set_up,
-                                           .tear_down = tear_down,
-                                           .stop = stop };
+  static const http_crowd_program_t program = { .prefix = "crowd-control",
+                                                .set_up = set_up,
+                                                .tear_down = tear_down,
+                                                .stop = stop };
 
   g_test_init (&argc, &argv, NULL);
-  crowd_cases_add (&program);
+  http_crowd_cases_add (&program);
   g_test_add_func ("/crowd-control/largest-config", test_largest_config);
   return g_test_run ();
 }
--- a/t/t8311-crowd-controld.c
+++ b/t/t8311-crowd-controld.c
@@ -4,7 +4,7 @@
  */
 #include <signal.h>
 
-#include "lib-crowd-cases.h"
+#include "lib-http-crowd-cases.h"
 
 #define BODY_BYTES   (960u * 1024)
 #define BODY_CLIENTS 160
@@ -13,7 +13,7 @@
 
 typedef struct
 {
-  crowd_target_t target;
+  http_crowd_target_t target;
   cluster_t *cluster;
   process_t *process;
 } fixture_t;
@@ -30,7 +30,7 @@
   return is_ok;
 }
 
-static crowd_target_t *
+static http_crowd_target_t *
 set_up (void)
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
@@ -47,7 +47,7 @@
       address, "--control-listen", peers, "--member", member, "--data-folder",
       cluster_subfolder (cluster, "c1"), memory, descriptors, NULL);
   g_assert_nonnull (fixture->process);
-  fixture->target = (crowd_target_t){
+  fixture->target = (http_crowd_target_t){
     .process = fixture->process,
     .address = g_strdup (address),
     .post = "/v1/status",
@@ -66,7 +66,7 @@
 }
 
 static void
-tear_down (crowd_target_t *target)
+tear_down (http_crowd_target_t *target)
 {
   fixture_t *fixture = target->context;
 
@@ -76,7 +76,7 @@
 }
 
 static void
-stop (crowd_target_t *target)
+stop (http_crowd_target_t *target)
 {
   fixture_t *fixture = target->context;
 
@@ -87,12 +87,12 @@
 int
 main (int argc, char **argv)
 {
-  static const crowd_program_t program = { .prefix = "crowd-controld",
-                                           .set_up = set_up,
-                                           .tear_down = tear_down,
-                                           .stop = stop };
+  static const http_crowd_program_t program = { .prefix = "crowd-controld",
+                                                .set_up = set_up,
+                                                .tear_down = tear_down,
+                                                .stop = stop };
 
   g_test_init (&argc, &argv, NULL);
-  crowd_cases_add (&program);
+  http_crowd_cases_add (&program);
   return g_test_run ();
 }
--- a/t/t8312-crowd-entryd.c
+++ b/t/t8312-crowd-entryd.c
@@ -6,8 +6,8 @@
 #include <signal.h>
 #include <string.h>
 
-#include "lib-crowd-cases.h"
 #include "lib-entry.h"
+#include "lib-http-crowd-cases.h"
 #include "lib-http-socket.h"
 
 #define BODY_BYTES   (3900u * 1024)
@@ -18,7 +18,7 @@
 
 typedef struct
 {
-  crowd_target_t target;
+  http_crowd_target_t target;
   deploy_t *deploy;
   char *get;
 } fixture_t;
@@ -67,7 +67,7 @@
   return path;
 }
 
-static crowd_target_t *
+static http_crowd_target_t *
 set_up (void)
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
@@ -81,7 +81,7 @@
   g_unsetenv ("LWM_MAX_DESCRIPTORS");
   deploy_service (fixture->deploy, "lookup", NULL);
   fixture->get = keep_long_answer (fixture);
-  fixture->target = (crowd_target_t){
+  fixture->target = (http_crowd_target_t){
     .process = fixture->deploy->process,
     .address = g_strdup (fixture->deploy->address),
     .post = "/v1/call/lookup/a",
@@ -99,7 +99,7 @@
 }
 
 static void
-tear_down (crowd_target_t *target)
+tear_down (http_crowd_target_t *target)
 {
   fixture_t *fixture = target->context;
 
@@ -111,7 +111,7 @@
 }
 
 static void
-stop (crowd_target_t *target)
+stop (http_crowd_target_t *target)
 {
   fixture_t *fixture = target->context;
 
@@ -122,12 +122,12 @@
 int
 main (int argc, char **argv)
 {
-  static const crowd_program_t program = { .prefix = "crowd-entryd",
-                                           .set_up = set_up,
-                                           .tear_down = tear_down,
-                                           .stop = stop };
+  static const http_crowd_program_t program = { .prefix = "crowd-entryd",
+                                                .set_up = set_up,
+                                                .tear_down = tear_down,
+                                                .stop = stop };
 
   g_test_init (&argc, &argv, NULL);
-  crowd_cases_add (&program);
+  http_crowd_cases_add (&program);
   return g_test_run ();
 }
--- a/t/t8313-crowd-status.c
+++ b/t/t8313-crowd-status.c
@@ -5,7 +5,7 @@
  */
 #include <signal.h>
 
-#include "lib-crowd-cases.h"
+#include "lib-http-crowd-cases.h"
 #include "lib-nodes.h"
 
 #define BODY_BYTES    (960u * 1024)
@@ -15,7 +15,7 @@
 
 typedef struct
 {
-  crowd_target_t target;
+  http_crowd_target_t target;
   nodes_t *nodes;
 } fixture_t;
 
@@ -27,7 +27,7 @@
   return nodes_is_ready (fixture->nodes, NODES_ENTRY);
 }
 
-static crowd_target_t *
+static http_crowd_target_t *
 set_up (void)
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
@@ -36,7 +36,7 @@
                               .max_descriptors = CROWD_MAX_DESCRIPTORS };
 
   fixture->nodes = nodes_new_with (&options);
-  fixture->target = (crowd_target_t){
+  fixture->target = (http_crowd_target_t){
     .process = fixture->nodes->process[NODES_ENTRY],
     .address = nodes_address (fixture->nodes, NODES_ENTRY, OFFSET_STATUS),
     .post = "/ready",
@@ -52,7 +52,7 @@
 }
 
 static void
-tear_down (crowd_target_t *target)
+tear_down (http_crowd_target_t *target)
 {
   fixture_t *fixture = target->context;
 
@@ -62,7 +62,7 @@
 }
 
 static void
-stop (crowd_target_t *target)
+stop (http_crowd_target_t *target)
 {
   fixture_t *fixture = target->context;
 
@@ -73,12 +73,12 @@
 int
 main (int argc, char **argv)
 {
-  static const crowd_program_t program = { .prefix = "crowd-status",
-                                           .set_up = set_up,
-                                           .tear_down = tear_down,
-                                           .stop = stop };
+  static const http_crowd_program_t program = { .prefix = "crowd-status",
+                                                .set_up = set_up,
+                                                .tear_down = tear_down,
+                                                .stop = stop };
 
   g_test_init (&argc, &argv, NULL);
-  crowd_cases_add (&program);
+  http_crowd_cases_add (&program);
   return g_test_run ();
 }
