--- a/t/t8312-crowd-entryd.c
+++ b/t/t8312-crowd-entryd.c
@@ -10,11 +10,16 @@
 #include "lib-http-crowd-cases.h"
 #include "lib-http-socket.h"
 
-#define BODY_BYTES   (3900u * 1024)
-#define BODY_CLIENTS 40
-#define SLOW_CLIENTS 300
-#define ECHO_BYTES   900000
-#define HTTP_OK      200
+#define BODY_BYTES     (3900u * 1024)
+#define BODY_CLIENTS   40
+#define SLOW_CLIENTS   300
+#define ECHO_BYTES     900000
+#define STREAM_CLIENTS 80
+#define STREAM_TOKENS  "20000"
+#define STREAM_MS      4000
+#define SLOW_BYTES_S   1024
+#define FAST_ENGINE    "--step-us=200"
+#define HTTP_OK        200
 
 typedef struct
 {
@@ -119,6 +124,41 @@
   process_expect_success (fixture->deploy->process);
 }
 
+/* Guards against streams whose callers read slowly: their tokens must wait at
+ * the engine, not in the instance. */
+static void
+test_slow_streams (void)
+{
+  static const char body[]
+      = PROMPT ("x", ",\"stream\":true,\"max_tokens\":" STREAM_TOKENS);
+  http_crowd_target_t *target = set_up ();
+  fixture_t *fixture = target->context;
+  char *head = g_strdup_printf ("POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                strlen (body), body);
+  http_crowd_options_t options = { .address = target->address,
+                                   .connections = STREAM_CLIENTS,
+                                   .head = head,
+                                   .read_bytes_s = SLOW_BYTES_S };
+  http_crowd_t *crowd;
+
+  deploy_engine (fixture->deploy, FAST_ENGINE, NULL);
+  http_crowd_watch (target->process);
+  crowd = http_crowd_start (&options);
+  cluster_sleep_ms (STREAM_MS);
+  http_crowd_wait (crowd);
+  CLUSTER_WAIT (call_service (fixture));
+  g_assert_cmpuint (http_crowd_peak_kb (target->process), <,
+                    CROWD_MEMORY_MB * 1024);
+  g_assert_cmpuint (http_crowd_most_descriptors (), <, CROWD_MAX_DESCRIPTORS);
+  g_test_message ("peak_kb=%ju descriptors=%u",
+                  (uintmax_t)http_crowd_peak_kb (target->process),
+                  http_crowd_most_descriptors ());
+  http_crowd_free (crowd);
+  g_free (head);
+  tear_down (target);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -129,5 +169,6 @@
 
   g_test_init (&argc, &argv, NULL);
   http_crowd_cases_add (&program);
+  g_test_add_func ("/crowd-entryd/slow-streams", test_slow_streams);
   return g_test_run ();
 }
