--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -66,7 +66,8 @@
   for (int i = 0; i < NODES_CONTROLS; i++)
     g_string_append_printf (text, "%s\"%s:%d\"", i > 0 ? ", " : "",
                             nodes->ip[nodes->seeds[i]], nodes->port);
-  g_string_append (text, "]\n");
+  g_string_append_printf (text, "]\nmemory_mb: %u\nmax_descriptors: %u\n",
+                          nodes->memory_mb, nodes->max_descriptors);
   if (!is_entry (nodes, index))
     g_string_append_printf (text, "data_folder: \"%s\"\n",
                             cluster_subfolder (nodes->cluster, name));
@@ -240,6 +241,8 @@
   nodes->stop_timeout_s = options->stop_timeout_s > 0 ? options->stop_timeout_s
                                                       : DEFAULT_STOP_TIMEOUT_S;
   nodes->has_all_kinds = options->has_all_kinds;
+  nodes->memory_mb = options->memory_mb;
+  nodes->max_descriptors = options->max_descriptors;
   nodes->entries = MAX (options->entries, 1);
   nodes->cluster = cluster_new ();
   nodes->zones = CLAMP (options->zones, 1, MAX_ZONES);
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -30,6 +30,8 @@
   int zones;
   int port;
   uint32_t stop_timeout_s;
+  uint32_t memory_mb; /* of each process in the settings, 0 for unknown */
+  uint32_t max_descriptors;
   bool has_all_kinds;
 } nodes_t;
 
@@ -53,6 +55,8 @@
   int entries;             /**< entry instances, 0 for one */
   int zones;               /**< zones that machines take in turn, 0 for one */
   uint32_t stop_timeout_s; /**< 0 for the default */
+  uint32_t memory_mb;      /**< of each process, 0 for unknown */
+  uint32_t max_descriptors;
   /** Whether the configurations have a route for each kind of request: /safe/,
    * /unsafe/ and /stream/ of the service "s", and the streams /paused/ of the
    * service "p". */
