exchange: send a shared body without a copy

A request's body was copied for its upstream: 4 MiB were held twice until the upstream had read them. shared-bytes is an array with several owners that grows by 128 KiB at most, where GByteArray doubles; its bytes are sent by reference.

--- a/exchange.c
+++ b/exchange.c
@@ -374,16 +374,22 @@
 write_request (connection_t *connection, const exchange_options_t *options)
 {
   struct evbuffer *out = bufferevent_get_output (connection->stream);
+  size_t body_bytes = options->shared_body != NULL
+                          ? options->shared_body->size_bytes
+                          : options->body_bytes;
 
   evbuffer_add_printf (out, "%s %s HTTP/1.1\r\n", options->method,
                        options->target);
   for (size_t i = 0; i < options->fields->count; i++)
     evbuffer_add_printf (out, "%s: %s\r\n", options->fields->items[i].name,
                          options->fields->items[i].value);
-  if (options->body_bytes > 0 || options->always_send_length)
-    evbuffer_add_printf (out, "Content-Length: %zu\r\n", options->body_bytes);
+  if (body_bytes > 0 || options->always_send_length)
+    evbuffer_add_printf (out, "Content-Length: %zu\r\n", body_bytes);
   evbuffer_add (out, "\r\n", 2);
-  evbuffer_add (out, options->body, options->body_bytes);
+  if (options->shared_body != NULL)
+    shared_bytes_add_to (options->shared_body, out);
+  else
+    evbuffer_add (out, options->body, body_bytes);
   if (strcmp (options->method, "HEAD") == 0)
     http_reader_expect_no_body (connection->reader);
 }
--- a/exchange.h
+++ b/exchange.h
@@ -20,6 +20,7 @@
 #include <stdint.h>
 
 #include "http-reader.h"
+#include "shared-bytes.h"
 
 struct event_base;
 
@@ -70,6 +71,7 @@
   const http_fields_t *fields;
   const uint8_t *body; /**< copied */
   size_t body_bytes;
+  shared_bytes_t *shared_body; /**< sent without a copy; NULL: body is sent */
   bool always_send_length; /**< send Content-Length also for an empty body */
   bool use_new_connection; /**< do not reuse an idle connection */
   bool close_after;        /**< do not keep the connection after the answer */
