http-reader: refuse a body that is declared too large from its head

A request that declared 400 MB was read up to max-body-bytes before it got its 413, and kept that much while it stalled. The declared length is checked when the head is complete; what the caller still sends is discarded while it reads the refusal.

--- a/caller-server.c
+++ b/caller-server.c
@@ -46,11 +46,25 @@
   bufferevent_disable (connection->stream, EV_READ);
 }
 
+/** Refuses a body that is declared too large before it is read. */
+static void
+on_head (void *context)
+{
+  caller_connection_t *connection = context;
+  uint64_t declared = http_reader_declared_bytes (connection->reader);
+
+  connection->is_too_large
+      = declared != UINT64_MAX
+        && declared > connection->server->options.limits.max_body_bytes;
+}
+
 static void
 on_body (const uint8_t *data, size_t size_bytes, void *context)
 {
   caller_connection_t *connection = context;
 
+  if (connection->is_too_large)
+    return;
   if (connection->body->len + size_bytes
       > connection->server->options.limits.max_body_bytes)
     connection->is_too_large = true;
@@ -195,6 +209,7 @@
   http_reader_options_t reader_options
       = { .kind = HTTP_READER_REQUEST,
           .max_head_bytes = server->options.limits.max_head_bytes,
+          .on_head = on_head,
           .on_body = on_body,
           .context = connection };
 
--- a/http-reader.c
+++ b/http-reader.c
@@ -7,6 +7,9 @@
 #include <talloc.h>
 
 #define MAX_FIELDS 200
+/** Memory that a string takes beside its text, and a field beside its two. */
+#define STRING_BYTES 128u
+#define FIELD_BYTES  64u
 
 struct http_reader
 {
@@ -300,6 +303,24 @@
   return reader->has_head;
 }
 
+uint64_t
+http_reader_declared_bytes (const http_reader_t *reader)
+{
+  return (reader->parser.flags & F_CHUNKED) != 0
+             ? UINT64_MAX
+             : reader->parser.content_length;
+}
+
+size_t
+http_reader_held_bytes (const http_reader_t *reader)
+{
+  if (!reader->has_begun)
+    return 0;
+  /* The field that is being read, and the target or the reason. */
+  return reader->head_bytes + 3 * STRING_BYTES
+         + reader->fields.count * (2 * STRING_BYTES + FIELD_BYTES);
+}
+
 bool
 http_reader_keeps_alive (const http_reader_t *reader)
 {
--- a/http-reader.h
+++ b/http-reader.h
@@ -85,6 +85,13 @@
 /** Returns true if the head of the current message is complete. */
 bool http_reader_has_head (const http_reader_t *reader);
 
+/** Returns the body's length that the head declares; UINT64_MAX: none. Valid
+ * from on_head until the body begins. */
+uint64_t http_reader_declared_bytes (const http_reader_t *reader);
+
+/** Returns the memory that the parts of the current message take. */
+size_t http_reader_held_bytes (const http_reader_t *reader);
+
 /** Returns true if the connection may be reused after this message. */
 bool http_reader_keeps_alive (const http_reader_t *reader);
 
