callers: bound the bytes that callers make an entry instance hold

Callers that keep to no limit filled the memory of the process: each of their connections was within its own limits, and nothing bounded the sum. All connections of callers are now holders of one memory account, whose limit is a third of memory_mb in the settings: heads, bodies, input and output buffers, answers and events that are kept for relay, the kernel's full send buffer, and a constant for the connection and for an open request. While the limit is exceeded, the connection with the highest product of bytes and time without progress is refused with 503 or, if its request may have run, with 502; one whose answer has begun or is not read is closed. The memory is released in a turn of the loop of its own, as the bytes may be in use.

Reading from an upstream pauses earlier for slow callers as the room shrinks. All of this is off when memory_mb is 0.

--- a/caller-connection.c
+++ b/caller-connection.c
@@ -26,6 +26,8 @@
                                        [END_ANSWERED] = "answered",
                                        [END_IDLE] = "idle",
                                        [END_ABORTED] = "aborted",
+                                       [END_NO_MEMORY] = "no_memory",
+                                       [END_NO_ROOM] = "no_room",
                                        [END_TIMEOUT] = "timeout",
                                        [END_BY_CALLER] = "caller_closed",
                                        [END_FAILED] = "failed" };
@@ -117,6 +119,24 @@
             end_name (connection->end), unsent, unacked, unread);
 }
 
+void
+caller_connection_reject (caller_connection_t *connection, const char *status)
+{
+  struct evbuffer *out = bufferevent_get_output (connection->stream);
+
+  log_info ("Rejected a request before it was read in full. request=%s "
+            "status=%s",
+            caller_connection_read_id (connection), status);
+  evbuffer_add_printf (out,
+                       "HTTP/1.1 %s\r\nContent-Length: 0\r\n"
+                       "Connection: close\r\n\r\n",
+                       status);
+  connection->close_after_reply = true;
+  bufferevent_disable (connection->stream, EV_READ);
+  shared_bytes_clear (&connection->body);
+  caller_memory_update (connection);
+}
+
 void
 caller_connection_end (caller_connection_t *connection, caller_end_t end)
 {
@@ -137,8 +157,9 @@
       record_unread_request (connection);
     }
   g_hash_table_remove (server->connections, connection);
+  caller_memory_remove (connection);
   bufferevent_free (connection->stream);
-  g_byte_array_free (connection->body, TRUE);
+  shared_bytes_unref (connection->body);
   return 0;
 }
 
--- a/caller-reply.c
+++ b/caller-reply.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "base.h"
 #include "caller-connection.h"
 
 const char *
@@ -25,11 +26,17 @@
   return http_reader_fields (request->connection->reader);
 }
 
-const uint8_t *
-caller_request_body (const caller_request_t *request, size_t *size_bytes)
+shared_bytes_t *
+caller_request_body (const caller_request_t *request)
 {
-  *size_bytes = request->connection->body->len;
-  return request->connection->body->data;
+  return request->connection->body;
+}
+
+void
+caller_request_set_kept (caller_request_t *request, size_t size_bytes)
+{
+  request->connection->kept_bytes = size_bytes;
+  caller_memory_update (request->connection);
 }
 
 uint64_t
@@ -105,6 +112,20 @@
     evbuffer_add (out, "\r\n", 2);
 }
 
+void
+caller_reply_shared (caller_request_t *request, shared_bytes_t *data)
+{
+  struct evbuffer *out = bufferevent_get_output (request->connection->stream);
+
+  if (data->size_bytes == 0 || request->no_body)
+    return;
+  if (request->chunked)
+    evbuffer_add_printf (out, "%zx\r\n", data->size_bytes);
+  shared_bytes_add_to (data, out);
+  if (request->chunked)
+    evbuffer_add (out, "\r\n", 2);
+}
+
 /** Ends the current request; the connection then waits for the next request, or
  * closes once the answer is sent. */
 static void
@@ -114,8 +135,12 @@
   connection->has_unwritten_answer = true;
   connection->server->open_requests--;
   connection->request = (caller_request_t){ .connection = connection };
-  g_byte_array_set_size (connection->body, 0);
+  shared_bytes_clear (&connection->body);
   http_reader_reset (connection->reader);
+  connection->kept_bytes = 0;
+  connection->window_ms = 0;
+  connection->progress_ms = clock_mono_ms ();
+  caller_memory_update (connection);
   if (connection->close_after_reply)
     {
       bufferevent_disable (connection->stream, EV_READ);
--- a/caller-server.c
+++ b/caller-server.c
@@ -28,24 +28,6 @@
 static const socket_watch_t caller_watch
     = { .user_timeout_ms = 10000, .idle_s = 5, .interval_s = 2, .probes = 3 };
 
-/** Rejects a request that is malformed, too large or comes too late, and closes
- * the connection once the error is sent. */
-static void
-reject_request (caller_connection_t *connection, const char *status)
-{
-  struct evbuffer *out = bufferevent_get_output (connection->stream);
-
-  log_info ("Rejected a request before it was read in full. request=%s "
-            "status=%s",
-            caller_connection_read_id (connection), status);
-  evbuffer_add_printf (out,
-                       "HTTP/1.1 %s\r\nContent-Length: 0\r\n"
-                       "Connection: close\r\n\r\n",
-                       status);
-  connection->close_after_reply = true;
-  bufferevent_disable (connection->stream, EV_READ);
-}
-
 /** Refuses a body that is declared too large before it is read. */
 static void
 on_head (void *context)
@@ -65,11 +47,14 @@
 
   if (connection->is_too_large)
     return;
-  if (connection->body->len + size_bytes
+  if (connection->body->size_bytes + size_bytes
       > connection->server->options.limits.max_body_bytes)
-    connection->is_too_large = true;
-  else
-    g_byte_array_append (connection->body, data, (guint)size_bytes);
+    {
+      connection->is_too_large = true;
+      return;
+    }
+  shared_bytes_append (connection->body, data, size_bytes);
+  caller_memory_received (connection, size_bytes);
 }
 
 static void
@@ -85,6 +70,7 @@
       = strcmp (http_reader_method (connection->reader), "HEAD") == 0;
   server->open_requests++;
   caller_connection_set_read_timeout (connection, 0);
+  caller_memory_update (connection);
   server->options.on_request (&connection->request, server->options.context);
 }
 
@@ -122,15 +108,16 @@
       evbuffer_drain (in, used);
       update_read_timeout (connection);
       if (connection->is_too_large)
-        reject_request (connection, "413 Content Too Large");
+        caller_connection_reject (connection, "413 Content Too Large");
       else if (result == HTTP_READER_ERROR)
-        reject_request (connection, "400 Bad Request");
+        caller_connection_reject (connection, "400 Bad Request");
       else if (result == HTTP_READER_END)
         {
           open_request (connection);
           return;
         }
     }
+  caller_memory_update (connection);
 }
 
 static void
@@ -148,6 +135,8 @@
       connection->is_read_paused = true;
       bufferevent_disable (stream, EV_READ);
     }
+  else
+    caller_memory_update (connection);
 }
 
 static void
@@ -205,19 +194,25 @@
            void *context)
 {
   caller_server_t *server = context;
-  caller_connection_t *connection = talloc_zero (server, caller_connection_t);
+  caller_connection_t *connection;
   http_reader_options_t reader_options
       = { .kind = HTTP_READER_REQUEST,
           .max_head_bytes = server->options.limits.max_head_bytes,
           .on_head = on_head,
-          .on_body = on_body,
-          .context = connection };
+          .on_body = on_body };
 
+  if (!caller_memory_make_room (server))
+    {
+      evutil_closesocket (fd);
+      return;
+    }
   socket_watch (fd, &caller_watch);
+  connection = talloc_zero (server, caller_connection_t);
+  reader_options.context = connection;
   connection->server = server;
   connection->request.connection = connection;
   connection->reader = http_reader_new (connection, &reader_options);
-  connection->body = g_byte_array_new ();
+  connection->body = shared_bytes_new ();
   connection->stream = bufferevent_socket_new (server->options.base, fd,
                                                BEV_OPT_CLOSE_ON_FREE);
   g_hash_table_add (server->connections, connection);
@@ -227,6 +222,7 @@
   caller_connection_set_read_timeout (connection,
                                       server->options.limits.idle_timeout_ms);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+  caller_memory_add (connection);
 }
 
 static int
@@ -240,6 +236,7 @@
     talloc_free (item->data);
   g_list_free (connections);
   g_hash_table_destroy (server->connections);
+  caller_memory_stop (server);
   return 0;
 }
 
@@ -261,6 +258,7 @@
       options->metrics, "lwm_callers_answers_cut_total",
       "Complete answers whose connection ended before they were delivered.",
       NULL);
+  caller_memory_start (server);
   talloc_set_destructor (server, free_server);
   if (evutil_parse_sockaddr_port (options->listen, (struct sockaddr *)&address,
                                   &address_bytes)
@@ -322,7 +320,7 @@
   g_hash_table_iter_init (&iterator, server->connections);
   while (g_hash_table_iter_next (&iterator, &item, NULL))
     if (caller_connection_is_receiving (item))
-      reject_request (item, "503 Service Unavailable");
+      caller_connection_reject (item, "503 Service Unavailable");
 }
 
 bool
--- a/caller-server.h
+++ b/caller-server.h
@@ -16,7 +16,9 @@
 #include <stdint.h>
 
 #include "http-reader.h"
+#include "memory-account.h"
 #include "metric.h"
+#include "shared-bytes.h"
 
 struct event_base;
 
@@ -47,8 +49,14 @@
   const char *(*request_id) (const http_fields_t *fields, void *context);
   /** All data written to the caller has been sent. */
   void (*on_drained) (caller_request_t *request, void *context);
+  /** The request holds too much memory: it must be ended now, with an answer or
+   * with caller_reply_abort(). */
+  void (*on_reclaim) (caller_request_t *request, void *context);
   void *context;
   metrics_t *metrics;
+  memory_account_t *memory; /**< of the bytes that callers make it hold; NULL:
+                                 no limit */
+  uint32_t max_connections; /**< 0: no limit */
 } caller_server_options_t;
 
 /**
@@ -92,8 +100,7 @@
 const char *caller_request_method (const caller_request_t *request);
 const char *caller_request_target (const caller_request_t *request);
 const http_fields_t *caller_request_fields (const caller_request_t *request);
-const uint8_t *caller_request_body (const caller_request_t *request,
-                                    size_t *size_bytes);
+shared_bytes_t *caller_request_body (const caller_request_t *request);
 
 /** Returns when the first byte of the request arrived, on the steady clock. */
 uint64_t caller_request_arrived_ms (const caller_request_t *request);
@@ -123,6 +130,13 @@
                         const void *data,
                         size_t size_bytes);
 
+/** Does the same without a copy. */
+void caller_reply_shared (caller_request_t *request, shared_bytes_t *data);
+
+/** States how many bytes the user of the server keeps for the request, such as
+ * an answer that is not complete. */
+void caller_request_set_kept (caller_request_t *request, size_t size_bytes);
+
 /** Completes the answer; @a request is no longer valid. */
 void caller_reply_end (caller_request_t *request);
 
--- a/error.c
+++ b/error.c
@@ -56,6 +56,8 @@
     "the configuration is not valid" },
   { ERROR_CANCELLED, "cancelled", 499, RAN_UNKNOWN, true,
     "the caller closed the request" },
+  { ERROR_NO_MEMORY, "no_memory", 503, RAN_NO, true,
+    "this instance holds too much for its clients" },
   { ERROR_INTERNAL, "internal", 500, RAN_UNKNOWN, true, "internal error" },
 };
 
--- a/error.h
+++ b/error.h
@@ -43,6 +43,7 @@
   ERROR_NUMBER_CONFLICT, /**< same configuration number, other content */
   ERROR_BAD_CONFIGURATION, /**< the configuration does not validate */
   ERROR_CANCELLED,         /**< the caller closed its connection */
+  ERROR_NO_MEMORY,         /**< clients make this instance hold too much */
   ERROR_INTERNAL,          /**< internal failure of this instance */
   ERROR_KIND_COUNT
 } error_kind_t;
--- a/event-stream.c
+++ b/event-stream.c
@@ -129,3 +129,9 @@
 {
   return stream->buffer->len == 0;
 }
+
+size_t
+event_stream_held_bytes (const event_stream_t *stream)
+{
+  return stream->buffer->len;
+}
--- a/event-stream.h
+++ b/event-stream.h
@@ -41,6 +41,9 @@
                         const uint8_t *data,
                         size_t size_bytes);
 
+/** Returns the bytes of an incomplete event that are buffered. */
+size_t event_stream_held_bytes (const event_stream_t *stream);
+
 /** Returns true if no incomplete event is buffered. */
 bool event_stream_is_complete (const event_stream_t *stream);
 
--- a/gateway-attempt.c
+++ b/gateway-attempt.c
@@ -149,7 +149,8 @@
   request->predicted_ms = answer->first_ms;
   request->is_limited = answer->is_limited;
   request->has_head = false;
-  g_byte_array_set_size (request->body, 0);
+  shared_bytes_clear (&request->body);
+  caller_request_set_kept (request->caller, 0);
   gateway_begin_jobs (request, placed, answer);
   log_helpers (request);
   if (answer->memory_count > 0)
@@ -198,7 +199,7 @@
           .callbacks = &gateway_relay_callbacks,
           .context = request };
 
-  options.body = caller_request_body (request->caller, &options.body_bytes);
+  options.shared_body = caller_request_body (request->caller);
   options.always_send_length = strcmp (options.method, "GET") != 0
                                && strcmp (options.method, "HEAD") != 0;
   record_sent (request);
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -149,7 +149,7 @@
   void *head; /* talloc parent of reason and fields */
   const char *reason;
   http_fields_t fields;
-  GByteArray *body;       /* an answer that is relayed once it is complete */
+  shared_bytes_t *body;   /* an answer that is relayed once it is complete */
   event_stream_t *events; /* parses a stream; NULL before its head */
   bool is_reply_begun;    /* the head was sent to the caller */
   bool has_event;
@@ -166,6 +166,18 @@
  * more: another instance can serve it. */
 void gateway_refuse_if_stopping (gateway_request_t *request);
 
+/** Ends a request without an upstream, truly: one that may have run is not
+ * called not run.
+ * @param kind the error of one that has not run */
+void gateway_end_truly (gateway_request_t *request, error_kind_t kind);
+
+/** Ends a request that holds too much memory. */
+void gateway_on_reclaim (caller_request_t *caller, void *context);
+
+/** Returns the unsent bytes for a slow caller at which reading from its
+ * upstream pauses. */
+size_t gateway_max_unsent_bytes (const gateway_t *gateway);
+
 /** Returns whether a request came so late in a stop that it might not be
  * answered before the end. */
 bool gateway_is_too_late (const gateway_request_t *request);
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -10,8 +10,6 @@
 
 /** Limit on the size of an answer, which is relayed once it is complete. */
 #define MAX_BUFFERED_BYTES (8u * 1024 * 1024)
-/** Unsent bytes for a slow caller at which reading from its upstream pauses. */
-#define MAX_UNSENT_BYTES (256u * 1024)
 /** Longest extension of a pause that an upstream asked for. */
 #define MAX_PAUSE_SPREAD_MS    1000
 #define FIRST_SERVER_ERROR     500
@@ -238,7 +236,8 @@
 pause_if_slow (gateway_request_t *request)
 {
   if (silence_is_paused (&request->silence)
-      || caller_reply_pending_bytes (request->caller) < MAX_UNSENT_BYTES)
+      || caller_reply_pending_bytes (request->caller)
+             < gateway_max_unsent_bytes (request->gateway))
     return;
   silence_pause (&request->silence, clock_mono_ms ());
   exchange_set_paused (request->exchange, true);
@@ -273,25 +272,29 @@
           return;
         }
       gateway_set_timer (request);
+      caller_request_set_kept (request->caller,
+                               event_stream_held_bytes (request->events));
       pause_if_slow (request);
       return;
     }
-  if (request->body->len + size_bytes > MAX_BUFFERED_BYTES)
+  if (request->body->size_bytes + size_bytes > MAX_BUFFERED_BYTES)
     {
       log_warn ("An answer is too large. request=%s upstream=%s",
                 request->terms.id, request->upstream_id);
       fail_attempt (request, RETRY_TRUNCATED, true);
       return;
     }
-  g_byte_array_append (request->body, data, (guint)size_bytes);
+  shared_bytes_append (request->body, data, size_bytes);
+  caller_request_set_kept (request->caller, request->body->room_bytes);
 }
 
 void
 gateway_relay_answer (gateway_request_t *request)
 {
   caller_reply_begin (request->caller, request->status, request->reason,
-                      &request->fields, request->body->len);
-  caller_reply_data (request->caller, request->body->data, request->body->len);
+                      &request->fields, (int64_t)request->body->size_bytes);
+  caller_request_set_kept (request->caller, 0);
+  caller_reply_shared (request->caller, request->body);
   gateway_finish (request, request->status);
 }
 
--- a/gateway-stop.c
+++ b/gateway-stop.c
@@ -27,10 +27,8 @@
   return !gateway->is_finishing;
 }
 
-/** Ends a request without an upstream, truly: one that may have run is not
- * called not run. */
-static void
-end_request (gateway_request_t *request)
+void
+gateway_end_truly (gateway_request_t *request, error_kind_t kind)
 {
   bool may_have_run = request->may_have_run || request->exchange != NULL;
 
@@ -41,10 +39,16 @@
   else if (may_have_run)
     gateway_refuse (request, ERROR_UPSTREAM_FAILED, 0);
   else
-    gateway_refuse (request, ERROR_STOPPING,
+    gateway_refuse (request, kind,
                     gateway_add_jitter_ms (GATEWAY_RETRY_AFTER_MS));
 }
 
+static void
+end_request (gateway_request_t *request)
+{
+  gateway_end_truly (request, ERROR_STOPPING);
+}
+
 static bool
 must_leave (const gateway_request_t *request)
 {
--- a/gateway.c
+++ b/gateway.c
@@ -15,6 +15,11 @@
 #define IDLE_TIMEOUT_MS    4000
 /** Deadline of requests whose route sets no timeout. */
 #define DEFAULT_DEADLINE_MS 30000
+/** Unsent bytes for a slow caller at which reading from its upstream pauses: a
+ * part of the room that is left for what callers make the process hold. */
+#define MAX_UNSENT_BYTES (256u * 1024)
+#define MIN_UNSENT_BYTES (16u * 1024)
+#define UNSENT_SHARE     32u
 /** Base of Retry-After for rejected requests: a starting instance receives its
  * configuration in about this time. */
 #define STARTUP_RETRY_AFTER_MS 900
@@ -41,7 +46,7 @@
     exchange_cancel (request->exchange);
   gateway_end_jobs (request, UPSTREAM_JOB_NEUTRAL);
   event_free (request->timer);
-  g_byte_array_free (request->body, TRUE);
+  shared_bytes_unref (request->body);
   return 0;
 }
 
@@ -251,7 +256,7 @@
   request->config_number = gateway->config->number;
   request->last_event = terms->last_event;
   request->has_event = terms->has_last_event;
-  request->body = g_byte_array_new ();
+  request->body = shared_bytes_new ();
   request->timer = event_new (gateway->options.base, -1, 0, on_timer, request);
   talloc_set_destructor (request, free_request);
   g_ptr_array_add (gateway->open, request);
@@ -346,6 +351,37 @@
   talloc_free (request);
 }
 
+void
+gateway_on_reclaim (caller_request_t *caller, void *context)
+{
+  gateway_t *gateway = context;
+  gateway_request_t *request = caller_request_data (caller);
+  gateway_request_info_t terms = { .id = "" };
+
+  if (request != NULL)
+    {
+      gateway_end_truly (request, ERROR_NO_MEMORY);
+      return;
+    }
+  gateway_drop_held_at_startup (gateway, caller);
+  gateway->options.protocol->read_request_info (caller_request_fields (caller),
+                                                &terms);
+  reject_request (gateway, caller, &terms, ERROR_NO_MEMORY);
+}
+
+size_t
+gateway_max_unsent_bytes (const gateway_t *gateway)
+{
+  const memory_account_t *memory = gateway->options.memory;
+  uint64_t limit = memory != NULL ? memory_account_limit (memory) : 0;
+  uint64_t held = limit > 0 ? memory_account_held (memory) : 0;
+
+  if (limit == 0)
+    return MAX_UNSENT_BYTES;
+  return (size_t)CLAMP ((limit - MIN (held, limit)) / UNSENT_SHARE,
+                        MIN_UNSENT_BYTES, MAX_UNSENT_BYTES);
+}
+
 static void
 on_drained (caller_request_t *caller, void *context)
 {
@@ -427,15 +463,19 @@
 open_sockets (gateway_t *gateway)
 {
   gateway_config_t *empty = gateway_config_new (gateway);
-  caller_server_options_t callers = { .base = gateway->options.base,
-                                      .listen = gateway->options.listen,
-                                      .limits = empty->limits,
-                                      .on_request = on_request,
-                                      .on_gone = on_gone,
-                                      .request_id = read_request_id,
-                                      .on_drained = on_drained,
-                                      .context = gateway,
-                                      .metrics = gateway->options.metrics };
+  caller_server_options_t callers
+      = { .base = gateway->options.base,
+          .listen = gateway->options.listen,
+          .limits = empty->limits,
+          .on_request = on_request,
+          .on_gone = on_gone,
+          .request_id = read_request_id,
+          .on_drained = on_drained,
+          .on_reclaim = gateway_on_reclaim,
+          .context = gateway,
+          .memory = gateway->options.memory,
+          .max_connections = gateway->options.max_connections,
+          .metrics = gateway->options.metrics };
 
   talloc_free (empty);
   if (!gateway_open_placement (gateway))
--- a/gateway.h
+++ b/gateway.h
@@ -17,6 +17,7 @@
 
 #include "directory.h"
 #include "gateway-config.h"
+#include "memory-account.h"
 #include "metric.h"
 #include "zone-placement.h"
 
@@ -108,6 +109,8 @@
   uint32_t spare_retries;
   uint32_t zone_cost_ms; /**< cost of a round trip to another zone */
   metrics_t *metrics;
+  memory_account_t *memory; /**< of what callers make it hold; NULL: no limit */
+  uint32_t max_connections; /**< of callers; 0: no limit */
 } gateway_options_t;
 
 /**
--- a/memory-account.c
+++ b/memory-account.c
@@ -21,6 +21,7 @@
 {
   uint64_t limit_bytes;
   uint64_t held_bytes;
+  uint64_t yielding_bytes;  /* of the holders that were asked to yield */
   GPtrArray *holders;       /* memory_holder_t */
   memory_holder_t *stating; /* the holder whose bytes are being set, or NULL */
   bool is_reclaiming;
@@ -118,6 +119,8 @@
   if (account == NULL)
     return 0;
   account->held_bytes -= holder->bytes;
+  if (holder->has_yielded)
+    account->yielding_bytes -= holder->bytes;
   g_ptr_array_remove_index_fast (account->holders, holder->index);
   if (holder->index < account->holders->len)
     {
@@ -183,17 +186,28 @@
   return chosen;
 }
 
+/** Returns whether the limit will be exceeded once those that were asked have
+ * released their bytes. */
+static bool
+is_exceeded (const memory_account_t *account)
+{
+  return account->limit_bytes > 0
+         && account->held_bytes - account->yielding_bytes
+                > account->limit_bytes;
+}
+
 static void
 reclaim (memory_account_t *account, uint64_t now_ms)
 {
   account->is_reclaiming = true;
-  while (!memory_account_has_room (account, 0))
+  while (is_exceeded (account))
     {
       memory_holder_t *holder = choose_holder (account, now_ms);
 
       if (holder == NULL)
         break;
       holder->has_yielded = true;
+      account->yielding_bytes += holder->bytes;
       if (account->yielded != NULL)
         metric_add (account->yielded, 1);
       if (account->stating == holder)
@@ -214,11 +228,13 @@
   if (holder->bytes == 0)
     memory_holder_progress (holder, now_ms);
   account->held_bytes += bytes - holder->bytes;
+  if (holder->has_yielded)
+    account->yielding_bytes += bytes - holder->bytes;
   holder->bytes = bytes;
   if (bytes == 0)
     holder->has_yielded = false;
   /* on_reclaim() states what its holder has released. */
-  if (account->is_reclaiming || memory_account_has_room (account, 0))
+  if (account->is_reclaiming || !is_exceeded (account))
     return true;
   account->stating = holder;
   reclaim (account, now_ms);
--- a/memory-account.h
+++ b/memory-account.h
@@ -31,8 +31,9 @@
   /**
    * Asks the holder to release its bytes, by refusing the request or by closing
    * the connection. It is called within memory_holder_set() of any holder of
-   * the account, and may free its own holder but no other one. It is not called
-   * again before the holder has stated 0 bytes.
+   * the account. It may free its own holder but no other one, or do so in a
+   * later turn of the loop: the account counts the bytes as released at once,
+   * and does not call again before the holder has stated 0 bytes.
    */
   void (*on_reclaim) (void *context);
   void *context;
--- a/node-entry.c
+++ b/node-entry.c
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 #include <event2/http.h>
+#include <malloc.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -10,6 +11,7 @@
 #include "control-directory.h"
 #include "daemon.h"
 #include "http.h"
+#include "memory-account.h"
 #include "packed-text.h"
 #include "signal-time.h"
 #include "statemachine.h"
@@ -33,6 +35,14 @@
 #define EXIT_MARGIN_MS         400
 /** Part that is left when the last answers wait for a turn of the loop. */
 #define LAST_TURN_MARGIN_MS 300
+/** Part of the machine's memory that callers may make the process hold: a
+ * third. The rest is for the process itself, for the kernel's buffers, and for
+ * what is received before a connection that is asked to yield has released its
+ * memory.
+ */
+#define MEMORY_DIVISOR    3
+#define BYTES_PER_MB      (1024u * 1024)
+#define LARGE_BLOCK_BYTES (128 * 1024)
 /** Cost of a round trip to another zone. */
 #define ZONE_COST_MS 12
 
@@ -44,6 +54,7 @@
 {
   node_entry_options_t options;
   daemon_t *daemon;
+  memory_account_t *memory; /* of what callers make it hold, or NULL */
   gateway_t *gateway;
   control_client_t *control;
   directory_t *directory;
@@ -314,6 +325,24 @@
     exit_if_drained (entry, now_ms);
 }
 
+/** Creates the account of what callers make the process hold. Large blocks are
+ * returned to the system as soon as they are freed, so that the account agrees
+ * with the memory in use. */
+static void
+set_up_memory (node_entry_t *entry, const Lwm__NodeSettings *settings)
+{
+  memory_account_options_t options
+      = { .limit_bytes
+          = (uint64_t)settings->memory_mb * BYTES_PER_MB / MEMORY_DIVISOR,
+          .metrics = daemon_metrics (entry->daemon) };
+
+  if (settings->memory_mb == 0)
+    return;
+  mallopt (M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+  mallopt (M_TRIM_THRESHOLD, LARGE_BLOCK_BYTES);
+  entry->memory = memory_account_new (entry, &options);
+}
+
 static bool
 set_up_gateway (node_entry_t *entry)
 {
@@ -330,6 +359,8 @@
           .zone_cost_ms = ZONE_COST_MS,
           .metrics = daemon_metrics (entry->daemon) };
 
+  set_up_memory (entry, settings);
+  options.memory = entry->memory;
   entry->gateway = gateway_new (entry, &options);
   return entry->gateway != NULL;
 }
--- a/t/t8300-memory-account.c
+++ b/t/t8300-memory-account.c
@@ -122,21 +122,25 @@
   talloc_free (fixture);
 }
 
-/** A holder that keeps its bytes is asked once, and the next one yields. */
+/** A holder that releases its bytes later is asked once, and no other one in
+ * its place. */
 static void
-test_keeps_its_bytes (void)
+test_releases_later (void)
 {
   fixture_t *fixture = fixture_new (LIMIT_BYTES);
   struct client *clients = fixture->clients;
 
   clients[0].frees = false;
   g_assert_true (memory_holder_set (clients[0].holder, 900, START_MS));
-  g_assert_false (memory_holder_set (clients[1].holder, 200, START_MS + 10));
-  g_assert_cmpuint (clients[0].asked, ==, 1);
-  g_assert_cmpuint (clients[1].asked, ==, 1);
-  g_assert_true (memory_holder_set (clients[2].holder, 100, START_MS + 20));
-  g_assert_false (memory_holder_set (clients[2].holder, 101, START_MS + 20));
+  g_assert_true (memory_holder_set (clients[1].holder, 200, START_MS + 10));
+  g_assert_true (memory_holder_set (clients[2].holder, 800, START_MS + 20));
   g_assert_cmpuint (clients[0].asked, ==, 1);
+  g_assert_cmpuint (clients[1].asked + clients[2].asked, ==, 0);
+  g_assert_false (memory_account_has_room (fixture->account, 1));
+  TALLOC_FREE (clients[0].holder);
+  g_assert_cmpuint (memory_account_held (fixture->account), ==, LIMIT_BYTES);
+  g_assert_false (memory_holder_set (clients[2].holder, 801, START_MS + 20));
+  g_assert_cmpuint (memory_account_held (fixture->account), ==, 200);
   talloc_free (fixture);
 }
 
@@ -179,7 +183,7 @@
   g_test_add_func ("/memory-account/stalled-yields-first",
                    test_stalled_yields_first);
   g_test_add_func ("/memory-account/largest-yields", test_largest_yields);
-  g_test_add_func ("/memory-account/keeps-its-bytes", test_keeps_its_bytes);
+  g_test_add_func ("/memory-account/releases-later", test_releases_later);
   g_test_add_func ("/memory-account/used-again", test_used_again);
   g_test_add_func ("/memory-account/no-limit", test_no_limit);
   return g_test_run ();
