node-entry: limit the connections of callers by max_descriptors

Callers could take all descriptors of the process, and then neither upstreams nor peers nor the log got one. Of max_descriptors the platform reserves 200 for files; callers get half of the others.

--- a/node-entry.c
+++ b/node-entry.c
@@ -43,6 +43,10 @@
 #define MEMORY_DIVISOR    3
 #define BYTES_PER_MB      (1024u * 1024)
 #define LARGE_BLOCK_BYTES (128 * 1024)
+/** Descriptors that the platform reserves for files; callers get half of the
+ * others, the rest is for upstreams, peers and the log. */
+#define FILE_DESCRIPTORS 200u
+#define MIN_CONNECTIONS  16u
 /** Cost of a round trip to another zone. */
 #define ZONE_COST_MS 12
 
@@ -343,6 +347,18 @@
   entry->memory = memory_account_new (entry, &options);
 }
 
+/** Returns how many connections callers may open; 0: any number. */
+static uint32_t
+max_connections (const Lwm__NodeSettings *settings)
+{
+  uint32_t most = settings->max_descriptors;
+
+  if (most == 0)
+    return 0;
+  return MAX (most > FILE_DESCRIPTORS ? (most - FILE_DESCRIPTORS) / 2 : 0,
+              MIN_CONNECTIONS);
+}
+
 static bool
 set_up_gateway (node_entry_t *entry)
 {
@@ -357,7 +373,8 @@
           .retry_percent = (uint32_t)(settings->retry_share * 100),
           .spare_retries = settings->spare_retries,
           .zone_cost_ms = ZONE_COST_MS,
-          .metrics = daemon_metrics (entry->daemon) };
+          .metrics = daemon_metrics (entry->daemon),
+          .max_connections = max_connections (settings) };
 
   set_up_memory (entry, settings);
   options.memory = entry->memory;
