--- a/http-reader.c
+++ b/http-reader.c
@@ -125,7 +125,9 @@
     return;
   http_fields_add (reader->scratch, &reader->fields, reader->name,
                    reader->value != NULL ? reader->value : "");
-  reader->name = reader->value = NULL;
+  /* The fields have copies. */
+  TALLOC_FREE (reader->name);
+  TALLOC_FREE (reader->value);
 }
 
 static int
