t: check that a refusal can be read, and that a trickled head ends

The peer of a refusal that is sent while it still sends must be able to read it; this held before. A head that comes byte by byte held its connection for any time before the account came: header-timeout-ms counted only silence, and the caller got no answer within 15 s. Now it is refused with 408.

--- a/t/t8310-uncontrolled-callers.c
+++ b/t/t8310-uncontrolled-callers.c
@@ -31,6 +31,9 @@
 #define ANSWER_MS            15000
 #define WORK_MS              "1500"
 #define EXIT_TIMEOUT_S       8
+#define PIECE_BYTES          (64u * 1024)
+#define TOO_MANY_PIECES      128
+#define TRICKLE_MS           300
 
 typedef struct
 {
@@ -370,6 +373,71 @@
   finish (fixture);
 }
 
+/** Sends a head and a body of more than the limit in pieces; returns the status
+ * that the caller reads after it. */
+static int
+send_too_much (const fixture_t *fixture,
+               const char *framing,
+               const char *before,
+               const char *after)
+{
+  char *address = nodes_address (fixture->nodes, NODES_ENTRY, 3);
+  char *head
+      = g_strdup_printf ("POST /safe/0 HTTP/1.1\r\nHost: %s\r\n" NODES_FIELD_ID
+                         ": too-much\r\n%s\r\n\r\n",
+                         fixture->nodes->ip[NODES_ENTRY], framing);
+  char *piece = g_strnfill (PIECE_BYTES, 'x');
+  http_socket_t *caller = http_socket_connect (address);
+  bool goes_on = http_socket_send (caller, head, strlen (head));
+
+  for (int i = 0; i < TOO_MANY_PIECES && goes_on; i++)
+    goes_on = http_socket_send (caller, before, strlen (before))
+              && http_socket_send (caller, piece, PIECE_BYTES)
+              && http_socket_send (caller, after, strlen (after));
+  g_free (piece);
+  g_free (head);
+  g_free (address);
+  return receive_status (caller);
+}
+
+/** A caller that goes on sending a body that is too large can read that it was
+ * refused. */
+static void
+test_refusal_is_read (void)
+{
+  fixture_t *fixture = set_up (MAX_DESCRIPTORS);
+
+  g_assert_cmpint (send_too_much (fixture, "Content-Length: 400000000", "", ""),
+                   ==, 413);
+  g_assert_cmpint (send_too_much (fixture, "Transfer-Encoding: chunked",
+                                  "10000\r\n", "\r\n"),
+                   ==, 413);
+  g_assert_cmpuint (
+      node_upstreams_find_run (fixture->upstreams, "too-much").runs, ==, 0);
+  process_signal (entry_of (fixture), SIGKILL);
+}
+
+/** A head that comes byte by byte is refused, though its caller is never silent
+ * for long. */
+static void
+test_trickled_head (void)
+{
+  static const char line[] = "X-Filler: ";
+  fixture_t *fixture = set_up (MAX_DESCRIPTORS);
+  char *address = nodes_address (fixture->nodes, NODES_ENTRY, 3);
+  http_socket_t *caller = http_socket_connect (address);
+  int64_t until_us = g_get_monotonic_time () + (int64_t)ANSWER_MS * 1000;
+
+  http_socket_send (caller, "POST /safe/0 HTTP/1.1\r\n", 23);
+  http_socket_send (caller, line, strlen (line));
+  while (g_get_monotonic_time () < until_us
+         && !http_socket_wait (caller, TRICKLE_MS))
+    http_socket_send (caller, "x", 1);
+  g_assert_cmpint (receive_status (caller), ==, 408);
+  g_free (address);
+  process_signal (entry_of (fixture), SIGKILL);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -387,6 +455,9 @@
   g_test_add_func ("/uncontrolled-callers/mix", test_mix);
   g_test_add_func ("/uncontrolled-callers/stop", test_stop);
   g_test_add_func ("/uncontrolled-callers/descriptors", test_descriptors);
+  g_test_add_func ("/uncontrolled-callers/refusal-is-read",
+                   test_refusal_is_read);
+  g_test_add_func ("/uncontrolled-callers/trickled-head", test_trickled_head);
   result = g_test_run ();
   tear_down ();
   return result;
