--- a/archive.c
+++ b/archive.c
@@ -5,7 +5,7 @@
 
 #define DEFAULT_MAX_ANSWER_BYTES (64 * 1024 * 1024)
 #define DEFAULT_MAX_REQUESTS     4096
-#define BYTES_PER_MB             1000000u
+#define BYTES_PER_MB             (1024u * 1024)
 /** The part of the memory that kept answers may take, beside a third for what
  * clients make the process hold. */
 #define MEMORY_SHARE 6
--- a/http-connections.c
+++ b/http-connections.c
@@ -17,7 +17,7 @@
 #define FILE_DESCRIPTORS   200
 #define MIN_CONNECTIONS    16
 #define SMALL_SHARE        32
-#define BYTES_PER_MB       1000000u
+#define BYTES_PER_MB       (1024u * 1024)
 #define MEMORY_SHARE       3
 #define LISTEN_BACKLOG     1024
 #define SWEEP_INTERVAL_MS  100
--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -66,12 +66,8 @@
   for (int i = 0; i < NODES_CONTROLS; i++)
     g_string_append_printf (text, "%s\"%s:%d\"", i > 0 ? ", " : "",
                             nodes->ip[nodes->seeds[i]], nodes->port);
-  g_string_append (text, "]\n");
-  if (nodes->memory_mb > 0)
-    g_string_append_printf (text, "memory_mb: %u\n", nodes->memory_mb);
-  if (nodes->max_descriptors > 0)
-    g_string_append_printf (text, "max_descriptors: %u\n",
-                            nodes->max_descriptors);
+  g_string_append_printf (text, "]\nmemory_mb: %u\nmax_descriptors: %u\n",
+                          nodes->memory_mb, nodes->max_descriptors);
   if (!is_entry (nodes, index))
     g_string_append_printf (text, "data_folder: \"%s\"\n",
                             cluster_subfolder (nodes->cluster, name));
--- a/t/t8314-archive.c
+++ b/t/t8314-archive.c
@@ -66,7 +66,7 @@
 test_share (void)
 {
   g_assert_cmpuint (archive_share (0), ==, 0);
-  g_assert_cmpuint (archive_share (96), ==, 16000000);
+  g_assert_cmpuint (archive_share (96), ==, 16 * 1024 * 1024);
   g_assert_cmpuint (archive_share (100000), ==, 64 * 1024 * 1024);
 }
 
