--- a/t/lib-http-crowd.c
+++ b/t/lib-http-crowd.c
@@ -20,7 +20,7 @@
 #define SLOW_READ_MS    100
 #define SLOW_BUFFER     4096
 #define STANDSTILL_MS   1000
-#define ONE_ANSWER_MS   20000
+#define ONE_ANSWER_MS   60000
 #define US_PER_MS       1000
 #define MS_PER_S        1000u
 #define SAMPLE_MS       20
--- a/t/t8311-crowd-controld.c
+++ b/t/t8311-crowd-controld.c
@@ -6,10 +6,11 @@
 
 #include "lib-http-crowd-cases.h"
 
-#define BODY_BYTES   (960u * 1024)
-#define BODY_CLIENTS 160
-#define SLOW_CLIENTS 300
-#define HTTP_OK      200
+#define BODY_BYTES     (960u * 1024)
+#define BODY_CLIENTS   160
+#define SLOW_CLIENTS   300
+#define STATUS_TIMEOUT 408
+#define HTTP_OK        200
 
 typedef struct
 {
@@ -84,6 +85,20 @@
   process_expect_success (fixture->process);
 }
 
+/* Guards against a request that never ends: its client is told so, and the
+ * connection does not stay open. */
+static void
+test_silent_request (void)
+{
+  http_crowd_target_t *target = set_up ();
+  http_crowd_options_t options
+      = { .address = target->address, .head = "GET /metrics HTTP/1.1\r\nA: " };
+
+  g_assert_cmpint (http_crowd_send_one (&options), ==, STATUS_TIMEOUT);
+  CLUSTER_WAIT (target->call (target->context));
+  tear_down (target);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -94,5 +109,6 @@
 
   g_test_init (&argc, &argv, NULL);
   http_crowd_cases_add (&program);
+  g_test_add_func ("/crowd-controld/silent-request", test_silent_request);
   return g_test_run ();
 }
