--- a/gateway.h
+++ b/gateway.h
@@ -17,6 +17,7 @@
 
 #include "directory.h"
 #include "gateway-config.h"
+#include "memory-account.h"
 #include "metric.h"
 #include "zone-placement.h"
 
@@ -113,6 +114,8 @@
   double cold_excess;
   double cold_slack;
   metrics_t *metrics;
+  memory_account_t *memory; /**< of what callers make it hold; NULL: no limit */
+  uint32_t max_connections; /**< of callers; 0: no limit */
 } gateway_options_t;
 
 /**
--- a/node-entry.c
+++ b/node-entry.c
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 #include <event2/http.h>
+#include <malloc.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -10,6 +11,7 @@
 #include "control-directory.h"
 #include "daemon.h"
 #include "http.h"
+#include "memory-account.h"
 #include "packed-text.h"
 #include "signal-time.h"
 #include "statemachine.h"
@@ -34,6 +36,18 @@
 #define EXIT_MARGIN_MS         400
 /** Part that is left when the last answers wait for a turn of the loop. */
 #define LAST_TURN_MARGIN_MS 300
+/** Part of the machine's memory that callers may make the process hold: a
+ * third. The rest is for the process itself, for the kernel's buffers, and for
+ * what is received before a connection that is asked to yield has released its
+ * memory.
+ */
+#define MEMORY_DIVISOR    3
+#define BYTES_PER_MB      (1024u * 1024)
+#define LARGE_BLOCK_BYTES (128 * 1024)
+/** Descriptors that the platform reserves for files; callers get half of the
+ * others, the rest is for upstreams, peers and the log. */
+#define FILE_DESCRIPTORS 200u
+#define MIN_CONNECTIONS  16u
 /** Cost of a round trip to another zone. */
 #define ZONE_COST_MS 12
 
@@ -45,6 +59,7 @@
 {
   node_entry_options_t options;
   daemon_t *daemon;
+  memory_account_t *memory; /* of what callers make it hold, or NULL */
   gateway_t *gateway;
   control_client_t *control;
   directory_t *directory;
@@ -348,6 +363,36 @@
     exit_if_drained (entry, now_ms);
 }
 
+/** Creates the account of what callers make the process hold. Large blocks are
+ * returned to the system as soon as they are freed, so that the account agrees
+ * with the memory in use. */
+static void
+set_up_memory (node_entry_t *entry, const Lwm__NodeSettings *settings)
+{
+  memory_account_options_t options
+      = { .limit_bytes
+          = (uint64_t)settings->memory_mb * BYTES_PER_MB / MEMORY_DIVISOR,
+          .metrics = daemon_metrics (entry->daemon) };
+
+  if (settings->memory_mb == 0)
+    return;
+  mallopt (M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+  mallopt (M_TRIM_THRESHOLD, LARGE_BLOCK_BYTES);
+  entry->memory = memory_account_new (entry, &options);
+}
+
+/** Returns how many connections callers may open; 0: any number. */
+static uint32_t
+max_connections (const Lwm__NodeSettings *settings)
+{
+  uint32_t most = settings->max_descriptors;
+
+  if (most == 0)
+    return 0;
+  return MAX (most > FILE_DESCRIPTORS ? (most - FILE_DESCRIPTORS) / 2 : 0,
+              MIN_CONNECTIONS);
+}
+
 static bool
 set_up_gateway (node_entry_t *entry)
 {
@@ -364,8 +409,11 @@
           .zone_cost_ms = ZONE_COST_MS,
           .cold_excess = settings->cold_excess,
           .cold_slack = settings->cold_slack,
-          .metrics = daemon_metrics (entry->daemon) };
+          .metrics = daemon_metrics (entry->daemon),
+          .max_connections = max_connections (settings) };
 
+  set_up_memory (entry, settings);
+  options.memory = entry->memory;
   entry->gateway = gateway_new (entry, &options);
   return entry->gateway != NULL;
 }
@@ -444,12 +492,16 @@
 {
   node_entry_t *entry = talloc_zero (parent, node_entry_t);
   const Lwm__NodeSettings *settings = node_settings_get (options->settings);
-  daemon_options_t daemon_options = { .listen = settings->status,
-                                      .log_level = settings->log_level,
-                                      .fallback = on_status,
-                                      .on_stop = on_stop,
-                                      .on_reload = on_reload,
-                                      .context = entry };
+  daemon_options_t daemon_options
+      = { .listen = settings->status,
+          .log_level = settings->log_level,
+          .max_descriptors = settings->max_descriptors,
+          .memory_mb = settings->memory_mb,
+          .is_secondary = true,
+          .fallback = on_status,
+          .on_stop = on_stop,
+          .on_reload = on_reload,
+          .context = entry };
   struct timeval interval = { .tv_usec = TICK_INTERVAL_MS * 1000 };
   int code = EXIT_CODE_FAILED;
 
