exchange: bound the kernel's receive buffer of upstreams' connections

While an answer is not read for a slow caller, the kernel goes on receiving it, up to several MB for each connection (tcp_rmem). With a limited memory the buffer is 64 KiB, as is the one for sending to callers, and both count in the account once 16 KiB wait for the caller: fewer may only wait for the next turn of the loop, as they do for each event of a stream. Not seen in a test: on loopback 60 slow readers left 6.6 MiB in these buffers before and 6.1 after.

--- a/caller-memory.c
+++ b/caller-memory.c
@@ -13,9 +13,11 @@
 /** Memory of a connection itself, and of a request that is open. */
 #define CONNECTION_BYTES   6144u
 #define OPEN_REQUEST_BYTES 8192u
-/** Size of the kernel's buffers of a connection. The one for sending is full
- * while bytes wait to be written to it. */
+/** Size of the kernel's buffers of a connection. With so many bytes waiting,
+ * the one for sending is full, and so is the one from an upstream that is not
+ * read meanwhile; fewer bytes may only wait for the next turn of the loop. */
 #define SOCKET_BUFFER_BYTES (64 * 1024)
+#define BACKLOG_BYTES       (16u * 1024)
 /** Bytes of a body or an answer that count as progress of a caller. */
 #define PROGRESS_BYTES 4096u
 #define SWEEP_MS       250
@@ -40,8 +42,8 @@
 
   if (connection->is_open)
     bytes += OPEN_REQUEST_BYTES + head;
-  if (unsent > 0)
-    bytes += SOCKET_BUFFER_BYTES;
+  if (unsent >= BACKLOG_BYTES)
+    bytes += (connection->is_open ? 2 : 1) * SOCKET_BUFFER_BYTES;
   return bytes;
 }
 
--- a/exchange.c
+++ b/exchange.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <talloc.h>
 
 #include "base.h"
@@ -251,6 +252,16 @@
     fail_exchange (connection, classify_failure (connection));
 }
 
+static void
+set_receive_buffer (const connection_t *connection)
+{
+  int size = (int)connection->pool->options.receive_buffer_bytes;
+
+  if (size > 0)
+    setsockopt (bufferevent_getfd (connection->stream), SOL_SOCKET, SO_RCVBUF,
+                &size, sizeof size);
+}
+
 static connection_t *
 open_connection (exchange_pool_t *pool, const char *address, uint64_t owner)
 {
@@ -287,7 +298,10 @@
                                  BEV_TRIG_DEFER_CALLBACKS);
     }
   else
-    socket_watch (bufferevent_getfd (connection->stream), &upstream_watch);
+    {
+      socket_watch (bufferevent_getfd (connection->stream), &upstream_watch);
+      set_receive_buffer (connection);
+    }
   return connection;
 }
 
--- a/exchange.h
+++ b/exchange.h
@@ -59,6 +59,9 @@
   uint32_t connect_timeout_ms;
   /** Time an idle connection is kept if its peer states no timeout. */
   uint32_t idle_timeout_ms;
+  /** Size of the kernel's receive buffer, which fills while an answer is not
+   * read; 0: the kernel chooses. */
+  uint32_t receive_buffer_bytes;
 } exchange_pool_options_t;
 
 typedef struct
--- a/gateway.c
+++ b/gateway.c
@@ -20,6 +20,9 @@
 #define MAX_UNSENT_BYTES (256u * 1024)
 #define MIN_UNSENT_BYTES (16u * 1024)
 #define UNSENT_SHARE     32u
+/** Size of the kernel's receive buffer of a connection to an upstream, where
+ * the memory of the machine is limited. */
+#define UPSTREAM_BUFFER_BYTES (64u * 1024)
 /** Base of Retry-After for rejected requests: a starting instance receives its
  * configuration in about this time. */
 #define STARTUP_RETRY_AFTER_MS 900
@@ -502,6 +505,8 @@
                                      .metrics = options->metrics };
   struct timeval interval = { .tv_usec = GATEWAY_TICK_MS * 1000 };
 
+  if (options->memory != NULL)
+    pool.receive_buffer_bytes = UPSTREAM_BUFFER_BYTES;
   gateway->options = *options;
   /* The strings of the options may be freed, as when settings are reloaded. */
   gateway->options.zone = talloc_strdup (gateway, options->zone);
