upstream-choice: refuse plain calls that wait in vain, limit open calls

Cause: a plain upstream got two calls for each slot, whatever its answers showed, and a call that found no room waited until its deadline even if the calls before it took all that time; others were sent so late that their answers came after it.

Change: an upstream gets as many calls as it has slots, and those that would leave them idle, fewer while its answers take longer than twice its smoothed best time. A call is refused, without having run, as soon as the calls before it or its own time exceed what is left to it.

No answer comes after its deadline. t8040, t8043, t8060, t8063, t8070, t8072, t8082 and t8200 pass.

--- a/placer.c
+++ b/placer.c
@@ -41,6 +41,8 @@
 {
   const char *service; /* NULL: none yet */
   uint32_t prompt_tokens;
+  double call_ms; /* of a plain service: until it takes one more; else 0 */
+  uint32_t ahead; /* requests for it that this pass has passed over */
 } no_room_t;
 
 static int
@@ -110,6 +112,21 @@
   return 1 + answer->helper_count;
 }
 
+/** Returns the queued requests for a service. */
+static uint32_t
+count_queued (const placer_t *placer, const char *service)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < placer->queue->len; i++)
+    {
+      const queued_t *queued = g_ptr_array_index (placer->queue, i);
+
+      count += strcmp (queued->request.service, service) == 0;
+    }
+  return count;
+}
+
 static choice_request_t
 make_choice_request (const placer_t *placer,
                      const placement_request_t *request,
@@ -133,6 +150,8 @@
     .avoid_count = request->avoid_count,
     .zone_cost_ms = placer->options.zone_cost_ms,
     .queued = placer->queue->len,
+    .queued_calls
+    = service->model == NULL ? count_queued (placer, request->service) : 0,
     .is_alone = request->is_alone,
     .spreads = now_ms < placer->spread_until_ms,
     .random = (uint32_t)random_id (),
@@ -158,6 +177,7 @@
                                 .blocked = choice->blocked,
                                 .filled = choice->filled,
                                 .usable = choice->usable,
+                                .call_ms = choice->call_ms,
                                 .retry_ms = choice->retry_ms };
 
   if (choice->member != NULL)
@@ -384,6 +404,22 @@
     return;
   no_room->service = request->service;
   no_room->prompt_tokens = request->prompt_tokens;
+  no_room->call_ms = answer->call_ms;
+  no_room->ahead = 1;
+}
+
+/** Returns whether a plain call that found no room cannot be served before its
+ * deadline, because of those before it. */
+static bool
+is_too_far_back (no_room_t *no_room,
+                 const placement_request_t *request,
+                 uint64_t now_ms)
+{
+  if (no_room->call_ms <= 0)
+    return false;
+  no_room->ahead++;
+  return (double)now_ms + no_room->ahead * no_room->call_ms
+         > (double)request->deadline_ms;
 }
 
 /** The state of one pass over the queue. */
@@ -394,6 +430,23 @@
   no_room_t no_room;
 } pass_t;
 
+/** Refuses a plain call that found no room if it waits in vain. Returns whether
+ * it left the queue. */
+static bool
+refuse_too_far_back (placer_t *placer,
+                     const placement_request_t *request,
+                     pass_t *pass)
+{
+  placement_answer_t answer = { .kind = PLACEMENT_UNMEETABLE };
+
+  if (!is_too_far_back (&pass->no_room, request, pass->now_ms))
+    return false;
+  answer.retry_ms = (uint32_t)(pass->no_room.ahead * pass->no_room.call_ms) + 1;
+  pass->no_room.ahead--;
+  pass_answer (placer, request, &answer, pass->now_ms);
+  return true;
+}
+
 /** Decides again on one queued request, if it is its turn. Returns whether it
  * left the queue. */
 static bool
@@ -404,8 +457,9 @@
 
   if (pass->now_ms >= request->deadline_ms)
     return true; /* its owner ends it */
-  if (pass->decisions >= MAX_DECISIONS || pass->now_ms < queued->next_ms
-      || has_no_room (&pass->no_room, request))
+  if (has_no_room (&pass->no_room, request))
+    return refuse_too_far_back (placer, request, pass);
+  if (pass->decisions >= MAX_DECISIONS || pass->now_ms < queued->next_ms)
     return false;
   pass->decisions++;
   answer = decide (placer, request, pass->now_ms);
--- a/placer.h
+++ b/placer.h
@@ -82,6 +82,7 @@
   double blocked;
   double filled;
   uint32_t usable;
+  double call_ms;    /**< see choice_t; not passed on to others */
   uint32_t retry_ms; /**< time to the next try of a request not placed */
   bool is_limited;   /**< counted within the rate limit of the upstream */
 } placement_answer_t;
--- a/upstream-choice.c
+++ b/upstream-choice.c
@@ -14,10 +14,17 @@
 /** Expected time of a plain call while no time is known for the service. */
 #define DEFAULT_CALL_MS 50.0
 /**
- * Requests sent to a plain upstream for each slot; further requests wait in
- * this instance.
+ * Limit on the requests sent to a plain upstream, for each slot, whatever its
+ * answers show; further requests wait in this instance.
  */
-#define MAX_JOBS_PER_SLOT  2.0
+#define MAX_JOBS_PER_SLOT 2.0
+/** Time in which a slot is free until the next request reaches it, without the
+ * way to another zone: an answer's way back and a request's way there. */
+#define REFILL_MS 5.0
+/** Calls over this multiple of the best time wait at their upstream, which then
+ * gets fewer. One that has become slower keeps MIN_GRADIENT of its requests. */
+#define GRADIENT_TOLERANCE 2.0
+#define MIN_GRADIENT       0.5
 #define SILENT_CALL_FACTOR 4.0
 #define RETRY_MS           250
 #define MAX_RETRY_MS       60000
@@ -74,6 +81,30 @@
          || (member->trust == UPSTREAM_ON_TRIAL && member->jobs->len == 0);
 }
 
+/**
+ * Returns the number of requests that a plain upstream gets at a time: one for
+ * each slot, more as far as slots would be idle until the next request reaches
+ * them, and fewer while its answers take longer than its best ones.
+ */
+static double
+plain_limit (const choice_request_t *request,
+             const upstream_member_t *member,
+             double default_ms)
+{
+  double slots = fmax (member->slots, 1);
+  double best_ms = member->best_ms > 0 ? member->best_ms : default_ms;
+  double refill_ms = REFILL_MS;
+  double gradient = 1;
+
+  if (strcmp (member->zone, request->zone) != 0)
+    refill_ms += request->zone_cost_ms;
+  if (member->answer_ms > 0)
+    gradient = CLAMP (GRADIENT_TOLERANCE * best_ms / member->answer_ms,
+                      MIN_GRADIENT, 1);
+  return CLAMP (slots * (1 + refill_ms / fmax (best_ms, 1)) * gradient, 1,
+                slots * MAX_JOBS_PER_SLOT);
+}
+
 /**
  * Replaces @a best with @a member when a plain call is expected to take less
  * time there.
@@ -92,7 +123,8 @@
                     + call_ms * 0.2 * member->jobs->len / slots;
 
   if (member->full_until_ms > now_ms
-      || member->jobs->len >= slots * MAX_JOBS_PER_SLOT)
+      || member->jobs->len + 1
+             > round (plain_limit (request, member, default_ms)))
     return;
   if (strcmp (member->zone, request->zone) != 0)
     total_ms += request->zone_cost_ms;
@@ -126,6 +158,44 @@
   return known > 0 ? sum_ms / known : DEFAULT_CALL_MS;
 }
 
+/** Returns the calls that an upstream ends in a ms while it is busy. */
+static double
+plain_rate (const choice_request_t *request,
+            const upstream_member_t *member,
+            double default_ms)
+{
+  double call_ms = member->answer_ms > 0 ? member->answer_ms : default_ms;
+
+  return plain_limit (request, member, default_ms) / fmax (call_ms, 1);
+}
+
+/** Decides on a plain call that finds no room: it waits unless the calls before
+ * it take all the time that it has. */
+static void
+wait_for_room (const choice_request_t *request, double rate, choice_t *choice)
+{
+  choice->kind = CHOICE_WAIT;
+  choice->call_ms = 1 / rate;
+  choice->first_ms = (request->queued_calls + 1) * choice->call_ms;
+  if (choice->first_ms > request->left_ms)
+    choice->kind = CHOICE_UNMEETABLE;
+}
+
+/** Sends a plain call to the chosen upstream, unless that is known to take more
+ * time than is left. An idle one may take its best time. */
+static void
+send_in_time (const choice_request_t *request, choice_t *choice)
+{
+  const upstream_member_t *member = choice->member;
+  double call_ms = member->jobs->len > 0 ? choice->first_ms : member->best_ms;
+
+  choice->kind = CHOICE_SEND;
+  if (member->best_ms == 0 || call_ms + REFILL_MS <= request->left_ms)
+    return;
+  choice->kind = CHOICE_UNMEETABLE;
+  choice->member = NULL;
+}
+
 static choice_t
 choose_plain (const upstream_set_t *set,
               const choice_request_t *request,
@@ -133,6 +203,7 @@
               uint64_t now_ms)
 {
   choice_t best = { .kind = CHOICE_NONE };
+  double rate = 0;
   double default_ms
       = request->model == NULL ? mean_call_ms (set, request->service) : 0;
   size_t count;
@@ -147,12 +218,13 @@
       if (!upstream_choice_is_candidate (request, member, any_usable, now_ms))
         continue;
       best.usable++;
+      rate += plain_rate (request, member, default_ms);
       evaluate_plain (request, member, default_ms, now_ms, &best);
     }
   if (best.member != NULL)
-    best.kind = CHOICE_SEND;
+    send_in_time (request, &best);
   else if (best.usable > 0)
-    best.kind = CHOICE_WAIT;
+    wait_for_room (request, rate, &best);
   return best;
 }
 
--- a/upstream-choice.h
+++ b/upstream-choice.h
@@ -56,6 +56,7 @@
   size_t avoid_count;
   uint32_t zone_cost_ms; /**< time of a round trip to another zone */
   uint32_t queued;       /**< requests that wait before this one */
+  uint32_t queued_calls; /**< those of the same service, if it is a plain one */
   /** Others may choose at the same time without knowing of this choice, so that
    * no upstream with a rate limit is chosen. */
   bool is_alone;
@@ -76,6 +77,8 @@
   /** Tokens of memory to reserve at each of the first helpers. */
   uint32_t memory_tokens[CHOICE_MAX_RESERVATIONS];
   uint32_t memory_count;
+  double call_ms;  /**< of a plain call that waits: mean time until the service
+                        takes one more */
   double first_ms; /**< predicted time to the first event at @a member */
   double damage;   /**< the part of loss that falls on other requests */
   /** Shares of @a damage, for a prompt that is too large for every single
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -18,10 +18,14 @@
 #define MAX_EJECTION_MS     8000
 #define FULL_BACKOFF_MS     100 /* pause after an upstream refused as full */
 #define CALL_TIME_WEIGHT    0.2
-#define SLOWNESS_WEIGHT     0.25
-#define MAX_SLOWNESS        12.0
-#define SLOWNESS_DECAY      0.995 /* factor per tick on the difference from 1 */
-#define ANSWER_TOKEN_VALUE  10.0  /* prompt tokens per answer token */
+/** Weights of a call in the smoothed best time. It rises slowly, so that calls
+ * that wait at their upstream do not pass for its normal time. */
+#define BEST_FALL_WEIGHT   0.3
+#define BEST_RISE_WEIGHT   0.01
+#define SLOWNESS_WEIGHT    0.25
+#define MAX_SLOWNESS       12.0
+#define SLOWNESS_DECAY     0.995 /* factor per tick on the difference from 1 */
+#define ANSWER_TOKEN_VALUE 10.0  /* prompt tokens per answer token */
 
 struct upstream_set
 {
@@ -355,9 +359,11 @@
   if (member == NULL)
     return;
   if (member->answer_ms == 0)
-    member->answer_ms = took_ms;
-  else
-    member->answer_ms += CALL_TIME_WEIGHT * (took_ms - member->answer_ms);
+    member->answer_ms = member->best_ms = took_ms;
+  member->answer_ms += CALL_TIME_WEIGHT * (took_ms - member->answer_ms);
+  member->best_ms
+      += (took_ms < member->best_ms ? BEST_FALL_WEIGHT : BEST_RISE_WEIGHT)
+         * (took_ms - member->best_ms);
 }
 
 bool
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -86,6 +86,8 @@
   uint32_t ejections;       /**< consecutive ejections; each one lasts longer */
   double failure_share;     /**< failures in its recent answers, smoothed */
   double answer_ms;         /**< time of plain calls, smoothed; 0 if unknown */
+  double best_ms;           /**< best time of plain calls, smoothed; it rises
+                                 slowly; 0 if unknown */
   double slowness;          /**< observed over predicted time to first events */
   uint64_t full_until_ms;   /**< end of the pause after a refusal as full */
   uint64_t heard_ms;        /**< when its last good answer came */
