Revert "http-connections: bound the send buffers of the kernel"

With it, slow readers of kept answers hold up a planned stop of lwm-entryd until its stop timeout: the case stop of t8312 ended with 27 open replies and exit code 1.

--- a/http-connections.c
+++ b/http-connections.c
@@ -22,9 +22,6 @@
 #define LISTEN_BACKLOG     1024
 #define SWEEP_INTERVAL_MS  100
 #define EVICTIONS_PER_TURN 16
-/** Of a connection in the kernel, which else takes megabytes of an answer that
- * is not read. It doubles the value. */
-#define SEND_BUFFER_BYTES (128 * 1024)
 
 struct http_connections
 {
@@ -221,18 +218,11 @@
 http_connections_listen (http_connections_t *connections,
                          struct evhttp_bound_socket *socket)
 {
-  evutil_socket_t fd = evhttp_bound_socket_get_fd (socket);
-  int send_buffer = SEND_BUFFER_BYTES;
-
   connections->listener = evhttp_bound_socket_get_listener (socket);
   connections->is_accepting = true;
   evconnlistener_set_error_cb (connections->listener, on_accept_error);
-  if (listen (fd, LISTEN_BACKLOG) != 0)
+  if (listen (evhttp_bound_socket_get_fd (socket), LISTEN_BACKLOG) != 0)
     log_warn ("Cannot set the length of the queue of connections.");
-  /* Accepted sockets inherit it. */
-  if (setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer)
-      != 0)
-    log_warn ("Cannot set the size of a send buffer.");
 }
 
 void
