upstream-set: take upstreams for cold at the end of a drain

Cause: the upstreams of a zone that an operator gives back got no requests for a while and may have become cold; nothing told the bound on cold upstreams. Change: zones that are not drained any more are marked when the state comes. Result: /cold-state/end-of-drain; before, the upstream was not taken for cold.

--- a/gateway.c
+++ b/gateway.c
@@ -597,7 +597,7 @@
 void
 gateway_drain_zones (gateway_t *gateway, char *const *zones, size_t count)
 {
-  upstream_set_drain_zones (gateway->set, zones, count);
+  upstream_set_drain_zones (gateway->set, zones, count, clock_mono_ms ());
   zone_placement_recheck (gateway->placement);
 }
 
--- a/t/t8322-zone-drain-choice.c
+++ b/t/t8322-zone-drain-choice.c
@@ -83,7 +83,7 @@
   char *zones[] = { first, second };
 
   upstream_set_drain_zones (fixture->set, zones,
-                            (first != NULL) + (second != NULL));
+                            (first != NULL) + (second != NULL), NOW_MS);
 }
 
 static placement_kind_t
--- a/t/t8334-cold-state.c
+++ b/t/t8334-cold-state.c
@@ -56,6 +56,25 @@
   cold_fleet_free (fleet);
 }
 
+/** The upstreams of a zone that was drained got no requests, and a crowd waits
+ * for them at the end of the drain. */
+static void
+test_end_of_drain (void)
+{
+  static char *zones[] = { "a" };
+  cold_fleet_t *fleet = cold_fleet_new (0);
+  cold_decider_t *decider;
+
+  cold_fleet_announce (fleet, "u", "a", 0, COLD_START_MS);
+  decider = cold_fleet_add (fleet, "a", COLD_START_MS);
+  upstream_set_drain_zones (decider->set, zones, 1, SETTLED_MS);
+  g_assert_false (is_cold (decider, SETTLED_MS));
+  upstream_set_drain_zones (decider->set, NULL, 0, SETTLED_MS + 500);
+  g_assert_true (is_cold (decider, SETTLED_MS + 3499));
+  g_assert_false (is_cold (decider, SETTLED_MS + 3500));
+  cold_fleet_free (fleet);
+}
+
 static void
 test_answered (void)
 {
@@ -221,6 +240,7 @@
   g_test_add_func ("/cold-state/started", test_started);
   g_test_add_func ("/cold-state/first-directory", test_first_directory);
   g_test_add_func ("/cold-state/answered", test_answered);
+  g_test_add_func ("/cold-state/end-of-drain", test_end_of_drain);
   g_test_add_func ("/cold-state/returned-from-silence",
                    test_returned_from_silence);
   g_test_add_func ("/cold-state/returned-from-ejection",
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -386,14 +386,37 @@
          * (took_ms - member->best_ms);
 }
 
+/** Takes the upstreams of the zones that are not drained any more for cold. */
+static void
+mark_returned_zones (upstream_set_t *set,
+                     GHashTable *were_drained,
+                     uint64_t now_ms)
+{
+  GHashTableIter iterator;
+  void *zone;
+
+  g_hash_table_iter_init (&iterator, were_drained);
+  while (g_hash_table_iter_next (&iterator, &zone, NULL))
+    if (!g_hash_table_contains (set->drained_zones, zone))
+      upstream_set_mark_zone_cold (set, zone, now_ms);
+}
+
 void
-upstream_set_drain_zones (upstream_set_t *set, char *const *zones, size_t count)
+upstream_set_drain_zones (upstream_set_t *set,
+                          char *const *zones,
+                          size_t count,
+                          uint64_t now_ms)
 {
-  g_hash_table_remove_all (set->drained_zones);
+  GHashTable *were_drained = set->drained_zones;
+
+  set->drained_zones
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (size_t i = 0; i < count; i++)
     g_hash_table_add (set->drained_zones, g_strdup (zones[i]));
   for (guint i = 0; i < set->members->len; i++)
     update_drained (set, g_ptr_array_index (set->members, i));
+  mark_returned_zones (set, were_drained, now_ms);
+  g_hash_table_destroy (were_drained);
 }
 
 bool
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -204,11 +204,13 @@
 
 /**
  * Sets the availability zones whose upstreams get no new requests. Requests
- * that were sent there before go on.
+ * that were sent there before go on. The upstreams of a zone that is not
+ * drained any more are taken for cold: they got no requests for a while.
  */
 void upstream_set_drain_zones (upstream_set_t *set,
                                char *const *zones,
-                               size_t count);
+                               size_t count,
+                               uint64_t now_ms);
 
 /** Returns whether new requests may go to an upstream: it is usable, its zone
  * is not drained, it does not leave and has not asked for a pause that still
