--- a/t/t8345-plain-load.c
+++ b/t/t8345-plain-load.c
@@ -222,7 +222,8 @@
   double took_ms = (double)(world->now_ms - call->request.arrived_ms);
 
   upstream_set_add_call_time (world->set, world->keys[call->upstream],
-                              (double)(world->now_ms - call->sent_ms));
+                              (double)(world->now_ms - call->sent_ms),
+                              world->now_ms);
   end_call (world, call, UPSTREAM_JOB_GOOD);
   world->result.worst_ms = MAX (world->result.worst_ms, took_ms);
   world->result.in_time += took_ms <= TARGET_MS;
