--- a/gateway-place.c
+++ b/gateway-place.c
@@ -319,3 +319,24 @@
   request->ask = zone_placement_ask (request->gateway->placement, &placement,
                                      on_move_answered, request);
 }
+
+void
+gateway_set_directory (gateway_t *gateway, const directory_t *directory)
+{
+  upstream_set_sync (gateway->set, directory, clock_mono_ms ());
+  gateway_check_startup_queue (gateway);
+  zone_placement_recheck (gateway->placement);
+}
+
+void
+gateway_drain_zones (gateway_t *gateway, char *const *zones, size_t count)
+{
+  upstream_set_drain_zones (gateway->set, zones, count, clock_mono_ms ());
+  zone_placement_recheck (gateway->placement);
+}
+
+zone_placement_t *
+gateway_placement (gateway_t *gateway)
+{
+  return gateway->placement;
+}
--- a/gateway.c
+++ b/gateway.c
@@ -586,27 +586,6 @@
   return gateway->config != NULL ? gateway->config->number : 0;
 }
 
-void
-gateway_set_directory (gateway_t *gateway, const directory_t *directory)
-{
-  upstream_set_sync (gateway->set, directory, clock_mono_ms ());
-  gateway_check_startup_queue (gateway);
-  zone_placement_recheck (gateway->placement);
-}
-
-void
-gateway_drain_zones (gateway_t *gateway, char *const *zones, size_t count)
-{
-  upstream_set_drain_zones (gateway->set, zones, count, clock_mono_ms ());
-  zone_placement_recheck (gateway->placement);
-}
-
-zone_placement_t *
-gateway_placement (gateway_t *gateway)
-{
-  return gateway->placement;
-}
-
 uint32_t
 gateway_open_requests (const gateway_t *gateway)
 {
