upstream-set: limit open requests only where a service has cold starts

Cause: the limit after a start or return applied to every deployment, which are to be served as before unless their configuration calls for what is new.

--- a/upstream-set-cold.c
+++ b/upstream-set-cold.c
@@ -25,7 +25,7 @@
     return;
   if (member->was_in_service && member->pace.reason == PACE_NONE
       && upstream_set_is_settled (set, now_ms))
-    upstream_set_begin_pace (member, PACE_COLD, now_ms);
+    upstream_set_begin_pace (set, member, PACE_COLD, now_ms);
   if (!upstream_cold_holds (&member->cold, now_ms))
     return;
   log_info ("An upstream is taken for cold. upstream=%s address=%s why=%s "
@@ -90,7 +90,7 @@
   update_cold_rate (set, member);
   if (upstream_set_is_settled (set, now_ms))
     {
-      upstream_set_begin_pace (member, PACE_STARTED, now_ms);
+      upstream_set_begin_pace (set, member, PACE_STARTED, now_ms);
       assume_cold (set, member, "started", now_ms);
     }
   member->was_in_service = is_in_service (member, now_ms);
@@ -117,7 +117,7 @@
 
   update_cold_rate (set, member);
   if (is_now && !member->was_in_service)
-    upstream_set_begin_pace (member, PACE_RETURNED, now_ms);
+    upstream_set_begin_pace (set, member, PACE_RETURNED, now_ms);
   if (member->is_usable && !(is_now && member->was_in_service))
     assume_cold (set, member, is_now ? "returned" : "out_of_service", now_ms);
   member->was_in_service = is_now;
--- a/upstream-set-internal.h
+++ b/upstream-set-internal.h
@@ -28,7 +28,8 @@
 bool upstream_set_is_settled (const upstream_set_t *set, uint64_t now_ms);
 
 /** Limits the open requests at an upstream from now on. */
-void upstream_set_begin_pace (upstream_member_t *member,
+void upstream_set_begin_pace (const upstream_set_t *set,
+                              upstream_member_t *member,
                               pace_reason_t reason,
                               uint64_t now_ms);
 
--- a/upstream-set-pace.c
+++ b/upstream-set-pace.c
@@ -5,12 +5,23 @@
 #define LOG_PART "upstreams"
 #include "logging.h"
 
+static bool
+is_paced (const upstream_set_t *set, const upstream_member_t *member)
+{
+  const upstream_set_options_t *options = &set->options;
+
+  return options->is_paced == NULL
+         || options->is_paced (member->service, options->context);
+}
+
 void
-upstream_set_begin_pace (upstream_member_t *member,
+upstream_set_begin_pace (const upstream_set_t *set,
+                         upstream_member_t *member,
                          pace_reason_t reason,
                          uint64_t now_ms)
 {
-  if (upstream_pace_begin (&member->pace, reason, now_ms))
+  if (is_paced (set, member)
+      && upstream_pace_begin (&member->pace, reason, now_ms))
     log_info ("Limits the open requests at an upstream. upstream=%s address=%s "
               "why=%s limit=%.1f",
               member->id, member->address, upstream_pace_reason_name (reason),
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -484,7 +484,7 @@
   log_info ("The pause of an upstream is over. upstream=%s address=%s",
             member->id, member->address);
   member->paused_until_ms = 0;
-  upstream_set_begin_pace (member, PACE_PAUSED, now_ms);
+  upstream_set_begin_pace (set, member, PACE_PAUSED, now_ms);
 }
 
 void
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -116,6 +116,9 @@
   void (*on_broken) (const upstream_job_t *job, uint64_t now_ms, void *context);
   /** Returns the bound for cold upstreams of a service; NULL: there is none. */
   upstream_cold_rate_t (*find_cold_rate) (const char *service, void *context);
+  /** Returns whether the open requests at an upstream of a service are limited
+   * after its start or return; NULL: always. */
+  bool (*is_paced) (const char *service, void *context);
   /** An upstream is taken for cold from now on; may be NULL. */
   void (*on_cold) (const upstream_member_t *member, void *context);
   void *context;
