--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -184,6 +184,14 @@
  * answered before the end. */
 bool gateway_is_too_late (const gateway_request_t *request);
 
+/** Returns whether a service states that its upstreams are cold after a start:
+ * they are to get their load slowly. @a context is the gateway. */
+bool gateway_is_paced (const char *name, void *context);
+
+/** Returns the bound for cold upstreams of a service. @a context is the
+ * gateway. */
+upstream_cold_rate_t gateway_find_cold_rate (const char *name, void *context);
+
 /** Admits a request, holds it until the startup ends, or rejects it. */
 void gateway_admit (gateway_t *gateway, caller_request_t *caller);
 
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -5,13 +5,19 @@
 #define LOG_PART "gateway"
 #include "logging.h"
 
+/** Returns the service in the active configuration, or NULL. */
+static const gateway_service_t *
+find_configured (const gateway_t *gateway, const char *name)
+{
+  return gateway->config != NULL
+             ? gateway_config_service (gateway->config, name)
+             : NULL;
+}
+
 static bool
 find_service (const char *name, placer_service_t *found, void *context)
 {
-  const gateway_t *gateway = context;
-  const gateway_service_t *service
-      = gateway->config != NULL ? gateway_config_service (gateway->config, name)
-                                : NULL;
+  const gateway_service_t *service = find_configured (context, name);
 
   if (service == NULL)
     return false;
@@ -20,6 +26,27 @@
   return true;
 }
 
+bool
+gateway_is_paced (const char *name, void *context)
+{
+  const gateway_service_t *service = find_configured (context, name);
+
+  return service != NULL && service->cold_start_s > 0;
+}
+
+upstream_cold_rate_t
+gateway_find_cold_rate (const char *name, void *context)
+{
+  const gateway_t *gateway = context;
+  const gateway_options_t *options = &gateway->options;
+  const gateway_service_t *service = find_configured (gateway, name);
+
+  if (service == NULL)
+    return (upstream_cold_rate_t){ 0 };
+  return upstream_cold_make_rate (service->cold_per_s, service->cold_start_s,
+                                  options->cold_excess, options->cold_slack);
+}
+
 static void
 on_orphan (const upstream_job_t *job, void *context)
 {
--- a/gateway.c
+++ b/gateway.c
@@ -405,34 +405,6 @@
   quarantine_tick (gateway->quarantine, now_ms);
 }
 
-/** A service that states for how long its upstreams are cold after their start
- * wants them to get their load slowly. */
-static bool
-is_paced (const char *name, void *context)
-{
-  const gateway_t *gateway = context;
-  const gateway_service_t *service
-      = gateway->config != NULL ? gateway_config_service (gateway->config, name)
-                                : NULL;
-
-  return service != NULL && service->cold_start_s > 0;
-}
-
-static upstream_cold_rate_t
-find_cold_rate (const char *name, void *context)
-{
-  const gateway_t *gateway = context;
-  const gateway_options_t *options = &gateway->options;
-  const gateway_service_t *service
-      = gateway->config != NULL ? gateway_config_service (gateway->config, name)
-                                : NULL;
-
-  if (service == NULL)
-    return (upstream_cold_rate_t){ 0 };
-  return upstream_cold_make_rate (service->cold_per_s, service->cold_start_s,
-                                  options->cold_excess, options->cold_slack);
-}
-
 static void
 on_upstream_cold (const upstream_member_t *member, void *context)
 {
@@ -530,8 +502,8 @@
   upstream_set_options_t set = { .on_gone = on_upstream_gone,
                                  .on_answer = on_job_answered,
                                  .on_broken = on_job_broken,
-                                 .find_cold_rate = find_cold_rate,
-                                 .is_paced = is_paced,
+                                 .find_cold_rate = gateway_find_cold_rate,
+                                 .is_paced = gateway_is_paced,
                                  .on_cold = on_upstream_cold,
                                  .context = gateway };
   exchange_pool_options_t pool = { .base = options->base,
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -477,7 +477,9 @@
 
 /** Ends a pause whose time is over. */
 static void
-check_pause (upstream_member_t *member, uint64_t now_ms)
+check_pause (const upstream_set_t *set,
+             upstream_member_t *member,
+             uint64_t now_ms)
 {
   if (member->paused_until_ms == 0 || member->paused_until_ms > now_ms)
     return;
@@ -509,7 +511,7 @@
     {
       upstream_member_t *member = g_ptr_array_index (set->members, i);
 
-      check_pause (member, now_ms);
+      check_pause (set, member, now_ms);
       member->slowness = 1.0 + (member->slowness - 1.0) * SLOWNESS_DECAY;
       if (member->trust == UPSTREAM_EJECTED
           && now_ms >= member->ejected_until_ms)
