--- a/t/t8320-zone-drain-state.c
+++ b/t/t8320-zone-drain-state.c
@@ -234,19 +234,23 @@
 static void
 test_old_snapshot (void)
 {
+  fixture_t source;
   fixture_t fixture;
   Lwm__ControlState *state;
 
+  set_up (&source);
+  order (&source, "a", true);
+  state = statemachine_export (source.machine, source.parent);
+  state->drains = NULL;
   set_up (&fixture);
   order (&fixture, "a", true);
-  state = statemachine_export (fixture.machine, fixture.parent);
-  state->drains = NULL;
   statemachine_restore (fixture.machine, state);
   expect_drained (&fixture, "none");
   g_assert_cmpuint (statemachine_drains (fixture.machine)->version, ==, 0);
   g_assert_cmpint (order (&fixture, "a", true), ==,
                    LWM__CONTROL_RESULT__RESULT_OK);
   talloc_free (fixture.parent);
+  talloc_free (source.parent);
 }
 
 int
