--- a/control-group-change.c
+++ b/control-group-change.c
@@ -1,3 +1,5 @@
+#include <glib.h>
+#include <stdarg.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -11,6 +13,8 @@
 #define MAX_MEMBERS 16
 /** Assumed when the options state no catch-up time. */
 #define DEFAULT_CATCH_UP_MS 4000
+/** Time for which a reason to wait holds before it is logged. */
+#define PENDING_LOG_DELAY_MS 1000
 
 /** Returns the member with the change's incarnation. Without one, returns the
  * first learner of the change's name or, so that a resent change finds the
@@ -238,6 +242,66 @@
   };
 }
 
+/** Logs why the members are not changed, once the same reason has held for some
+ * time. Each change waits for the last one to be committed, which is short. */
+static void G_GNUC_PRINTF (2, 3)
+    log_pending (control_group_t *group, const char *format, ...)
+{
+  uint64_t now_ms = clock_mono_ms ();
+  va_list arguments;
+  char *reason;
+
+  va_start (arguments, format);
+  reason = talloc_vasprintf (group, format, arguments);
+  va_end (arguments);
+  if (group->pending_reason == NULL
+      || strcmp (reason, group->pending_reason) != 0)
+    {
+      talloc_free (group->pending_reason);
+      group->pending_reason = reason;
+      group->pending_due_ms = now_ms + PENDING_LOG_DELAY_MS;
+      return;
+    }
+  talloc_free (reason);
+  if (now_ms < group->pending_due_ms)
+    return;
+  log_info ("A change of the group's members is pending. %s",
+            group->pending_reason);
+  group->pending_due_ms = UINT64_MAX;
+}
+
+/** Logs what the leader waits for while a replica is silent, about to end, or
+ * without a vote though the group lacks voters. */
+static void
+log_waiting (control_group_t *group,
+             const control_keeper_replica_t *replicas,
+             size_t count)
+{
+  uint32_t voters = 0, silent = 0, leaving = 0;
+  uint32_t learners = 0, caught_up = 0, settled = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      bool is_learner = replicas[i].is_member && !replicas[i].is_voter;
+
+      voters += replicas[i].is_voter;
+      silent += replicas[i].is_silent;
+      leaving += replicas[i].is_leaving;
+      learners += is_learner;
+      caught_up += is_learner && replicas[i].is_caught_up;
+      settled += is_learner && replicas[i].is_settled;
+    }
+  if (silent == 0 && leaving == 0
+      && voters == group->server->options.target_voters)
+    TALLOC_FREE (group->pending_reason);
+  else
+    log_pending (group,
+                 "voters=%u wanted=%u silent=%u leaving=%u learners=%u "
+                 "caught_up=%u settled=%u",
+                 voters, group->server->options.target_voters, silent, leaving,
+                 learners, caught_up, settled);
+}
+
 static void
 propose_change (control_group_t *group,
                 const control_keeper_replica_t *replica,
@@ -259,6 +323,10 @@
                 replica->is_silent, replica->is_leaving, replica->is_settled);
       control_server_schedule_flush (group->server);
     }
+  else
+    log_pending (group, "refused=%d name=%s result=%d detail='%s'", (int)kind,
+                 name, (int)answer.result,
+                 answer.detail != NULL ? answer.detail : "");
   talloc_free (name);
 }
 
@@ -303,6 +371,8 @@
 
   if (step != CONTROL_KEEPER_NOTHING)
     propose_change (group, &replicas[which], kinds[step]);
+  else
+    log_waiting (group, replicas, count);
   talloc_free (scratch);
   return step != CONTROL_KEEPER_NOTHING;
 }
--- a/control-group-internal.h
+++ b/control-group-internal.h
@@ -34,6 +34,9 @@
   bool is_change_due; /* the members must be changed, as far as is known */
   uint64_t leader_since_ms; /* 0 while this replica is not the leader */
   uint64_t stopped_ms;      /* when this replica announced its end, or 0 */
+  char *pending_reason;     /* why the members are not changed, or NULL */
+  uint64_t pending_due_ms;  /* when that is logged; UINT64_MAX once it was */
+  size_t asked;             /* addresses that the last hellos went to */
 };
 
 /** Returns the joiner of that name, or NULL. */
--- a/control-group.c
+++ b/control-group.c
@@ -125,6 +125,10 @@
   joiner->address = talloc_strdup (joiner, message->address);
   talloc_free (joiner->zone);
   joiner->zone = talloc_strdup (joiner, message->zone);
+  if (joiner->incarnation != message->incarnation)
+    log_info ("A replica asks to join. name=%s incarnation=%ju leader=%d",
+              message->name, (uintmax_t)message->incarnation,
+              raft_status (group->server->raft).role == RAFT_LEADER);
   joiner->incarnation = message->incarnation;
   joiner->group = message->hello->group;
   joiner->join = message->hello->join;
@@ -268,6 +272,15 @@
     group->is_change_due = control_group_maintain_members (group, now_ms);
 }
 
+static void
+log_asked (control_group_t *group, size_t asked)
+{
+  if (group->asked != asked)
+    log_info ("Asking other replicas for the group. addresses=%zu group=%ju",
+              asked, (uintmax_t)own_group_id (group));
+  group->asked = asked;
+}
+
 /** Sends a hello to the initial members, and to the present ones as far as this
  * replica knows them: it may have been removed while it was cut off. */
 static void
@@ -275,18 +288,26 @@
 {
   control_server_t *server = group->server;
   const Lwm__ControlMembership *members = raft_membership (server->raft);
+  size_t asked = 0;
   size_t count;
   const control_initial_member_t *initial_members
       = control_peers_initial_members (server->peers, &count);
 
   for (size_t i = 0; i < count; i++)
     if (strcmp (initial_members[i].name, server->options.name) != 0)
-      send_hello (group, initial_members[i].address, false);
+      {
+        send_hello (group, initial_members[i].address, false);
+        asked++;
+      }
   for (size_t i = 0; i < members->n_members; i++)
     if (members->members[i]->incarnation != server->incarnation
         && control_peers_address (server->peers, members->members[i]->name)
                == NULL)
-      send_hello (group, members->members[i]->address, false);
+      {
+        send_hello (group, members->members[i]->address, false);
+        asked++;
+      }
+  log_asked (group, asked);
 }
 
 void
@@ -296,6 +317,8 @@
                       && raft_has_recent_contact (group->server->raft, now_ms);
 
   tick_membership (group, now_ms);
+  if (is_connected)
+    group->asked = 0;
   if (is_connected || group->stopped_ms > 0 || now_ms < group->hello_due_ms)
     return;
   group->hello_due_ms = now_ms + HELLO_INTERVAL_MS;
