control-group: ask all replicas that others name, not the initial members alone

A control instance that lost its disk, or a new one, was never added to its group, and the dead voter that it replaces stayed a voter.

Cause: a replica that is not a member sent its hello to the initial members of its settings only. Three are named there, in a group of five, and only the leader can add a replica. Once an election had made another one the leader, no hello reached it. Followers recorded the hello and did nothing. The answers named the other members, but the replica did not ask them.

--- a/control-group-internal.h
+++ b/control-group-internal.h
@@ -6,6 +6,7 @@
 #ifndef CONTROL_GROUP_INTERNAL_H
 #define CONTROL_GROUP_INTERNAL_H
 
+#include "control-contacts.h"
 #include "control-internal.h"
 #include "control-presence.h"
 
@@ -29,6 +30,7 @@
   control_server_t *server;
   GPtrArray *joiners; /* joiner_t, children of group */
   control_presence_t *presence;
+  control_contacts_t *contacts; /* replicas to ask for the group */
   uint64_t hello_due_ms;
   uint64_t check_due_ms;
   bool is_change_due; /* the members must be changed, as far as is known */
--- a/control-group.c
+++ b/control-group.c
@@ -4,10 +4,13 @@
 #include "base.h"
 #include "control-group-internal.h"
 #include "members.h"
+#include "settings.h"
 #define LOG_PART "control"
 #include "logging.h"
 
 #define HELLO_INTERVAL_MS 300
+/** Time for which a replica that was named by another one is asked. */
+#define CONTACT_VALID_MS 10000
 /** Longest time for which a replica that is about to end waits for another one
  * to take its vote. */
 #define HAND_OVER_MS 2000
@@ -34,6 +37,7 @@
   group->server = server;
   group->joiners = g_ptr_array_new ();
   group->presence = control_presence_new (group, &options);
+  group->contacts = control_contacts_new (group, CONTACT_VALID_MS);
   talloc_set_destructor (group, free_group);
   return group;
 }
@@ -135,6 +139,22 @@
   joiner->heard_ms = clock_mono_ms ();
 }
 
+void
+control_group_add_contact (control_group_t *group,
+                           const char *name,
+                           const char *address)
+{
+  const control_server_t *server = group->server;
+  const char *given = control_peers_address (server->peers, name);
+  char ip[64];
+  uint16_t port;
+
+  address = given != NULL ? given : address;
+  if (strcmp (name, server->options.name) != 0
+      && settings_split_address (address, ip, &port))
+    control_contacts_add (group->contacts, address, clock_mono_ms ());
+}
+
 void
 control_group_receive_hello (control_group_t *group,
                              const Lwm__ControlPeerMessage *message)
@@ -151,6 +171,7 @@
 
       control_peers_set_address (group->server->peers, member->incarnation,
                                  member->name, member->address);
+      control_group_add_contact (group, member->name, member->address);
     }
   if (!message->hello->answer)
     send_hello (group, message->address, true);
@@ -281,33 +302,28 @@
   group->asked = asked;
 }
 
-/** Sends a hello to the initial members, and to the present ones as far as this
- * replica knows them: it may have been removed while it was cut off. */
+/** Sends a hello to the initial members, to the present ones as far as this
+ * replica knows them, as it may have been removed while it was cut off, and to
+ * all replicas that others have named lately: the leader must hear it. */
 static void
-send_hellos (control_group_t *group)
+send_hellos (control_group_t *group, uint64_t now_ms)
 {
   control_server_t *server = group->server;
   const Lwm__ControlMembership *members = raft_membership (server->raft);
-  size_t asked = 0;
   size_t count;
   const control_initial_member_t *initial_members
       = control_peers_initial_members (server->peers, &count);
 
   for (size_t i = 0; i < count; i++)
-    if (strcmp (initial_members[i].name, server->options.name) != 0)
-      {
-        send_hello (group, initial_members[i].address, false);
-        asked++;
-      }
+    control_group_add_contact (group, initial_members[i].name,
+                               initial_members[i].address);
   for (size_t i = 0; i < members->n_members; i++)
-    if (members->members[i]->incarnation != server->incarnation
-        && control_peers_address (server->peers, members->members[i]->name)
-               == NULL)
-      {
-        send_hello (group, members->members[i]->address, false);
-        asked++;
-      }
-  log_asked (group, asked);
+    control_group_add_contact (group, members->members[i]->name,
+                               members->members[i]->address);
+  count = control_contacts_expire (group->contacts, now_ms);
+  for (size_t i = 0; i < count; i++)
+    send_hello (group, control_contacts_get (group->contacts, i), false);
+  log_asked (group, count);
 }
 
 void
@@ -325,7 +341,7 @@
   if (own_group_id (group) == 0 && can_found_group (group))
     found_group (group);
   else
-    send_hellos (group);
+    send_hellos (group, now_ms);
 }
 
 void
--- a/control-internal.h
+++ b/control-internal.h
@@ -204,6 +204,12 @@
 void control_group_receive_hello (control_group_t *group,
                                   const Lwm__ControlPeerMessage *message);
 
+/** Records the address of another replica, which is asked for the group while
+ * this one has no contact to it. */
+void control_group_add_contact (control_group_t *group,
+                                const char *name,
+                                const char *address);
+
 /** To be called when the members have changed. */
 void control_group_set_members (control_group_t *group);
 
--- a/control-server.c
+++ b/control-server.c
@@ -195,8 +195,12 @@
                      const Lwm__ControlPeerMessage *message)
 {
   if (*message->address != '\0')
-    control_peers_set_address (server->peers, message->incarnation,
-                               message->name, message->address);
+    {
+      control_peers_set_address (server->peers, message->incarnation,
+                                 message->name, message->address);
+      control_group_add_contact (server->group, message->name,
+                                 message->address);
+    }
   control_peers_mark_heard (server->peers, message->incarnation,
                             clock_mono_ms ());
   control_group_receive_presence (server->group, message);
--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -1,5 +1,6 @@
 #include "lib-nodes.h"
 
+#include <signal.h>
 #include <string.h>
 
 static const char config[]
@@ -56,12 +57,12 @@
       "callers: \"%s:%d\"\nstatus: \"%s:%d\"\ncontrol: \"%s:%d\"\n"
       "found: %s\n"
       "log_level: info\nannounce_ms: 1000\nstop_timeout_s: %u\ncatch_up_s: "
-      "4\nlost_machines: 1\nlost_zones: %d\n"
+      "4\nlost_machines: %d\nlost_zones: %d\n"
       "retry_share: 0.2\nspare_retries: 100\nkeeps_state: %s\nseeds: [",
       name, nodes->zone[index], nodes->ip[index], nodes->port + 1,
       nodes->port + 9, nodes->ip[index], nodes->port + 3, nodes->ip[index],
       nodes->port + 2, nodes->ip[index], nodes->port, found ? "true" : "false",
-      nodes->stop_timeout_s, nodes->zones > 1 ? 1 : 0,
+      nodes->stop_timeout_s, nodes->lost_machines, nodes->zones > 1 ? 1 : 0,
       is_entry (nodes, index) ? "false" : "true");
   for (int i = 0; i < NODES_CONTROLS; i++)
     g_string_append_printf (text, "%s\"%s:%d\"", i > 0 ? ", " : "",
@@ -99,6 +100,17 @@
   return process;
 }
 
+void
+nodes_kill (nodes_t *nodes, int index, bool lose_disk)
+{
+  char *name = g_strdup_printf ("node-%d", index);
+
+  process_signal (nodes->process[index], SIGKILL);
+  if (lose_disk)
+    cluster_empty_folder (cluster_subfolder (nodes->cluster, name));
+  g_free (name);
+}
+
 char *
 nodes_address (const nodes_t *nodes, int index, int offset)
 {
@@ -247,12 +259,14 @@
   nodes->memory_mb = options->memory_mb;
   nodes->max_descriptors = options->max_descriptors;
   nodes->entries = MAX (options->entries, 1);
+  nodes->more_controls = options->more_controls;
+  nodes->lost_machines = MAX (options->lost_machines, 1);
   nodes->cluster = cluster_new ();
   nodes->zones = CLAMP (options->zones, 1, MAX_ZONES);
   choose_addresses (nodes);
   for (int i = 0; i < NODES_CONTROLS; i++)
     nodes->seeds[i] = i;
-  for (int i = 0; i < NODES_ENTRY + nodes->entries; i++)
+  for (int i = 0; i < NODES_ENTRY + nodes->entries + nodes->more_controls; i++)
     nodes_start (nodes, i, true);
   CLUSTER_WAIT (nodes_put_config (nodes, 0, options->version) == 200);
   return nodes;
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -29,6 +29,9 @@
   int entries; /* number of entry instances, from NODES_ENTRY on */
   int zones;
   int port;
+  int more_controls; /* control instances of the group that are no seeds; they
+                        follow the entry instances */
+  int lost_machines; /* that the group has to survive */
   uint32_t stop_timeout_s;
   uint32_t memory_mb; /* of each process in the settings, 0 for unknown */
   uint32_t max_descriptors;
@@ -56,6 +59,8 @@
   int version;             /**< number of the first configuration */
   int entries;             /**< entry instances, 0 for one */
   int zones;               /**< zones that machines take in turn, 0 for one */
+  int more_controls;       /**< control instances beside the seeds */
+  int lost_machines;       /**< that the group has to survive, 0 for one */
   uint32_t stop_timeout_s; /**< 0 for the default */
   uint32_t memory_mb;      /**< of each process, 0 for unknown */
   uint32_t max_descriptors;
@@ -79,6 +84,9 @@
 /** Starts an instance and waits until it is ready. */
 process_t *nodes_start (nodes_t *nodes, int index, bool found);
 
+/** Kills an instance; with @a lose_disk also removes its stored files. */
+void nodes_kill (nodes_t *nodes, int index, bool lose_disk);
+
 /** Returns whether an entry instance says that it is ready. */
 bool nodes_is_ready (const nodes_t *nodes, int index);
 
