control-peers: let the entry used longest ago make room in full tables

A control instance could reach no replica any more once it had connected to 64 addresses, or known 128 incarnations, since its start: both tables were never emptied. Each replacement of a machine takes an entry of both, so a process that outlives enough of them sends no log to new replicas, and the group keeps dead voters.

--- a/control-peers.c
+++ b/control-peers.c
@@ -9,6 +9,8 @@
 #include "mq.h"
 #include "settings.h"
 
+/** The tables hold more entries than a group has members; the entry that was
+ * used longest ago makes room. */
 #define MAX_SOCKETS    64
 #define MAX_PEERS      128
 #define QUEUE_MESSAGES 64 /* limit of unsent messages per socket */
@@ -19,15 +21,25 @@
   uint64_t incarnation;
   char *address;
   uint64_t heard_ms;
+  uint64_t used; /* see control_peers_t */
 } peer_t;
 
+/** A connection to an address. */
+typedef struct
+{
+  char *address;
+  mq_t *mq;
+  uint64_t used; /* see control_peers_t */
+} socket_t;
+
 struct control_peers
 {
   struct event_base *base;
   control_initial_member_t *initial_members;
   size_t initial_member_count;
-  GHashTable *sockets; /* address -> mq_t, children of peers */
+  GHashTable *sockets; /* address -> socket_t, children of peers */
   GHashTable *peers;   /* incarnation -> peer_t, children of peers */
+  uint64_t uses;       /* orders the uses of entries of both tables */
 };
 
 static int
@@ -117,6 +129,36 @@
   return NULL;
 }
 
+static void
+remove_oldest_peer (control_peers_t *peers)
+{
+  peer_t *oldest = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (oldest == NULL || ((peer_t *)value)->used < oldest->used)
+      oldest = value;
+  g_hash_table_remove (peers->peers, &oldest->incarnation);
+  talloc_free (oldest);
+}
+
+static peer_t *
+find_or_add_peer (control_peers_t *peers, uint64_t incarnation)
+{
+  peer_t *peer = g_hash_table_lookup (peers->peers, &incarnation);
+
+  if (peer != NULL)
+    return peer;
+  if (g_hash_table_size (peers->peers) >= MAX_PEERS)
+    remove_oldest_peer (peers);
+  peer = talloc_zero (peers, peer_t);
+  peer->incarnation = incarnation;
+  g_hash_table_insert (peers->peers, &peer->incarnation, peer);
+  return peer;
+}
+
 void
 control_peers_set_address (control_peers_t *peers,
                            uint64_t incarnation,
@@ -124,21 +166,15 @@
                            const char *address)
 {
   const char *given = control_peers_address (peers, name);
-  peer_t *peer = g_hash_table_lookup (peers->peers, &incarnation);
+  peer_t *peer;
   char ip[64];
   uint16_t port;
 
   address = given != NULL ? given : address;
   if (incarnation == 0 || !settings_split_address (address, ip, &port))
     return;
-  if (peer == NULL)
-    {
-      if (g_hash_table_size (peers->peers) >= MAX_PEERS)
-        return;
-      peer = talloc_zero (peers, peer_t);
-      peer->incarnation = incarnation;
-      g_hash_table_insert (peers->peers, &peer->incarnation, peer);
-    }
+  peer = find_or_add_peer (peers, incarnation);
+  peer->used = ++peers->uses;
   if (peer->address != NULL && strcmp (peer->address, address) == 0)
     return;
   talloc_free (peer->address);
@@ -168,21 +204,41 @@
          && peer->heard_ms + window_ms >= now_ms;
 }
 
-static mq_t *
-get_socket (control_peers_t *peers, const char *address)
+static void
+close_oldest_socket (control_peers_t *peers)
 {
-  mq_t *mq = g_hash_table_lookup (peers->sockets, address);
+  socket_t *oldest = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->sockets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (oldest == NULL || ((socket_t *)value)->used < oldest->used)
+      oldest = value;
+  g_hash_table_remove (peers->sockets, oldest->address);
+  talloc_free (oldest);
+}
+
+static socket_t *
+open_socket (control_peers_t *peers, const char *address)
+{
+  socket_t *opened = talloc_zero (peers, socket_t);
   mq_options_t options = { .base = peers->base,
                            .type = ZMQ_DEALER,
                            .connect = address,
                            .queue_messages = QUEUE_MESSAGES };
 
-  if (mq != NULL || g_hash_table_size (peers->sockets) >= MAX_SOCKETS)
-    return mq;
-  mq = mq_new (peers, &options);
-  if (mq != NULL)
-    g_hash_table_insert (peers->sockets, talloc_strdup (mq, address), mq);
-  return mq;
+  opened->address = talloc_strdup (opened, address);
+  opened->mq = mq_new (opened, &options);
+  if (opened->mq == NULL)
+    {
+      talloc_free (opened);
+      return NULL;
+    }
+  if (g_hash_table_size (peers->sockets) >= MAX_SOCKETS)
+    close_oldest_socket (peers);
+  g_hash_table_insert (peers->sockets, opened->address, opened);
+  return opened;
 }
 
 bool
@@ -191,10 +247,15 @@
                        const uint8_t *data,
                        size_t size_bytes)
 {
-  mq_t *mq = get_socket (peers, address);
+  socket_t *connected = g_hash_table_lookup (peers->sockets, address);
   mq_frame_t frame = { .data = data, .size_bytes = size_bytes };
 
-  return mq != NULL && mq_send (mq, &frame, 1);
+  if (connected == NULL)
+    connected = open_socket (peers, address);
+  if (connected == NULL)
+    return false;
+  connected->used = ++peers->uses;
+  return mq_send (connected->mq, &frame, 1);
 }
 
 bool
@@ -203,8 +264,10 @@
                     const uint8_t *data,
                     size_t size_bytes)
 {
-  const peer_t *peer = g_hash_table_lookup (peers->peers, &incarnation);
+  peer_t *peer = g_hash_table_lookup (peers->peers, &incarnation);
 
-  return peer != NULL
-         && control_peers_send_to (peers, peer->address, data, size_bytes);
+  if (peer == NULL)
+    return false;
+  peer->used = ++peers->uses;
+  return control_peers_send_to (peers, peer->address, data, size_bytes);
 }
--- a/control-peers.h
+++ b/control-peers.h
@@ -72,8 +72,8 @@
                          const uint8_t *data,
                          size_t size_bytes);
 
-/** Sends a message to an address; returns false when there are too many sockets
- * or the queue is full. */
+/** Sends a message to an address; returns false when it is no address or the
+ * queue is full. */
 bool control_peers_send_to (control_peers_t *peers,
                             const char *address,
                             const uint8_t *data,
