control-joiners: split the replicas that ask from the group, let the oldest make room

A replica that asked to join was ignored for good once 32 others had asked and not become members: their entries were never removed.

The table is a module of its own now, without I/O.

--- a/control-group-change.c
+++ b/control-group-change.c
@@ -50,7 +50,8 @@
              const Lwm__ControlMemberChange *change,
              Lwm__ControlAnswer *answer)
 {
-  const joiner_t *joiner = control_group_find_joiner (group, change->name);
+  const control_joiner_t *joiner
+      = control_joiners_find (group->joiners, change->name);
   Lwm__ControlMember member = LWM__CONTROL_MEMBER__INIT;
 
   if (joiner == NULL
@@ -161,9 +162,9 @@
   const Lwm__ControlMembership *members = raft_membership (group->server->raft);
   Lwm__ControlMembership *waiting = membership_copy (parent, NULL);
 
-  for (guint i = 0; i < group->joiners->len; i++)
+  for (size_t i = 0; i < control_joiners_count (group->joiners); i++)
     {
-      const joiner_t *joiner = g_ptr_array_index (group->joiners, i);
+      const control_joiner_t *joiner = control_joiners_get (group->joiners, i);
       Lwm__ControlMember member = LWM__CONTROL_MEMBER__INIT;
 
       if (membership_find (members, joiner->incarnation) != NULL
@@ -346,7 +347,7 @@
 
   for (size_t i = 0; i < members->n_members && i < MAX_MEMBERS; i++)
     replicas[count++] = describe_member (group, members->members[i], now_ms);
-  for (size_t i = 0; i < joiner_count && i < MAX_JOINERS; i++)
+  for (size_t i = 0; i < joiner_count && i < CONTROL_JOINERS_MAX; i++)
     replicas[count++]
         = (control_keeper_replica_t){ .name = joiners[i]->name,
                                       .zone = joiners[i]->zone,
@@ -362,7 +363,7 @@
     [CONTROL_KEEPER_PROMOTE] = LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_PROMOTE,
     [CONTROL_KEEPER_REMOVE] = LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_REMOVE
   };
-  control_keeper_replica_t replicas[MAX_MEMBERS + MAX_JOINERS];
+  control_keeper_replica_t replicas[MAX_MEMBERS + CONTROL_JOINERS_MAX];
   void *scratch = talloc_new (group);
   size_t count = describe_replicas (group, now_ms, scratch, replicas);
   size_t which = 0;
--- a/control-group-internal.h
+++ b/control-group-internal.h
@@ -8,27 +8,15 @@
 
 #include "control-contacts.h"
 #include "control-internal.h"
+#include "control-joiners.h"
 #include "control-presence.h"
 
 #define HELLO_VALID_MS 3000 /* an older hello is ignored */
-#define MAX_JOINERS    32
-
-/** The last hello of a replica that is not a member. */
-typedef struct
-{
-  char *name;
-  char *address;
-  char *zone;
-  uint64_t incarnation;
-  uint64_t group;
-  bool join;
-  uint64_t heard_ms;
-} joiner_t;
 
 struct control_group
 {
   control_server_t *server;
-  GPtrArray *joiners; /* joiner_t, children of group */
+  control_joiners_t *joiners;
   control_presence_t *presence;
   control_contacts_t *contacts; /* replicas to ask for the group */
   uint64_t hello_due_ms;
@@ -41,10 +29,6 @@
   size_t asked;             /* addresses that the last hellos went to */
 };
 
-/** Returns the joiner of that name, or NULL. */
-joiner_t *control_group_find_joiner (const control_group_t *group,
-                                     const char *name);
-
 /** Tells whether a member will have been in the group, and present, for the
  * catch-up time in @a ahead_ms. */
 bool control_group_is_settled (const control_group_t *group,
--- a/control-group.c
+++ b/control-group.c
@@ -18,13 +18,6 @@
 #define STOP_MS                      3000
 #define MEMBERSHIP_CHECK_INTERVAL_MS 200
 
-static int
-free_group (control_group_t *group)
-{
-  g_ptr_array_free (group->joiners, TRUE);
-  return 0;
-}
-
 control_group_t *
 control_group_new (control_server_t *server)
 {
@@ -35,10 +28,9 @@
           .stop_ms = STOP_MS };
 
   group->server = server;
-  group->joiners = g_ptr_array_new ();
+  group->joiners = control_joiners_new (group);
   group->presence = control_presence_new (group, &options);
   group->contacts = control_contacts_new (group, CONTACT_VALID_MS);
-  talloc_set_destructor (group, free_group);
   return group;
 }
 
@@ -64,19 +56,6 @@
   control_server_send_peer (group->server, &message, address, 0);
 }
 
-joiner_t *
-control_group_find_joiner (const control_group_t *group, const char *name)
-{
-  for (guint i = 0; i < group->joiners->len; i++)
-    {
-      joiner_t *joiner = g_ptr_array_index (group->joiners, i);
-
-      if (strcmp (joiner->name, name) == 0)
-        return joiner;
-    }
-  return NULL;
-}
-
 static bool
 is_known_member (const control_group_t *group, uint64_t incarnation)
 {
@@ -89,18 +68,10 @@
 static void
 remove_joined (control_group_t *group)
 {
-  for (guint i = 0; i < group->joiners->len;)
-    {
-      joiner_t *joiner = g_ptr_array_index (group->joiners, i);
-
-      if (!is_known_member (group, joiner->incarnation))
-        {
-          i++;
-          continue;
-        }
-      g_ptr_array_remove_index_fast (group->joiners, i);
-      talloc_free (joiner);
-    }
+  for (size_t i = control_joiners_count (group->joiners); i-- > 0;)
+    if (is_known_member (group,
+                         control_joiners_get (group->joiners, i)->incarnation))
+      control_joiners_remove (group->joiners, i);
 }
 
 static bool
@@ -113,30 +84,20 @@
 static void
 record_joiner (control_group_t *group, const Lwm__ControlPeerMessage *message)
 {
-  joiner_t *joiner = control_group_find_joiner (group, message->name);
+  control_joiner_t joiner = { .name = message->name,
+                              .address = message->address,
+                              .zone = message->zone,
+                              .incarnation = message->incarnation,
+                              .group = message->hello->group,
+                              .join = message->hello->join,
+                              .heard_ms = clock_mono_ms () };
 
   if (is_known_member (group, message->incarnation))
     return;
-  if (joiner == NULL && group->joiners->len < MAX_JOINERS)
-    {
-      joiner = talloc_zero (group, joiner_t);
-      joiner->name = talloc_strdup (joiner, message->name);
-      g_ptr_array_add (group->joiners, joiner);
-    }
-  if (joiner == NULL)
-    return;
-  talloc_free (joiner->address);
-  joiner->address = talloc_strdup (joiner, message->address);
-  talloc_free (joiner->zone);
-  joiner->zone = talloc_strdup (joiner, message->zone);
-  if (joiner->incarnation != message->incarnation)
+  if (control_joiners_record (group->joiners, &joiner))
     log_info ("A replica asks to join. name=%s incarnation=%ju leader=%d",
               message->name, (uintmax_t)message->incarnation,
               raft_status (group->server->raft).role == RAFT_LEADER);
-  joiner->incarnation = message->incarnation;
-  joiner->group = message->hello->group;
-  joiner->join = message->hello->join;
-  joiner->heard_ms = clock_mono_ms ();
 }
 
 void
@@ -180,7 +141,7 @@
 static bool
 is_ready_for_group (const control_group_t *group, const char *name)
 {
-  const joiner_t *joiner = control_group_find_joiner (group, name);
+  const control_joiner_t *joiner = control_joiners_find (group->joiners, name);
 
   return joiner != NULL && joiner->group == 0 && !joiner->join
          && joiner->heard_ms + HELLO_VALID_MS >= clock_mono_ms ();
@@ -221,9 +182,10 @@
   for (size_t i = 0; i < count; i++)
     {
       Lwm__ControlMember member = LWM__CONTROL_MEMBER__INIT;
-      const joiner_t *joiner
+      const control_joiner_t *joiner
           = i == 0 ? NULL
-                   : control_group_find_joiner (group, initial_members[i].name);
+                   : control_joiners_find (group->joiners,
+                                           initial_members[i].name);
 
       member.name = initial_members[i].name;
       member.address = initial_members[i].address;
