--- a/t/t5110-control-crash.c
+++ b/t/t5110-control-crash.c
@@ -3,6 +3,7 @@
  * revision is lost. On a full disk it keeps running and continues once there is
  * room. */
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
 #include <talloc.h>
@@ -10,6 +11,9 @@
 #include "base.h"
 #include "lib-control-fixture.h"
 
+/** Byte of a log file that a test changes. */
+#define DAMAGED_OFFSET 60
+
 static control_fixture_t fixture;
 /* Parts of the fixture. */
 static group_t *group;
@@ -195,6 +199,18 @@
   tear_down ();
 }
 
+/** Returns the size of the log file of a replica in bytes. */
+static goffset
+log_bytes (size_t replica)
+{
+  char *path = g_strdup_printf ("%s/log", group->folder[replica]);
+  GStatBuf info = { 0 };
+
+  g_stat (path, &info);
+  g_free (path);
+  return info.st_size;
+}
+
 static void
 test_damage_refuses_to_start (void)
 {
@@ -208,10 +224,17 @@
   for (int i = 0; i < 5; i++)
     apply_one ();
   group_wait_settled (group);
+  /* The log of a replica that has just received a snapshot has no entries. */
+  while (log_bytes (1) <= DAMAGED_OFFSET)
+    {
+      apply_one ();
+      group_wait_settled (group);
+    }
   group_kill (group, 1, false);
   path = g_strdup_printf ("%s/log", group->folder[1]);
   g_assert_true (g_file_get_contents (path, &data, &size, NULL));
-  data[60] ^= 1;
+  g_assert_cmpuint (size, >, DAMAGED_OFFSET);
+  data[DAMAGED_OFFSET] ^= 1;
   g_assert_true (g_file_set_contents (path, data, (gssize)size, NULL));
   code = cluster_run (fixture.cluster, &log, "lwm-controld", "--instance=b",
                       "--listen", group->http[1], "--control-listen",
