--- a/control-peers.c
+++ b/control-peers.c
@@ -140,6 +140,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (oldest == NULL || ((peer_t *)value)->used < oldest->used)
       oldest = value;
+  if (oldest == NULL)
+    return;
   g_hash_table_remove (peers->peers, &oldest->incarnation);
   talloc_free (oldest);
 }
@@ -215,6 +217,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (oldest == NULL || ((socket_t *)value)->used < oldest->used)
       oldest = value;
+  if (oldest == NULL)
+    return;
   g_hash_table_remove (peers->sockets, oldest->address);
   talloc_free (oldest);
 }
--- a/t/t5004-control-contacts.c
+++ b/t/t5004-control-contacts.c
@@ -2,6 +2,7 @@
  * The addresses that a control replica asks while it looks for its group.
  */
 #include <glib.h>
+#include <stdbool.h>
 #include <talloc.h>
 
 #include "control-contacts.h"
