--- a/control-internal.h
+++ b/control-internal.h
@@ -1,12 +1,13 @@
 /**
  * @file control-internal.h
  * Interfaces shared by the source files that implement a control replica:
- * control-server.c (event loop, messages, applying entries), control-disk.c
- * (saving, snapshots), control-report.c (metrics, status, staleness),
- * control-requests.c (client requests), control-watch.c (clients that watch),
- * control-drains.c (report of drained zones), control-group.c (founding,
- * joining, stopping) and control-group-change.c (membership). Other files
- * include control-server.h instead.
+ * control-server.c (event loop, applying entries), control-send.c (messages to
+ * replicas and clients), control-disk.c (saving, snapshots), control-report.c
+ * (metrics, status, staleness), control-requests.c (client requests),
+ * control-watch.c (clients that watch), control-drains.c (report of drained
+ * zones), control-group.c (founding, joining, stopping) and
+ * control-group-change.c (membership). Other files include control-server.h
+ * instead.
  */
 #ifndef CONTROL_INTERNAL_H
 #define CONTROL_INTERNAL_H
@@ -104,6 +105,19 @@
 /** Returns the present time of the control clock, in ms. */
 uint64_t control_server_clock_ms (const control_server_t *server);
 
+/** Creates the list of messages that wait for a sync. */
+void control_send_init (control_server_t *server);
+void control_send_free (control_server_t *server);
+
+/** Sends the messages that had to wait for a sync. */
+void control_send_held (control_server_t *server);
+
+/** Sends a message of the consensus core, see raft_send_cb_t. @a context is the
+ * replica. */
+void control_send_raft (const Lwm__RaftMessage *raft,
+                        bool after_sync,
+                        void *context);
+
 /** Sends a peer message to @a address or, when it is NULL, to the replica
  * @a incarnation. */
 void control_server_send_peer (control_server_t *server,
