control-client: let a new control instance take the place of an old one

An entry or control instance that outlived the replacement of as many control instances as its client remembers (16, seeds included) reached none of the later ones: calls ended without a quorum, and it got no configuration, though the group was sound. The 17th address was ignored for good, also as the address of the leader in a redirect.

--- a/control-client-internal.h
+++ b/control-client-internal.h
@@ -29,6 +29,7 @@
   char *name; /* name from the answers of this instance, or NULL */
   mq_t *mq;
   uint64_t unanswered_since_ms; /* time of oldest unanswered message, or 0 */
+  uint64_t known_ms;            /* when it was named or heard last */
   uint64_t sent_ms;             /* time of the last message sent */
   uint64_t watch_sent_ms;       /* time of the last watch, or 0 */
   uint64_t watch_due_ms;
--- a/control-client.c
+++ b/control-client.c
@@ -15,6 +15,7 @@
 #define NO_LEADER_RETRY_MS 100  /* retry delay while no leader is known */
 #define SKIP_AFTER_MS      150  /* no answer: other peers are preferred */
 #define SKIPPED_RETRY_MS   1000 /* last send to a skipped peer until a retry */
+#define KEEP_PEER_MS       1000 /* named or heard: no other takes its place */
 #define MAX_REDIRECTS      4    /* followed by a call without a delay */
 #define NO_PEER            SIZE_MAX
 
@@ -214,6 +215,7 @@
   if (frame_count != 1)
     return;
   peer->unanswered_since_ms = 0;
+  peer->known_ms = clock_mono_ms ();
   count_metric (client->counters.messages_in, 1);
   count_metric (client->counters.bytes_in, frames[0].size_bytes);
   message = lwm__control_message__unpack (NULL, frames[0].size_bytes,
@@ -231,9 +233,30 @@
   lwm__control_message__free_unpacked (message, NULL);
 }
 
+/** Returns the peer that was named, or has answered, longest ago. Peers of the
+ * last moments keep their places. */
+static size_t
+find_replaceable_peer (const control_client_t *client)
+{
+  uint64_t oldest_ms = clock_mono_ms () - KEEP_PEER_MS;
+  size_t found = NO_PEER;
+
+  for (size_t i = 0; i < client->peer_count; i++)
+    if (client->peers[i]->known_ms < oldest_ms)
+      {
+        oldest_ms = client->peers[i]->known_ms;
+        found = i;
+      }
+  return found;
+}
+
+/** Adds a peer. It takes the place of another one when there are too many. */
 static size_t
 add_peer (control_client_t *client, const char *address)
 {
+  size_t index = client->peer_count < CONTROL_CLIENT_MAX_PEERS
+                     ? client->peer_count
+                     : find_replaceable_peer (client);
   control_peer_t *peer;
   mq_options_t options = { .base = client->options.base,
                            .type = ZMQ_DEALER,
@@ -241,11 +264,12 @@
                            .queue_messages = QUEUE_MESSAGES,
                            .on_message = on_message };
 
-  if (client->peer_count == CONTROL_CLIENT_MAX_PEERS)
+  if (index == NO_PEER)
     return NO_PEER;
   peer = talloc_zero (client, control_peer_t);
   peer->client = client;
-  peer->index = client->peer_count;
+  peer->index = index;
+  peer->known_ms = clock_mono_ms ();
   peer->address = talloc_strdup (peer, address);
   options.context = peer;
   peer->mq = mq_new (peer, &options);
@@ -254,8 +278,14 @@
       talloc_free (peer);
       return NO_PEER;
     }
-  client->peers[client->peer_count++] = peer;
-  return peer->index;
+  if (index == client->peer_count)
+    client->peer_count++;
+  else
+    talloc_free (client->peers[index]);
+  if (client->leader == index)
+    client->leader = NO_PEER;
+  client->peers[index] = peer;
+  return index;
 }
 
 uint8_t *
@@ -390,7 +420,11 @@
 void
 control_client_add_peer (control_client_t *client, const char *address)
 {
-  if (find_peer (client, "", address) == NO_PEER)
+  size_t index = find_peer (client, "", address);
+
+  if (index != NO_PEER)
+    client->peers[index]->known_ms = clock_mono_ms ();
+  else
     add_peer (client, address);
 }
 
