control-group: do not add a replica that belongs to another group

A replica that starts with the disk of an earlier group asked to join, was added under its name, and the live or dead voter of that name was removed for it. It drops the messages of the group, so the group kept one voter less, and no other successor was added while it asked.

Such a replica is no candidate any more.

--- a/control-group-change.c
+++ b/control-group-change.c
@@ -57,7 +57,8 @@
   if (joiner == NULL
       || (change->incarnation != 0
           && change->incarnation != joiner->incarnation)
-      || joiner->heard_ms + HELLO_VALID_MS < clock_mono_ms ())
+      || !control_joiner_may_join (joiner, control_group_id (group),
+                                   clock_mono_ms ()))
     {
       /* A joiner sends no more hellos once it is a member. A resent change then
        * finds it among the members. */
@@ -168,7 +169,8 @@
       Lwm__ControlMember member = LWM__CONTROL_MEMBER__INIT;
 
       if (membership_find (members, joiner->incarnation) != NULL
-          || joiner->heard_ms + HELLO_VALID_MS < clock_mono_ms ())
+          || !control_joiner_may_join (joiner, control_group_id (group),
+                                       clock_mono_ms ()))
         continue;
       member.name = joiner->name;
       member.address = joiner->address;
--- a/control-group-internal.h
+++ b/control-group-internal.h
@@ -11,8 +11,6 @@
 #include "control-joiners.h"
 #include "control-presence.h"
 
-#define HELLO_VALID_MS 3000 /* an older hello is ignored */
-
 struct control_group
 {
   control_server_t *server;
@@ -29,6 +27,9 @@
   size_t asked;             /* addresses that the last hellos went to */
 };
 
+/** Returns the id of this replica's group, 0 for none. */
+uint64_t control_group_id (const control_group_t *group);
+
 /** Tells whether a member will have been in the group, and present, for the
  * catch-up time in @a ahead_ms. */
 bool control_group_is_settled (const control_group_t *group,
--- a/control-group.c
+++ b/control-group.c
@@ -34,8 +34,8 @@
   return group;
 }
 
-static uint64_t
-own_group_id (const control_group_t *group)
+uint64_t
+control_group_id (const control_group_t *group)
 {
   return raft_status (group->server->raft).group;
 }
@@ -47,7 +47,7 @@
   Lwm__ControlPeerMessage message = LWM__CONTROL_PEER_MESSAGE__INIT;
   Lwm__ControlHello hello = LWM__CONTROL_HELLO__INIT;
 
-  hello.group = own_group_id (group);
+  hello.group = control_group_id (group);
   hello.join = group->server->options.join;
   hello.answer = answer;
   hello.members = members->members;
@@ -144,7 +144,7 @@
   const control_joiner_t *joiner = control_joiners_find (group->joiners, name);
 
   return joiner != NULL && joiner->group == 0 && !joiner->join
-         && joiner->heard_ms + HELLO_VALID_MS >= clock_mono_ms ();
+         && joiner->heard_ms + CONTROL_HELLO_VALID_MS >= clock_mono_ms ();
 }
 
 /**
@@ -260,7 +260,7 @@
 {
   if (group->asked != asked)
     log_info ("Asking other replicas for the group. addresses=%zu group=%ju",
-              asked, (uintmax_t)own_group_id (group));
+              asked, (uintmax_t)control_group_id (group));
   group->asked = asked;
 }
 
@@ -300,7 +300,7 @@
   if (is_connected || group->stopped_ms > 0 || now_ms < group->hello_due_ms)
     return;
   group->hello_due_ms = now_ms + HELLO_INTERVAL_MS;
-  if (own_group_id (group) == 0 && can_found_group (group))
+  if (control_group_id (group) == 0 && can_found_group (group))
     found_group (group);
   else
     send_hellos (group, now_ms);
--- a/control-joiners.c
+++ b/control-joiners.c
@@ -15,6 +15,15 @@
   return talloc_zero (parent, control_joiners_t);
 }
 
+bool
+control_joiner_may_join (const control_joiner_t *joiner,
+                         uint64_t group,
+                         uint64_t now_ms)
+{
+  return joiner->heard_ms + CONTROL_HELLO_VALID_MS >= now_ms
+         && (joiner->group == 0 || joiner->group == group);
+}
+
 size_t
 control_joiners_count (const control_joiners_t *joiners)
 {
--- a/control-joiners.h
+++ b/control-joiners.h
@@ -10,6 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/** Time for which a hello is valid. */
+#define CONTROL_HELLO_VALID_MS 3000
 /** Replicas that are kept; the one heard longest ago makes room. */
 #define CONTROL_JOINERS_MAX 32
 
@@ -38,6 +40,15 @@
 bool control_joiners_record (control_joiners_t *joiners,
                              const control_joiner_t *hello);
 
+/**
+ * Tells whether a replica can become a member of a group: its hello is recent,
+ * and it belongs to this group or to none. One with the disk of another group
+ * never follows the leader.
+ */
+bool control_joiner_may_join (const control_joiner_t *joiner,
+                              uint64_t group,
+                              uint64_t now_ms);
+
 /** Returns the number of replicas. */
 size_t control_joiners_count (const control_joiners_t *joiners);
 
--- a/t/t5005-control-joiners.c
+++ b/t/t5005-control-joiners.c
@@ -59,11 +59,29 @@
   talloc_free (joiners);
 }
 
+/* Guards against: a voter that is replaced by a replica with the disk of
+ * another group, which never follows the leader (CONFIG). */
+static void
+test_other_group_cannot_join (void)
+{
+  control_joiner_t joiner = { .heard_ms = 10 };
+
+  g_assert_true (control_joiner_may_join (&joiner, 7, 10));
+  g_assert_false (
+      control_joiner_may_join (&joiner, 7, 11 + CONTROL_HELLO_VALID_MS));
+  joiner.group = 7;
+  g_assert_true (control_joiner_may_join (&joiner, 7, 10));
+  joiner.group = 8;
+  g_assert_false (control_joiner_may_join (&joiner, 7, 10));
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/control-joiners/newest", test_newest_hello_holds);
   g_test_add_func ("/control-joiners/full", test_full_table_takes_the_newest);
+  g_test_add_func ("/control-joiners/other-group",
+                   test_other_group_cannot_join);
   return g_test_run ();
 }
