control-send: look up a member's address in the membership when it was evicted

The membership holds the address, so it is restored before a message is sent, and a hello may name 16 members at most.

--- a/control-group-change.c
+++ b/control-group-change.c
@@ -10,7 +10,6 @@
 #define LOG_PART "control"
 #include "logging.h"
 
-#define MAX_MEMBERS 16
 /** Assumed when the options state no catch-up time. */
 #define DEFAULT_CATCH_UP_MS 4000
 /** Time for which a reason to wait holds before it is logged. */
@@ -72,7 +71,7 @@
     }
   if (membership_find (members, joiner->incarnation) != NULL)
     return reject_change (answer, LWM__CONTROL_RESULT__RESULT_SAME, "");
-  if (members->n_members >= MAX_MEMBERS)
+  if (members->n_members >= CONTROL_MAX_MEMBERS)
     return reject_change (answer, LWM__CONTROL_RESULT__RESULT_LIMIT,
                           "the group has no room for another member");
   member.name = joiner->name;
@@ -347,7 +346,7 @@
       = control_group_list_joiners (group, scratch, &joiner_count);
   size_t count = 0;
 
-  for (size_t i = 0; i < members->n_members && i < MAX_MEMBERS; i++)
+  for (size_t i = 0; i < members->n_members && i < CONTROL_MAX_MEMBERS; i++)
     replicas[count++] = describe_member (group, members->members[i], now_ms);
   for (size_t i = 0; i < joiner_count && i < CONTROL_JOINERS_MAX; i++)
     replicas[count++]
@@ -365,7 +364,7 @@
     [CONTROL_KEEPER_PROMOTE] = LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_PROMOTE,
     [CONTROL_KEEPER_REMOVE] = LWM__CONTROL_MEMBER_CHANGE_KIND__MEMBER_REMOVE
   };
-  control_keeper_replica_t replicas[MAX_MEMBERS + CONTROL_JOINERS_MAX];
+  control_keeper_replica_t replicas[CONTROL_MAX_MEMBERS + CONTROL_JOINERS_MAX];
   void *scratch = talloc_new (group);
   size_t count = describe_replicas (group, now_ms, scratch, replicas);
   size_t which = 0;
--- a/control-group-internal.h
+++ b/control-group-internal.h
@@ -11,6 +11,9 @@
 #include "control-joiners.h"
 #include "control-presence.h"
 
+/** Members of a group, voters and learners. */
+#define CONTROL_MAX_MEMBERS 16
+
 struct control_group
 {
   control_server_t *server;
--- a/control-group.c
+++ b/control-group.c
@@ -94,7 +94,9 @@
 
   if (is_known_member (group, message->incarnation))
     return;
-  if (control_joiners_record (group->joiners, &joiner))
+  /* An answer comes from a replica that was asked, mostly a member. */
+  if (control_joiners_record (group->joiners, &joiner)
+      && !message->hello->answer)
     log_info ("A replica asks to join. name=%s incarnation=%ju leader=%d",
               message->name, (uintmax_t)message->incarnation,
               raft_status (group->server->raft).role == RAFT_LEADER);
@@ -126,7 +128,8 @@
     control_presence_returned (group->presence, message->incarnation);
   /* A joiner may know only one member. Replicas learn the addresses of the
    * other members from each hello. */
-  for (size_t i = 0; i < message->hello->n_members; i++)
+  for (size_t i = 0; i < MIN (message->hello->n_members, CONTROL_MAX_MEMBERS);
+       i++)
     {
       const Lwm__ControlMember *member = message->hello->members[i];
 
--- a/control-peers.c
+++ b/control-peers.c
@@ -183,6 +183,12 @@
   peer->address = talloc_strdup (peer, address);
 }
 
+bool
+control_peers_has (const control_peers_t *peers, uint64_t incarnation)
+{
+  return g_hash_table_contains (peers->peers, &incarnation);
+}
+
 void
 control_peers_mark_heard (control_peers_t *peers,
                           uint64_t incarnation,
--- a/control-peers.h
+++ b/control-peers.h
@@ -54,6 +54,9 @@
                                 const char *name,
                                 const char *address);
 
+/** Tells whether the address of a replica is known. */
+bool control_peers_has (const control_peers_t *peers, uint64_t incarnation);
+
 /** Records that a message of @a incarnation arrived. */
 void control_peers_mark_heard (control_peers_t *peers,
                                uint64_t incarnation,
--- a/control-send.c
+++ b/control-send.c
@@ -4,6 +4,7 @@
 
 #include "base.h"
 #include "control-internal.h"
+#include "members.h"
 
 /* Time without a message of a replica after which messages to it include this
  * replica's name and address again. */
@@ -56,6 +57,18 @@
   metric_add (server->counters.bytes_out, size_bytes);
 }
 
+/** Stores the address of a member that had to make room for other replicas. */
+static void
+restore_address (control_server_t *server, uint64_t incarnation)
+{
+  const Lwm__ControlMember *member
+      = membership_find (raft_membership (server->raft), incarnation);
+
+  if (member != NULL && !control_peers_has (server->peers, incarnation))
+    control_peers_set_address (server->peers, incarnation, member->name,
+                               member->address);
+}
+
 /** Sends a packed message to @a address or, when it is NULL, to the replica
  * @a incarnation. */
 static void
@@ -65,7 +78,11 @@
                  const uint8_t *data,
                  size_t size_bytes)
 {
-  bool sent
+  bool sent;
+
+  if (address == NULL)
+    restore_address (server, incarnation);
+  sent
       = address != NULL
             ? control_peers_send_to (server->peers, address, data, size_bytes)
             : control_peers_send (server->peers, incarnation, data, size_bytes);
--- a/t/t5006-control-peers.c
+++ b/t/t5006-control-peers.c
@@ -50,7 +50,8 @@
     }
   control_peers_mark_heard (peers, STAYING, 1);
   g_assert_true (control_peers_heard_within (peers, STAYING, 1, 1));
-  g_assert_false (send_to_replica (peers, LEAVING));
+  g_assert_false (control_peers_has (peers, LEAVING));
+  g_assert_true (control_peers_has (peers, LEAVING + REPLACEMENTS - 1));
   talloc_free (peers);
   event_base_free (base);
 }
