--- a/t/lib-nodes.c
+++ b/t/lib-nodes.c
@@ -10,6 +10,7 @@
 
 #define DEFAULT_STOP_TIMEOUT_S 4
 #define MAX_ZONES              3
+#define DEFAULT_BORN_MS        1000
 
 static const char *const zone_names[MAX_ZONES] = { "z", "z-b", "z-c" };
 
@@ -17,7 +18,11 @@
     = "{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"s\"},"
       "{\"name\":\"p\"}],\"limits\":{\"max-header-bytes\":16384,"
       "\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,"
-      "\"idle-timeout-ms\":15000}}";
+      "\"idle-timeout-ms\":15000}%s}";
+
+static const char customers[]
+    = ",\"tenants\":[{\"name\":\"c-a\",\"api-keys\":[\"key-a\"]},"
+      "{\"name\":\"c-b\",\"api-keys\":[\"key-b\"]}]";
 
 static const char route[]
     = "%s{\"name\":\"%s\",\"host\":\"%s\",\"path-prefix\":\"/%s/\","
@@ -159,7 +164,8 @@
     g_string_append_printf (list, route, i > 0 ? "," : "", routes[i].name,
                             nodes->ip[NODES_ENTRY], routes[i].name,
                             routes[i].kind, routes[i].service);
-  text = g_strdup_printf (config_of_all_kinds, version, list->str);
+  text = g_strdup_printf (config_of_all_kinds, version, list->str,
+                          nodes->has_customers ? customers : "");
   g_string_free (list, TRUE);
   return text;
 }
@@ -188,10 +194,12 @@
   char *body = g_strdup_printf (
       "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\","
       "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"seq\":%d,"
-      "\"born\":1000}",
+      "\"born\":%" G_GINT64_FORMAT "}",
       announcement->service, announcement->address,
       find_zone (nodes, announcement->address), announcement->slots,
-      announcement->is_leaving ? "draining" : "ready", announcement->sequence);
+      announcement->is_leaving ? "draining" : "ready", announcement->sequence,
+      announcement->born_ms > 0 ? announcement->born_ms
+                                : (gint64)DEFAULT_BORN_MS);
   int status = nodes_call (nodes, index, 0, "POST", path, body);
 
   g_free (path);
@@ -256,6 +264,7 @@
   nodes->stop_timeout_s = options->stop_timeout_s > 0 ? options->stop_timeout_s
                                                       : DEFAULT_STOP_TIMEOUT_S;
   nodes->has_all_kinds = options->has_all_kinds;
+  nodes->has_customers = options->has_customers;
   nodes->memory_mb = options->memory_mb;
   nodes->max_descriptors = options->max_descriptors;
   nodes->entries = MAX (options->entries, 1);
--- a/t/lib-nodes.h
+++ b/t/lib-nodes.h
@@ -36,6 +36,7 @@
   uint32_t memory_mb; /* of each process in the settings, 0 for unknown */
   uint32_t max_descriptors;
   bool has_all_kinds;
+  bool has_customers;
 } nodes_t;
 
 /** Header fields of the platform's requests and answers. */
@@ -45,6 +46,9 @@
 #define NODES_FIELD_SIGNATURE "Server-Stamp"
 #define NODES_FIELD_NOT_RUN   "Not-Run"
 #define NODES_FIELD_TOKENS    "Token-Count"
+#define NODES_FIELD_KEY       "Key"
+#define NODES_FIELD_CUSTOMER  "Tenant"
+#define NODES_FIELD_LEAVING   "Server-Leaving"
 
 /** Members of a configuration, and the paths of the calls that put one in
  * force, read it and order drains. */
@@ -68,6 +72,9 @@
    * /unsafe/ and /stream/ of the service "s", and the streams /paused/ of the
    * service "p". */
   bool has_all_kinds;
+  /** Whether the configurations with all kinds have two customers, "c-a" with
+   * the API key "key-a" and "c-b" with "key-b". */
+  bool has_customers;
 } nodes_options_t;
 
 /** Starts the group and the entry instances, and puts the first configuration
@@ -117,6 +124,7 @@
   const char *address;
   int slots;
   int sequence;
+  int64_t born_ms; /**< wall clock at its start, 0 for a constant one */
   bool is_leaving;
 } nodes_announcement_t;
 
