node-crash: count crashes for each request that ran, without a fixed proof

An upstream that two crashing requests run at crashes for both; the test counted the crash for one of them, and would have waited for a third crash that cannot come once the other evidence blocks the request. A crash counts for each request that runs, and a request that is refused as quarantined counts as proven. A case whose proof does not come fails after its processes have ended. The evaluation is in lib-node-crash-check.

The large body is sent with its length by one call of four.

--- a/t/lib-node-crash-callers.c
+++ b/t/lib-node-crash-callers.c
@@ -77,6 +77,14 @@
     }
 }
 
+/** Returns whether a body is sent in chunks. One call of four sends it with its
+ * length instead: it is the same request. */
+static bool
+sends_chunks (const active_t *active)
+{
+  return active->request->is_chunked && active->turn % 4 != 3;
+}
+
 static void
 append_head (GString *text, const active_t *active)
 {
@@ -90,7 +98,7 @@
                           DEADLINE_MS);
   if (request->key != NULL)
     g_string_append_printf (text, NODES_FIELD_KEY ": %s\r\n", request->key);
-  if (request->is_chunked)
+  if (sends_chunks (active))
     g_string_append (text, "Transfer-Encoding: chunked\r\n");
   else if (request->body != NULL)
     g_string_append_printf (text, "Content-Length: %zu\r\n",
@@ -131,11 +139,11 @@
   GString *text = g_string_new (NULL);
 
   append_head (text, active);
-  if (request->body != NULL && !request->is_chunked)
+  if (request->body != NULL && !sends_chunks (active))
     g_string_append_len (text, request->body->str, (gssize)request->body->len);
   http_socket_send (active->socket, text->str, text->len);
   g_string_free (text, TRUE);
-  if (request->is_chunked)
+  if (sends_chunks (active))
     send_chunks (active);
 }
 
@@ -287,8 +295,13 @@
   g_free (all);
 }
 
-const GArray *
-crash_callers_calls (const crash_callers_t *all)
+GArray *
+crash_callers_calls (crash_callers_t *all)
 {
-  return all->calls;
+  GArray *copy;
+
+  g_mutex_lock (&all->lock);
+  copy = g_array_copy (all->calls);
+  g_mutex_unlock (&all->lock);
+  return copy;
 }
--- a/t/lib-node-crash-callers.h
+++ b/t/lib-node-crash-callers.h
@@ -45,9 +45,9 @@
 void crash_callers_finish (crash_callers_t *callers);
 void crash_callers_free (crash_callers_t *callers);
 
-/** Returns all calls that have ended, as crash_call_t; it belongs to the
- * callers, and is complete after crash_callers_finish(). */
-const GArray *crash_callers_calls (const crash_callers_t *callers);
+/** Returns the calls that have ended, as crash_call_t; free with
+ * g_array_unref(). */
+GArray *crash_callers_calls (crash_callers_t *callers);
 
 /** Returns the entry instance to which the request with an id was sent. */
 int crash_callers_entry_of (const char *id);
--- a/t/lib-node-crash-upstreams.c
+++ b/t/lib-node-crash-upstreams.c
@@ -30,7 +30,8 @@
   char *address;
   int64_t born_ms;
   int listener;
-  GArray *sockets; /* int, of the open connections */
+  GArray *sockets;                 /* int, of the open connections */
+  int running[CRASH_REQUESTS_MAX]; /* runs of crashing requests */
   bool has_ended;
   gint is_leaving;
   int sequence; /* of its announcements; used by the announcer only */
@@ -107,9 +108,10 @@
     shutdown (g_array_index (incarnation->sockets, int, i), SHUT_RDWR);
 }
 
-/** Crashes an incarnation, unless it has ended. */
+/** Crashes an incarnation, unless it has ended. The crash speaks against all
+ * requests that run. */
 static void
-crash (incarnation_t *incarnation, int request, const char *id)
+crash (incarnation_t *incarnation)
 {
   crash_upstreams_t *all = incarnation->upstream->all;
 
@@ -117,7 +119,9 @@
   if (!incarnation->has_ended)
     {
       end_incarnation (incarnation);
-      append_event (all->crashes, request, id);
+      for (int i = 0; i < CRASH_REQUESTS_MAX; i++)
+        if (incarnation->running[i] > 0)
+          append_event (all->crashes, i, "-");
     }
   g_mutex_unlock (&all->lock);
 }
@@ -133,7 +137,10 @@
   g_mutex_lock (&all->lock);
   is_begun = !incarnation->has_ended;
   if (is_begun)
-    append_event (all->runs, request, id);
+    {
+      append_event (all->runs, request, id);
+      incarnation->running[request]++;
+    }
   g_mutex_unlock (&all->lock);
   return is_begun;
 }
@@ -190,7 +197,7 @@
   cluster_sleep_ms (CRASH_MS);
   if (served->incarnation->upstream->all->options.point != CRASH_BEFORE_HEAD)
     send_part (served, id);
-  crash (served->incarnation, request, id);
+  crash (served->incarnation);
 }
 
 /** Waits as long as the run takes; returns false if the connection ends. */
@@ -471,6 +478,7 @@
   crash_upstreams_t *all = g_new0 (crash_upstreams_t, 1);
 
   g_assert_cmpint (options->count, <=, CRASH_UPSTREAMS_MAX);
+  g_assert_cmpint (options->crashing_count, <=, CRASH_REQUESTS_MAX);
   all->options = *options;
   all->incarnations = g_ptr_array_new_with_free_func (free_incarnation);
   all->runs = g_array_new (FALSE, FALSE, sizeof (crash_event_t));
@@ -561,7 +569,7 @@
   incarnation_t *current = find_current (&all->upstreams[index]);
 
   if (current != NULL)
-    crash (current, -1, "-");
+    crash (current);
 }
 
 void
--- a/t/lib-node-crash-upstreams.h
+++ b/t/lib-node-crash-upstreams.h
@@ -14,6 +14,8 @@
 #include "lib-nodes.h"
 
 #define CRASH_UPSTREAMS_MAX 9
+/** Number of requests that crash their upstreams. */
+#define CRASH_REQUESTS_MAX 4
 /** Longest id of a request, with the end of the text. */
 #define CRASH_ID_BYTES 32
 
@@ -35,7 +37,7 @@
   const char *key;      /**< API key, NULL for none */
   const char *customer; /**< that holds the key, NULL for none */
   const GString *body;  /**< NULL for none */
-  bool is_chunked;      /**< sent in chunks of varied size */
+  bool is_chunked;      /**< most calls send it in chunks of varied size */
 } crash_request_t;
 
 typedef struct
@@ -49,12 +51,13 @@
   crash_point_t point;
 } crash_upstreams_options_t;
 
-/** A run of a crashing request that has begun, or the crash of an upstream. */
+/** A run of a crashing request that has begun, or the crash of an upstream at
+ * which it ran. A crash is one event for each request that ran. */
 typedef struct
 {
-  int request; /**< its index, -1 for a crash that no request caused */
+  int request; /**< its index */
   int64_t time_us;
-  char id[CRASH_ID_BYTES]; /**< id of the request */
+  char id[CRASH_ID_BYTES]; /**< of the request, "-" for a crash */
 } crash_event_t;
 
 crash_upstreams_t *
--- a/t/t8215-crashing-requests.c
+++ b/t/t8215-crashing-requests.c
@@ -7,9 +7,8 @@
  */
 #include <glib.h>
 #include <signal.h>
-#include <string.h>
 
-#include "lib-node-crash-callers.h"
+#include "lib-node-crash-check.h"
 
 #define ENTRIES    6
 #define ZONES      3
@@ -17,17 +16,12 @@
 #define SLOTS      64
 #define RESTART_MS 2000
 
-/** Crashes that prove that a request is their cause, and the runs that may
- * begin later than CONTACT_MS after the last of these. */
-#define CRASHES_TO_BLOCK 3
-#define CONTACT_MS       3000
-#define MAX_LATE_RUNS    3
 /** Sound requests of a hundred that are to be served from then on. */
 #define MIN_SERVED_PERCENT 95
 
 #define SOUND_EVERY_MS 25
 #define EARLIER_MS     2000 /* with sound requests alone */
-#define OBSERVE_MS     8000 /* after CONTACT_MS */
+#define OBSERVE_MS     8000 /* after the bounds hold */
 #define OFTEN_MS       250
 #define EACH_MS        600
 #define KILL_EVERY_MS  1500
@@ -36,15 +30,6 @@
 #define OWN_CRASHES    4
 #define BETWEEN_MS     1500
 #define LARGE_BYTES    (1024u * 1024)
-#define MAX_KILLS      64
-
-/** An entry instance that was killed, and ready again. */
-typedef struct
-{
-  int entry;
-  int64_t killed_us;
-  int64_t ready_us; /* 0 while it starts */
-} kill_t;
 
 typedef struct
 {
@@ -62,23 +47,12 @@
 {
   const case_t *test;
   nodes_t *nodes;
-  crash_upstreams_t *upstreams;
-  crash_callers_t *callers;
+  crash_check_t check;
   int sound_series;
-  kill_t kills[MAX_KILLS];
-  int kill_count;
+  int series[CRASH_REQUESTS_MAX]; /* of the crashing requests */
   int64_t next_kill_us;
 } fixture_t;
 
-/** Results of the calls of a series from a time on. */
-typedef struct
-{
-  int sent;
-  int served;
-  int quarantined;
-  int false_refusals; /* "quarantined" without Retry-After, or though it ran */
-} tally_t;
-
 static const crash_request_t crashing_get = { .method = "GET",
                                               .path = "/safe/20/crash",
                                               .key = "key-a",
@@ -115,17 +89,18 @@
   fixture->test = test;
   fixture->nodes = nodes_new_with (&nodes);
   upstreams.nodes = fixture->nodes;
-  fixture->upstreams = crash_upstreams_new (&upstreams);
-  fixture->callers = crash_callers_new (fixture->nodes);
+  fixture->check.upstreams = crash_upstreams_new (&upstreams);
+  fixture->check.callers = crash_callers_new (fixture->nodes);
   return fixture;
 }
 
 /** Returns whether an entry instance serves. */
 static bool
-is_served_by (const fixture_t *fixture, int entry)
+is_served_by (fixture_t *fixture, int entry)
 {
   static const crash_request_t first = { .method = "GET", .path = "/safe/0" };
-  crash_call_t call = crash_callers_call (fixture->callers, &first, entry);
+  crash_call_t call
+      = crash_callers_call (fixture->check.callers, &first, entry);
 
   return call.is_served && call.entry == entry;
 }
@@ -138,7 +113,7 @@
   for (int i = 0; i < ENTRIES; i++)
     CLUSTER_WAIT (is_served_by (fixture, i));
   fixture->sound_series = crash_callers_add (
-      fixture->callers, fixture->test->sound, fixture->test->sound_count,
+      fixture->check.callers, fixture->test->sound, fixture->test->sound_count,
       fixture->test->sound_every_ms);
   cluster_sleep_ms (EARLIER_MS);
 }
@@ -147,19 +122,20 @@
 begin_crashing (fixture_t *fixture)
 {
   for (int i = 0; i < fixture->test->crashing_count; i++)
-    crash_callers_add (fixture->callers, &fixture->test->crashing[i], 1,
-                       fixture->test->every_ms);
+    fixture->series[i] = crash_callers_add (fixture->check.callers,
+                                            &fixture->test->crashing[i], 1,
+                                            fixture->test->every_ms);
 }
 
 /** Kills the entry instance whose turn it is, and starts it again. */
 static void
 kill_entry (fixture_t *fixture)
 {
-  kill_t *record = &fixture->kills[fixture->kill_count];
-  int entry = fixture->kill_count % ENTRIES;
+  crash_kill_t *record = &fixture->check.kills[fixture->check.kill_count];
+  int entry = fixture->check.kill_count % ENTRIES;
 
-  g_assert_cmpint (fixture->kill_count, <, MAX_KILLS);
-  fixture->kill_count++;
+  g_assert_cmpint (fixture->check.kill_count, <, CRASH_CHECK_MAX_KILLS);
+  fixture->check.kill_count++;
   record->entry = entry;
   record->killed_us = g_get_monotonic_time ();
   nodes_kill (fixture->nodes, NODES_ENTRY + entry, false);
@@ -190,177 +166,78 @@
     step (fixture);
 }
 
-/** Returns the time of the crash that proves that a request is the cause, 0 if
- * it has not come. */
-static int64_t
-find_proof_us (fixture_t *fixture, int request)
-{
-  GArray *crashes = crash_upstreams_crashes (fixture->upstreams);
-  int64_t time_us = 0;
-  int count = 0;
-
-  for (guint i = 0; i < crashes->len && time_us == 0; i++)
-    {
-      const crash_event_t *event = &g_array_index (crashes, crash_event_t, i);
-
-      if (event->request == request && ++count == CRASHES_TO_BLOCK)
-        time_us = event->time_us;
-    }
-  g_array_unref (crashes);
-  return time_us;
-}
-
-/** Returns the time from which the bounds hold for a request. */
-static int64_t
-find_bound_us (fixture_t *fixture, int request)
+/** Returns whether a request has crashed as many upstreams as prove it, or is
+ * refused before: an instance also counts crashes that came while the request
+ * was on its way to the upstream. */
+static bool
+is_proven (const fixture_t *fixture, int request)
 {
-  return find_proof_us (fixture, request) + (int64_t)CONTACT_MS * 1000;
+  return crash_check_proof_us (&fixture->check, request) > 0
+         || crash_check_tally (&fixture->check, fixture->series[request], 0)
+                    .quarantined
+                > 0;
 }
 
-/** Waits until each crashing request has crashed as many upstreams as prove
- * it. */
-static void
+/** Runs the case until each crashing request is proven; returns whether that
+ * came to pass. */
+static bool
 wait_for_proofs (fixture_t *fixture)
 {
   int64_t end_us
       = g_get_monotonic_time () + (int64_t)CLUSTER_WAIT_TIMEOUT_MS * 1000;
 
   for (int i = 0; i < fixture->test->crashing_count; i++)
-    while (find_proof_us (fixture, i) == 0)
+    while (!is_proven (fixture, i))
       {
-        g_assert_cmpint (g_get_monotonic_time (), <, end_us);
+        if (g_get_monotonic_time () > end_us)
+          return false;
         step (fixture);
       }
-}
-
-/** Returns whether the entry instance that sent a run has run for CONTACT_MS:
- * it takes this time at most to learn what the others know. */
-static bool
-is_from_settled_entry (const fixture_t *fixture, const crash_event_t *run)
-{
-  int entry = crash_callers_entry_of (run->id);
-
-  for (int i = 0; i < fixture->kill_count; i++)
-    {
-      const kill_t *record = &fixture->kills[i];
-      int64_t settled_us = record->ready_us + (int64_t)CONTACT_MS * 1000;
-
-      if (record->entry == entry && run->time_us >= record->killed_us
-          && run->time_us < settled_us)
-        return false;
-    }
   return true;
 }
 
-/** Counts the runs of a request that began too late. */
-static int
-count_late_runs (fixture_t *fixture, int request)
-{
-  GArray *runs = crash_upstreams_runs (fixture->upstreams);
-  int64_t bound_us = find_bound_us (fixture, request);
-  int all = 0;
-  int after_bound = 0;
-  int late = 0;
-
-  for (guint i = 0; i < runs->len; i++)
-    {
-      const crash_event_t *run = &g_array_index (runs, crash_event_t, i);
-
-      if (run->request != request)
-        continue;
-      all++;
-      after_bound += run->time_us > bound_us;
-      late += run->time_us > bound_us && is_from_settled_entry (fixture, run);
-    }
-  g_printerr ("# request %d: %d runs, %d after the third crash and %d ms, %d "
-              "of them by settled instances (at most %d)\n",
-              request, all, after_bound, CONTACT_MS, late, MAX_LATE_RUNS);
-  g_array_unref (runs);
-  return late;
-}
-
-/** Returns whether the entry instance of a call was killed meanwhile. */
-static bool
-is_cut_by_kill (const fixture_t *fixture, const crash_call_t *call)
-{
-  for (int i = 0; i < fixture->kill_count; i++)
-    if (fixture->kills[i].entry == call->entry
-        && fixture->kills[i].killed_us >= call->begun_us
-        && fixture->kills[i].killed_us <= call->ended_us)
-      return true;
-  return false;
-}
-
-static bool
-has_run (const GArray *runs, const char *id)
-{
-  for (guint i = 0; i < runs->len; i++)
-    if (strcmp (g_array_index (runs, crash_event_t, i).id, id) == 0)
-      return true;
-  return false;
-}
-
-/** Counts the calls of the sound series, or of all others, that began after a
- * time. */
-static tally_t
-tally_calls (const fixture_t *fixture, bool is_sound, int64_t from_us)
-{
-  const GArray *calls = crash_callers_calls (fixture->callers);
-  GArray *runs = crash_upstreams_runs (fixture->upstreams);
-  tally_t tally = { 0 };
-
-  for (guint i = 0; i < calls->len; i++)
-    {
-      const crash_call_t *call = &g_array_index (calls, crash_call_t, i);
-
-      if ((call->series == fixture->sound_series) != is_sound
-          || call->begun_us < from_us || is_cut_by_kill (fixture, call))
-        continue;
-      tally.sent++;
-      tally.served += call->is_served;
-      tally.quarantined += call->is_quarantined;
-      tally.false_refusals
-          += call->is_quarantined
-             && (!call->has_retry_after || has_run (runs, call->id));
-    }
-  g_array_unref (runs);
-  return tally;
-}
-
 static void
 tear_down (fixture_t *fixture)
 {
   for (int i = 0; i < ENTRIES; i++)
     process_signal (fixture->nodes->process[NODES_ENTRY + i], SIGKILL);
-  crash_callers_free (fixture->callers);
-  crash_upstreams_free (fixture->upstreams);
+  crash_callers_free (fixture->check.callers);
+  crash_upstreams_free (fixture->check.upstreams);
   nodes_free (fixture->nodes);
   g_free (fixture);
 }
 
-/** Returns the time from which sound requests have to be served. */
-static int64_t
-find_last_bound_us (fixture_t *fixture)
+/** Returns what was told to the callers of crashing requests. */
+static crash_tally_t
+tally_crashing (const fixture_t *fixture)
 {
-  int64_t last_us = 0;
+  crash_tally_t sum = { 0 };
 
   for (int i = 0; i < fixture->test->crashing_count; i++)
-    last_us = MAX (last_us, find_bound_us (fixture, i));
-  return last_us;
+    {
+      crash_tally_t tally
+          = crash_check_tally (&fixture->check, fixture->series[i], 0);
+
+      sum.sent += tally.sent;
+      sum.quarantined += tally.quarantined;
+      sum.false_refusals += tally.false_refusals;
+    }
+  return sum;
 }
 
-/** Checks what came after the third crash of each crashing request, and frees
- * the fixture. */
+/** Checks the results of a case, and frees the fixture.
+ * @param from_us time from which sound requests have to be served */
 static void
-check_and_tear_down (fixture_t *fixture)
+check_and_tear_down (fixture_t *fixture, int64_t from_us)
 {
   int count = fixture->test->crashing_count;
-  int late[CRASH_UPSTREAMS_MAX] = { 0 };
-  tally_t sound = tally_calls (fixture, true, find_last_bound_us (fixture));
-  tally_t crashing = tally_calls (fixture, false, 0);
+  int late[CRASH_REQUESTS_MAX] = { 0 };
+  crash_tally_t sound
+      = crash_check_tally (&fixture->check, fixture->sound_series, from_us);
+  crash_tally_t crashing = tally_crashing (fixture);
 
   for (int i = 0; i < count; i++)
-    late[i] = count_late_runs (fixture, i);
+    late[i] = crash_check_late_runs (&fixture->check, i);
   g_printerr ("# sound: %d of %d served (at least %d of 100), %d refused as "
               "quarantined; crashing: %d of %d refused so, %d falsely\n",
               sound.served, sound.sent, MIN_SERVED_PERCENT, sound.quarantined,
@@ -368,7 +245,7 @@
   tear_down (fixture);
   g_assert_cmpint (crashing.false_refusals, ==, 0);
   for (int i = 0; i < count; i++)
-    g_assert_cmpint (late[i], <=, MAX_LATE_RUNS);
+    g_assert_cmpint (late[i], <=, CRASH_CHECK_MAX_LATE);
   g_assert_cmpint (sound.sent, >, 0);
   g_assert_cmpint (sound.served * 100, >=, sound.sent * MIN_SERVED_PERCENT);
 }
@@ -377,13 +254,18 @@
 run_case (const case_t *test)
 {
   fixture_t *fixture = set_up (test);
+  bool is_each_proven;
+  int64_t from_us;
 
   begin_sound (fixture);
   begin_crashing (fixture);
-  wait_for_proofs (fixture);
-  run_for (fixture, CONTACT_MS + OBSERVE_MS);
-  crash_callers_finish (fixture->callers);
-  check_and_tear_down (fixture);
+  is_each_proven = wait_for_proofs (fixture);
+  run_for (fixture, CRASH_CHECK_CONTACT_MS);
+  from_us = g_get_monotonic_time ();
+  run_for (fixture, OBSERVE_MS);
+  crash_callers_finish (fixture->check.callers);
+  check_and_tear_down (fixture, from_us);
+  g_assert_true (is_each_proven);
 }
 
 /** Runs a case with one crashing GET beside sound requests of other paths, of
@@ -514,11 +396,11 @@
 static void
 expect_not_refused (fixture_t *fixture, int min_cut_runs)
 {
-  int cut_runs = crash_upstreams_cut_runs (fixture->upstreams);
-  tally_t sound;
+  int cut_runs = crash_upstreams_cut_runs (fixture->check.upstreams);
+  crash_tally_t sound;
 
-  crash_callers_finish (fixture->callers);
-  sound = tally_calls (fixture, true, 0);
+  crash_callers_finish (fixture->check.callers);
+  sound = crash_check_tally (&fixture->check, fixture->sound_series, 0);
   g_printerr ("# sound: %d of %d served, %d refused as quarantined; %d runs "
               "were cut\n",
               sound.served, sound.sent, sound.quarantined, cut_runs);
@@ -534,10 +416,10 @@
 {
   run_for (fixture, EARLIER_MS);
   for (int i = 0; i < count; i++)
-    crash_upstreams_leave (fixture->upstreams, i);
+    crash_upstreams_leave (fixture->check.upstreams, i);
   run_for (fixture, LEAVE_MS);
   for (int i = 0; i < count; i++)
-    crash_upstreams_close (fixture->upstreams, i);
+    crash_upstreams_close (fixture->check.upstreams, i);
   run_for (fixture, RESTART_MS + EARLIER_MS);
 }
 
@@ -555,7 +437,7 @@
   begin_sound (fixture);
   replace_upstreams (fixture, UPSTREAMS - ZONES);
   replace_upstreams (fixture, UPSTREAMS);
-  expect_not_refused (fixture, 2 * CRASHES_TO_BLOCK);
+  expect_not_refused (fixture, 2 * CRASH_CHECK_PROOF);
 }
 
 /* Guards against: crashes of one upstream for reasons of its own being held
@@ -564,7 +446,7 @@
 test_own_crashes (void)
 {
   static const crash_request_t sound
-      = { .method = "GET", .path = "/safe/1500/sound", .key = "key-a" };
+      = { .method = "GET", .path = "/safe/4000/sound", .key = "key-a" };
   case_t test = { .sound = &sound, .sound_count = 1, .sound_every_ms = 100 };
   fixture_t *fixture = set_up (&test);
 
@@ -572,10 +454,10 @@
   for (int i = 0; i < OWN_CRASHES; i++)
     {
       run_for (fixture, RESTART_MS + BETWEEN_MS);
-      crash_upstreams_crash (fixture->upstreams, 0);
+      crash_upstreams_crash (fixture->check.upstreams, 0);
     }
   run_for (fixture, BETWEEN_MS);
-  expect_not_refused (fixture, CRASHES_TO_BLOCK);
+  expect_not_refused (fixture, CRASH_CHECK_PROOF);
 }
 
 int
