placer-ranking: keep updates for usable instances though many others are lost

An entry instance tries at most four others of a zone before the first usable one, lost ones included, which it never forgets. Once many instances had been replaced, a sound one that came after the lost ones in the order got no updates: its zone then has no placer that knows the jobs.

Usable instances do not count within the four any more, and lost ones, which are tried each eighth second, have four places of their own. /placer-ranking/ many-lost: an instance that starts beside 240 lost ones got an update in 0 of 60 seconds before, and gets one in each now, in its own zone and from another.

--- a/placer-ranking.c
+++ b/placer-ranking.c
@@ -167,14 +167,38 @@
          && peer->acked_ms + PLACER_RANKING_ACK_TIMEOUT_MS > now_ms;
 }
 
+static bool
+is_lost (const placer_peer_t *peer, uint64_t now_ms)
+{
+  return MAX (peer->acked_ms, peer->added_ms) + LOST_MS <= now_ms;
+}
+
 /** Returns whether an instance gets updates now, usable or not. */
 static bool
 is_tried (const placer_peer_t *peer, uint64_t now_ms)
 {
-  return MAX (peer->acked_ms, peer->added_ms) + LOST_MS > now_ms
+  return !is_lost (peer, now_ms)
          || (now_ms / LOST_TRY_UNIT_MS + peer->rank) % LOST_TRY_UNITS == 0;
 }
 
+/** Counts the instances of a zone that are not usable and get updates. Lost
+ * ones may be many, so they take no place of others. */
+typedef struct
+{
+  uint32_t lost;
+  uint32_t others;
+} target_count_t;
+
+/** Takes one of the places for instances that are not usable; returns whether
+ * one was left. */
+static bool
+take_place (target_count_t *count, const placer_peer_t *peer, uint64_t now_ms)
+{
+  uint32_t *taken = is_lost (peer, now_ms) ? &count->lost : &count->others;
+
+  return (*taken)++ < MAX_ZONE_TARGETS;
+}
+
 placer_peer_t *
 placer_ranking_placer (const placer_ranking_t *ranking,
                        const placer_peer_t *skipped,
@@ -204,19 +228,19 @@
                             GPtrArray *peers)
 {
   uint32_t usable = 0;
-  uint32_t count = 0;
+  target_count_t count = { 0 };
 
-  for (guint i = 0; i < ranking->peers->len; i++)
+  for (guint i = 0; i < ranking->peers->len && usable < OWN_ZONE_TARGETS; i++)
     {
       placer_peer_t *peer = g_ptr_array_index (ranking->peers, i);
 
       if (!placer_ranking_is_own_zone (ranking, peer)
           || !is_tried (peer, now_ms))
         continue;
-      if (usable >= OWN_ZONE_TARGETS || count >= MAX_ZONE_TARGETS)
-        break;
-      usable += is_usable (peer, now_ms);
-      count++;
+      if (is_usable (peer, now_ms))
+        usable++;
+      else if (!take_place (&count, peer, now_ms))
+        continue;
       g_ptr_array_add (peers, peer);
     }
 }
@@ -228,7 +252,7 @@
 {
   const char *zone = "";
   bool has_usable = false;
-  uint32_t count = 0;
+  target_count_t count = { 0 };
 
   for (guint i = 0; i < ranking->peers->len; i++)
     {
@@ -242,13 +266,15 @@
         {
           zone = peer->zone;
           has_usable = false;
-          count = 0;
+          count = (target_count_t){ 0 };
         }
       if (!is_acting && !is_tried (peer, now_ms))
         continue;
-      if (is_acting || (!has_usable && count < MAX_ZONE_TARGETS))
+      if (is_acting
+          || (!has_usable
+              && (is_usable (peer, now_ms)
+                  || take_place (&count, peer, now_ms))))
         g_ptr_array_add (peers, peer);
-      count++;
       has_usable = has_usable || is_usable (peer, now_ms);
     }
 }
--- a/t/t8071-placer-ranking.c
+++ b/t/t8071-placer-ranking.c
@@ -243,6 +243,64 @@
   talloc_free (view);
 }
 
+/** Returns in how many of the seconds from @a now_ms on an instance that
+ * answers each update gets one. */
+static uint32_t
+count_targeted (placer_ranking_t *ranking,
+                placer_peer_t *live,
+                uint64_t now_ms,
+                uint32_t seconds)
+{
+  uint32_t targeted = 0;
+
+  for (uint32_t i = 0; i < seconds; i++, now_ms += UPDATE_MS)
+    {
+      GPtrArray *targets = g_ptr_array_new ();
+
+      if (placer_ranking_is_own_zone (ranking, live))
+        placer_ranking_own_targets (ranking, now_ms, targets);
+      else
+        placer_ranking_zone_targets (ranking, now_ms, targets);
+      if (g_ptr_array_find (targets, live, NULL))
+        {
+          targeted++;
+          placer_ranking_on_ack (live, true, QUICK_MS, now_ms + QUICK_MS);
+        }
+      g_ptr_array_free (targets, TRUE);
+    }
+  return targeted;
+}
+
+/* Guards against: a usable instance that gets no updates because many others of
+ * its zone were lost for good before it started (CONFIG, issue 58). */
+static void
+test_many_lost (void)
+{
+  static const char *const zones[] = { "a", "b" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (zones); i++)
+    {
+      placer_ranking_t *ranking
+          = placer_ranking_new (NULL, "10.9.9.9:7340", "a");
+      uint32_t seconds = 60;
+
+      for (uint32_t j = 0; j < 4 * INSTANCES; j++)
+        {
+          char address[32];
+
+          write_address (j, address);
+          placer_ranking_add (ranking, address, zones[i], 0);
+        }
+      placer_ranking_add (ranking, "10.8.8.8:7340", zones[i], NOW_MS);
+      g_assert_cmpuint (
+          count_targeted (ranking,
+                          placer_ranking_find (ranking, "10.8.8.8:7340"),
+                          NOW_MS + UPDATE_MS, seconds),
+          ==, seconds);
+      talloc_free (ranking);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -255,5 +313,6 @@
   g_test_add_func ("/placer-ranking/few-receivers", test_few_receivers);
   g_test_add_func ("/placer-ranking/lost-for-good", test_lost_for_good);
   g_test_add_func ("/placer-ranking/other-zones", test_other_zones);
+  g_test_add_func ("/placer-ranking/many-lost", test_many_lost);
   return g_test_run ();
 }
