quarantine: keep evidence against whole requests

A request without shared parts, or whose parts are sound, was not recognized when it crashed upstream after upstream.

The quarantine now also keeps evidence by the signature of a request, in a table of its own of 256 entries: suspect after two crashes, blocked after three, for 60 s at first and twice as long with each renewal, 10 minutes at most. quarantine_add_success() withdraws it. Evidence is kept for 30 minutes, so that a caller that sends a request seldom does not get three crashes again. Jobs, placement requests and acknowledgements carry signatures. Nothing sets a signature yet.

--- a/load-batch.c
+++ b/load-batch.c
@@ -48,6 +48,7 @@
   message->has_reservation = job->has_reservation;
   message->parts = (uint64_t *)job->parts.ids;
   message->n_parts = job->parts.count;
+  message->signature = job->parts.request;
   message->begun_ago_ms = (uint32_t)(now_ms - job->begun_ms);
   message->target_ms = (uint32_t)(job->due_ms - job->begun_ms);
   message->sent_ago_ms = (uint32_t)(now_ms - job->sent_ms);
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -69,6 +69,7 @@
   job.parts.count = (uint32_t)MIN (message->n_parts, PROMPT_MAX_PARTS);
   for (uint32_t i = 0; i < job.parts.count; i++)
     job.parts.ids[i] = message->parts[i];
+  job.parts.request = message->signature;
   job.value = upstream_job_value (job.prompt_tokens, job.answer_tokens);
   job.sent_ms = now_ms - message->sent_ago_ms;
   job.begun_ms = now_ms - message->begun_ago_ms;
--- a/placement-message.c
+++ b/placement-message.c
@@ -36,6 +36,7 @@
   message->n_avoid = request->avoid_count;
   message->parts = (uint64_t *)request->parts.ids;
   message->n_parts = request->parts.count;
+  message->signature = request->parts.request;
   message->is_move = request->is_move;
   message->silent_ms = request->silent_ms;
   message->current = (uint64_t *)request->current;
@@ -65,6 +66,7 @@
     .deadline_ms = now_ms + MIN (message->left_ms, MAX_TIME_MS),
     .avoid_count = (uint32_t)message->n_avoid,
     .parts.count = (uint32_t)message->n_parts,
+    .parts.request = message->signature,
     .is_move = message->is_move,
     .silent_ms = message->silent_ms,
     .current_count = (uint32_t)message->n_current,
--- a/placer.c
+++ b/placer.c
@@ -105,6 +105,7 @@
       job->upstream = answer->helpers[i];
       job->is_part = true;
       job->parts.count = 0;
+      job->parts.request = 0;
       job->answer_tokens = 0;
       job->has_reservation = i < answer->memory_count;
       job->kv_tokens = job->has_reservation ? answer->memory_tokens[i] : 0;
--- /dev/null
+++ b/quarantine-evidence.c
@@ -0,0 +1,207 @@
+#include "quarantine-internal.h"
+
+/** Time for which a part stays blocked after its last crash. */
+#define PART_BLOCKED_MS (10u * 60 * 1000)
+/** The same for a request at first; it doubles with each renewal. */
+#define REQUEST_BLOCKED_MS (60u * 1000)
+/** Reports of different instances may arrive in another order than they were
+ * made; an answer of an upstream shows that it has not crashed only when it
+ * comes later than this after the report. */
+#define REORDER_MS 1000
+
+static const guint max_suspects[SUSPECT_KIND_COUNT]
+    = { [SUSPECT_PART] = 128, [SUSPECT_REQUEST] = 256 };
+
+static suspect_kind_t
+kind_of (const quarantine_suspect_t *suspect)
+{
+  return suspect->is_request ? SUSPECT_REQUEST : SUSPECT_PART;
+}
+
+quarantine_suspect_t *
+quarantine_find (const quarantine_t *quarantine,
+                 suspect_kind_t kind,
+                 uint64_t id)
+{
+  const GPtrArray *suspects = quarantine->suspects[kind];
+
+  for (guint i = 0; i < suspects->len; i++)
+    {
+      quarantine_suspect_t *suspect = g_ptr_array_index (suspects, i);
+
+      if (suspect->part == id)
+        return suspect;
+    }
+  return NULL;
+}
+
+/** Returns the index of the suspect with the least evidence. */
+static guint
+find_weakest (const GPtrArray *suspects)
+{
+  guint weakest = 0;
+
+  for (guint i = 1; i < suspects->len; i++)
+    {
+      const quarantine_suspect_t *one = g_ptr_array_index (suspects, i);
+      const quarantine_suspect_t *other = g_ptr_array_index (suspects, weakest);
+
+      if (one->crash_count < other->crash_count
+          || (one->crash_count == other->crash_count
+              && one->last_ms < other->last_ms))
+        weakest = i;
+    }
+  return weakest;
+}
+
+quarantine_suspect_t *
+quarantine_find_or_add (quarantine_t *quarantine,
+                        suspect_kind_t kind,
+                        uint64_t id)
+{
+  GPtrArray *suspects = quarantine->suspects[kind];
+  quarantine_suspect_t *suspect = quarantine_find (quarantine, kind, id);
+
+  if (suspect != NULL)
+    return suspect;
+  if (suspects->len >= max_suspects[kind])
+    g_ptr_array_remove_index_fast (suspects, find_weakest (suspects));
+  suspect = g_new0 (quarantine_suspect_t, 1);
+  suspect->part = id;
+  suspect->is_request = kind == SUSPECT_REQUEST;
+  g_ptr_array_add (suspects, suspect);
+  return suspect;
+}
+
+bool
+quarantine_is_full_of_worse (const quarantine_t *quarantine,
+                             suspect_kind_t kind,
+                             uint32_t crash_count)
+{
+  const GPtrArray *suspects = quarantine->suspects[kind];
+  const quarantine_suspect_t *weakest;
+
+  if (suspects->len < max_suspects[kind])
+    return false;
+  weakest = g_ptr_array_index (suspects, find_weakest (suspects));
+  return weakest->crash_count > crash_count;
+}
+
+void
+quarantine_remove (quarantine_t *quarantine, quarantine_suspect_t *suspect)
+{
+  g_ptr_array_remove_fast (quarantine->suspects[kind_of (suspect)], suspect);
+}
+
+static bool
+has_crash (const quarantine_suspect_t *suspect, uint64_t upstream)
+{
+  for (uint32_t i = 0; i < suspect->crash_count; i++)
+    if (suspect->crashes[i] == upstream)
+      return true;
+  return false;
+}
+
+/** Sets for how long a request is blocked by a crash, before that is counted.
+ * Further crashes while it is blocked are those of runs that had begun. */
+static void
+renew_block (quarantine_suspect_t *suspect, uint64_t crashed_ms)
+{
+  if (!suspect->is_request || suspect->crash_count + 1 < BLOCKED_CRASHES)
+    return;
+  if (suspect->blocked_ms == 0)
+    suspect->blocked_ms = REQUEST_BLOCKED_MS;
+  else if (crashed_ms >= suspect->last_ms + suspect->blocked_ms)
+    suspect->blocked_ms
+        = MIN (2 * suspect->blocked_ms, QUARANTINE_MAX_BLOCKED_MS);
+}
+
+bool
+quarantine_record (quarantine_suspect_t *suspect,
+                   uint64_t upstream,
+                   uint64_t crashed_ms)
+{
+  if (has_crash (suspect, upstream))
+    return false;
+  renew_block (suspect, crashed_ms);
+  suspect->last_ms = MAX (suspect->last_ms, crashed_ms);
+  if (suspect->crash_count == QUARANTINE_MAX_CRASHES)
+    return false;
+  suspect->crashes[suspect->crash_count] = upstream;
+  suspect->crashed_ms[suspect->crash_count++] = crashed_ms;
+  return true;
+}
+
+void
+quarantine_disprove (quarantine_suspect_t *suspect,
+                     uint64_t upstream,
+                     uint64_t now_ms)
+{
+  for (uint32_t i = 0; i < suspect->crash_count; i++)
+    if (suspect->crashes[i] == upstream
+        && suspect->crashed_ms[i] + REORDER_MS < now_ms)
+      {
+        uint32_t last = --suspect->crash_count;
+
+        suspect->crashes[i] = suspect->crashes[last];
+        suspect->crashed_ms[i] = suspect->crashed_ms[last];
+        return;
+      }
+}
+
+/** Returns whether @a other was there at all crashes of @a suspect and is the
+ * more likely cause: it was at further ones, or only @a suspect has proved
+ * sound before, or it is the whole request and @a suspect a part. */
+static bool
+is_explained_by (const quarantine_suspect_t *suspect,
+                 const quarantine_suspect_t *other)
+{
+  if (other == suspect || other->was_proven > suspect->was_proven)
+    return false;
+  for (uint32_t i = 0; i < suspect->crash_count; i++)
+    if (!has_crash (other, suspect->crashes[i]))
+      return false;
+  return other->crash_count > suspect->crash_count
+         || (other->is_request && !suspect->is_request)
+         || (suspect->was_proven && !other->was_proven);
+}
+
+static bool
+is_bystander (const quarantine_t *quarantine,
+              const quarantine_suspect_t *suspect)
+{
+  for (int kind = 0; kind < SUSPECT_KIND_COUNT; kind++)
+    {
+      const GPtrArray *others = quarantine->suspects[kind];
+
+      for (guint i = 0; i < others->len; i++)
+        if (is_explained_by (suspect, g_ptr_array_index (others, i)))
+          return true;
+    }
+  return false;
+}
+
+uint64_t
+quarantine_blocked_until (const quarantine_suspect_t *suspect)
+{
+  return suspect->last_ms
+         + (suspect->is_request ? suspect->blocked_ms : PART_BLOCKED_MS);
+}
+
+quarantine_level_t
+quarantine_suspect_level (const quarantine_t *quarantine,
+                          const quarantine_suspect_t *suspect)
+{
+  uint32_t factor = suspect->was_proven ? PROVEN_FACTOR : 1;
+
+  if (suspect->crash_count < SUSPECT_CRASHES * factor
+      || is_bystander (quarantine, suspect))
+    return QUARANTINE_CLEAR;
+  if (suspect->crash_count < BLOCKED_CRASHES * factor)
+    return QUARANTINE_SUSPECT;
+  /* A part is set back to suspect when its time is over. */
+  if (suspect->is_request
+      && quarantine->now_ms >= quarantine_blocked_until (suspect))
+    return QUARANTINE_SUSPECT;
+  return QUARANTINE_BLOCKED;
+}
--- /dev/null
+++ b/quarantine-internal.h
@@ -0,0 +1,80 @@
+/**
+ * @file quarantine-internal.h
+ * Shared by quarantine.c (evidence that is added, withdrawn and exchanged) and
+ * quarantine-evidence.c (the tables of suspects, and what the evidence means).
+ * No other file includes this header.
+ */
+#ifndef QUARANTINE_INTERNAL_H
+#define QUARANTINE_INTERNAL_H
+
+#include <glib.h>
+
+#include "quarantine.h"
+
+/** Crashes without an answer in between after which a part or a request is
+ * suspect, and blocked. */
+#define SUSPECT_CRASHES 2
+#define BLOCKED_CRASHES 3
+/** Factor on these numbers for a part on which answers began before. */
+#define PROVEN_FACTOR 2
+
+/** What suspects are, and the index of their table. */
+typedef enum
+{
+  SUSPECT_PART,
+  SUSPECT_REQUEST,
+  SUSPECT_KIND_COUNT,
+} suspect_kind_t;
+
+struct quarantine
+{
+  GPtrArray *suspects[SUSPECT_KIND_COUNT]; /* quarantine_suspect_t */
+  GHashTable *proven;                      /* part -> proven_t */
+  GQueue proven_order;      /* proven_t, the one added first at the head */
+  GArray *cleared;          /* proven_t of parts that were suspects */
+  GArray *cleared_requests; /* proven_t of requests that were suspects */
+  uint64_t now_ms;          /* latest time that a caller has stated */
+  metric_t *crashes;
+  metric_t *blocked;
+  metric_t *blocked_requests;
+  metric_t *cleared_total;
+};
+
+/** Returns the evidence against a part or a request, or NULL. */
+quarantine_suspect_t *quarantine_find (const quarantine_t *quarantine,
+                                       suspect_kind_t kind,
+                                       uint64_t id);
+
+/** Returns the evidence against a part or a request. A new entry, without a
+ * crash, takes the place of the one with the least evidence in a full table. */
+quarantine_suspect_t *quarantine_find_or_add (quarantine_t *quarantine,
+                                              suspect_kind_t kind,
+                                              uint64_t id);
+
+/** Returns whether a table is full of entries with more crashes than this. */
+bool quarantine_is_full_of_worse (const quarantine_t *quarantine,
+                                  suspect_kind_t kind,
+                                  uint32_t crash_count);
+
+void quarantine_remove (quarantine_t *quarantine,
+                        quarantine_suspect_t *suspect);
+
+/** Adds a crash to the evidence. Returns whether it is new. */
+bool quarantine_record (quarantine_suspect_t *suspect,
+                        uint64_t upstream,
+                        uint64_t crashed_ms);
+
+/** Removes a crash that an answer of the same incarnation has disproved. */
+void quarantine_disprove (quarantine_suspect_t *suspect,
+                          uint64_t upstream,
+                          uint64_t now_ms);
+
+/** Returns the level of one suspect at quarantine->now_ms. */
+quarantine_level_t
+quarantine_suspect_level (const quarantine_t *quarantine,
+                          const quarantine_suspect_t *suspect);
+
+/** Returns when a blocked suspect may be tried again. */
+uint64_t quarantine_blocked_until (const quarantine_suspect_t *suspect);
+
+#endif
--- a/quarantine.c
+++ b/quarantine.c
@@ -1,6 +1,5 @@
-#include "quarantine.h"
+#include "quarantine-internal.h"
 
-#include <glib.h>
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
@@ -8,53 +7,37 @@
 #define LOG_PART "quarantine"
 #include "logging.h"
 
-/** Crashes without an answer in between after which a part is suspect, and
- * blocked. */
-#define SUSPECT_CRASHES 2
-#define BLOCKED_CRASHES 3
-/** Factor on these numbers for a part on which answers began before. */
-#define PROVEN_FACTOR 2
 /** Time for which an answer counts as such. */
 #define PROVEN_MS (60u * 1000)
-/** Time after the last crash for which evidence is kept, and for which a part
- * stays blocked. */
+/** Time after the last crash for which evidence against a part is kept. */
 #define SUSPECT_MS (2u * 60 * 1000)
-#define BLOCKED_MS (10u * 60 * 1000)
-/** Reports of different instances may arrive in another order than they were
- * made; an answer of an upstream shows that it has not crashed only when it
- * comes later than this after the report. */
-#define REORDER_MS 1000
+/** The same for a request. A caller that sends it seldom must not get three
+ * crashes again, nor the shortest time of a block. */
+#define REQUEST_KEPT_MS (30u * 60 * 1000)
 /** Time for which other instances are told that a part was cleared. */
-#define CLEARED_MS   5000
-#define MAX_SUSPECTS 128
-#define MAX_PROVEN   2048
-#define MAX_CLEARED  64
+#define CLEARED_MS  5000
+#define MAX_PROVEN  2048
+#define MAX_CLEARED 64
+/** Requests of which it is kept that they were answered after a crash. */
+#define MAX_CLEARED_REQUESTS 256
 
-/** A part on which an answer began. */
+/** A part on which an answer began, or a request that was answered in full. */
 typedef struct
 {
   uint64_t part;
   uint64_t answered_ms;
+  bool is_told; /* other instances may hold evidence of several crashes */
 } proven_t;
 
-struct quarantine
-{
-  GPtrArray *suspects; /* quarantine_suspect_t */
-  GHashTable *proven;  /* part -> proven_t */
-  GQueue proven_order; /* proven_t, the one added first at the head */
-  GArray *cleared;     /* proven_t that were suspects */
-  metric_t *crashes;
-  metric_t *blocked;
-  metric_t *cleared_total;
-};
-
 static int
 free_quarantine (quarantine_t *quarantine)
 {
-  g_ptr_array_free (quarantine->suspects, TRUE);
+  for (int kind = 0; kind < SUSPECT_KIND_COUNT; kind++)
+    g_ptr_array_free (quarantine->suspects[kind], TRUE);
   g_queue_clear (&quarantine->proven_order);
   g_hash_table_destroy (quarantine->proven);
   g_array_free (quarantine->cleared, TRUE);
+  g_array_free (quarantine->cleared_requests, TRUE);
   return 0;
 }
 
@@ -63,7 +46,15 @@
 {
   const quarantine_t *quarantine = context;
 
-  return quarantine->suspects->len;
+  return quarantine->suspects[SUSPECT_PART]->len;
+}
+
+static double
+read_suspect_requests (void *context)
+{
+  const quarantine_t *quarantine = context;
+
+  return quarantine->suspects[SUSPECT_REQUEST]->len;
 }
 
 quarantine_t *
@@ -71,26 +62,34 @@
 {
   quarantine_t *quarantine = talloc_zero (parent, quarantine_t);
 
-  quarantine->suspects = g_ptr_array_new_with_free_func (g_free);
+  for (int kind = 0; kind < SUSPECT_KIND_COUNT; kind++)
+    quarantine->suspects[kind] = g_ptr_array_new_with_free_func (g_free);
   quarantine->proven
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   g_queue_init (&quarantine->proven_order);
   quarantine->cleared = g_array_new (FALSE, FALSE, sizeof (proven_t));
+  quarantine->cleared_requests = g_array_new (FALSE, FALSE, sizeof (proven_t));
   talloc_set_destructor (quarantine, free_quarantine);
   if (metrics == NULL)
     return quarantine;
   quarantine->crashes = metrics_counter (
       metrics, "lwm_quarantine_crashes_total",
-      "Crashes of upstreams before an answer to a request began.", NULL);
+      "Crashes of upstreams before an answer to a request was complete.", NULL);
   quarantine->blocked
       = metrics_counter (metrics, "lwm_quarantine_blocked_total",
                          "Parts of prompts that were quarantined.", NULL);
+  quarantine->blocked_requests
+      = metrics_counter (metrics, "lwm_quarantine_blocked_requests_total",
+                         "Requests that were quarantined as a whole.", NULL);
   quarantine->cleared_total
       = metrics_counter (metrics, "lwm_quarantine_cleared_total",
                          "Suspect parts on which an answer began.", NULL);
   metrics_gauge_read (metrics, "lwm_quarantine_suspects",
                       "Parts of prompts with evidence against them.", NULL,
                       read_suspects, quarantine);
+  metrics_gauge_read (metrics, "lwm_quarantine_suspect_requests",
+                      "Requests with evidence against them as a whole.", NULL,
+                      read_suspect_requests, quarantine);
   return quarantine;
 }
 
@@ -101,18 +100,11 @@
     metric_add (metric, 1);
 }
 
-static quarantine_suspect_t *
-find_suspect (const quarantine_t *quarantine, uint64_t part)
+/** Times are not passed to the functions that only look things up. */
+static void
+update_time (quarantine_t *quarantine, uint64_t now_ms)
 {
-  for (guint i = 0; i < quarantine->suspects->len; i++)
-    {
-      quarantine_suspect_t *suspect
-          = g_ptr_array_index (quarantine->suspects, i);
-
-      if (suspect->part == part)
-        return suspect;
-    }
-  return NULL;
+  quarantine->now_ms = MAX (quarantine->now_ms, now_ms);
 }
 
 /** Returns whether an answer began on a part lately. */
@@ -147,157 +139,129 @@
   g_queue_push_tail (&quarantine->proven_order, proven);
 }
 
-/** Makes room for a suspect: removes the one with the least evidence. */
-static void
-remove_weakest_suspect (quarantine_t *quarantine)
-{
-  guint weakest = 0;
-
-  for (guint i = 1; i < quarantine->suspects->len; i++)
-    {
-      const quarantine_suspect_t *one
-          = g_ptr_array_index (quarantine->suspects, i);
-      const quarantine_suspect_t *other
-          = g_ptr_array_index (quarantine->suspects, weakest);
-
-      if (one->crash_count < other->crash_count
-          || (one->crash_count == other->crash_count
-              && one->last_ms < other->last_ms))
-        weakest = i;
-    }
-  g_ptr_array_remove_index_fast (quarantine->suspects, weakest);
-}
-
-static quarantine_suspect_t *
-find_or_add_suspect (quarantine_t *quarantine, uint64_t part, uint64_t now_ms)
-{
-  quarantine_suspect_t *suspect = find_suspect (quarantine, part);
-
-  if (suspect != NULL)
-    return suspect;
-  if (quarantine->suspects->len >= MAX_SUSPECTS)
-    remove_weakest_suspect (quarantine);
-  suspect = g_new0 (quarantine_suspect_t, 1);
-  suspect->part = part;
-  suspect->was_proven = is_proven (quarantine, part, now_ms);
-  g_ptr_array_add (quarantine->suspects, suspect);
-  return suspect;
-}
-
-static bool
-has_crash (const quarantine_suspect_t *suspect, uint64_t upstream)
-{
-  for (uint32_t i = 0; i < suspect->crash_count; i++)
-    if (suspect->crashes[i] == upstream)
-      return true;
-  return false;
-}
-
-/** Returns whether @a other was there at all crashes of @a suspect and is the
- * more likely cause: it was at further ones, or only @a suspect has proved
- * sound before. */
-static bool
-is_explained_by (const quarantine_suspect_t *suspect,
-                 const quarantine_suspect_t *other)
-{
-  if (other == suspect || other->was_proven > suspect->was_proven)
-    return false;
-  for (uint32_t i = 0; i < suspect->crash_count; i++)
-    if (!has_crash (other, suspect->crashes[i]))
-      return false;
-  return other->crash_count > suspect->crash_count
-         || (suspect->was_proven && !other->was_proven);
-}
-
-static bool
-is_bystander (const quarantine_t *quarantine,
-              const quarantine_suspect_t *suspect)
-{
-  for (guint i = 0; i < quarantine->suspects->len; i++)
-    if (is_explained_by (suspect, g_ptr_array_index (quarantine->suspects, i)))
-      return true;
-  return false;
-}
-
-static quarantine_level_t
-suspect_level (const quarantine_t *quarantine,
-               const quarantine_suspect_t *suspect)
-{
-  uint32_t factor = suspect->was_proven ? PROVEN_FACTOR : 1;
-
-  if (suspect->crash_count < SUSPECT_CRASHES * factor
-      || is_bystander (quarantine, suspect))
-    return QUARANTINE_CLEAR;
-  return suspect->crash_count >= BLOCKED_CRASHES * factor ? QUARANTINE_BLOCKED
-                                                          : QUARANTINE_SUSPECT;
-}
-
 quarantine_level_t
 quarantine_level (const quarantine_t *quarantine, const prompt_parts_t *parts)
 {
+  const quarantine_suspect_t *suspect
+      = quarantine_find (quarantine, SUSPECT_REQUEST, parts->request);
   quarantine_level_t worst = QUARANTINE_CLEAR;
 
-  if (quarantine->suspects->len == 0)
-    return worst;
+  if (suspect != NULL)
+    worst = quarantine_suspect_level (quarantine, suspect);
   for (uint32_t i = 0; i < parts->count; i++)
     {
-      const quarantine_suspect_t *suspect
-          = find_suspect (quarantine, parts->ids[i]);
-
+      suspect = quarantine_find (quarantine, SUSPECT_PART, parts->ids[i]);
       if (suspect != NULL)
-        worst = MAX (worst, suspect_level (quarantine, suspect));
+        worst = MAX (worst, quarantine_suspect_level (quarantine, suspect));
     }
   return worst;
 }
 
+/** Returns when a suspect may be tried again, or 0 if it may be now. */
+static uint64_t
+suspect_until (const quarantine_t *quarantine,
+               const quarantine_suspect_t *suspect)
+{
+  if (suspect == NULL
+      || quarantine_suspect_level (quarantine, suspect) != QUARANTINE_BLOCKED)
+    return 0;
+  return quarantine_blocked_until (suspect);
+}
+
 uint32_t
 quarantine_remaining_ms (const quarantine_t *quarantine,
                          const prompt_parts_t *parts,
                          uint64_t now_ms)
 {
-  uint64_t until_ms = now_ms;
+  const quarantine_suspect_t *suspect
+      = quarantine_find (quarantine, SUSPECT_REQUEST, parts->request);
+  uint64_t until_ms = MAX (now_ms, suspect_until (quarantine, suspect));
 
   for (uint32_t i = 0; i < parts->count; i++)
     {
-      const quarantine_suspect_t *suspect
-          = find_suspect (quarantine, parts->ids[i]);
-
-      if (suspect != NULL
-          && suspect_level (quarantine, suspect) == QUARANTINE_BLOCKED)
-        until_ms = MAX (until_ms, suspect->last_ms + BLOCKED_MS);
+      suspect = quarantine_find (quarantine, SUSPECT_PART, parts->ids[i]);
+      until_ms = MAX (until_ms, suspect_until (quarantine, suspect));
     }
   return (uint32_t)(until_ms - now_ms);
 }
 
-/** Adds a crash to the evidence against a part. Returns whether it is new. */
-static bool
-add_crash (quarantine_suspect_t *suspect,
-           uint64_t upstream,
-           uint64_t crashed_ms)
-{
-  if (has_crash (suspect, upstream))
-    return false;
-  suspect->last_ms = MAX (suspect->last_ms, crashed_ms);
-  if (suspect->crash_count == QUARANTINE_MAX_CRASHES)
-    return false;
-  suspect->crashes[suspect->crash_count] = upstream;
-  suspect->crashed_ms[suspect->crash_count++] = crashed_ms;
-  return true;
-}
-
+/** Logs that a suspect is blocked from now on. */
 static void
 log_if_blocked (quarantine_t *quarantine,
-                const quarantine_suspect_t *suspect,
+                quarantine_suspect_t *suspect,
                 quarantine_level_t before)
 {
+  uint64_t for_ms = quarantine_blocked_until (suspect) - suspect->last_ms;
+
   if (before == QUARANTINE_BLOCKED
-      || suspect_level (quarantine, suspect) != QUARANTINE_BLOCKED)
+      || quarantine_suspect_level (quarantine, suspect) != QUARANTINE_BLOCKED)
     return;
+  suspect->was_blocked = true;
+  if (suspect->is_request)
+    {
+      count (quarantine->blocked_requests);
+      log_warn ("Quarantined a request. request=%016" PRIx64
+                " crashes=%u for_ms=%ju",
+                suspect->part, suspect->crash_count, (uintmax_t)for_ms);
+      return;
+    }
   count (quarantine->blocked);
   log_warn ("Quarantined a part of prompts. part=%016" PRIx64
-            " crashes=%u was_proven=%d for_ms=%u",
+            " crashes=%u was_proven=%d for_ms=%ju",
             suspect->part, suspect->crash_count, suspect->was_proven,
-            BLOCKED_MS);
+            (uintmax_t)for_ms);
+}
+
+static void
+log_crash (const quarantine_suspect_t *suspect, uint64_t upstream)
+{
+  if (suspect->is_request)
+    log_info ("An upstream crashed on a request. upstream=%016" PRIx64
+              " request=%016" PRIx64 " crashes=%u",
+              upstream, suspect->part, suspect->crash_count);
+  else
+    log_info ("An upstream crashed on a request. upstream=%016" PRIx64
+              " part=%016" PRIx64 " crashes=%u was_proven=%d",
+              upstream, suspect->part, suspect->crash_count,
+              suspect->was_proven);
+}
+
+static quarantine_suspect_t *
+find_or_add (quarantine_t *quarantine,
+             suspect_kind_t kind,
+             uint64_t id,
+             uint64_t now_ms)
+{
+  quarantine_suspect_t *suspect = quarantine_find_or_add (quarantine, kind, id);
+
+  if (suspect->crash_count == 0 && kind == SUSPECT_PART)
+    suspect->was_proven = is_proven (quarantine, id, now_ms);
+  return suspect;
+}
+
+/** Records a crash on a part or a request.
+ * @param is_explained a blocked one explains it: the others are bystanders */
+static void
+add_crash (quarantine_t *quarantine,
+           suspect_kind_t kind,
+           uint64_t id,
+           uint64_t upstream,
+           bool is_explained)
+{
+  quarantine_suspect_t *suspect = quarantine_find (quarantine, kind, id);
+  quarantine_level_t before;
+
+  if (is_explained
+      && (suspect == NULL
+          || quarantine_suspect_level (quarantine, suspect)
+                 != QUARANTINE_BLOCKED))
+    return;
+  suspect = find_or_add (quarantine, kind, id, quarantine->now_ms);
+  before = quarantine_suspect_level (quarantine, suspect);
+  if (!quarantine_record (suspect, upstream, quarantine->now_ms))
+    return;
+  log_crash (suspect, upstream);
+  log_if_blocked (quarantine, suspect, before);
 }
 
 void
@@ -306,44 +270,35 @@
                       uint64_t upstream,
                       uint64_t now_ms)
 {
-  bool is_explained
-      = quarantine_level (quarantine, parts) == QUARANTINE_BLOCKED;
+  bool is_explained;
 
+  update_time (quarantine, now_ms);
+  is_explained = quarantine_level (quarantine, parts) == QUARANTINE_BLOCKED;
   count (quarantine->crashes);
+  /* The request comes first, as it may explain the crashes of its parts. */
+  if (parts->request != 0)
+    add_crash (quarantine, SUSPECT_REQUEST, parts->request, upstream,
+               is_explained);
   for (uint32_t i = 0; i < parts->count; i++)
-    {
-      quarantine_suspect_t *suspect = find_suspect (quarantine, parts->ids[i]);
-      quarantine_level_t before;
-
-      /* A blocked part explains the crash; the others are bystanders. */
-      if (is_explained
-          && (suspect == NULL
-              || suspect_level (quarantine, suspect) != QUARANTINE_BLOCKED))
-        continue;
-      suspect = find_or_add_suspect (quarantine, parts->ids[i], now_ms);
-      before = suspect_level (quarantine, suspect);
-      if (!add_crash (suspect, upstream, now_ms))
-        continue;
-      log_info ("An upstream crashed on a request. upstream=%016" PRIx64
-                " part=%016" PRIx64 " crashes=%u was_proven=%d",
-                upstream, suspect->part, suspect->crash_count,
-                suspect->was_proven);
-      log_if_blocked (quarantine, suspect, before);
-    }
+    add_crash (quarantine, SUSPECT_PART, parts->ids[i], upstream, is_explained);
 }
 
 static void
-remove_suspect (quarantine_t *quarantine, quarantine_suspect_t *suspect)
+add_cleared (GArray *cleared, guint max_count, const proven_t *added)
 {
-  g_ptr_array_remove_fast (quarantine->suspects, suspect);
+  if (cleared->len >= max_count)
+    g_array_remove_index (cleared, 0);
+  g_array_append_vals (cleared, added, 1);
 }
 
 /** Withdraws the evidence against a part, after an answer that began on it. */
 static void
 clear_part (quarantine_t *quarantine, uint64_t part, uint64_t answered_ms)
 {
-  quarantine_suspect_t *suspect = find_suspect (quarantine, part);
-  proven_t cleared = { .part = part, .answered_ms = answered_ms };
+  quarantine_suspect_t *suspect
+      = quarantine_find (quarantine, SUSPECT_PART, part);
+  proven_t cleared
+      = { .part = part, .answered_ms = answered_ms, .is_told = true };
 
   add_proven (quarantine, part, answered_ms);
   if (suspect == NULL || suspect->last_ms > answered_ms)
@@ -351,25 +306,75 @@
   count (quarantine->cleared_total);
   log_info ("A suspect part was answered. part=%016" PRIx64 " crashes=%u", part,
             suspect->crash_count);
-  remove_suspect (quarantine, suspect);
-  if (quarantine->cleared->len >= MAX_CLEARED)
-    g_array_remove_index (quarantine->cleared, 0);
-  g_array_append_val (quarantine->cleared, cleared);
+  quarantine_remove (quarantine, suspect);
+  add_cleared (quarantine->cleared, MAX_CLEARED, &cleared);
 }
 
-/** Removes a crash that an answer of the same incarnation has disproved. */
+/** Returns the latest answer to a request that crashed upstreams before, or
+ * NULL. */
+static proven_t *
+find_cleared_request (const quarantine_t *quarantine, uint64_t request)
+{
+  const GArray *cleared = quarantine->cleared_requests;
+
+  for (guint i = cleared->len; i-- > 0;)
+    if (g_array_index (cleared, proven_t, i).part == request)
+      return &g_array_index (cleared, proven_t, i);
+  return NULL;
+}
+
+/** Keeps that a request was answered, so that earlier evidence in a late report
+ * is not taken over. */
 static void
-remove_crash (quarantine_suspect_t *suspect, uint64_t upstream, uint64_t now_ms)
+add_cleared_request (quarantine_t *quarantine,
+                     uint64_t request,
+                     uint64_t answered_ms,
+                     bool is_told)
 {
-  for (uint32_t i = 0; i < suspect->crash_count; i++)
-    if (suspect->crashes[i] == upstream
-        && suspect->crashed_ms[i] + REORDER_MS < now_ms)
+  proven_t *known = find_cleared_request (quarantine, request);
+  proven_t cleared
+      = { .part = request, .answered_ms = answered_ms, .is_told = is_told };
+
+  if (known == NULL)
+    {
+      add_cleared (quarantine->cleared_requests, MAX_CLEARED_REQUESTS,
+                   &cleared);
+      return;
+    }
+  known->is_told = known->is_told || is_told;
+  known->answered_ms = MAX (known->answered_ms, answered_ms);
+}
+
+/** Withdraws the evidence against a request that was answered in full. */
+static void
+clear_request (quarantine_t *quarantine, uint64_t request, uint64_t answered_ms)
+{
+  quarantine_suspect_t *suspect
+      = quarantine_find (quarantine, SUSPECT_REQUEST, request);
+
+  if (suspect == NULL || suspect->last_ms > answered_ms)
+    return;
+  log_info ("A suspect request was answered. request=%016" PRIx64 " crashes=%u",
+            request, suspect->crash_count);
+  /* Only evidence of several crashes is told to others. */
+  add_cleared_request (quarantine, request, answered_ms,
+                       suspect->crash_count >= SUSPECT_CRASHES);
+  quarantine_remove (quarantine, suspect);
+}
+
+/** Removes the crashes of an incarnation that has answered later. */
+static void
+disprove_crashes (quarantine_t *quarantine, uint64_t upstream, uint64_t now_ms)
+{
+  for (int kind = 0; kind < SUSPECT_KIND_COUNT; kind++)
+    for (guint i = quarantine->suspects[kind]->len; i-- > 0;)
       {
-        uint32_t last = --suspect->crash_count;
+        quarantine_suspect_t *suspect
+            = g_ptr_array_index (quarantine->suspects[kind], i);
 
-        suspect->crashes[i] = suspect->crashes[last];
-        suspect->crashed_ms[i] = suspect->crashed_ms[last];
-        return;
+        quarantine_disprove (suspect, upstream, now_ms);
+        if (suspect->crash_count == 0)
+          quarantine_remove (quarantine, suspect);
       }
 }
 
@@ -379,17 +384,35 @@
                        uint64_t upstream,
                        uint64_t now_ms)
 {
+  update_time (quarantine, now_ms);
   for (uint32_t i = 0; i < parts->count; i++)
     clear_part (quarantine, parts->ids[i], now_ms);
-  for (guint i = quarantine->suspects->len; i-- > 0;)
-    {
-      quarantine_suspect_t *suspect
-          = g_ptr_array_index (quarantine->suspects, i);
+  disprove_crashes (quarantine, upstream, now_ms);
+}
 
-      remove_crash (suspect, upstream, now_ms);
-      if (suspect->crash_count == 0)
-        remove_suspect (quarantine, suspect);
-    }
+void
+quarantine_add_success (quarantine_t *quarantine,
+                        const prompt_parts_t *parts,
+                        uint64_t upstream,
+                        uint64_t now_ms)
+{
+  update_time (quarantine, now_ms);
+  if (parts->request != 0)
+    clear_request (quarantine, parts->request, now_ms);
+  disprove_crashes (quarantine, upstream, now_ms);
+}
+
+/** Returns whether an answer has disproved what another instance reports. */
+static bool
+is_disproved (const quarantine_t *quarantine,
+              const quarantine_suspect_t *reported)
+{
+  const proven_t *proven
+      = reported->is_request
+            ? find_cleared_request (quarantine, reported->part)
+            : g_hash_table_lookup (quarantine->proven, &reported->part);
+
+  return proven != NULL && proven->answered_ms >= reported->last_ms;
 }
 
 void
@@ -397,19 +420,24 @@
                   const quarantine_suspect_t *reported,
                   uint64_t now_ms)
 {
-  const proven_t *proven
-      = g_hash_table_lookup (quarantine->proven, &reported->part);
-  quarantine_suspect_t *suspect;
+  suspect_kind_t kind = reported->is_request ? SUSPECT_REQUEST : SUSPECT_PART;
+  quarantine_suspect_t *suspect
+      = quarantine_find (quarantine, kind, reported->part);
   quarantine_level_t before;
 
-  if ((proven != NULL && proven->answered_ms >= reported->last_ms)
-      || reported->crash_count == 0)
+  update_time (quarantine, now_ms);
+  if (reported->crash_count == 0 || is_disproved (quarantine, reported)
+      || (reported->is_request && reported->part == 0))
+    return;
+  if (suspect == NULL
+      && quarantine_is_full_of_worse (quarantine, kind, reported->crash_count))
     return;
-  suspect = find_or_add_suspect (quarantine, reported->part, now_ms);
-  before = suspect_level (quarantine, suspect);
+  suspect = find_or_add (quarantine, kind, reported->part, now_ms);
+  before = quarantine_suspect_level (quarantine, suspect);
   suspect->was_proven = suspect->was_proven || reported->was_proven;
   for (uint32_t i = 0; i < reported->crash_count; i++)
-    add_crash (suspect, reported->crashes[i], reported->last_ms);
+    quarantine_record (suspect, reported->crashes[i], reported->last_ms);
+  suspect->blocked_ms = MAX (suspect->blocked_ms, reported->blocked_ms);
   log_if_blocked (quarantine, suspect, before);
 }
 
@@ -418,20 +446,77 @@
                          uint64_t part,
                          uint64_t answered_ms)
 {
-  if (find_suspect (quarantine, part) != NULL)
+  if (quarantine_find (quarantine, SUSPECT_PART, part) != NULL)
     clear_part (quarantine, part, answered_ms);
   else
     add_proven (quarantine, part, answered_ms);
 }
 
+void
+quarantine_merge_success (quarantine_t *quarantine,
+                          uint64_t request,
+                          uint64_t answered_ms)
+{
+  clear_request (quarantine, request, answered_ms);
+  add_cleared_request (quarantine, request, answered_ms, true);
+}
+
+static gint
+compare_evidence (gconstpointer a, gconstpointer b)
+{
+  const quarantine_suspect_t *one = *(const quarantine_suspect_t *const *)a;
+  const quarantine_suspect_t *other = *(const quarantine_suspect_t *const *)b;
+
+  if (one->crash_count != other->crash_count)
+    return one->crash_count > other->crash_count ? -1 : 1;
+  return (one->last_ms < other->last_ms) - (one->last_ms > other->last_ms);
+}
+
+void
+quarantine_each_request (const quarantine_t *quarantine,
+                         void (*each) (const quarantine_suspect_t *suspect,
+                                       void *context),
+                         void *context)
+{
+  const GPtrArray *suspects = quarantine->suspects[SUSPECT_REQUEST];
+  GPtrArray *told = g_ptr_array_new ();
+
+  for (guint i = 0; i < suspects->len; i++)
+    {
+      quarantine_suspect_t *suspect = g_ptr_array_index (suspects, i);
+
+      if (suspect->crash_count >= SUSPECT_CRASHES)
+        g_ptr_array_add (told, suspect);
+    }
+  g_ptr_array_sort (told, compare_evidence);
+  for (guint i = 0; i < told->len; i++)
+    each (g_ptr_array_index (told, i), context);
+  g_ptr_array_free (told, TRUE);
+}
+
 void
 quarantine_each_suspect (const quarantine_t *quarantine,
                          void (*each) (const quarantine_suspect_t *suspect,
                                        void *context),
                          void *context)
 {
-  for (guint i = 0; i < quarantine->suspects->len; i++)
-    each (g_ptr_array_index (quarantine->suspects, i), context);
+  for (guint i = 0; i < quarantine->suspects[SUSPECT_PART]->len; i++)
+    each (g_ptr_array_index (quarantine->suspects[SUSPECT_PART], i), context);
+}
+
+static void
+each_cleared (const GArray *cleared,
+              uint64_t now_ms,
+              void (*each) (uint64_t part, uint64_t answered_ms, void *context),
+              void *context)
+{
+  for (guint i = cleared->len; i-- > 0;)
+    {
+      const proven_t *one = &g_array_index (cleared, proven_t, i);
+
+      if (one->is_told && one->answered_ms + CLEARED_MS > now_ms)
+        each (one->part, one->answered_ms, context);
+    }
 }
 
 void
@@ -442,27 +527,31 @@
                                        void *context),
                          void *context)
 {
-  for (guint i = 0; i < quarantine->cleared->len; i++)
-    {
-      const proven_t *cleared
-          = &g_array_index (quarantine->cleared, proven_t, i);
+  each_cleared (quarantine->cleared, now_ms, each, context);
+}
 
-      if (cleared->answered_ms + CLEARED_MS > now_ms)
-        each (cleared->part, cleared->answered_ms, context);
-    }
+void
+quarantine_each_cleared_request (const quarantine_t *quarantine,
+                                 uint64_t now_ms,
+                                 void (*each) (uint64_t request,
+                                               uint64_t answered_ms,
+                                               void *context),
+                                 void *context)
+{
+  each_cleared (quarantine->cleared_requests, now_ms, each, context);
 }
 
 /** Ages the evidence against a part. A part that was blocked for long enough
  * may be tried again, and is blocked again after one more crash. Returns false
  * when nothing is left. */
 static bool
-age_suspect (const quarantine_t *quarantine,
-             quarantine_suspect_t *suspect,
-             uint64_t now_ms)
+age_part (const quarantine_t *quarantine,
+          quarantine_suspect_t *suspect,
+          uint64_t now_ms)
 {
-  if (suspect_level (quarantine, suspect) != QUARANTINE_BLOCKED)
+  if (quarantine_suspect_level (quarantine, suspect) != QUARANTINE_BLOCKED)
     return suspect->last_ms + SUSPECT_MS > now_ms;
-  if (suspect->last_ms + BLOCKED_MS > now_ms)
+  if (quarantine_blocked_until (suspect) > now_ms)
     return true;
   log_info ("A quarantined part may be tried again. part=%016" PRIx64,
             suspect->part);
@@ -472,15 +561,35 @@
   return true;
 }
 
-void
-quarantine_tick (quarantine_t *quarantine, uint64_t now_ms)
+/** Ages the evidence against a request. Returns false when nothing is left. */
+static bool
+age_request (const quarantine_t *quarantine,
+             quarantine_suspect_t *suspect,
+             uint64_t now_ms)
 {
-  for (guint i = quarantine->suspects->len; i-- > 0;)
+  if (suspect->was_blocked && quarantine_blocked_until (suspect) <= now_ms)
     {
-      quarantine_suspect_t *suspect
-          = g_ptr_array_index (quarantine->suspects, i);
-
-      if (!age_suspect (quarantine, suspect, now_ms))
-        remove_suspect (quarantine, suspect);
+      log_info ("A quarantined request may be tried again. request=%016" PRIx64,
+                suspect->part);
+      suspect->was_blocked = false;
     }
+  return suspect->last_ms + REQUEST_KEPT_MS > now_ms;
+}
+
+void
+quarantine_tick (quarantine_t *quarantine, uint64_t now_ms)
+{
+  update_time (quarantine, now_ms);
+  for (int kind = 0; kind < SUSPECT_KIND_COUNT; kind++)
+    for (guint i = quarantine->suspects[kind]->len; i-- > 0;)
+      {
+        quarantine_suspect_t *suspect
+            = g_ptr_array_index (quarantine->suspects[kind], i);
+        bool is_kept = suspect->is_request
+                           ? age_request (quarantine, suspect, now_ms)
+                           : age_part (quarantine, suspect, now_ms);
+
+        if (!is_kept)
+          quarantine_remove (quarantine, suspect);
+      }
 }
