request-signature: compare hosts as routes do

A caller that sends a request to another entry instance may name that instance's port in the Host field. The hash of the raw field made that another request, though the route is the same.

--- a/request-signature.c
+++ b/request-signature.c
@@ -1,5 +1,6 @@
 #include "request-signature.h"
 
+#include <glib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -20,6 +21,20 @@
   add_bytes (state, text, text != NULL ? strlen (text) : 0);
 }
 
+/** Adds a host as routes compare it: in lower case, without its port. Callers
+ * that go to several instances may name a different port at each. */
+static void
+add_host (XXH3_state_t *state, const char *host)
+{
+  const char *given = host != NULL ? host : "";
+  const char *end = given[0] == '[' ? strchr (given, ']') : NULL;
+  size_t length = end != NULL ? (size_t)(end - given) : strcspn (given, ":");
+  char *name = g_ascii_strdown (given, (gssize)length);
+
+  add_text (state, name);
+  g_free (name);
+}
+
 uint64_t
 request_signature_hash (const request_signature_t *request)
 {
@@ -28,7 +43,7 @@
 
   XXH3_64bits_reset (state);
   add_text (state, request->method);
-  add_text (state, request->host);
+  add_host (state, request->host);
   add_text (state, request->target);
   add_text (state, request->customer);
   add_bytes (state, request->body, request->body_bytes);
--- a/request-signature.h
+++ b/request-signature.h
@@ -13,7 +13,7 @@
 typedef struct
 {
   const char *method;
-  const char *host;     /**< or NULL */
+  const char *host;     /**< or NULL; its case and port do not matter */
   const char *target;   /**< path and query */
   const char *customer; /**< or NULL */
   const uint8_t *body;  /**< or NULL */
