gateway: refuse requests that crash upstreams as a whole

Only shared parts of prompts were recognized, so that a request without any, such as a plain GET, was sent again and again although each upstream crashed on it.

The gateway now sets the signature of a request at admission, when its body is whole (also a chunked one: the caller server admits it at its end). A job is broken off when its upstream closes or resets the connection before the answer is complete: also within a body or a stream, and at the end of a stream without a length. Only breaks before the first event count for shared parts. A complete answer withdraws what spoke against the signature, also for plain calls.

These are no crashes any more: invalid answers, an upstream that cannot be reached any more (a partition), and one that leaves, by an announcement or an answer. Such jobs end as failed, which has the same effect on the trust in the upstream and on retries.

That a timed-out connection is no crash has no test here.

--- a/exchange.c
+++ b/exchange.c
@@ -1,5 +1,6 @@
 #include "exchange.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -44,8 +45,8 @@
   http_reader_t *reader;
   exchange_t *exchange; /* NULL while idle */
   bool is_connected;
-  bool is_parsing; /* reader callbacks may be running */
-  bool has_peer_closed;
+  bool is_parsing;      /* reader callbacks may be running */
+  bool has_peer_closed; /* or reset the connection */
   uint64_t idle_until_ms;
 };
 
@@ -222,17 +223,23 @@
 {
   http_reader_result_t result = http_reader_end_input (connection->reader);
 
+  connection->has_peer_closed = true;
   if (connection->exchange == NULL)
     talloc_free (connection);
   else if (result == HTTP_READER_END)
-    {
-      connection->has_peer_closed = true;
-      finish_exchange (connection);
-    }
+    finish_exchange (connection);
   else
     fail_exchange (connection, classify_failure (connection));
 }
 
+/** Returns whether an error shows that the peer cannot be reached, which says
+ * nothing of its process. */
+static bool
+is_unreachable (int error)
+{
+  return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH;
+}
+
 static void
 on_event (struct bufferevent *stream, short what, void *context)
 {
@@ -249,7 +256,11 @@
   else if ((what & BEV_EVENT_EOF) != 0)
     on_closed (connection);
   else
-    fail_exchange (connection, classify_failure (connection));
+    {
+      connection->has_peer_closed = (what & BEV_EVENT_ERROR) != 0
+                                    && !is_unreachable (EVUTIL_SOCKET_ERROR ());
+      fail_exchange (connection, classify_failure (connection));
+    }
 }
 
 static void
@@ -455,6 +466,12 @@
     bufferevent_enable (exchange->connection->stream, EV_READ);
 }
 
+bool
+exchange_was_closed (const exchange_t *exchange)
+{
+  return exchange->connection->has_peer_closed;
+}
+
 uint32_t
 exchange_status (const exchange_t *exchange)
 {
--- a/exchange.h
+++ b/exchange.h
@@ -102,6 +102,11 @@
 /** Pauses or resumes reading the answer. */
 void exchange_set_paused (exchange_t *exchange, bool is_paused);
 
+/** Returns, in on_end and on_failed, whether the peer has closed or reset the
+ * connection, as it does when its process ends. An invalid answer does not show
+ * this, nor a peer that cannot be reached any more. */
+bool exchange_was_closed (const exchange_t *exchange);
+
 /** Return parts of the answer's head, valid until the exchange ends. */
 uint32_t exchange_status (const exchange_t *exchange);
 const char *exchange_reason (const exchange_t *exchange);
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -4,7 +4,8 @@
  * gateway.c (admits and ends requests), gateway-startup.c (requests that arrive
  * while the instance starts), gateway-place.c (finding upstreams),
  * gateway-attempt.c (sending and retries), gateway-helpers.c
- * (helpers and reserved memory), gateway-relay.c (answers), gateway-stop.c (the
+ * (helpers and reserved memory), gateway-relay.c (answers),
+ * gateway-quarantine.c (requests on which upstreams crash), gateway-stop.c (the
  * end of the process) and gateway-metrics.c. No other file includes this
  * header.
  */
@@ -225,9 +226,27 @@
 /** Records the times of a request that was answered in full. */
 void gateway_observe_times (const gateway_request_t *request, uint64_t now_ms);
 
-/** Returns what is known of upstreams that crashed on parts of the prompt. */
+/** Returns the hash by which a request is recognized when it comes again. */
+uint64_t gateway_sign_request (const gateway_request_t *request);
+
+/** Returns what is known of upstreams that crashed on the request or on parts
+ * of its prompt. */
 quarantine_level_t gateway_quarantine_level (const gateway_request_t *request);
 
+/** Ends a request that would crash its upstream. */
+void gateway_refuse_quarantined (gateway_request_t *request);
+
+/** Callbacks of the upstream set: what ended jobs show of their requests. */
+void gateway_on_job_answered (const upstream_job_t *job,
+                              uint64_t now_ms,
+                              void *context);
+void gateway_on_job_broken (const upstream_job_t *job,
+                            uint64_t now_ms,
+                            void *context);
+void gateway_on_job_complete (const upstream_job_t *job,
+                              uint64_t now_ms,
+                              void *context);
+
 /** Asks for an upstream, sends the request to it, or refuses the request. */
 void gateway_place (gateway_request_t *request);
 
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -144,27 +144,6 @@
   gateway_refuse (request, kind, gateway_add_jitter_ms (retry_ms));
 }
 
-quarantine_level_t
-gateway_quarantine_level (const gateway_request_t *request)
-{
-  return quarantine_level (request->gateway->quarantine, &request->terms.parts);
-}
-
-/** Ends a request that would crash its upstream. */
-static void
-refuse_quarantined (gateway_request_t *request)
-{
-  if (request->is_reply_begun)
-    gateway_abort (request, "quarantined");
-  else if (request->may_have_run)
-    gateway_refuse (request, ERROR_UPSTREAM_FAILED, 0);
-  else
-    gateway_refuse (request, ERROR_QUARANTINED,
-                    quarantine_remaining_ms (request->gateway->quarantine,
-                                             &request->terms.parts,
-                                             clock_mono_ms ()));
-}
-
 /** Ends the jobs of a request that was placed but is not sent. */
 static void
 drop_placement (gateway_request_t *request,
@@ -289,7 +268,7 @@
     {
       /* It was queued while others crashed. */
       drop_placement (request, placed, answer);
-      refuse_quarantined (request);
+      gateway_refuse_quarantined (request);
     }
   else if ((unavailable = find_unavailable (request->gateway, answer)) != 0)
     place_elsewhere (request, placed, answer, unavailable);
@@ -308,7 +287,7 @@
   request->ask = NULL;
   if (gateway_quarantine_level (request) == QUARANTINE_BLOCKED)
     {
-      refuse_quarantined (request);
+      gateway_refuse_quarantined (request);
       return;
     }
   request->ask = zone_placement_ask (request->gateway->placement, &placement,
--- a/gateway-relay.c
+++ b/gateway-relay.c
@@ -71,6 +71,21 @@
   gateway_on_attempt_failed (request, reason, has_run);
 }
 
+/** Returns how a job ends whose answer is incomplete at the end of its
+ * exchange: as broken off if the upstream has closed the connection, unless it
+ * leaves. */
+static upstream_job_end_t
+end_of_incomplete (const gateway_request_t *request, const exchange_t *exchange)
+{
+  const upstream_member_t *member
+      = upstream_set_find (request->gateway->set, request->upstream_key);
+
+  return exchange_was_closed (exchange)
+                 && (member == NULL || !upstream_member_is_ending (member))
+             ? UPSTREAM_JOB_BROKEN
+             : UPSTREAM_JOB_FAILED;
+}
+
 static void
 fail_attempt (gateway_request_t *request, retry_reason_t reason, bool has_run)
 {
@@ -332,12 +347,13 @@
 }
 
 static void
-end_stream (gateway_request_t *request)
+end_stream (gateway_request_t *request, const exchange_t *exchange)
 {
   if (!event_stream_is_complete (request->events)
       || (!request->is_reply_begun && request->event_count == 0))
     {
-      fail_attempt (request, RETRY_TRUNCATED, true);
+      fail_attempt_as (request, end_of_incomplete (request, exchange),
+                       RETRY_TRUNCATED, true);
       return;
     }
   gateway_end_attempt (request, UPSTREAM_JOB_GOOD);
@@ -387,7 +403,7 @@
 
   request->exchange = NULL;
   if (request->events != NULL)
-    end_stream (request);
+    end_stream (request, exchange);
   else
     end_call (request);
 }
@@ -399,14 +415,13 @@
   static const retry_reason_t reasons[] = { [EXCHANGE_NOT_SENT] = RETRY_CONNECT,
                                             [EXCHANGE_NO_ANSWER] = RETRY_ERROR,
                                             [EXCHANGE_BROKEN] = RETRY_BROKEN };
-
-  bool is_broken = how != EXCHANGE_NOT_SENT
-                   && (!request->has_head || request->attempt_events == 0);
+  bool is_sent = how != EXCHANGE_NOT_SENT;
 
   request->exchange = NULL;
   fail_attempt_as (request,
-                   is_broken ? UPSTREAM_JOB_BROKEN : UPSTREAM_JOB_FAILED,
-                   reasons[how], how != EXCHANGE_NOT_SENT);
+                   is_sent ? end_of_incomplete (request, exchange)
+                           : UPSTREAM_JOB_FAILED,
+                   reasons[how], is_sent);
 }
 
 const exchange_callbacks_t gateway_relay_callbacks = { .on_head = on_head,
--- a/gateway.c
+++ b/gateway.c
@@ -306,6 +306,7 @@
                        gateway_config_pick_service (gateway->config, route,
                                                     (uint32_t)random_id ()),
                        customer);
+  request->terms.parts.request = gateway_sign_request (request);
   set_deadline (request);
   if (gateway_is_too_late (request))
     {
@@ -432,26 +433,6 @@
     zone_placement_end (gateway->placement, job_id, UPSTREAM_JOB_NEUTRAL);
 }
 
-static void
-on_job_answered (const upstream_job_t *job, uint64_t now_ms, void *context)
-{
-  gateway_t *gateway = context;
-
-  if (!job->is_part)
-    quarantine_add_answer (gateway->quarantine, &job->parts, job->upstream,
-                           now_ms);
-}
-
-static void
-on_job_broken (const upstream_job_t *job, uint64_t now_ms, void *context)
-{
-  gateway_t *gateway = context;
-
-  if (job->parts.count > 0)
-    quarantine_add_crash (gateway->quarantine, &job->parts, job->upstream,
-                          now_ms);
-}
-
 static int
 free_gateway (gateway_t *gateway)
 {
@@ -500,8 +481,9 @@
 {
   gateway_t *gateway = talloc_zero (parent, gateway_t);
   upstream_set_options_t set = { .on_gone = on_upstream_gone,
-                                 .on_answer = on_job_answered,
-                                 .on_broken = on_job_broken,
+                                 .on_answer = gateway_on_job_answered,
+                                 .on_broken = gateway_on_job_broken,
+                                 .on_complete = gateway_on_job_complete,
                                  .find_cold_rate = gateway_find_cold_rate,
                                  .is_paced = gateway_is_paced,
                                  .on_cold = on_upstream_cold,
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -130,6 +130,8 @@
   replace_text (member, &member->service, entry->said.service);
   member->slots = entry->said.slots;
   update_drained (set, member);
+  member->has_announced_end
+      = state == DIRECTORY_LEAVING || state == DIRECTORY_GONE;
   member->is_silent = state == DIRECTORY_SILENT;
   member->is_usable = (state == DIRECTORY_READY || state == DIRECTORY_SILENT)
                       && !directory_is_replaced (directory, entry);
@@ -321,10 +323,12 @@
 
   if (job == NULL)
     return;
-  if (how == UPSTREAM_JOB_BROKEN && job->first_ms == 0
+  member = upstream_set_find_member (set, job->upstream);
+  if (how == UPSTREAM_JOB_BROKEN && !upstream_member_is_ending (member)
       && set->options.on_broken != NULL)
     set->options.on_broken (job, now_ms, set->options.context);
-  member = upstream_set_find_member (set, job->upstream);
+  if (how == UPSTREAM_JOB_GOOD && set->options.on_complete != NULL)
+    set->options.on_complete (job, now_ms, set->options.context);
   g_hash_table_remove (set->jobs, &job->id);
   g_ptr_array_remove (member->jobs, job);
   talloc_free (job);
@@ -426,6 +430,12 @@
          && member->paused_until_ms <= now_ms;
 }
 
+bool
+upstream_member_is_ending (const upstream_member_t *member)
+{
+  return member->is_leaving || member->has_announced_end;
+}
+
 void
 upstream_set_mark_leaving (upstream_set_t *set, uint64_t key)
 {
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -61,8 +61,9 @@
   UPSTREAM_JOB_REFUSED, /**< the upstream was full */
   UPSTREAM_JOB_DEAD,    /**< another upstream reported that this one is gone */
   UPSTREAM_JOB_NEUTRAL, /**< cancelled, or failed elsewhere */
-  UPSTREAM_JOB_BROKEN,  /**< failed, as its connection broke off without an
-                             event; the upstream may have crashed */
+  UPSTREAM_JOB_BROKEN,  /**< failed, as its connection broke off before the
+                             answer was complete; the upstream may have
+                             crashed */
 } upstream_job_end_t;
 
 /** Whether an upstream gets requests, by its recent failures. */
@@ -97,6 +98,8 @@
   uint64_t heard_ms;        /**< when its last good answer came */
   bool is_leaving;          /**< it said in an answer that it leaves; until its
                                  incarnation ends, whatever the directory lists */
+  bool has_announced_end;   /**< its announcements say that it leaves or has
+                                 left */
   uint64_t paused_until_ms; /**< it asked for no requests until then */
   upstream_limit_t limit;   /**< the rate that it named; each known job that
                                  begins there is counted, but no parts */
@@ -112,8 +115,13 @@
   void (*on_gone) (const upstream_member_t *member, void *context);
   /** The answer to a job has begun; may be NULL. */
   void (*on_answer) (const upstream_job_t *job, uint64_t now_ms, void *context);
-  /** A job was broken off before its answer began; may be NULL. */
+  /** A job was broken off before its answer was complete, by an upstream that
+   * does not leave; may be NULL. */
   void (*on_broken) (const upstream_job_t *job, uint64_t now_ms, void *context);
+  /** The answer to a job is complete; may be NULL. */
+  void (*on_complete) (const upstream_job_t *job,
+                       uint64_t now_ms,
+                       void *context);
   /** Returns the bound for cold upstreams of a service; NULL: there is none. */
   upstream_cold_rate_t (*find_cold_rate) (const char *service, void *context);
   /** Returns whether the open requests at an upstream of a service are limited
@@ -221,6 +229,10 @@
 bool upstream_member_is_available (const upstream_member_t *member,
                                    uint64_t now_ms);
 
+/** Returns whether an upstream has said, in an announcement or an answer, that
+ * it leaves. What it breaks off then is no sign of a crash. */
+bool upstream_member_is_ending (const upstream_member_t *member);
+
 /** Records that an upstream said in an answer that it leaves, and calls on_gone
  * the first time. */
 void upstream_set_mark_leaving (upstream_set_t *set, uint64_t key);
