load-share: apply the end of jobs that began in the same update

The ends of an update were applied before its beginnings. A job that began and ended within one batch (10 ms to other zones) was unknown when its end was applied, and then listed until the next whole update. A crash on it was not known there. The ends are now applied to such jobs too.

--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -166,6 +166,16 @@
       load_batch_add_observation (share->zone, update->observed[i]);
 }
 
+static void
+apply_ends (upstream_set_t *set,
+            const Lwm__ShareUpdate *update,
+            uint64_t now_ms)
+{
+  for (size_t i = 0; i < update->n_ended; i++)
+    upstream_set_end (set, update->ended[i]->id,
+                      (upstream_job_end_t)update->ended[i]->how, now_ms);
+}
+
 static void
 apply_update (load_share_t *share,
               load_sender_t *sender,
@@ -174,15 +184,15 @@
 {
   upstream_set_t *set = share->options.set;
 
-  for (size_t i = 0; i < update->n_ended; i++)
-    upstream_set_end (set, update->ended[i]->id,
-                      (upstream_job_end_t)update->ended[i]->how, now_ms);
+  apply_ends (set, update, now_ms);
   if (update->whole)
     load_share_drop_source (share, sender->incarnation, now_ms - YOUNG_JOB_MS);
   for (size_t i = 0; i < update->n_begun; i++)
     import_job (share, sender, update->begun[i], now_ms);
   for (size_t i = 0; i < update->n_answering; i++)
     upstream_set_progress (set, update->answering[i], 0, now_ms);
+  /* A short job may begin and end within one batch. */
+  apply_ends (set, update, now_ms);
   import_orphans (share, update, now_ms);
   import_observations (share, update, now_ms);
   if (sender->is_own_zone)
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -73,6 +73,15 @@
                         now_ms);
 }
 
+static void
+on_complete (const upstream_job_t *job, uint64_t now_ms, void *context)
+{
+  instance_t *instance = context;
+
+  quarantine_add_success (instance->quarantine, &job->parts, job->upstream,
+                          now_ms);
+}
+
 static bool
 find_service (const char *name, placer_service_t *service, void *context)
 {
@@ -83,8 +92,10 @@
 static void
 start_instance (fixture_t *fixture, instance_t *instance, const char *zone)
 {
-  upstream_set_options_t set
-      = { .on_answer = on_answer, .on_broken = on_broken, .context = instance };
+  upstream_set_options_t set = { .on_answer = on_answer,
+                                 .on_broken = on_broken,
+                                 .on_complete = on_complete,
+                                 .context = instance };
   zone_placement_options_t options = { .base = fixture->base,
                                        .listen = instance->listen,
                                        .zone = zone,
@@ -345,12 +356,12 @@
   return key;
 }
 
-/** An upstream crashes on a request of an instance. */
+/** A request of an instance begins and ends at an upstream. */
 static void
-crash_upstream (fixture_t *fixture,
-                instance_t *owner,
-                uint64_t upstream,
-                const prompt_parts_t *parts)
+run_request (instance_t *owner,
+             uint64_t upstream,
+             const prompt_parts_t *parts,
+             upstream_job_end_t how)
 {
   static uint64_t last_id = 900000;
   placement_request_t request = { .id = last_id += PLACEMENT_MAX_JOBS,
@@ -360,41 +371,120 @@
   placement_answer_t answer = { .kind = PLACEMENT_SEND, .upstream = upstream };
 
   zone_placement_begin (owner->placement, &request, &answer);
-  zone_placement_end (owner->placement, request.id, UPSTREAM_JOB_BROKEN);
+  zone_placement_end (owner->placement, request.id, how);
 }
 
-/* Guards against: instances that go on sending requests on which upstreams
- * crash at others (BUDGET). No instance sees more than two of the crashes. */
+/** Starts a third instance, in another zone, and waits until all know each
+ * other. */
 static void
-test_quarantine_reaches_everyone (void)
+add_far_instance (fixture_t *fixture, instance_t *far)
 {
-  fixture_t *fixture = fixture_new ();
   struct event_base *base = fixture->base;
-  instance_t far = { 0 };
-  instance_t *owners[] = { &fixture->one, &fixture->other, &fixture->one };
-  prompt_parts_t parts = { .ids = { 7 }, .count = 1 };
   char *addresses[3] = { fixture->one.listen, fixture->other.listen };
   char *zones[3] = { (char *)"z", (char *)"z", (char *)"y" };
-  uint64_t crashed_ms = clock_mono_ms () + SETTLE_MS;
+  uint64_t settled_ms = clock_mono_ms () + SETTLE_MS;
 
-  open_instance_in (fixture, &far, zones[2]);
-  addresses[2] = far.listen;
+  open_instance_in (fixture, far, zones[2]);
+  addresses[2] = far->listen;
   zone_placement_add_instances (fixture->one.placement, addresses, zones, 3);
   zone_placement_add_instances (fixture->other.placement, addresses, zones, 3);
-  zone_placement_add_instances (far.placement, addresses, zones, 3);
-  WAIT (clock_mono_ms () > crashed_ms);
+  zone_placement_add_instances (far->placement, addresses, zones, 3);
+  WAIT (clock_mono_ms () > settled_ms);
+}
+
+static void
+free_far_instance (instance_t *far)
+{
+  talloc_free (far->placement);
+  talloc_free (far->metrics);
+  talloc_free (far->quarantine);
+}
+
+/** Waits until all instances know the same of a request. */
+static void
+expect_level (fixture_t *fixture,
+              const instance_t *far,
+              const prompt_parts_t *parts,
+              quarantine_level_t level)
+{
+  struct event_base *base = fixture->base;
+  uint64_t begun_ms = clock_mono_ms ();
+
+  WAIT (quarantine_level (fixture->one.quarantine, parts) == level
+        && quarantine_level (fixture->other.quarantine, parts) == level
+        && quarantine_level (far->quarantine, parts) == level);
+  g_assert_cmpuint (clock_mono_ms () - begun_ms, <, QUARANTINE_SHARED_MS);
+}
+
+/** Three upstreams crash on a request; no instance sees more than two of the
+ * crashes. */
+static void
+expect_shared_quarantine (fixture_t *fixture,
+                          instance_t *far,
+                          const prompt_parts_t *parts)
+{
+  instance_t *owners[] = { &fixture->one, &fixture->other, &fixture->one };
+
+  add_far_instance (fixture, far);
   for (uint64_t i = 0; i < G_N_ELEMENTS (owners); i++)
-    crash_upstream (fixture, owners[i],
-                    announce_upstream (fixture, &far, 1000 + i), &parts);
-  crashed_ms = clock_mono_ms ();
-  WAIT (quarantine_level (fixture->one.quarantine, &parts) == QUARANTINE_BLOCKED
-        && quarantine_level (fixture->other.quarantine, &parts)
-               == QUARANTINE_BLOCKED
-        && quarantine_level (far.quarantine, &parts) == QUARANTINE_BLOCKED);
-  g_assert_cmpuint (clock_mono_ms () - crashed_ms, <, QUARANTINE_SHARED_MS);
-  talloc_free (far.placement);
-  talloc_free (far.metrics);
-  talloc_free (far.quarantine);
+    run_request (owners[i], announce_upstream (fixture, far, 1000 + i), parts,
+                 UPSTREAM_JOB_BROKEN);
+  expect_level (fixture, far, parts, QUARANTINE_BLOCKED);
+}
+
+/* Guards against: instances that go on sending requests on which upstreams
+ * crash at others (BUDGET). */
+static void
+test_quarantine_reaches_everyone (void)
+{
+  fixture_t *fixture = fixture_new ();
+  instance_t far = { 0 };
+  prompt_parts_t parts = { .ids = { 7 }, .count = 1 };
+
+  expect_shared_quarantine (fixture, &far, &parts);
+  free_far_instance (&far);
+  fixture_free (fixture);
+}
+
+/* Guards against: instances that do not know the request on which upstreams
+ * crash at others (BUDGET), or not that it was answered since (LOST). */
+static void
+test_blocked_request_reaches_everyone (void)
+{
+  fixture_t *fixture = fixture_new ();
+  instance_t far = { 0 };
+  prompt_parts_t parts = { .request = 7 };
+
+  expect_shared_quarantine (fixture, &far, &parts);
+  run_request (&fixture->one, announce_upstream (fixture, &far, 2000), &parts,
+               UPSTREAM_JOB_GOOD);
+  expect_level (fixture, &far, &parts, QUARANTINE_CLEAR);
+  free_far_instance (&far);
+  fixture_free (fixture);
+}
+
+/* Guards against: a crash that other zones do not learn of because the job
+ * began and ended between two updates (BUDGET). One crash alone is not told
+ * later. */
+static void
+test_short_job_is_known (void)
+{
+  fixture_t *fixture = fixture_new ();
+  struct event_base *base = fixture->base;
+  instance_t far = { 0 };
+  prompt_parts_t parts = { .request = 8 };
+  uint64_t told_ms;
+
+  add_far_instance (fixture, &far);
+  run_request (&fixture->one, announce_upstream (fixture, &far, 1000), &parts,
+               UPSTREAM_JOB_BROKEN);
+  told_ms = clock_mono_ms () + SHARE_INTERVAL_MS;
+  WAIT (clock_mono_ms () > told_ms);
+  run_request (&far, announce_upstream (fixture, &far, 1001), &parts,
+               UPSTREAM_JOB_BROKEN);
+  g_assert_cmpint (quarantine_level (far.quarantine, &parts), ==,
+                   QUARANTINE_SUSPECT);
+  free_far_instance (&far);
   fixture_free (fixture);
 }
 
@@ -432,6 +522,9 @@
                    test_orphan_reaches_other_zone);
   g_test_add_func ("/load-share/quarantine-reaches-everyone",
                    test_quarantine_reaches_everyone);
+  g_test_add_func ("/load-share/blocked-request-reaches-everyone",
+                   test_blocked_request_reaches_everyone);
+  g_test_add_func ("/load-share/short-job", test_short_job_is_known);
   g_test_add_func ("/load-share/own-standstill", test_own_process_pause);
   return g_test_run ();
 }
