--- a/t/t8072-placer.c
+++ b/t/t8072-placer.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "lib-engines.h"
+#include "placement-message.h"
 #include "placer.h"
 
 #define ENGINES 4
@@ -397,6 +398,35 @@
   g_assert_cmpuint (jobs[2].owner, ==, 7);
 }
 
+/* Guards against: a placer that does not know which request it places for
+ * another instance, so that its crashes count for nobody (BUDGET), and crashes
+ * of helpers that count against the request (LOST). */
+static void
+test_jobs_carry_signature (void)
+{
+  placement_request_t asked = { .id = 100,
+                                .service = "engines",
+                                .prompt_tokens = 300000,
+                                .parts = { .ids = { 5 }, .count = 1 },
+                                .arrived_ms = NOW_MS,
+                                .deadline_ms = NOW_MS + 1000 };
+  placement_answer_t answer
+      = { .upstream = 1, .helpers = { 2 }, .helper_count = 1 };
+  upstream_job_t jobs[PLACEMENT_MAX_JOBS];
+  placement_request_t received;
+  Lwm__PlaceRequest message;
+
+  asked.parts.request = 77;
+  placement_request_to_message (&asked, NOW_MS, &message);
+  g_assert_true (
+      placement_request_from_message (&message, 7, NOW_MS, &received));
+  g_assert_cmpuint (placement_jobs (&received, &answer, NOW_MS, jobs), ==, 2);
+  g_assert_cmpuint (jobs[0].parts.count, ==, 1);
+  g_assert_cmpuint (jobs[0].parts.request, ==, 77);
+  g_assert_cmpuint (jobs[1].parts.count, ==, 0);
+  g_assert_cmpuint (jobs[1].parts.request, ==, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -412,5 +442,6 @@
                    test_split_prompt_counts_once);
   g_test_add_func ("/placer/unknown-service", test_unknown_service);
   g_test_add_func ("/placer/parts", test_jobs_of_parts);
+  g_test_add_func ("/placer/signature", test_jobs_carry_signature);
   return g_test_run ();
 }
