control-presence: report absences until the catch-up time after their end

A leader told the members only who was absent at that moment. A replica that was down itself while another member was absent, and led soon after its return, therefore took that member for one that had been up for long: it gave a learner that had just returned a vote before the voter that it replaces was removed. The walk through the states of five voters with two machines lost found this: of six voters, three are of machines that may be lost.

The report now also names members whose absence ended less than the catch-up time ago, and says for how long they have been back (present_ms). A report of a member that is back also ends the silence that an earlier one told of: a new leader counted that for 3 s more.

/control-presence/ended-absence and /reported-return failed before (no member reported; a silence of 210 ms instead of 100) and pass now.

--- a/control-group-change.c
+++ b/control-group-change.c
@@ -180,10 +180,10 @@
   return waiting->members;
 }
 
-static uint32_t
-catch_up_ms (const control_group_t *group)
+uint32_t
+control_group_catch_up_ms (const control_server_t *server)
 {
-  uint32_t given_ms = group->server->options.catch_up_ms;
+  uint32_t given_ms = server->options.catch_up_ms;
 
   return given_ms > 0 ? given_ms : DEFAULT_CATCH_UP_MS;
 }
@@ -196,9 +196,10 @@
 is_silent (const control_group_t *group, uint64_t incarnation, uint64_t now_ms)
 {
   uint32_t answer_ms = group->server->options.election_timeout_ms;
-  uint32_t limit_ms = control_presence_is_leaving (group->presence, incarnation)
-                          ? answer_ms
-                          : MAX (answer_ms, catch_up_ms (group) / 2);
+  uint32_t limit_ms
+      = control_presence_is_leaving (group->presence, incarnation)
+            ? answer_ms
+            : MAX (answer_ms, control_group_catch_up_ms (group->server) / 2);
 
   return now_ms >= group->leader_since_ms + answer_ms
          && control_presence_silent_ms (group->presence, incarnation,
@@ -217,7 +218,8 @@
   uint64_t present_ms = control_presence_present_ms (
       group->presence, member->incarnation, now_ms);
   uint64_t needed_ms
-      = catch_up_ms (group) - MIN (ahead_ms, catch_up_ms (group));
+      = control_group_catch_up_ms (group->server)
+        - MIN (ahead_ms, control_group_catch_up_ms (group->server));
 
   return MIN (age_ms, present_ms) >= needed_ms;
 }
--- a/control-group-internal.h
+++ b/control-group-internal.h
@@ -29,6 +29,9 @@
   size_t asked;             /* addresses that the last hellos went to */
 };
 
+/** Returns the time after which a replica counts as up again. */
+uint32_t control_group_catch_up_ms (const control_server_t *server);
+
 /** Tells whether a member will have been in the group, and present, for the
  * catch-up time in @a ahead_ms. */
 bool control_group_is_settled (const control_group_t *group,
--- a/control-group.c
+++ b/control-group.c
@@ -25,7 +25,8 @@
   control_presence_options_t options
       = { .self = server->incarnation,
           .absent_after_ms = server->options.election_timeout_ms,
-          .stop_ms = STOP_MS };
+          .stop_ms = STOP_MS,
+          .report_ms = control_group_catch_up_ms (server) };
 
   group->server = server;
   group->joiners = control_joiners_new (group);
@@ -215,7 +216,8 @@
                                 members->members[i]->incarnation);
 }
 
-/** Tells the other members, as their leader, which members are absent. */
+/** Tells the other members, as their leader, which members are absent or were
+ * so lately. */
 static void
 report_absences (control_group_t *group, uint64_t now_ms)
 {
--- a/control-presence.c
+++ b/control-presence.c
@@ -14,6 +14,7 @@
   uint64_t incarnation;
   uint64_t heard_ms;        /* last message, or when it became a member */
   uint64_t absent_since_ms; /* as the last leader reported it, or 0 */
+  uint64_t reported_ms;     /* when it did so */
   uint64_t last_absent_ms;  /* when it was last known to be absent, or 0 */
   uint64_t leaving_ms;      /* when it announced its end, or 0 */
 } record_t;
@@ -42,6 +43,12 @@
   return presence;
 }
 
+static bool
+is_absent_for (const control_presence_t *presence, uint64_t silent_ms)
+{
+  return silent_ms >= presence->options.absent_after_ms;
+}
+
 static record_t *
 find_record (const control_presence_t *presence, uint64_t incarnation)
 {
@@ -142,10 +149,14 @@
 
   if (record == NULL)
     return;
-  record->last_absent_ms = now_ms;
+  record->last_absent_ms = MAX (record->last_absent_ms,
+                                now_ms - MIN (absence->present_ms, now_ms));
   if (absence->leaving && record->leaving_ms == 0)
     record->leaving_ms = now_ms;
-  if (record->heard_ms <= since_ms)
+  record->reported_ms = now_ms;
+  if (!absence->leaving && !is_absent_for (presence, absence->silent_ms))
+    record->absent_since_ms = 0;
+  else if (record->heard_ms <= since_ms)
     record->absent_since_ms = since_ms;
 }
 
@@ -154,15 +165,26 @@
 {
   bool is_reported
       = record->absent_since_ms > 0
-        && record->last_absent_ms + REPORT_VALID_MS >= leader_since_ms;
+        && record->reported_ms + REPORT_VALID_MS >= leader_since_ms;
   uint64_t since_ms = is_reported ? record->absent_since_ms : leader_since_ms;
 
   since_ms = MAX (since_ms, record->heard_ms);
   return now_ms - MIN (since_ms, now_ms);
 }
 
+static uint64_t
+present_ms (const record_t *record, uint64_t now_ms)
+{
+  if (record->last_absent_ms == 0)
+    return UINT64_MAX;
+  return now_ms - MIN (record->last_absent_ms, now_ms);
+}
+
 static Lwm__ControlAbsence *
-new_absence (void *parent, const record_t *record, uint64_t silent)
+new_absence (void *parent,
+             const record_t *record,
+             uint64_t silent,
+             uint64_t now_ms)
 {
   Lwm__ControlAbsence *absence = talloc (parent, Lwm__ControlAbsence);
 
@@ -170,6 +192,7 @@
   absence->incarnation = record->incarnation;
   absence->silent_ms = silent;
   absence->leaving = record->leaving_ms > 0;
+  absence->present_ms = present_ms (record, now_ms);
   return absence;
 }
 
@@ -189,10 +212,10 @@
       record_t *record = &g_array_index (presence->records, record_t, i);
       uint64_t silent = silent_ms (record, leader_since_ms, now_ms);
 
-      if (silent < presence->options.absent_after_ms && record->leaving_ms == 0)
-        continue;
-      record->last_absent_ms = now_ms;
-      absences[(*count)++] = new_absence (absences, record, silent);
+      if (is_absent_for (presence, silent) || record->leaving_ms > 0)
+        record->last_absent_ms = now_ms;
+      if (present_ms (record, now_ms) < presence->options.report_ms)
+        absences[(*count)++] = new_absence (absences, record, silent, now_ms);
     }
   return absences;
 }
@@ -224,7 +247,5 @@
 {
   const record_t *record = find_record (presence, incarnation);
 
-  if (record == NULL || record->last_absent_ms == 0)
-    return UINT64_MAX;
-  return now_ms - MIN (record->last_absent_ms, now_ms);
+  return record != NULL ? present_ms (record, now_ms) : UINT64_MAX;
 }
--- a/control-presence.h
+++ b/control-presence.h
@@ -4,8 +4,9 @@
  * far as this replica knows. No I/O and no clock.
  *
  * Only the leader hears the other members regularly. It tells them which ones
- * are absent, so that a new leader goes on with their silence instead of
- * beginning anew.
+ * are absent or were so lately, so that a new leader goes on with their silence
+ * instead of beginning anew, and knows of absences that ended before it started
+ * itself.
  */
 #ifndef CONTROL_PRESENCE_H
 #define CONTROL_PRESENCE_H
@@ -25,6 +26,8 @@
   uint32_t absent_after_ms;
   /** Longest time from the announcement of a replica's end to its end. */
   uint32_t stop_ms;
+  /** An absence is reported until this time after its end. */
+  uint32_t report_ms;
 } control_presence_options_t;
 
 /** Creates a table without members, freed with @a parent (talloc). */
--- a/t/t5003-control-presence.c
+++ b/t/t5003-control-presence.c
@@ -10,13 +10,15 @@
 #define OTHER           2
 #define ABSENT_AFTER_MS 600
 #define STOP_MS         3000
+#define REPORT_MS       4000
 
 static control_presence_t *
 presence_new (void *parent)
 {
   control_presence_options_t options = { .self = SELF,
                                          .absent_after_ms = ABSENT_AFTER_MS,
-                                         .stop_ms = STOP_MS };
+                                         .stop_ms = STOP_MS,
+                                         .report_ms = REPORT_MS };
   control_presence_t *presence = control_presence_new (parent, &options);
   Lwm__ControlMembership *members = membership_copy (parent, NULL);
 
@@ -120,6 +122,57 @@
   talloc_free (parent);
 }
 
+/* Guards against: a leader that was down itself while another member was
+ * absent takes that one for one that has been up for long, and lets it vote
+ * beside the voter that it replaces (CONFIG). */
+static void
+test_report_of_ended_absence (void)
+{
+  void *parent = talloc_new (NULL);
+  control_presence_t *leader = presence_new (parent);
+  control_presence_t *restarted = presence_new (parent);
+  Lwm__ControlAbsence **absences;
+  size_t count;
+
+  control_presence_heard (leader, OTHER, 1000);
+  control_presence_heard (leader, OTHER + 1, 2400);
+  control_presence_absences (leader, parent, 100, 2500, &count);
+  control_presence_heard (leader, OTHER, 2600);
+  control_presence_heard (leader, OTHER + 1, 3000);
+  absences = control_presence_absences (leader, parent, 100, 3100, &count);
+  g_assert_cmpuint (count, ==, 1);
+  control_presence_report (restarted, absences[0], 3100);
+  g_assert_cmpuint (control_presence_present_ms (restarted, OTHER, 3300), ==,
+                    800);
+  g_assert_cmpuint (control_presence_silent_ms (restarted, OTHER, 3200, 3300),
+                    ==, 100);
+  control_presence_heard (leader, OTHER, 2500 + REPORT_MS);
+  control_presence_heard (leader, OTHER + 1, 2500 + REPORT_MS);
+  control_presence_absences (leader, parent, 100, 2500 + REPORT_MS, &count);
+  g_assert_cmpuint (count, ==, 0);
+  talloc_free (parent);
+}
+
+/* Guards against: a leader that goes on with a silence of which the last one
+ * reported the end. */
+static void
+test_reported_return (void)
+{
+  void *parent = talloc_new (NULL);
+  control_presence_t *presence = presence_new (parent);
+  Lwm__ControlAbsence absence = make_absence (OTHER, 1500, false);
+
+  control_presence_report (presence, &absence, 2000);
+  absence.silent_ms = 10;
+  absence.present_ms = 100;
+  control_presence_report (presence, &absence, 2200);
+  g_assert_cmpuint (control_presence_silent_ms (presence, OTHER, 2300, 2400),
+                    ==, 100);
+  g_assert_cmpuint (control_presence_present_ms (presence, OTHER, 2400), ==,
+                    300);
+  talloc_free (parent);
+}
+
 /** A leader reports those who are silent or about to end; an absence counts for
  * whoever hears of it. */
 static void
@@ -141,8 +194,9 @@
   g_assert_cmpuint (control_presence_present_ms (presence, OTHER + 1, 6000), ==,
                     UINT64_MAX);
   control_presence_leaving (presence, OTHER + 1, 6000);
-  control_presence_absences (presence, parent, 1000, 6000, &count);
+  absences = control_presence_absences (presence, parent, 1000, 6000, &count);
   g_assert_cmpuint (count, ==, 2);
+  g_assert_true (absences[0]->leaving != absences[1]->leaving);
   talloc_free (parent);
 }
 
@@ -155,6 +209,9 @@
   g_test_add_func ("/control-presence/survives-leader",
                    test_silence_survives_leader);
   g_test_add_func ("/control-presence/leaving", test_leaving);
+  g_test_add_func ("/control-presence/ended-absence",
+                   test_report_of_ended_absence);
+  g_test_add_func ("/control-presence/reported-return", test_reported_return);
   g_test_add_func ("/control-presence/absences", test_absences);
   return g_test_run ();
 }
