control-presence: count an announced end as an absence once it has happened

A voter that announced its end counted as absent from that moment, so that it looked like one that had just started. The keeper needs to know whether a voter that is about to end has been up for long: only then may its successor vote beside it.

The absence is recorded when the member returns from its announced end. A learner that is about to end is no successor for a voter that waits to hand its vote over; its absence said so before.

/control-presence/present-until-end failed before (present for 100 ms instead of since ever) and passes now.

--- a/control-group.c
+++ b/control-group.c
@@ -124,7 +124,8 @@
   record_joiner (group, message);
   /* A replica that is about to end asks nobody, so this one has returned. */
   if (!message->hello->answer)
-    control_presence_returned (group->presence, message->incarnation);
+    control_presence_returned (group->presence, message->incarnation,
+                               clock_mono_ms ());
   /* A joiner may know only one member. Replicas learn the addresses of the
    * other members from each hello. */
   for (size_t i = 0; i < message->hello->n_members; i++)
@@ -363,6 +364,8 @@
     return false;
   for (size_t i = 0; i < members->n_members; i++)
     if (!members->members[i]->voter
+        && !control_presence_is_leaving (group->presence,
+                                         members->members[i]->incarnation)
         && control_group_is_settled (group, members->members[i], HAND_OVER_MS,
                                      now_ms))
       return true;
--- a/control-presence.c
+++ b/control-presence.c
@@ -92,6 +92,15 @@
     }
 }
 
+/** Ends an announcement: the member has been away since. */
+static void
+end_leaving (record_t *record, uint64_t now_ms)
+{
+  if (record->leaving_ms > 0)
+    record->last_absent_ms = now_ms;
+  record->leaving_ms = 0;
+}
+
 /** Returns whether an announced end must be over at @a now_ms. */
 static bool
 has_ended (const control_presence_t *presence,
@@ -114,16 +123,18 @@
   record->heard_ms = now_ms;
   record->absent_since_ms = 0;
   if (has_ended (presence, record, now_ms))
-    record->leaving_ms = 0;
+    end_leaving (record, now_ms);
 }
 
 void
-control_presence_returned (control_presence_t *presence, uint64_t incarnation)
+control_presence_returned (control_presence_t *presence,
+                           uint64_t incarnation,
+                           uint64_t now_ms)
 {
   record_t *record = find_record (presence, incarnation);
 
   if (record != NULL)
-    record->leaving_ms = 0;
+    end_leaving (record, now_ms);
 }
 
 void
@@ -133,10 +144,8 @@
 {
   record_t *record = find_record (presence, incarnation);
 
-  if (record == NULL)
-    return;
-  record->leaving_ms = now_ms;
-  record->last_absent_ms = now_ms;
+  if (record != NULL)
+    record->leaving_ms = now_ms;
 }
 
 void
@@ -212,9 +221,10 @@
       record_t *record = &g_array_index (presence->records, record_t, i);
       uint64_t silent = silent_ms (record, leader_since_ms, now_ms);
 
-      if (is_absent_for (presence, silent) || record->leaving_ms > 0)
+      if (is_absent_for (presence, silent))
         record->last_absent_ms = now_ms;
-      if (present_ms (record, now_ms) < presence->options.report_ms)
+      if (record->leaving_ms > 0
+          || present_ms (record, now_ms) < presence->options.report_ms)
         absences[(*count)++] = new_absence (absences, record, silent, now_ms);
     }
   return absences;
--- a/control-presence.h
+++ b/control-presence.h
@@ -45,9 +45,11 @@
                              uint64_t incarnation,
                              uint64_t now_ms);
 
-/** Records that a member has started again. */
+/** Records that a member has started again. Only one that had announced its end
+ * counts as absent until now: a replica without a leader looks the same. */
 void control_presence_returned (control_presence_t *presence,
-                                uint64_t incarnation);
+                                uint64_t incarnation,
+                                uint64_t now_ms);
 
 /** Records that a member has announced its end. */
 void control_presence_leaving (control_presence_t *presence,
--- a/t/t5003-control-presence.c
+++ b/t/t5003-control-presence.c
@@ -115,13 +115,39 @@
   control_presence_heard (presence, OTHER, 1001 + STOP_MS);
   g_assert_false (control_presence_is_leaving (presence, OTHER));
   control_presence_leaving (presence, OTHER, 9000);
-  control_presence_returned (presence, OTHER);
+  control_presence_returned (presence, OTHER, 9400);
   g_assert_false (control_presence_is_leaving (presence, OTHER));
   control_presence_report (presence, &absence, 9500);
   g_assert_true (control_presence_is_leaving (presence, OTHER + 1));
   talloc_free (parent);
 }
 
+/* Guards against: a voter that counts as new as soon as it announces its end,
+ * and one that counts as present all along after a restart that it announced
+ * (CONFIG). */
+static void
+test_present_until_end (void)
+{
+  void *parent = talloc_new (NULL);
+  control_presence_t *presence = presence_new (parent);
+
+  control_presence_leaving (presence, OTHER, 1000);
+  g_assert_cmpuint (control_presence_present_ms (presence, OTHER, 1100), ==,
+                    UINT64_MAX);
+  control_presence_returned (presence, OTHER, 1300);
+  g_assert_cmpuint (control_presence_present_ms (presence, OTHER, 1500), ==,
+                    200);
+  /* Without an announced end, a replica that has no leader asks as well. */
+  control_presence_returned (presence, OTHER + 1, 1300);
+  g_assert_cmpuint (control_presence_present_ms (presence, OTHER + 1, 1500), ==,
+                    UINT64_MAX);
+  control_presence_leaving (presence, OTHER + 1, 2000);
+  control_presence_heard (presence, OTHER + 1, 2001 + STOP_MS);
+  g_assert_cmpuint (control_presence_present_ms (presence, OTHER + 1, 5500), ==,
+                    499);
+  talloc_free (parent);
+}
+
 /* Guards against: a leader that was down itself while another member was
  * absent takes that one for one that has been up for long, and lets it vote
  * beside the voter that it replaces (CONFIG). */
@@ -209,6 +235,8 @@
   g_test_add_func ("/control-presence/survives-leader",
                    test_silence_survives_leader);
   g_test_add_func ("/control-presence/leaving", test_leaving);
+  g_test_add_func ("/control-presence/present-until-end",
+                   test_present_until_end);
   g_test_add_func ("/control-presence/ended-absence",
                    test_report_of_ended_absence);
   g_test_add_func ("/control-presence/reported-return", test_reported_return);
