control-keeper: remove a surplus voter in any case

A voter that announced its end while its successor got the vote, and then returned, kept its vote: a group had more voters than wanted for good, since only a silent or ending one was removed. Of two that were about to end, the first in the list was removed, also if the other had ended already and its successor voted.

With more voters than wanted, one is removed: one that is about to end first, then a silent one, then any; of several, one in the zone with most voters, and then one that has been up for a short time. A voter beyond the wanted number that an operator promoted is removed as well.

/control-keeper/surplus failed before (no change) and passes now. The voters of the other cases count as having been up for long, which the keeper asks for voters now too.

--- a/control-keeper.c
+++ b/control-keeper.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/** No group has as many voters. */
+#define MAX_VOTERS 1000
+
 static uint32_t
 count_voters (const control_keeper_replica_t *replicas, size_t count)
 {
@@ -57,20 +60,6 @@
   return false;
 }
 
-static bool
-find_leaving_voter (const control_keeper_replica_t *replicas,
-                    size_t count,
-                    size_t *which)
-{
-  for (size_t i = 0; i < count; i++)
-    if (replicas[i].is_voter && replicas[i].is_leaving)
-      {
-        *which = i;
-        return true;
-      }
-  return false;
-}
-
 static bool
 is_ready_learner (const control_keeper_replica_t *replica)
 {
@@ -192,15 +181,37 @@
   return false;
 }
 
-/** Finds a voter that a group with more voters than intended can spare. A
- * silent one may be back soon. */
-static bool
+/** Returns how well a voter can be spared: one that is about to end best, then
+ * one that may have failed, then one that has been up for a short time only. */
+static int
+rank_spare_voter (const control_keeper_replica_t *voter)
+{
+  return 4 * voter->is_leaving + 2 * voter->is_silent + !voter->is_settled;
+}
+
+/** Finds the voter that a group with more voters than intended can best spare:
+ * one that is about to end or may have failed; of several, one in the zone with
+ * most voters, where its successor may vote already. */
+static void
 find_surplus_voter (const control_keeper_replica_t *replicas,
                     size_t count,
                     size_t *which)
 {
-  return find_leaving_voter (replicas, count, which)
-         || find_silent_member (replicas, count, true, which);
+  uint32_t best = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      uint32_t voters
+          = count_voters_in_zone (replicas, count, replicas[i].zone);
+      int rank = rank_spare_voter (&replicas[i]);
+      uint32_t value = rank / 2 * MAX_VOTERS + voters;
+
+      value = 2 * value + rank % 2;
+      if (!replicas[i].is_voter || value <= best)
+        continue;
+      best = value;
+      *which = i;
+    }
 }
 
 /** Finds a replica that asks to join. */
@@ -229,8 +240,11 @@
   if (find_replaced_member (replicas, count, which)
       && (voters > 1 || !replicas[*which].is_voter))
     return CONTROL_KEEPER_REMOVE;
-  if (voters > target_voters && find_surplus_voter (replicas, count, which))
-    return CONTROL_KEEPER_REMOVE;
+  if (voters > target_voters)
+    {
+      find_surplus_voter (replicas, count, which);
+      return CONTROL_KEEPER_REMOVE;
+    }
   if (voters < target_voters && find_learner (replicas, count, which))
     return CONTROL_KEEPER_PROMOTE;
   if (voters == target_voters
--- a/t/t8050-control-keeper.c
+++ b/t/t8050-control-keeper.c
@@ -4,6 +4,7 @@
 
 #define VOTERS 3
 
+/** Returns a voter that has been up for long. */
 static control_keeper_replica_t
 make_voter (const char *name, uint64_t incarnation)
 {
@@ -11,7 +12,8 @@
                                      .zone = name,
                                      .incarnation = incarnation,
                                      .is_member = true,
-                                     .is_voter = true };
+                                     .is_voter = true,
+                                     .is_settled = true };
 }
 
 static control_keeper_replica_t
@@ -136,6 +138,27 @@
   g_assert_cmpuint (which, ==, 1);
 }
 
+/* Guards against: a group that keeps more voters than intended, since the one
+ * that was about to end has returned; and of two that are about to end, the
+ * removal of the one without a successor. */
+static void
+test_surplus (void)
+{
+  control_keeper_replica_t replicas[]
+      = { make_voter ("a", 1), make_voter ("b", 2), make_voter ("c", 3),
+          make_voter ("x", 4) };
+  size_t which;
+
+  replicas[3].zone = "c";
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_REMOVE);
+  g_assert_cmpuint (which, ==, 2);
+  replicas[0].is_leaving = replicas[3].is_leaving = true;
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, VOTERS, &which), ==,
+                   CONTROL_KEEPER_REMOVE);
+  g_assert_cmpuint (which, ==, 3);
+}
+
 /** A restart in place costs no vote: nobody is there to take it. */
 static void
 test_restart_in_place (void)
@@ -176,6 +199,7 @@
   g_test_add_func ("/control-keeper/lost-disk", test_lost_disk);
   g_test_add_func ("/control-keeper/exchanged", test_lost_member_is_replaced);
   g_test_add_func ("/control-keeper/planned-stop", test_planned_stop);
+  g_test_add_func ("/control-keeper/surplus", test_surplus);
   g_test_add_func ("/control-keeper/restart-in-place", test_restart_in_place);
   g_test_add_func ("/control-keeper/spare", test_spare_votes_only_when_needed);
   return g_test_run ();
