control-keeper: remove a dead voter with a successor in a group that lacks one

While a group had fewer voters than wanted, a ready learner was promoted at once and a silent voter of its zone kept its vote. A later change could then take the vote from the successor instead: after an election the new leader may not know which of the two is dead.

A silent voter is now removed before a learner of its zone gets a vote, also in such a group.

/control-keeper/short-group failed before (the learner was promoted) and passes now.

--- a/control-keeper.c
+++ b/control-keeper.c
@@ -129,12 +129,12 @@
   return false;
 }
 
-/** Finds a silent voter that a learner can replace: one of its own zone, which
- * may be its successor, or one that is free. */
+/** Finds a silent voter with a learner in its zone, which may be its successor.
+ */
 static bool
-find_replaceable_voter (const control_keeper_replica_t *replicas,
-                        size_t count,
-                        size_t *which)
+find_succeeded_voter (const control_keeper_replica_t *replicas,
+                      size_t count,
+                      size_t *which)
 {
   for (size_t i = 0; i < count; i++)
     if (replicas[i].is_voter && replicas[i].is_silent
@@ -143,8 +143,7 @@
         *which = i;
         return true;
       }
-  return has_free_learner (replicas, count)
-         && find_silent_member (replicas, count, true, which);
+  return false;
 }
 
 /** Returns whether the learner at @a index can take the vote of a voter of
@@ -245,10 +244,12 @@
       find_surplus_voter (replicas, count, which);
       return CONTROL_KEEPER_REMOVE;
     }
+  if (voters > 1 && find_succeeded_voter (replicas, count, which))
+    return CONTROL_KEEPER_REMOVE;
   if (voters < target_voters && find_learner (replicas, count, which))
     return CONTROL_KEEPER_PROMOTE;
-  if (voters == target_voters
-      && find_replaceable_voter (replicas, count, which))
+  if (voters == target_voters && has_free_learner (replicas, count)
+      && find_silent_member (replicas, count, true, which))
     return CONTROL_KEEPER_REMOVE;
   if (voters == target_voters && find_successor (replicas, count, which))
     return CONTROL_KEEPER_PROMOTE;
--- a/t/t8050-control-keeper.c
+++ b/t/t8050-control-keeper.c
@@ -138,6 +138,28 @@
   g_assert_cmpuint (which, ==, 1);
 }
 
+/* Guards against: a group that lacks a voter keeps a dead one beside its
+ * successor, and later takes the vote from the successor (CONFIG). */
+static void
+test_lost_member_of_short_group (void)
+{
+  control_keeper_replica_t replicas[]
+      = { make_voter ("a", 1), make_voter ("b", 2), make_voter ("c", 3),
+          make_voter ("d", 4), make_joiner ("e", 5) };
+  size_t which;
+
+  replicas[3].is_silent = true;
+  replicas[4].zone = "d";
+  replicas[4].is_member = replicas[4].is_caught_up = true;
+  g_assert_cmpint (control_keeper_next_step (replicas, 5, 5, &which), ==,
+                   CONTROL_KEEPER_REMOVE);
+  g_assert_cmpuint (which, ==, 3);
+  replicas[3] = replicas[4];
+  g_assert_cmpint (control_keeper_next_step (replicas, 4, 5, &which), ==,
+                   CONTROL_KEEPER_PROMOTE);
+  g_assert_cmpuint (which, ==, 3);
+}
+
 /* Guards against: a group that keeps more voters than intended, since the one
  * that was about to end has returned; and of two that are about to end, the
  * removal of the one without a successor. */
@@ -199,6 +221,8 @@
   g_test_add_func ("/control-keeper/lost-disk", test_lost_disk);
   g_test_add_func ("/control-keeper/exchanged", test_lost_member_is_replaced);
   g_test_add_func ("/control-keeper/planned-stop", test_planned_stop);
+  g_test_add_func ("/control-keeper/short-group",
+                   test_lost_member_of_short_group);
   g_test_add_func ("/control-keeper/surplus", test_surplus);
   g_test_add_func ("/control-keeper/restart-in-place", test_restart_in_place);
   g_test_add_func ("/control-keeper/spare", test_spare_votes_only_when_needed);
