--- a/control-group-internal.h
+++ b/control-group-internal.h
@@ -33,6 +33,9 @@
 /** Returns the id of this replica's group, 0 for none. */
 uint64_t control_group_id (const control_group_t *group);
 
+/** Returns the time after which a replica counts as up again. */
+uint32_t control_group_catch_up_ms (const control_server_t *server);
+
 /** Tells whether a member will have been in the group, and present, for the
  * catch-up time in @a ahead_ms. */
 bool control_group_is_settled (const control_group_t *group,
--- a/control-group.c
+++ b/control-group.c
@@ -25,7 +25,8 @@
   control_presence_options_t options
       = { .self = server->incarnation,
           .absent_after_ms = server->options.election_timeout_ms,
-          .stop_ms = STOP_MS };
+          .stop_ms = STOP_MS,
+          .report_ms = control_group_catch_up_ms (server) };
 
   group->server = server;
   group->joiners = control_joiners_new (group);
@@ -125,7 +126,8 @@
   record_joiner (group, message);
   /* A replica that is about to end asks nobody, so this one has returned. */
   if (!message->hello->answer)
-    control_presence_returned (group->presence, message->incarnation);
+    control_presence_returned (group->presence, message->incarnation,
+                               clock_mono_ms ());
   /* A joiner may know only one member. Replicas learn the addresses of the
    * other members from each hello. */
   for (size_t i = 0; i < MIN (message->hello->n_members, CONTROL_MAX_MEMBERS);
@@ -218,7 +220,8 @@
                                 members->members[i]->incarnation);
 }
 
-/** Tells the other members, as their leader, which members are absent. */
+/** Tells the other members, as their leader, which members are absent or were
+ * so lately. */
 static void
 report_absences (control_group_t *group, uint64_t now_ms)
 {
@@ -364,6 +367,8 @@
     return false;
   for (size_t i = 0; i < members->n_members; i++)
     if (!members->members[i]->voter
+        && !control_presence_is_leaving (group->presence,
+                                         members->members[i]->incarnation)
         && control_group_is_settled (group, members->members[i], HAND_OVER_MS,
                                      now_ms))
       return true;
