t8081: do not pass the strings of an entry to the directory

directory_put() frees them first; the address sanitizer found it in the case announced-leave-is-no-crash. 12 of 12 cases pass, also with the address and undefined behaviour sanitizers.

--- a/t/t8081-gateway-quarantine.c
+++ b/t/t8081-gateway-quarantine.c
@@ -320,13 +320,21 @@
   for (size_t i = 0; i < count; i++)
     {
       directory_statement_t said = entries[i]->said;
+      char *id;
 
       if (g_strcmp0 (said.address, upstream->address) != 0
           || directory_is_replaced (fixture->directory, entries[i]))
         continue;
+      /* The strings of the entry are replaced. */
+      id = g_strdup (said.id);
+      said.id = id;
+      said.address = upstream->address;
+      said.zone = "z";
+      said.service = "s";
       said.state = DIRECTORY_LEAVING;
       said.sequence++;
       directory_put (fixture->directory, &said, clock_mono_ms ());
+      g_free (id);
       break;
     }
   gateway_set_directory (fixture->gateway, fixture->directory);
