--- a/t/t8081-gateway-quarantine.c
+++ b/t/t8081-gateway-quarantine.c
@@ -215,6 +215,14 @@
                      HEAD "\r\nid: 1\ndata: x\n\nid: 2\nda", "data: x");
 }
 
+/* Guards against: crashes that do not count because the connection is reset, as
+ * when unread bytes are left (BUDGET). */
+static void
+test_crash_resets_connection (void)
+{
+  expect_three_runs (POST ("/unsafe/a"), ACT_STREAM_CUT, NULL, "HTTP/1.1 502");
+}
+
 /* Guards against: crashes on requests that are not repeated, which do not count
  * as there is no retry (BUDGET). */
 static void
@@ -383,6 +391,8 @@
   g_test_add_func ("/gateway/crash-within-stream", test_crash_within_stream);
   g_test_add_func ("/gateway/crash-within-stream-without-length",
                    test_crash_within_stream_without_length);
+  g_test_add_func ("/gateway/crash-resets-connection",
+                   test_crash_resets_connection);
   g_test_add_func ("/gateway/crash-on-unsafe-call", test_crash_on_unsafe_call);
   g_test_add_func ("/gateway/same-path", test_same_path);
   g_test_add_func ("/gateway/answers-in-between", test_answers_in_between);
