node-crash: count runs of entry instances from their first second on

killed-entries left out the runs of entry instances that had run for less than 3 s. The design says that an instance knows the evidence within a second of its start, so runs count from then on.

--- a/t/lib-node-crash-check.c
+++ b/t/lib-node-crash-check.c
@@ -31,7 +31,7 @@
     {
       const crash_kill_t *record = &check->kills[i];
       int64_t settled_us
-          = record->ready_us + (int64_t)CRASH_CHECK_CONTACT_MS * 1000;
+          = record->ready_us + (int64_t)CRASH_CHECK_LEARN_MS * 1000;
 
       if (record->entry == entry && run->time_us >= record->killed_us
           && run->time_us < settled_us)
@@ -62,9 +62,9 @@
       late += is_after && is_from_settled_entry (check, run);
     }
   g_printerr ("# request %d: %d runs, %d after the third crash and %d ms, %d "
-              "of them by settled instances (at most %d)\n",
+              "of them by instances that had run for %d ms (at most %d)\n",
               request, all, after_bound, CRASH_CHECK_CONTACT_MS, late,
-              CRASH_CHECK_MAX_LATE);
+              CRASH_CHECK_LEARN_MS, CRASH_CHECK_MAX_LATE);
   g_array_unref (runs);
   return late;
 }
--- a/t/lib-node-crash-check.h
+++ b/t/lib-node-crash-check.h
@@ -11,9 +11,13 @@
 
 /** Crashes that prove that a request is their cause. */
 #define CRASH_CHECK_PROOF 3
-/** Time after the last of these, or after the start of an entry instance, until
- * the instance knows them (contact-ms). */
+/** Time after the last of these until all entry instances know them
+ * (contact-ms). */
 #define CRASH_CHECK_CONTACT_MS 3000
+/** Time after the start of an entry instance until it knows what the others do.
+ * With CRASH_CHECK_CONTACT_MS, an instance that learns nothing at its start
+ * would not be found: it sees the crashes that its own runs cause. */
+#define CRASH_CHECK_LEARN_MS 1000
 /** Runs that may begin after that time. */
 #define CRASH_CHECK_MAX_LATE 3
 
@@ -52,7 +56,7 @@
 /**
  * Returns how many runs of a crashing request began later than
  * CRASH_CHECK_CONTACT_MS after the proof, and prints it. Runs that were sent by
- * entry instances which had not run for that time are not counted.
+ * entry instances which had not run for CRASH_CHECK_LEARN_MS are not counted.
  */
 int crash_check_late_runs (const crash_check_t *check, int request);
 
