upstream-http: tell connections that the upstream broke off

The result UPSTREAM_BROKEN also stands for time-outs, for data that cannot be read and for answers that are too large, so that it does not show that an upstream has crashed.

The end of a call now says whether the upstream ended the connection after bytes of the request were sent and before the answer was complete, whether an answer says that the request has not run, and whether it says that the upstream leaves.

/upstream-http/broken-off: eight ends of an answer, five of them broken off.

--- a/t/t2110-upstream-http.c
+++ b/t/t2110-upstream-http.c
@@ -30,6 +30,7 @@
   bool pauses; /* pauses the stream at its first token */
   bool has_end;
   upstream_result_t result;
+  bool is_broken_off;
 } rig_t;
 
 static void
@@ -49,6 +50,7 @@
 
   rig->has_end = true;
   rig->result = end->result;
+  rig->is_broken_off = end->is_broken_off;
 }
 
 /** Returns an answer with all events in one chunk; cut if not @a is_whole. */
@@ -170,6 +172,40 @@
   tear_down (&rig);
 }
 
+static void
+check_broken_off (const char *answer, act_t act, bool is_broken_off)
+{
+  rig_t rig = { 0 };
+
+  set_up (&rig, g_strdup (answer), act);
+  run_until_end (&rig);
+  g_assert_cmpint (rig.result, !=, UPSTREAM_DONE);
+  g_assert_true (rig.is_broken_off == is_broken_off);
+  tear_down (&rig);
+}
+
+/* Guards against an upstream that crashes unnoticed, and against one that is
+ * taken for crashed because it answers wrongly. */
+static void
+test_broken_off (void)
+{
+  check_broken_off ("", ACT_CLOSE, true);
+  check_broken_off ("HTTP/1.1 200 OK\r\nContent-Ty", ACT_TEXT_CUT, true);
+  check_broken_off ("HTTP/1.1 200 OK\r\n\r\ndata: {", ACT_TEXT_CUT, true);
+  check_broken_off (
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n",
+      ACT_TEXT_CUT, true);
+  check_broken_off ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata",
+                    ACT_TEXT_CUT, true);
+  check_broken_off ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "0\r\n\r\n",
+                    ACT_TEXT, false);
+  check_broken_off ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata",
+                    ACT_TEXT, false);
+  check_broken_off ("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", ACT_TEXT,
+                    false);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -177,5 +213,6 @@
   g_test_add_func ("/upstream-http/one-turn", test_events_of_one_chunk);
   g_test_add_func ("/upstream-http/pause", test_paused_read);
   g_test_add_func ("/upstream-http/broken", test_broken_chunk);
+  g_test_add_func ("/upstream-http/broken-off", test_broken_off);
   return g_test_run ();
 }
--- a/upstream-http.c
+++ b/upstream-http.c
@@ -311,8 +311,10 @@
     result = UPSTREAM_NOT_LOADED;
   else if (call->kind == CALL_STREAM && call->status == 410)
     result = UPSTREAM_LEAVING;
+  else if (not_run && strcmp (kind, "leaving") == 0)
+    result = UPSTREAM_LEAVING;
   else if (not_run && call->status == 503)
-    result = strcmp (kind, "leaving") == 0 ? UPSTREAM_LEAVING : UPSTREAM_BUSY;
+    result = UPSTREAM_BUSY;
   else if (not_run)
     result = UPSTREAM_REFUSED;
   g_clear_pointer (&body, json_object_unref);
@@ -322,17 +324,42 @@
 static upstream_result_t
 final_result (upstream_call_t *call)
 {
-  upstream_result_t result;
+  upstream_result_t result = UPSTREAM_DONE;
 
+  if (call->kind != CALL_PLAIN || call->status >= 400)
+    result = classify_refusal (call);
+  call->end.is_leaving = result == UPSTREAM_LEAVING;
   if (call->kind != CALL_PLAIN)
-    return classify_refusal (call);
-  result = call->status < 500 ? UPSTREAM_DONE : classify_refusal (call);
+    return result;
+  call->end.has_not_run = upstream_result_not_run (result);
+  if (call->status < 500)
+    result = UPSTREAM_DONE;
   call->end.status = call->status;
   call->end.content_type = call->content_type;
   call->end.body = call->input;
   return result;
 }
 
+/* Runs before on_response(), and only for a connection that failed. */
+static void
+on_connection_error (enum evhttp_request_error error, void *arg)
+{
+  upstream_call_t *call = arg;
+
+  call->end.is_broken_off
+      = call->has_written
+        && (error == EVREQ_HTTP_EOF || error == EVREQ_HTTP_BUFFER_ERROR);
+}
+
+/** Returns whether the end of the connection was the end of the response, as
+ * when it has no length and is not chunked. */
+static bool
+ended_with_connection (struct evhttp_request *response)
+{
+  return http_header (response, "Transfer-Encoding") == NULL
+         && http_header (response, "Content-Length") == NULL;
+}
+
 /**
  * Ends the call.
  * @param request NULL when the connection failed at any point
@@ -342,6 +369,8 @@
 {
   upstream_call_t *call = arg;
 
+  if (request != NULL && is_stream (call))
+    call->end.is_broken_off = ended_with_connection (request);
   if (request == NULL || evhttp_request_get_response_code (request) == 0)
     end_after_parsing (call, call->has_written ? UPSTREAM_BROKEN
                                                : UPSTREAM_NOT_CONNECTED);
@@ -387,6 +416,7 @@
 
   evhttp_request_set_header_cb (request, on_headers);
   evhttp_request_set_chunked_cb (request, on_chunk);
+  evhttp_request_set_error_cb (request, on_connection_error);
   evhttp_add_header (headers, "Host", target->address);
   evhttp_add_header (headers, "Connection", "close");
   return request;
--- a/upstream.h
+++ b/upstream.h
@@ -61,6 +61,12 @@
   int status;               /**< set when a plain call is done */
   const char *content_type; /**< set when a plain call is done, or NULL */
   struct evbuffer *body;    /**< set when a plain call is done */
+  /** The upstream closed or reset the connection after bytes of the request
+   * were sent and before its answer was complete. */
+  bool is_broken_off;
+  bool has_not_run; /**< a plain call is done, but the answer says that it has
+                         not run */
+  bool is_leaving;  /**< the answer says that the upstream leaves */
 } upstream_end_t;
 
 /** Receives the events of a stream or call. No callback follows end. */
