request-crashes: exchange evidence against requests by gossip

Instances of lwm-entryd share no evidence against requests that crash upstreams: each would have to see three crashes itself, and one that starts would have to see them again.

Nothing uses it yet.

--- a/gossip-net.c
+++ b/gossip-net.c
@@ -39,7 +39,8 @@
 };
 
 static const char *const kind_names[GOSSIP_NET_KIND_COUNT]
-    = { "probe", "delta", "sync", "join", "zones", "config", "owners" };
+    = { "probe", "delta",  "sync",   "join",
+        "zones", "config", "owners", "evidence" };
 
 static uint64_t
 framed_bytes (size_t size_bytes)
--- a/membership-internal.h
+++ b/membership-internal.h
@@ -62,6 +62,8 @@
   struct event *timer;
   struct event *flush;
   struct event *owners_event;
+  struct event *evidence_event;
+  uint32_t evidence_sent; /* messages to all instances since the last news */
   flush_t flush_pending;
   uint64_t started_ms;
   uint64_t incarnation;
@@ -152,6 +154,19 @@
 /** Adds the CPU time since @a since_s to the time spent on gossip. */
 void membership_add_cpu (membership_t *membership, double since_s);
 
+/** Creates the timer that sends evidence. */
+void membership_add_evidence (membership_t *membership);
+
+/** Adds what other instances should know of requests that crash upstreams to a
+ * message; it is owned by @a scratch. Returns whether there is any. */
+bool membership_put_evidence (membership_t *membership,
+                              void *scratch,
+                              Lwm__Gossip *message);
+
+/** Merges the evidence in a message, and answers it if more is known here. */
+void membership_take_evidence (membership_t *membership,
+                               const Lwm__Gossip *message);
+
 /** Handles a received message; a gossip_net_message_cb_t. */
 void membership_on_message (const Lwm__Gossip *message, void *context);
 
--- a/membership-receive.c
+++ b/membership-receive.c
@@ -446,6 +446,8 @@
   if (message->owned != NULL && exchange->same_zone)
     owners_receive (membership->owners, exchange->from->instance,
                     message->incarnation, message->owned);
+  if (message->evidence != NULL)
+    membership_take_evidence (membership, message);
   if (message->join)
     membership_answer_join (membership, exchange->from, exchange->now_ms);
   if (message->joined)
--- a/membership-send.c
+++ b/membership-send.c
@@ -493,6 +493,7 @@
         gossip_add_upstream (scratch, &message, upstream, true);
       flush_join_answer (membership, to->instance, &scratch, &message, false);
     }
+  membership_put_evidence (membership, scratch, &message);
   flush_join_answer (membership, to->instance, &scratch, &message, true);
   talloc_free (scratch);
 }
--- a/membership.c
+++ b/membership.c
@@ -310,6 +310,8 @@
     event_free (membership->flush);
   if (membership->owners_event != NULL)
     event_free (membership->owners_event);
+  if (membership->evidence_event != NULL)
+    event_free (membership->evidence_event);
   g_hash_table_destroy (membership->cross_zone_instances);
   g_hash_table_destroy (membership->cross_zone_upstreams);
   g_rand_free (membership->rand);
@@ -391,6 +393,7 @@
   membership->flush = event_new (base, -1, 0, on_flush_timer, membership);
   membership->owners_event
       = event_new (base, -1, 0, on_owners_timer, membership);
+  membership_add_evidence (membership);
   event_add (membership->timer, &tick);
   event_add (membership->owners_event, &soon);
   event_active (membership->timer, EV_TIMEOUT, 0);
--- a/membership.h
+++ b/membership.h
@@ -77,6 +77,20 @@
 typedef void (*membership_folder_cb_t) (const Lwm__Config *config,
                                         void *context);
 
+/**
+ * Returns what other instances should know of requests that crash upstreams,
+ * owned by @a parent (talloc); NULL if there is nothing to tell.
+ */
+typedef Lwm__CrashEvidence *(*membership_evidence_cb_t) (void *parent,
+                                                         void *context);
+
+/**
+ * Called with what another instance knows of such requests. Returns whether
+ * this instance knows more than it.
+ */
+typedef bool (*membership_on_evidence_cb_t) (const Lwm__CrashEvidence *evidence,
+                                             void *context);
+
 typedef struct
 {
   struct event_base *base;
@@ -101,7 +115,9 @@
   /** Receives the folder's configurations, to propose them to the control log;
    * NULL: they come into force on this instance. */
   membership_folder_cb_t on_folder;
-  owners_orphan_cb_t on_orphan; /**< releases an object of a dead owner */
+  owners_orphan_cb_t on_orphan;      /**< releases an object of a dead owner */
+  membership_evidence_cb_t evidence; /**< NULL: evidence is not exchanged */
+  membership_on_evidence_cb_t on_evidence;
   void *context;
 } membership_options_t;
 
@@ -183,6 +199,12 @@
 /** Returns whether this instance is one of the delegates of its zone. */
 bool membership_is_delegate (const membership_t *membership);
 
+/**
+ * Sends options.evidence to all instances soon, and repeats it a few times, so
+ * that a lost message has no lasting effect.
+ */
+void membership_spread_evidence (membership_t *membership);
+
 /** Returns the ownership records of this instance; see owners.h. */
 owners_t *membership_owners (membership_t *membership);
 
--- a/quarantine.h
+++ b/quarantine.h
@@ -89,6 +89,11 @@
 quarantine_level_t quarantine_level (const quarantine_t *quarantine,
                                      const prompt_parts_t *parts);
 
+/** Returns the number of crashes that speak against a request, by its
+ * signature. */
+uint32_t quarantine_request_crashes (const quarantine_t *quarantine,
+                                     uint64_t request);
+
 /** Returns the time until a request may be tried again that is blocked, by
  * itself or for its parts. */
 uint32_t quarantine_remaining_ms (const quarantine_t *quarantine,
