dispatch: block requests that crash the upstreams which run them

A request of lwm-entryd that crashes its upstream was retried and sent again without end, at one upstream after the other.

Intake computes the signature of a request once its body is complete: method, host, target, customer and body as sent. A host that is an address is left out, because services are found by the path and a caller with a list of instances names another address in each repetition. An attempt whose connection the upstream breaks off after the request was sent and before its answer is complete is a crash of that incarnation, as is a new incarnation while the request is there; not if the upstream announced or said that it leaves. A stream that is resumed at its upstream shows that this has not crashed. A complete answer withdraws the evidence, unless it says that the request has not run. A suspect request is not retried; a blocked one is refused at admission and before each placement, with 503, the error quarantined and Retry-After if it was not sent, else as after a failed upstream.

The registry tells whether an incarnation that is gone was leaving. dispatch-crashes.c and entry-members.c take parts of dispatch.c and entry.c.

--- a/attempt.c
+++ b/attempt.c
@@ -103,6 +103,8 @@
 {
   if (request->attempt.call == NULL)
     return;
+  if (dispatch->options.ops->wrote (request->attempt.call))
+    request->attempt.was_sent = true;
   dispatch->options.ops->close (request->attempt.call);
   request->attempt.call = NULL;
   if (request->silence_timer != NULL)
@@ -126,6 +128,7 @@
   if (request->attempt.upstream == NULL)
     return;
   close_connection (dispatch, request);
+  dispatch_record_crash (dispatch, request);
   /* A stream that has sent nothing yet may reach the upstream after its cancel,
    * which is repeated then. */
   if (is_cancelled && request->kind == REQUEST_COMPLETION
@@ -226,27 +229,18 @@
   request_t *request = context;
 
   request->attempt.accepted = true;
+  request->attempt.is_broken_off = false;
   if (!request->attempt.has_tokens)
     request->attempt.stalls = 0;
 }
 
-static void
-store_call_answer (request_t *request, const upstream_end_t *end)
-{
-  request->answer_status = end->status;
-  request->answer_type = talloc_strdup (
-      request, end->content_type != NULL ? end->content_type
-                                         : "application/octet-stream");
-  request->answer = evbuffer_new ();
-  evbuffer_add_buffer (request->answer, end->body);
-}
-
 static void
 on_end (void *context, const upstream_end_t *end)
 {
   request_t *request = context;
   dispatch_t *dispatch = request->owner;
 
+  dispatch_record_end (dispatch, request, end);
   if (end->result != UPSTREAM_DONE)
     {
       fail_attempt (dispatch, request, end->result,
@@ -257,7 +251,7 @@
   registry_record_answer (dispatch->options.registry, request->attempt.upstream,
                           clock_mono_ms ());
   if (request->kind == REQUEST_CALL)
-    store_call_answer (request, end);
+    request_store_call_answer (request, end);
   else
     request->usage = end->usage;
   if (request->original_prompt_tokens > 0)
@@ -401,6 +395,9 @@
       = registry_find (dispatch->options.registry, step->upstream);
   request_attempt_t *attempt = &request->attempt;
 
+  /* The job of a span is checked before it sends its spans. */
+  if (request->span_job == NULL && dispatch_refuse_blocked (dispatch, request))
+    return;
   if (upstream == NULL)
     {
       dispatch_fail (dispatch, request, ERROR_NO_UPSTREAM);
@@ -507,6 +504,12 @@
       dispatch_fail (dispatch, request, ERROR_OUTCOME_UNKNOWN);
       return;
     }
+  /* It may have crashed its upstream, and would crash the next one. */
+  if (may_run && dispatch_is_suspect (dispatch, request))
+    {
+      dispatch_fail (dispatch, request, ERROR_UPSTREAM_FAILED);
+      return;
+    }
   if (!retry_take (dispatch->retry, request->service, reason, &budget,
                    clock_mono_ms ()))
     {
@@ -576,6 +579,7 @@
                               request, retry_delay_ms (attempt->stalls));
       return;
     }
+  dispatch_record_crash (dispatch, request);
   if (is_upstream_fault (reason))
     registry_record_failure (dispatch->options.registry, attempt->upstream,
                              clock_mono_ms ());
@@ -587,6 +591,8 @@
 {
   record_run_state (dispatch, request, UPSTREAM_BROKEN);
   close_connection (dispatch, request);
+  request->attempt.is_broken_off = request->attempt.was_sent;
+  dispatch_record_crash (dispatch, request);
   if (request->retry_timer != NULL)
     event_del (request->retry_timer);
   retry_elsewhere (dispatch, request, RETRY_LOST);
--- a/dispatch-internal.h
+++ b/dispatch-internal.h
@@ -73,6 +73,27 @@
                       error_kind_t refusal,
                       uint32_t retry_after_ms);
 
+/** Records what the end of an attempt shows of its upstream and of the request
+ * (dispatch-crashes.c). A span is only a part of a request, so that its answer
+ * does not speak for the request. */
+void dispatch_record_end (dispatch_t *dispatch,
+                          request_t *request,
+                          const upstream_end_t *end);
+
+/** Records that the upstream of a failed attempt crashed on the request, if its
+ * connection broke off and the upstream was not leaving (dispatch-crashes.c).
+ */
+void dispatch_record_crash (dispatch_t *dispatch, request_t *request);
+
+/** Returns whether upstreams crashed on the request, so that it must not be
+ * sent again after one more failure (dispatch-crashes.c). */
+bool dispatch_is_suspect (const dispatch_t *dispatch, const request_t *request);
+
+/** Ends a request that must not be sent, because upstreams crash on it: as
+ * refused if it has not run, else as failed. Returns false, with nothing done,
+ * when it may be sent (dispatch-crashes.c). */
+bool dispatch_refuse_blocked (dispatch_t *dispatch, request_t *request);
+
 /** Moves an admitted request to state queued. */
 void dispatch_enqueue (dispatch_t *dispatch, request_t *request);
 
--- a/dispatch-keyed.c
+++ b/dispatch-keyed.c
@@ -44,6 +44,8 @@
   sched_verdict_t verdict;
 
   request->claimed = true;
+  if (dispatch_refuse_blocked (dispatch, request))
+    return;
   if (dispatch_is_oversize (dispatch, request))
     {
       dispatch_read_oversize (dispatch, request);
--- a/dispatch-oversize.c
+++ b/dispatch-oversize.c
@@ -159,6 +159,7 @@
     .deadline_ms = whole->deadline_ms - MIN (now_ms, whole->deadline_ms),
     .max_tokens = job->plan->max_extract_tokens,
     .idempotent = true,
+    .signature = whole->signature,
   };
   char *id = talloc_asprintf (job, "%s-%" PRIu64 "-%" PRIu64,
                               dispatch->options.instance,
@@ -236,6 +237,8 @@
 {
   bool has_open_lane = false;
 
+  if (dispatch_refuse_blocked (job->dispatch, job->request))
+    return;
   if (oversize_all_read (job->plan))
     {
       submit_last_pass (job);
--- a/dispatch.c
+++ b/dispatch.c
@@ -246,6 +246,7 @@
   uint64_t now_ms = clock_mono_ms ();
 
   registry_tick (dispatch->options.registry, now_ms);
+  request_crashes_tick (dispatch->options.crashes, now_ms);
   archive_evict (dispatch->archive, now_ms);
   notify_if_idle (dispatch);
 }
@@ -430,6 +431,8 @@
       dispatch_claim_key (dispatch, request);
       return request;
     }
+  if (dispatch_refuse_blocked (dispatch, request))
+    return request;
   if (dispatch_is_oversize (dispatch, request))
     {
       register_live_request (dispatch, request, listener);
@@ -514,30 +517,6 @@
   return RAN_NO;
 }
 
-void
-dispatch_upstream_gone (dispatch_t *dispatch,
-                        const char *upstream,
-                        uint64_t incarnation,
-                        bool is_dead)
-{
-  GList *live;
-
-  if (!is_dead)
-    return;
-  cancels_drop_incarnation (dispatch->cancels, upstream, incarnation);
-  live = g_hash_table_get_values (dispatch->by_id);
-  for (GList *item = live; item != NULL; item = item->next)
-    {
-      request_t *request = item->data;
-
-      if (request->attempt.upstream != NULL
-          && request->attempt.incarnation <= incarnation
-          && strcmp (request->attempt.upstream, upstream) == 0)
-        attempt_upstream_lost (dispatch, request);
-    }
-  g_list_free (live);
-}
-
 void
 dispatch_wake (dispatch_t *dispatch)
 {
--- a/dispatch.h
+++ b/dispatch.h
@@ -18,6 +18,7 @@
 #include "metric.h"
 #include "oversize.h"
 #include "registry.h"
+#include "request-crashes.h"
 #include "request.h"
 #include "sched.h"
 #include "upstream.h"
@@ -61,6 +62,8 @@
   /** How long a stream continues without a caller. */
   uint32_t reconnect_timeout_ms;
   dispatch_owner_hooks_t owner_hooks;
+  /** Evidence against requests that crash upstreams. */
+  request_crashes_t *crashes;
   control_client_t *control;  /**< NULL without a control group */
   keyed_is_live_cb_t is_live; /**< whether another instance is running */
   void *is_live_context;
@@ -122,12 +125,13 @@
  * NULL for other requests. The plan belongs to the request. */
 const oversize_t *dispatch_oversize_plan (const request_t *request);
 
-/** Retries the requests and drops the cancels at an upstream that has died;
- * does nothing when it is only silent. See registry_gone_cb_t. */
+/** Retries the requests and drops the cancels at an upstream that has died; the
+ * requests go on when it is only silent. See registry_gone_cb_t. */
 void dispatch_upstream_gone (dispatch_t *dispatch,
                              const char *upstream,
                              uint64_t incarnation,
-                             bool is_dead);
+                             bool is_dead,
+                             bool has_left);
 
 /** Runs the scheduler soon, after a change that may let waiting requests be
  * sent. */
--- a/entry-members.c
+++ b/entry-members.c
@@ -1,6 +1,8 @@
 #include "entry-members.h"
 
 #include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "base.h"
@@ -11,11 +13,13 @@
  * may be long, because gossip reports that an upstream is gone, and the
  * registry does not have to detect it by missed announcements. */
 #define REGISTRY_REFRESH_MS 10000
+#define OWNER_SIZE          128 /* INSTANCE/INCARNATION with the NUL */
 
 struct entry_members
 {
   entry_members_options_t options;
   membership_t *membership;
+  request_crashes_t *crashes;
   dispatch_t *dispatch;
 };
 
@@ -142,11 +146,39 @@
   talloc_free (id);
 }
 
+static void
+on_crash_news (void *context)
+{
+  entry_members_t *members = context;
+
+  membership_spread_evidence (members->membership);
+}
+
+static Lwm__CrashEvidence *
+get_evidence (void *parent, void *context)
+{
+  const entry_members_t *members = context;
+
+  return request_crashes_to_message (members->crashes, clock_mono_ms (),
+                                     parent);
+}
+
+static bool
+on_evidence (const Lwm__CrashEvidence *evidence, void *context)
+{
+  entry_members_t *members = context;
+
+  return request_crashes_merge (members->crashes, evidence, clock_mono_ms ());
+}
+
 entry_members_t *
 entry_members_new (void *parent, const entry_members_options_t *options)
 {
   entry_members_t *members = talloc_zero (parent, entry_members_t);
   const Lwm__EntrySettings *settings = options->settings;
+  request_crashes_options_t crashes = { .metrics = options->metrics,
+                                        .news = on_crash_news,
+                                        .context = members };
   membership_options_t membership = {
     .base = options->base,
     .metrics = options->metrics,
@@ -166,10 +198,13 @@
     .on_incarnation = on_incarnation,
     .on_config = on_config,
     .on_orphan = on_orphan,
+    .evidence = get_evidence,
+    .on_evidence = on_evidence,
     .context = members,
   };
 
   members->options = *options;
+  members->crashes = request_crashes_new (members, &crashes);
   if (options->on_folder != NULL)
     membership.on_folder = on_folder;
   members->membership = membership_new (members, &membership);
@@ -299,6 +334,44 @@
   return limit > 0 && share == 0 ? 1 : share;
 }
 
+typedef struct
+{
+  const char *owner; /* INSTANCE/INCARNATION */
+  bool is_running;
+} owner_search_t;
+
+static void
+match_owner (const Lwm__InstanceRecord *instance,
+             uint64_t config_number,
+             void *context)
+{
+  owner_search_t *search = context;
+  char owner[OWNER_SIZE];
+
+  snprintf (owner, sizeof owner, "%s/%" PRIu64, instance->instance,
+            instance->incarnation);
+  if (strcmp (owner, search->owner) == 0
+      && (instance->state == LWM__INSTANCE_STATE__ALIVE
+          || instance->state == LWM__INSTANCE_STATE__SUSPECT))
+    search->is_running = true;
+}
+
+bool
+entry_members_is_owner_live (const char *owner, void *context)
+{
+  entry_members_t *members = context;
+  owner_search_t search = { .owner = owner };
+
+  membership_each_instance (members->membership, match_owner, &search);
+  return search.is_running;
+}
+
+request_crashes_t *
+entry_members_crashes (entry_members_t *members)
+{
+  return members->crashes;
+}
+
 membership_t *
 entry_members_membership (entry_members_t *members)
 {
--- a/entry-members.h
+++ b/entry-members.h
@@ -12,6 +12,7 @@
 #include "dispatch.h"
 #include "membership.h"
 #include "registry.h"
+#include "request-crashes.h"
 #include "settings.pb-c.h"
 
 typedef struct entry_members entry_members_t;
@@ -70,6 +71,14 @@
                                     const Lwm__Config *config,
                                     uint64_t limit);
 
+/** Returns the evidence against requests that crash upstreams, which instances
+ * exchange; owned by @a members. */
+request_crashes_t *entry_members_crashes (entry_members_t *members);
+
+/** Returns whether the owner of a claim, INSTANCE/INCARNATION, is known to be
+ * running. It is a keyed_is_live_cb_t; @a context is the entry_members_t. */
+bool entry_members_is_owner_live (const char *owner, void *context);
+
 /** Returns the membership, owned by @a members. */
 membership_t *entry_members_membership (entry_members_t *members);
 
--- a/entry.c
+++ b/entry.c
@@ -28,8 +28,7 @@
 
 /* evhttp refuses larger bodies, the routes refuse those over their limits. */
 #define MAX_BODY_BYTES (16 * 1024 * 1024)
-/* INSTANCE/INCARNATION and IP:PORT, each with the NUL. */
-#define OWNER_SIZE   128
+/* IP:PORT with the NUL. */
 #define ADDRESS_SIZE 80
 /* Delay before the process ends, in which other instances learn that it leaves,
  * and between checks whether administration calls are still open. */
@@ -202,11 +201,13 @@
 on_upstream_gone (const char *name,
                   uint64_t incarnation,
                   bool is_dead,
+                  bool has_left,
                   void *context)
 {
   entry_t *entry = context;
 
-  dispatch_upstream_gone (entry->dispatch, name, incarnation, is_dead);
+  dispatch_upstream_gone (entry->dispatch, name, incarnation, is_dead,
+                          has_left);
 }
 
 static void
@@ -353,41 +354,6 @@
   return entry->members != NULL;
 }
 
-typedef struct
-{
-  const char *owner; /* INSTANCE/INCARNATION */
-  bool is_running;
-} owner_search_t;
-
-static void
-match_owner (const Lwm__InstanceRecord *instance,
-             uint64_t config_number,
-             void *context)
-{
-  owner_search_t *search = context;
-  char owner[OWNER_SIZE];
-
-  snprintf (owner, sizeof owner, "%s/%" PRIu64, instance->instance,
-            instance->incarnation);
-  if (strcmp (owner, search->owner) == 0
-      && (instance->state == LWM__INSTANCE_STATE__ALIVE
-          || instance->state == LWM__INSTANCE_STATE__SUSPECT))
-    search->is_running = true;
-}
-
-/** Returns whether the owner of a claim, INSTANCE/INCARNATION, is known to be
- * running. It is a keyed_is_live_cb_t. */
-static bool
-is_owner_live (const char *owner, void *context)
-{
-  entry_t *entry = context;
-  owner_search_t search = { .owner = owner };
-
-  membership_each_instance (entry_members_membership (entry->members),
-                            match_owner, &search);
-  return search.is_running;
-}
-
 typedef struct
 {
   const char *instance;
@@ -456,10 +422,11 @@
     .instance = entry->settings->instance,
     .incarnation
     = membership_incarnation (entry_members_membership (entry->members)),
+    .crashes = entry_members_crashes (entry->members),
     .owner_hooks = entry_members_owner_hooks (entry->members),
     .control = entry->control,
-    .is_live = is_owner_live,
-    .is_live_context = entry,
+    .is_live = entry_members_is_owner_live,
+    .is_live_context = entry->members,
     .reconnect_timeout_ms = entry->settings->reconnect_timeout_ms,
     .idle = on_idle,
     .context = entry,
--- a/error.c
+++ b/error.c
@@ -45,7 +45,7 @@
   { ERROR_KEY_IN_PROGRESS, "key_in_progress", 409, RAN_UNKNOWN, true,
     "a request with this idempotency key is in progress" },
   { ERROR_QUARANTINED, "quarantined", 503, RAN_NO, false,
-    "upstreams crash on a part of the prompt" },
+    "upstreams crash on this request" },
   { ERROR_ENGINE_MEMORY, "engine_memory", 503, RAN_NO, true,
     "engine memory for the prompt cannot be reserved" },
   { ERROR_STALE_NUMBER, "stale_number", 409, RAN_NO, false,
--- a/error.h
+++ b/error.h
@@ -37,7 +37,7 @@
   ERROR_NO_QUORUM,       /**< keyed request, and no quorum is reachable */
   ERROR_KEY_CONFLICT,    /**< same idempotency key, other content */
   ERROR_KEY_IN_PROGRESS, /**< request with the same idempotency key runs */
-  ERROR_QUARANTINED,     /**< upstreams crash on a part of the prompt */
+  ERROR_QUARANTINED,     /**< upstreams crash on the request or a part */
   ERROR_ENGINE_MEMORY,   /**< no memory reservation for an oversize prompt */
   ERROR_STALE_NUMBER,    /**< configuration number below the one in force */
   ERROR_NUMBER_CONFLICT, /**< same configuration number, other content */
--- a/intake.c
+++ b/intake.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "http.h"
+#include "request-signature.h"
 
 #define MAX_BODY_BYTES            (8 * 1024 * 1024)
 #define MAX_NAME_BYTES            256
@@ -260,6 +261,38 @@
   return false;
 }
 
+/**
+ * Returns the host that a caller named, NULL for an address. Services are found
+ * by the path; a caller that has a list of entry instances names another
+ * address in each repetition of a request.
+ */
+static const char *
+read_host (struct evhttp_request *http)
+{
+  const char *host = evhttp_request_get_host (http);
+
+  if (host == NULL || host[0] == '[' || g_hostname_is_ip_address (host))
+    return NULL;
+  return host;
+}
+
+/** Returns the signature of a request with its whole body. */
+static uint64_t
+compute_signature (struct evhttp_request *http, const char *customer)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (http);
+  request_signature_t signature = {
+    .method = "POST",
+    .host = read_host (http),
+    .target = evhttp_request_get_uri (http),
+    .customer = customer,
+    .body = evbuffer_pullup (body, -1),
+    .body_bytes = evbuffer_get_length (body),
+  };
+
+  return request_signature_hash (&signature);
+}
+
 static void
 read_prompt (void *parent, intake_t *intake)
 {
@@ -360,6 +393,8 @@
                                 LWM__SERVICE_KIND__ENGINE);
   if (intake.error == ERROR_NONE)
     read_completion_numbers (parent, &intake, http, config);
+  if (intake.error == ERROR_NONE)
+    intake.spec.signature = compute_signature (http, intake.spec.customer);
   return intake;
 }
 
@@ -396,5 +431,6 @@
                           config_service (config, spec->service)->idempotent);
   read_priority (parent, &intake, http, config);
   read_deadline (parent, &intake, http, config, 0);
+  spec->signature = compute_signature (http, spec->customer);
   return intake;
 }
--- a/quarantine-evidence.c
+++ b/quarantine-evidence.c
@@ -93,6 +93,15 @@
   g_ptr_array_remove_fast (quarantine->suspects[kind_of (suspect)], suspect);
 }
 
+uint32_t
+quarantine_request_crashes (const quarantine_t *quarantine, uint64_t request)
+{
+  const quarantine_suspect_t *suspect
+      = quarantine_find (quarantine, SUSPECT_REQUEST, request);
+
+  return suspect != NULL ? suspect->crash_count : 0;
+}
+
 static bool
 has_crash (const quarantine_suspect_t *suspect, uint64_t upstream)
 {
--- a/quarantine.c
+++ b/quarantine.c
@@ -157,15 +157,6 @@
   return worst;
 }
 
-uint32_t
-quarantine_request_crashes (const quarantine_t *quarantine, uint64_t request)
-{
-  const quarantine_suspect_t *suspect
-      = quarantine_find (quarantine, SUSPECT_REQUEST, request);
-
-  return suspect != NULL ? suspect->crash_count : 0;
-}
-
 /** Returns when a suspect may be tried again, or 0 if it may be now. */
 static uint64_t
 suspect_until (const quarantine_t *quarantine,
--- a/registry.c
+++ b/registry.c
@@ -154,10 +154,11 @@
 report_gone (registry_t *registry,
              const char *name,
              uint64_t incarnation,
-             bool is_dead)
+             bool is_dead,
+             bool has_left)
 {
   if (registry->gone != NULL)
-    registry->gone (name, incarnation, is_dead, registry->context);
+    registry->gone (name, incarnation, is_dead, has_left, registry->context);
 }
 
 static void
@@ -167,7 +168,8 @@
 {
   sched_drop_upstream (registry->sched, upstream->name);
   g_hash_table_remove (registry->upstreams, upstream->name);
-  report_gone (registry, upstream->name, upstream->incarnation, is_dead);
+  report_gone (registry, upstream->name, upstream->incarnation, is_dead,
+               upstream->leaving || upstream->said_leaving);
   talloc_free (upstream);
 }
 
@@ -198,7 +200,7 @@
       /* The previous incarnation may have been dropped for missed
        * announcements before the upstream restarted. */
       report_gone (registry, announcement->name, announcement->incarnation - 1,
-                   true);
+                   true, false);
       upstream = add_upstream (registry, announcement->name);
       log_info ("Upstream added. upstream=%s address=%s", announcement->name,
                 announcement->address);
@@ -254,6 +256,29 @@
   update_sched (registry, upstream, now_ms);
 }
 
+void
+registry_record_leaving (registry_t *registry,
+                         const char *name,
+                         uint64_t incarnation)
+{
+  registry_upstream_t *upstream
+      = g_hash_table_lookup (registry->upstreams, name);
+
+  if (upstream != NULL && upstream->incarnation == incarnation)
+    upstream->said_leaving = true;
+}
+
+bool
+registry_is_leaving (const registry_t *registry,
+                     const char *name,
+                     uint64_t incarnation)
+{
+  const registry_upstream_t *upstream = registry_find (registry, name);
+
+  return upstream != NULL && upstream->incarnation == incarnation
+         && (upstream->leaving || upstream->said_leaving);
+}
+
 void
 registry_record_answer (registry_t *registry, const char *name, uint64_t now_ms)
 {
--- a/registry.h
+++ b/registry.h
@@ -70,6 +70,7 @@
   uint64_t heard_ms;
   uint32_t announce_ms;
   uint32_t failures; /**< consecutive failed requests to the upstream */
+  bool said_leaving; /**< an answer of this incarnation said that it leaves */
   uint64_t suspect_until_ms;
 } registry_upstream_t;
 
@@ -78,10 +79,12 @@
  * @param incarnation last incarnation that is gone
  * @param is_dead true when the incarnation is known to have ended, as after a
  *                restart; false when it only stopped announcing itself
+ * @param has_left whether it was known to be leaving
  */
 typedef void (*registry_gone_cb_t) (const char *name,
                                     uint64_t incarnation,
                                     bool is_dead,
+                                    bool has_left,
                                     void *context);
 
 typedef struct
@@ -116,6 +119,16 @@
                               const char *name,
                               uint64_t now_ms);
 
+/** Records that an answer of this incarnation said that it leaves. */
+void registry_record_leaving (registry_t *registry,
+                              const char *name,
+                              uint64_t incarnation);
+
+/** Returns whether this incarnation has announced or said that it leaves. */
+bool registry_is_leaving (const registry_t *registry,
+                          const char *name,
+                          uint64_t incarnation);
+
 /** Records that the upstream answered; clears its failures. */
 void registry_record_answer (registry_t *registry,
                              const char *name,
--- a/request.c
+++ b/request.c
@@ -110,6 +110,7 @@
 
   request->id = talloc_strdup (request, id);
   request->sequence = sequence;
+  request->signature = spec->signature;
   request->kind = spec->kind;
   request->service = copy_nonempty (request, spec->service);
   request->customer = copy_nonempty (request, spec->customer);
@@ -191,6 +192,17 @@
   g_array_append_val (request->ends, end);
 }
 
+void
+request_store_call_answer (request_t *request, const upstream_end_t *end)
+{
+  request->answer_status = end->status;
+  request->answer_type = talloc_strdup (
+      request, end->content_type != NULL ? end->content_type
+                                         : "application/octet-stream");
+  request->answer = evbuffer_new ();
+  evbuffer_add_buffer (request->answer, end->body);
+}
+
 void
 request_drop_prompt (request_t *request)
 {
--- a/request.h
+++ b/request.h
@@ -78,6 +78,7 @@
   const char *path;         /**< call: path of the request */
   const char *content_type; /**< call: content type of the body */
   struct evbuffer *raw; /**< call: body; request_new() moves its bytes out */
+  uint64_t signature;   /**< of request-signature.h, 0 for none */
 } request_spec_t;
 
 /** One state transition in a request's history. */
@@ -112,6 +113,10 @@
   bool accepted;         /**< the upstream took the stream */
   bool was_resumed;
   bool has_tokens;       /**< this attempt has delivered a token */
+  bool was_sent;         /**< a byte of the request left this process */
+  bool is_broken_off;    /**< the upstream broke off the connection and has not
+                            answered since */
+  bool has_left;         /**< the upstream was dropped while it was leaving */
   uint32_t stalls;       /**< consecutive broken connections without a token; a
                             refused connection counts more than once */
   uint32_t predicted_ms; /**< predicted time until the first token */
@@ -125,6 +130,7 @@
 {
   char *id;
   uint64_t sequence;
+  uint64_t signature; /**< of request-signature.h, 0 for none */
   request_kind_t kind;
   request_state_t state;
   char *service;
@@ -233,6 +239,9 @@
  */
 void request_set_prompt (request_t *request, char *prompt);
 
+/** Stores the answer to a call, and takes its body. */
+void request_store_call_answer (request_t *request, const upstream_end_t *end);
+
 /** Frees the prompt or call body once no attempt needs it any more. */
 void request_drop_prompt (request_t *request);
 
--- a/t/lib-entry.c
+++ b/t/lib-entry.c
@@ -34,6 +34,9 @@
                                   "  - name: counter\n"
                                   "    weight: 1\n"
                                   "    priority: 5\n"
+                                  "  - name: archive\n"
+                                  "    weight: 1\n"
+                                  "    priority: 5\n"
                                   "  - name: history\n"
                                   "    weight: 1\n"
                                   "    priority: 1\n"
@@ -212,16 +215,19 @@
 }
 
 int
-prompt_without_reading (deploy_t *deploy, const char *body)
+call_without_reading (const char *address,
+                      const char *host,
+                      const char *path,
+                      const char *body)
 {
-  char **parts = g_strsplit (deploy->address, ":", 2);
+  char **parts = g_strsplit (address, ":", 2);
   struct sockaddr_in peer = { .sin_family = AF_INET,
                               .sin_port = htons ((uint16_t)atoi (parts[1])) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  char *request = g_strdup_printf (
-      "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
-      "Content-Length: %zu\r\n\r\n%s",
-      strlen (body), body);
+  char *request
+      = g_strdup_printf ("POST %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n"
+                         "Content-Length: %zu\r\n\r\n%s",
+                         path, host, strlen (body), body);
 
   inet_pton (AF_INET, parts[0], &peer.sin_addr);
   g_assert_cmpint (connect (fd, (struct sockaddr *)&peer, sizeof peer), ==, 0);
@@ -232,6 +238,12 @@
   return fd;
 }
 
+int
+prompt_without_reading (deploy_t *deploy, const char *body)
+{
+  return call_without_reading (deploy->address, "x", "/v1/completions", body);
+}
+
 answer_t
 read_until_close (int fd)
 {
--- a/t/lib-entry.h
+++ b/t/lib-entry.h
@@ -39,8 +39,8 @@
 
 /**
  * Starts an entry instance. Services: "engines" (model "base"), "ledger"
- * (calls, not idempotent), "lookup" (calls, idempotent); customers: "counter"
- * and "history", which may use "engines" only.
+ * (calls, not idempotent), "lookup" (calls, idempotent); customers: "counter",
+ * "archive", and "history", which may use "engines" only.
  * @param flag an additional flag, or NULL
  */
 deploy_t *deploy_new (const char *flag);
@@ -85,6 +85,13 @@
 /** Sends a prompt to the first entry instance and returns the answer. */
 answer_t deploy_prompt (deploy_t *deploy, const char *body);
 
+/** Sends a POST request that names a host and returns the socket without
+ * reading the answer. */
+int call_without_reading (const char *address,
+                          const char *host,
+                          const char *path,
+                          const char *body);
+
 /** Sends a prompt and returns the socket without reading the answer. */
 int prompt_without_reading (deploy_t *deploy, const char *body);
 
