--- a/t/t1003-membership.c
+++ b/t/t1003-membership.c
@@ -8,8 +8,11 @@
 #include "base.h"
 #include "lib-cluster.h"
 #include "membership.h"
+#include "request-crashes.h"
 
 #define MAX_NODES 8
+/* A request that crashes upstreams. */
+#define REQUEST 5
 
 typedef struct
 {
@@ -22,6 +25,8 @@
   uint64_t config;
   uint32_t config_reverts;
   GHashTable *orphans; /* set of "owner/sequence at upstream" */
+  request_crashes_t *crashes;
+  uint32_t lost; /* messages with evidence that are lost from now on */
 } node_t;
 
 typedef struct
@@ -70,6 +75,33 @@
                                      orphan->upstream));
 }
 
+static void
+on_crash_news (void *context)
+{
+  membership_spread_evidence (((node_t *)context)->membership);
+}
+
+static Lwm__CrashEvidence *
+get_evidence (void *parent, void *context)
+{
+  const node_t *node = context;
+
+  return request_crashes_to_message (node->crashes, clock_mono_ms (), parent);
+}
+
+static bool
+on_evidence (const Lwm__CrashEvidence *evidence, void *context)
+{
+  node_t *node = context;
+
+  if (node->lost > 0)
+    {
+      node->lost--;
+      return false;
+    }
+  return request_crashes_merge (node->crashes, evidence, clock_mono_ms ());
+}
+
 static void
 start_node (fixture_t *fixture, node_t *node, const char *data_folder)
 {
@@ -85,13 +117,18 @@
                                    .on_upstream_gone = on_upstream_gone,
                                    .on_config = on_config,
                                    .on_orphan = on_orphan,
+                                   .evidence = get_evidence,
+                                   .on_evidence = on_evidence,
                                    .context = node };
+  request_crashes_options_t crashes
+      = { .news = on_crash_news, .context = node };
 
   for (size_t i = 0; i < fixture->count; i++)
     if (fixture->is_chain ? &fixture->nodes[i] + 1 == node
                           : &fixture->nodes[i] != node)
       seeds[options.seed_count++] = fixture->nodes[i].address;
   node->config = 0;
+  node->crashes = request_crashes_new (fixture->memory, &crashes);
   /* ZeroMQ closes the previous listener asynchronously on its own thread, so
    * binding is retried. */
   for (int i = 0; i < 500 && node->membership == NULL; i++)
@@ -112,6 +149,7 @@
 {
   TALLOC_FREE (node->membership);
   TALLOC_FREE (node->metrics);
+  TALLOC_FREE (node->crashes);
   g_hash_table_remove_all (node->upstreams);
 }
 
@@ -364,6 +402,37 @@
   RUN_UNTIL (fixture, all_count_live (fixture, 6));
 }
 
+static bool
+all_have_level (const fixture_t *fixture, quarantine_level_t level)
+{
+  for (size_t i = 0; i < fixture->count; i++)
+    if (request_crashes_level (fixture->nodes[i].crashes, REQUEST) != level)
+      return false;
+  return true;
+}
+
+/* Guards against crashes seen by several instances, also of other zones, that
+ * do not add up, against the loss of messages, and against an instance that
+ * starts without the evidence. */
+static void
+test_evidence_spreads (fixture_t *fixture, gconstpointer zones)
+{
+  node_t *last = &fixture->nodes[4];
+
+  RUN_UNTIL (fixture, all_count_live (fixture, 5));
+  for (uint32_t i = 0; i < 3; i++)
+    request_crashes_add (fixture->nodes[2 * i].crashes, REQUEST, "u", i,
+                         clock_mono_ms ());
+  last->lost = 2;
+  RUN_UNTIL (fixture, all_have_level (fixture, QUARANTINE_BLOCKED));
+  kill_node (last);
+  start_node (fixture, last, NULL);
+  RUN_UNTIL (fixture, all_have_level (fixture, QUARANTINE_BLOCKED));
+  request_crashes_add_success (fixture->nodes[1].crashes, REQUEST, "u", 9,
+                               clock_mono_ms ());
+  RUN_UNTIL (fixture, all_have_level (fixture, QUARANTINE_CLEAR));
+}
+
 #define ADD(name, zones, test)                                                 \
   g_test_add (name, fixture_t, zones, set_up, test, tear_down)
 
@@ -381,5 +450,6 @@
   ADD ("/membership/whole-zone-restarts", "aaabb", test_whole_zone_restarts);
   ADD ("/membership/chain-of-zones", "+abcdef",
        test_upstream_spreads_over_chain_of_zones);
+  ADD ("/membership/evidence-spreads", "aaabb", test_evidence_spreads);
   return g_test_run ();
 }
