control-keeper: compare voters that can be spared step by step

The order was packed into one number with an upper bound for voters. No change of the order: t8050 (12 of 12) and the walks of t8051 (three, five, five-series) pass with the same numbers of states.

--- a/control-keeper.c
+++ b/control-keeper.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/** No group has as many voters. */
-#define MAX_VOTERS 1000
-
 static uint32_t
 count_voters (const control_keeper_replica_t *replicas, size_t count)
 {
@@ -213,29 +210,45 @@
   return most;
 }
 
-/** Finds the voter that a group with more voters than intended can best spare:
- * one that is about to end or may have failed; of several, one in the zone with
- * most voters, where its successor may vote already. */
+/** Returns whether the voter at @a index can better be spared than the one at
+ * @a other: it is about to end, may have failed, or is in a zone with more
+ * voters, where its successor may vote already. */
+static bool
+is_better_spare (const control_keeper_replica_t *replicas,
+                 size_t count,
+                 size_t index,
+                 size_t other)
+{
+  const control_keeper_replica_t *one = &replicas[index];
+  const control_keeper_replica_t *two = &replicas[other];
+  uint32_t voters = count_voters_in_zone (replicas, count, one->zone);
+  uint32_t other_voters = count_voters_in_zone (replicas, count, two->zone);
+
+  if (one->is_leaving != two->is_leaving)
+    return one->is_leaving;
+  if (one->is_silent != two->is_silent)
+    return one->is_silent;
+  if (voters != other_voters)
+    return voters > other_voters;
+  return !one->is_settled && two->is_settled;
+}
+
+/** Finds the voter that a group with more voters than intended can best
+ * spare. */
 static void
 find_surplus_voter (const control_keeper_replica_t *replicas,
                     size_t count,
                     size_t *which)
 {
-  uint32_t best = 0;
+  bool has_found = false;
 
   for (size_t i = 0; i < count; i++)
-    {
-      uint32_t voters
-          = count_voters_in_zone (replicas, count, replicas[i].zone);
-      int rank = rank_spare_voter (&replicas[i]);
-      uint32_t value = rank / 2 * MAX_VOTERS + voters;
-
-      value = 2 * value + rank % 2;
-      if (!replicas[i].is_voter || value <= best)
-        continue;
-      best = value;
-      *which = i;
-    }
+    if (replicas[i].is_voter
+        && (!has_found || is_better_spare (replicas, count, i, *which)))
+      {
+        *which = i;
+        has_found = true;
+      }
 }
 
 /** Finds a learner whose vote would spread the voters better over the zones
