control-keeper: compare the spare voters of voters alone

While no voter had been found, the comparison read the replica at the index that the last search had left, which may be past the end of the list. The result was not used.

--- a/control-keeper.c
+++ b/control-keeper.c
@@ -195,14 +195,15 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      uint32_t voters
-          = count_voters_in_zone (replicas, count, replicas[i].zone);
-      bool is_better = voters > most
-                       || (voters == most
-                           && rank_spare_voter (&replicas[i])
-                                  > rank_spare_voter (&replicas[*which]));
+      uint32_t voters;
 
-      if (!replicas[i].is_voter || !is_better)
+      if (!replicas[i].is_voter)
+        continue;
+      voters = count_voters_in_zone (replicas, count, replicas[i].zone);
+      if (voters < most
+          || (voters == most
+              && rank_spare_voter (&replicas[i])
+                     <= rank_spare_voter (&replicas[*which])))
         continue;
       most = voters;
       *which = i;
