--- a/t/lib-crashing.c
+++ b/t/lib-crashing.c
@@ -68,8 +68,7 @@
   g_free (body);
 }
 
-/** Listens at the address of the upstream, which the first call sets.
- */
+/** Listens at the address of the upstream, which the first call sets. */
 static void
 start_listening (upstream_t *upstream)
 {
