exchange: take no reset connection for the end of an answer

Cause: a write that meets the reset takes the error from the socket, so the read after it finds the end of the data instead of the error. The callbacks of the connection are deferred, and both arrive as one event. A trace of the old code shows it: READING|WRITING|EOF|ERROR (0x33) with ECONNRESET and 786,519 bytes unsent, where a reset that comes after the upload is READING|ERROR (0x21). on_event() looked for EOF first, and so the reset ended an answer that ends with its connection.

Change: the end of the data is orderly only if the event has neither an error nor a part of the writing side. An answer without a length is then broken, as one with a length was before.

--- a/exchange.c
+++ b/exchange.c
@@ -240,6 +240,16 @@
   return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH;
 }
 
+/** Returns whether an event is the orderly end of the peer's data. A write that
+ * meets a reset takes the error from the socket, so that a read after it finds
+ * the end of the data. The deferred callback gets both as one event. */
+static bool
+is_orderly_end (short what)
+{
+  return (what & BEV_EVENT_EOF) != 0
+         && (what & (BEV_EVENT_ERROR | BEV_EVENT_WRITING)) == 0;
+}
+
 static void
 on_event (struct bufferevent *stream, short what, void *context)
 {
@@ -253,7 +263,7 @@
     }
   if (connection->exchange == NULL)
     talloc_free (connection);
-  else if ((what & BEV_EVENT_EOF) != 0)
+  else if (is_orderly_end (what))
     on_closed (connection);
   else
     {
