exchange: hold an answer's end until its request is written

A caller got a part of an answer as a whole one when the upstream had read what had come of the upload at the moment it closed: such a close sends an orderly end first, and a reset only when more of the request comes. A process that ends while its receive buffer is empty does the same.

Cause: the end of the connection ended an answer without a length though the request was still being written (770,135 bytes unsent in the trace, READING|EOF), and the failure of the next write was never seen.

Change: such an answer ends once the request is written. If the write fails, the answer is broken. An upstream that shuts only its sending side and takes the rest is served as before; if it takes nothing for a second, the answer ends as before too, since nothing shows that it was cut. What the kernel has taken counts as written.

The test ignores SIGPIPE as the programs do.

--- a/exchange.c
+++ b/exchange.c
@@ -22,6 +22,8 @@
 #define MAX_IDLE_CONNECTIONS 8
 /** An idle connection is no longer used this long before its peer closes it. */
 #define IDLE_MARGIN_MS 500
+/** Longest pause in writing a request whose answer has ended already. */
+#define LATE_WRITE_TIMEOUT_MS 1000
 
 /** Detects an unreachable upstream soon, as a request is waiting for it. */
 static const socket_watch_t upstream_watch
@@ -47,6 +49,7 @@
   bool is_connected;
   bool is_parsing;      /* reader callbacks may be running */
   bool has_peer_closed; /* or reset the connection */
+  bool awaits_written;  /* the answer has ended, the request is being written */
   uint64_t idle_until_ms;
 };
 
@@ -218,6 +221,32 @@
     }
 }
 
+/** Ends an answer that ended with its connection, once the request is written.
+ * The end alone does not show whether the upstream takes the rest of the
+ * request or has died, and its answer is cut: the next write does. */
+static void
+finish_after_request (connection_t *connection)
+{
+  struct timeval timeout = timeval_from_ms (LATE_WRITE_TIMEOUT_MS);
+
+  if (evbuffer_get_length (bufferevent_get_output (connection->stream)) == 0)
+    {
+      finish_exchange (connection);
+      return;
+    }
+  connection->awaits_written = true;
+  bufferevent_set_timeouts (connection->stream, NULL, &timeout);
+}
+
+static void
+on_written (struct bufferevent *stream, void *context)
+{
+  connection_t *connection = context;
+
+  if (connection->awaits_written)
+    finish_exchange (connection);
+}
+
 static void
 on_closed (connection_t *connection)
 {
@@ -227,7 +256,7 @@
   if (connection->exchange == NULL)
     talloc_free (connection);
   else if (result == HTTP_READER_END)
-    finish_exchange (connection);
+    finish_after_request (connection);
   else
     fail_exchange (connection, classify_failure (connection));
 }
@@ -265,6 +294,8 @@
     talloc_free (connection);
   else if (is_orderly_end (what))
     on_closed (connection);
+  else if (connection->awaits_written && (what & BEV_EVENT_TIMEOUT) != 0)
+    finish_exchange (connection);
   else
     {
       connection->has_peer_closed = (what & BEV_EVENT_ERROR) != 0
@@ -303,7 +334,7 @@
   connection->stream = bufferevent_socket_new (
       pool->options.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   talloc_set_destructor (connection, free_connection);
-  bufferevent_setcb (connection->stream, on_readable, NULL, on_event,
+  bufferevent_setcb (connection->stream, on_readable, on_written, on_event,
                      connection);
   bufferevent_set_timeouts (connection->stream, &timeout, &timeout);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
@@ -470,10 +501,12 @@
 void
 exchange_set_paused (exchange_t *exchange, bool is_paused)
 {
+  connection_t *connection = exchange->connection;
+
   if (is_paused)
-    bufferevent_disable (exchange->connection->stream, EV_READ);
-  else
-    bufferevent_enable (exchange->connection->stream, EV_READ);
+    bufferevent_disable (connection->stream, EV_READ);
+  else if (!connection->awaits_written)
+    bufferevent_enable (connection->stream, EV_READ);
 }
 
 bool
--- a/exchange.h
+++ b/exchange.h
@@ -11,6 +11,10 @@
  * connection for others (close_after), and a request must not go out on a
  * connection that may carry a second answer to the same request
  * (use_new_connection).
+ *
+ * An answer without a length ends with its connection. It is complete if the
+ * upstream shuts its sending side in order and takes the rest of the request;
+ * it is broken if the connection fails before the request is written.
  */
 #ifndef EXCHANGE_H
 #define EXCHANGE_H
--- a/t/t8086-gateway-early-answers.c
+++ b/t/t8086-gateway-early-answers.c
@@ -5,6 +5,7 @@
  */
 #include <event2/event.h>
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "lib-early-answer.h"
@@ -151,6 +152,16 @@
       .text = PART, .more = "more", .delay_ms = 600, .end = EARLY_RESET });
 }
 
+/* Guards against: a part of an answer is taken for a whole one, because its
+ * upstream had read what had come of the request when it closed, and resets
+ * only when more of it comes (MIXED). */
+static void
+test_close_after_reading (void)
+{
+  expect_broken (&(early_answer_t){
+      .text = PART, .delay_ms = 300, .end = EARLY_READ_CLOSE });
+}
+
 /** The reset comes while nothing is being written. */
 static void
 test_reset_after_reading (void)
@@ -268,11 +279,15 @@
   g_test_init (&argc, &argv, NULL);
   base_init ("t8086-gateway-early-answers");
   logging_init (LOGGING_ERROR);
+  /* As in the programs. */
+  signal (SIGPIPE, SIG_IGN);
   g_test_add_func ("/early-answers/reset-later", test_reset_later);
   g_test_add_func ("/early-answers/reset-at-once", test_reset_at_once);
   g_test_add_func ("/early-answers/close-unread", test_close_unread);
   g_test_add_func ("/early-answers/reset-while-answering",
                    test_reset_while_answering);
+  g_test_add_func ("/early-answers/close-after-reading",
+                   test_close_after_reading);
   g_test_add_func ("/early-answers/reset-after-reading",
                    test_reset_after_reading);
   g_test_add_func ("/early-answers/length-cut", test_length_cut);
