http-reader: reject responses whose status is none

Callers got answers whose status was 000, body and all; a 000 with a length of 0 was skipped and the 200 behind it on the same connection passed on; 0200 came as 200; after a 101 that nobody had asked for, callers got an answer whose status is none.

Cause: http_parser takes any number of digits up to 999 for a status, and the reader added no check. skip_interim() took every status below 200 for an interim answer, whose head its owner never sees: when such an answer ended with its connection or was a 101, the owner had no status at all.

Change: a response is valid if its status has three digits, is one of 100 to 599 and is not 101, as no request asks to switch protocols.

--- a/http-reader.h
+++ b/http-reader.h
@@ -5,6 +5,9 @@
  * The parser reads one message at a time and reports exactly how many bytes
  * belong to it, so that the owner of the connection notices bytes that follow
  * the message. The parser does no I/O.
+ *
+ * A response whose status is not one of 100 to 599, in three digits, is no
+ * valid message, nor is one that switches protocols.
  */
 #ifndef HTTP_READER_H
 #define HTTP_READER_H
--- a/t/t8000-http-reader.c
+++ b/t/t8000-http-reader.c
@@ -165,6 +165,85 @@
   fixture_free (fixture);
 }
 
+/** Feeds an answer that begins with @a status_line, in one piece and byte by
+ * byte, and expects a result; the answer ends with its connection. */
+static void
+expect_status_line (const char *status_line, http_reader_result_t result)
+{
+  char *text
+      = g_strconcat (status_line, "\r\nContent-Length: 2\r\n\r\nok", NULL);
+  fixture_t *whole = fixture_new (HTTP_READER_RESPONSE);
+  fixture_t *bytewise = fixture_new (HTTP_READER_RESPONSE);
+  size_t used;
+
+  g_test_message ("%s", status_line);
+  g_assert_cmpint (feed (whole, text, &used), ==, result);
+  g_assert_cmpint (feed_bytewise (bytewise, text), ==, result);
+  g_assert_cmpuint (whole->heads, ==, result == HTTP_READER_END);
+  g_assert_cmpuint (bytewise->heads, ==, result == HTTP_READER_END);
+  fixture_free (whole);
+  fixture_free (bytewise);
+  g_free (text);
+}
+
+/** Guards against answers whose status is none being passed on. */
+static void
+test_status (void)
+{
+  static const char *const valid[] = {
+    "HTTP/1.1 200 OK",        "HTTP/1.1 200",        "HTTP/1.1 200 ",
+    "HTTP/1.0 404 Not Found", "HTTP/1.1 599 x 1 22", "\r\nHTTP/1.1 299 x"
+  };
+  static const char *const invalid[]
+      = { "HTTP/1.1 000 None", "HTTP/1.1 0 x",    "HTTP/1.1 00 x",
+          "HTTP/1.1 001 x",    "HTTP/1.1 099 x",  "HTTP/1.1 20 x",
+          "HTTP/1.1 0200 OK",  "HTTP/1.1 00200",  "HTTP/1.1 2000 OK",
+          "HTTP/1.1 600 x",    "HTTP/1.1 999 x",  "HTTP/1.1 -200 OK",
+          "HTTP/1.1 +200 OK",  "HTTP/1.1 20x OK", "HTTP/1.1 200x OK",
+          "HTTP/1.1 101 x",    "HTTP/1.1 OK",     "HTTP/1.1",
+          "ICY 200 OK" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (valid); i++)
+    expect_status_line (valid[i], HTTP_READER_END);
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
+    expect_status_line (invalid[i], HTTP_READER_ERROR);
+}
+
+/** Guards against an answer without a status that ends with its connection. */
+static void
+test_status_and_close (void)
+{
+  fixture_t *fixture = fixture_new (HTTP_READER_RESPONSE);
+  size_t used;
+
+  g_assert_cmpint (feed (fixture, "HTTP/1.1 000 None\r\n\r\nbody", &used), ==,
+                   HTTP_READER_ERROR);
+  g_assert_cmpint (http_reader_end_input (fixture->reader), ==,
+                   HTTP_READER_ERROR);
+  g_assert_false (http_reader_has_head (fixture->reader));
+  fixture_free (fixture);
+}
+
+/** Each answer on a connection has a status of its own, an interim one too. */
+static void
+test_status_after_interim (void)
+{
+  fixture_t *fixture = fixture_new (HTTP_READER_RESPONSE);
+
+  g_assert_cmpint (feed_bytewise (fixture, "HTTP/1.1 103 Early Hints\r\n"
+                                           "Link: a\r\n\r\n"
+                                           "HTTP/1.1 0204 No Content\r\n\r\n"),
+                   ==, HTTP_READER_ERROR);
+  http_reader_reset (fixture->reader);
+  g_assert_cmpint (feed_bytewise (fixture, "HTTP/1.1 103 Early Hints\r\n\r\n"
+                                           "HTTP/1.1 100 Continue\r\n\r\n"
+                                           "HTTP/1.1 204 No Content\r\n\r\n"),
+                   ==, HTTP_READER_END);
+  g_assert_cmpuint (http_reader_status (fixture->reader), ==, 204);
+  g_assert_cmpuint (fixture->heads, ==, 1);
+  fixture_free (fixture);
+}
+
 static void
 test_body_not_expected (void)
 {
@@ -228,6 +307,10 @@
   g_test_add_func ("/http-reader/chunks", test_chunks);
   g_test_add_func ("/http-reader/close", test_connection_close_ends_answer);
   g_test_add_func ("/http-reader/interim", test_interim_answer_is_skipped);
+  g_test_add_func ("/http-reader/status", test_status);
+  g_test_add_func ("/http-reader/status-and-close", test_status_and_close);
+  g_test_add_func ("/http-reader/status-after-interim",
+                   test_status_after_interim);
   g_test_add_func ("/http-reader/no-body", test_body_not_expected);
   g_test_add_func ("/http-reader/malformed", test_malformed);
   g_test_add_func ("/http-reader/hop-fields", test_hop_fields);
