http-reader: reject fields whose names hold blanks

Callers got answers with lines such as "Bad Name: x", "Name : x" and, first of all, one that begins with a blank; with "Transfer-Encoding : chunked" they got the framing of the chunks as the body, and with "Content-Length : 4" or "Content Length: 4" a 200 as well. Requests are read by the same reader: "Na me: x", "Name : x", "Content Length: 4" and a first line that begins with a blank ran and reached upstreams.

Cause: the library's parser is built lenient and takes blanks in names, and the reader added no check of its own. The parser compares a name before a blank with those that frame a body, the gateway the name with the blank.

Change: the name of a field in a head has to be a token (RFC 9110). An answer with any other name is no answer; a request with one is rejected with 400, as one with a control byte was. The fields of a trailer are not passed on and are read as before. The characters of a token stand in http-token.c, which framing.c uses too.

Test: t8000, t8087, t8060. On the code before, /http-reader/field-names, /invalid-answers/blank-in-name, blank-in-framing and /gateway/field-names failed; control-byte-in-name, name-in-trailer and /http-reader/trailer passed and guard what was right.

--- a/framing.c
+++ b/framing.c
@@ -7,20 +7,9 @@
 #include <strings.h>
 #include <sys/queue.h>
 
-#define MAX_CONTENT_LENGTH_DIGITS 15
-
-/** Characters allowed in a header name ("token" in RFC 9110). */
-static const char token_characters[]
-    = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789"
-      "!#$%&'*+-.^_`|~";
-
-static bool
-is_token (const char *text)
-{
-  size_t length = strlen (text);
+#include "http-token.h"
 
-  return length > 0 && strspn (text, token_characters) == length;
-}
+#define MAX_CONTENT_LENGTH_DIGITS 15
 
 static bool
 is_content_length (const char *text)
@@ -41,7 +30,7 @@
 
   TAILQ_FOREACH (header, headers, next)
   {
-    if (!is_token (header->key))
+    if (!http_token_is_valid (header->key))
       return "a header's name is malformed";
     if (strcasecmp (header->key, "Content-Length") == 0)
       {
--- a/http-reader.c
+++ b/http-reader.c
@@ -6,6 +6,8 @@
 #include <strings.h>
 #include <talloc.h>
 
+#include "http-token.h"
+
 #define MAX_FIELDS 200
 /** Memory that a string takes beside its text, and a field beside its two. */
 #define STRING_BYTES 128u
@@ -168,6 +170,10 @@
 {
   http_reader_t *reader = get_reader (parser);
 
+  /* http_parser allows blanks in names. The fields of a trailer are not passed
+     on. */
+  if (!reader->has_head && !http_token_has_only (at, length))
+    return -1;
   if (reader->value != NULL)
     finish_field (reader);
   append_text (reader, &reader->name, at, length);
--- a/http-reader.h
+++ b/http-reader.h
@@ -6,8 +6,9 @@
  * belong to it, so that the owner of the connection notices bytes that follow
  * the message. The parser does no I/O.
  *
- * A response whose status is not one of 100 to 599, in three digits, is no
- * valid message, nor is one that switches protocols.
+ * A message is not valid if a name of a field in its head is no token, as one
+ * that holds a blank. A response whose status is not one of 100 to 599, in
+ * three digits, is no valid message, nor is one that switches protocols.
  */
 #ifndef HTTP_READER_H
 #define HTTP_READER_H
--- a/t/t8000-http-reader.c
+++ b/t/t8000-http-reader.c
@@ -244,6 +244,80 @@
   fixture_free (fixture);
 }
 
+/** Feeds a head with @a line, in one piece and byte by byte, and expects a
+ * result. */
+static void
+expect_line (http_reader_kind_t kind,
+             const char *line,
+             http_reader_result_t result)
+{
+  const char *start = kind == HTTP_READER_REQUEST ? "POST / HTTP/1.1\r\n"
+                                                  : "HTTP/1.1 200 OK\r\n";
+  char *text
+      = g_strconcat (start, line, "\r\nContent-Length: 2\r\n\r\nok", NULL);
+  fixture_t *whole = fixture_new (kind);
+  fixture_t *bytewise = fixture_new (kind);
+  size_t used;
+
+  g_test_message ("%s", line);
+  g_assert_cmpint (feed (whole, text, &used), ==, result);
+  g_assert_cmpint (feed_bytewise (bytewise, text), ==, result);
+  g_assert_cmpuint (whole->heads, ==, result == HTTP_READER_END);
+  fixture_free (whole);
+  fixture_free (bytewise);
+  g_free (text);
+}
+
+/** Guards against names with blanks or control bytes, which are passed on, and
+ * against those that are taken for the name before the blank. */
+static void
+test_field_names (void)
+{
+  static const http_reader_kind_t kinds[]
+      = { HTTP_READER_REQUEST, HTTP_READER_RESPONSE };
+  static const char *const valid[] = { "X-A: b", "x!#$%&'*+-.^_`|~9: b",
+                                       "X-A:b", "X-A:", "X-A: b\r\n c: d" };
+  static const char *const invalid[] = { "Bad Name: x",
+                                         "Name : x",
+                                         "Name\t: x",
+                                         "Na\001me: x",
+                                         "Na\177me: x",
+                                         "Na\200me: x",
+                                         "Na\rme: x",
+                                         "Na(me: x",
+                                         ": x",
+                                         "no colon",
+                                         " Name: x",
+                                         "\tName: x",
+                                         "Transfer-Encoding : chunked",
+                                         "Content-Length : 4",
+                                         "Content Length: 4",
+                                         "X-A: b\r\nBad Name: x" };
+
+  for (size_t kind = 0; kind < G_N_ELEMENTS (kinds); kind++)
+    {
+      for (size_t i = 0; i < G_N_ELEMENTS (valid); i++)
+        expect_line (kinds[kind], valid[i], HTTP_READER_END);
+      for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
+        expect_line (kinds[kind], invalid[i], HTTP_READER_ERROR);
+    }
+}
+
+/** The fields of a trailer are no part of the head. */
+static void
+test_trailer (void)
+{
+  fixture_t *fixture = fixture_new (HTTP_READER_RESPONSE);
+
+  g_assert_cmpint (feed_bytewise (fixture,
+                                  "HTTP/1.1 200 OK\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n"
+                                  "2\r\nok\r\n0\r\nBad Name: x\r\n\r\n"),
+                   ==, HTTP_READER_END);
+  g_assert_cmpstr (fixture->body->str, ==, "ok");
+  fixture_free (fixture);
+}
+
 static void
 test_body_not_expected (void)
 {
@@ -311,6 +385,8 @@
   g_test_add_func ("/http-reader/status-and-close", test_status_and_close);
   g_test_add_func ("/http-reader/status-after-interim",
                    test_status_after_interim);
+  g_test_add_func ("/http-reader/field-names", test_field_names);
+  g_test_add_func ("/http-reader/trailer", test_trailer);
   g_test_add_func ("/http-reader/no-body", test_body_not_expected);
   g_test_add_func ("/http-reader/malformed", test_malformed);
   g_test_add_func ("/http-reader/hop-fields", test_hop_fields);
--- a/t/t8060-gateway.c
+++ b/t/t8060-gateway.c
@@ -287,6 +287,27 @@
   gateway_fixture_free (fixture);
 }
 
+/* Guards against: a request whose field has a blank in its name runs. */
+static void
+test_field_names (void)
+{
+  static const char *const lines[]
+      = { "Na me: x", "Name : x", "Content Length: 4", " Name: x" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    {
+      gateway_fixture_t *fixture
+          = gateway_fixture_ready (ACT_ANSWER, ACT_ANSWER);
+      char *request = g_strdup_printf (
+          "GET /safe/ HTTP/1.1\r\n%s\r\nHost: h\r\n\r\n", lines[i]);
+
+      gateway_fixture_call (fixture, request, "HTTP/1.1 400 ");
+      g_assert_cmpuint (gateway_fixture_requests (fixture), ==, 0);
+      g_free (request);
+      gateway_fixture_free (fixture);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -305,6 +326,7 @@
   g_test_add_func ("/gateway/extra-bytes", test_extra_bytes);
   g_test_add_func ("/gateway/caller-gone", test_caller_disconnect_aborts_work);
   g_test_add_func ("/gateway/drain", test_drain);
+  g_test_add_func ("/gateway/field-names", test_field_names);
   g_test_add_func ("/gateway/config-forward", test_older_config_is_ignored);
   return g_test_run ();
 }
--- a/t/t8087-gateway-invalid-answers.c
+++ b/t/t8087-gateway-invalid-answers.c
@@ -117,6 +117,56 @@
   gateway_fixture_free (fixture);
 }
 
+/* Guards against: callers get an answer with a line whose name is none, or with
+ * a body that is not the upstream's. */
+static void
+test_blank_in_name (void)
+{
+  expect_invalid ("HTTP/1.1 200 OK\r\nBad Name: x\r\n" WITH_LENGTH);
+  expect_invalid ("HTTP/1.1 200 OK\r\nName : x\r\n" WITH_LENGTH);
+  expect_invalid ("HTTP/1.1 200 OK\r\n Name: x\r\n" WITH_LENGTH);
+}
+
+static void
+test_blank_in_framing (void)
+{
+  expect_invalid (SIGNED_HEAD "Content-Length : 4\r\n\r\nevil");
+  expect_invalid (SIGNED_HEAD "Content Length: 4\r\n\r\nevil");
+  expect_invalid (SIGNED_HEAD "Transfer-Encoding : chunked\r\n\r\n"
+                              "4\r\nevil\r\n0\r\n\r\n");
+}
+
+static void
+test_control_byte_in_name (void)
+{
+  static const char bytes[] = { '\t', '\001', '\177', '\200', '\r', '(' };
+
+  for (size_t i = 0; i < sizeof bytes; i++)
+    {
+      char *text = g_strdup_printf (
+          "HTTP/1.1 200 OK\r\nNa%cme: x\r\n" WITH_LENGTH, bytes[i]);
+
+      expect_invalid (text);
+      g_free (text);
+    }
+  expect_invalid ("HTTP/1.1 200 OK\r\n: x\r\n" WITH_LENGTH);
+  expect_invalid ("HTTP/1.1 200 OK\r\nno colon\r\n" WITH_LENGTH);
+}
+
+/** A trailer is not passed on, whatever the names in it. */
+static void
+test_name_in_trailer (void)
+{
+  gateway_fixture_t *fixture = make_fixture (
+      ACT_TEXT, SIGNED_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+                            "4\r\ngood\r\n0\r\nBad Name: x\r\n\r\n");
+
+  gateway_fixture_call (fixture, POST ("/unsafe/"), "HTTP/1.1 200 ");
+  g_assert_true (gateway_fixture_has_text (fixture, "\r\n\r\ngood"));
+  g_assert_false (gateway_fixture_has_text (fixture, "Bad Name"));
+  gateway_fixture_free (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -129,5 +179,10 @@
   g_test_add_func ("/invalid-answers/switched-protocols",
                    test_switched_protocols);
   g_test_add_func ("/invalid-answers/interim", test_interim);
+  g_test_add_func ("/invalid-answers/blank-in-name", test_blank_in_name);
+  g_test_add_func ("/invalid-answers/blank-in-framing", test_blank_in_framing);
+  g_test_add_func ("/invalid-answers/control-byte-in-name",
+                   test_control_byte_in_name);
+  g_test_add_func ("/invalid-answers/name-in-trailer", test_name_in_trailer);
   return g_test_run ();
 }
