http-reader: read no body of interim responses

A caller got "evilevil" as the body of an answer of 4 bytes: an upstream sent a 103 whose fields named a body of 4 bytes, and those were put before the body of the 200 that followed. Found while looking for the other places in which an interim answer is read as one.

Cause: http_parser reads the body that the fields of a 1xx name, and the reader passed it on, though the head of such an answer is never shown. An interim response ends with its head (RFC 9110, section 15.2).

Change: the reader skips the body of an interim response, so that the bytes after its head have to be the next answer. If they are not, the answer is an error, as other bytes that are none are.

Test: /invalid-answers/interim-body failed on the code before; it passes now with the other cases of t8000 and t8087.

--- a/http-reader.c
+++ b/http-reader.c
@@ -16,6 +16,7 @@
 #define STATUS_DIGITS       3
 #define MIN_STATUS          100
 #define MAX_STATUS          599
+#define FIRST_FINAL_STATUS  200
 #define SWITCHING_PROTOCOLS 101
 
 /** Progress within the status line, as far as the digits of the status. */
@@ -217,6 +218,14 @@
          && status <= MAX_STATUS && status != SWITCHING_PROTOCOLS;
 }
 
+/** Returns whether the message is an interim response (1xx). */
+static bool
+is_interim (const http_reader_t *reader)
+{
+  return reader->parser.type == HTTP_RESPONSE
+         && reader->parser.status_code < FIRST_FINAL_STATUS;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -226,10 +235,10 @@
   if (parser->type == HTTP_RESPONSE && !is_valid_status (reader))
     return -1;
   reader->has_head = true;
-  if (reader->options.on_head != NULL
-      && (parser->type == HTTP_REQUEST || parser->status_code >= 200))
+  if (reader->options.on_head != NULL && !is_interim (reader))
     reader->options.on_head (reader->options.context);
-  return reader->expects_no_body ? 1 : 0;
+  /* Skips the body. An interim response has none, whatever its fields say. */
+  return reader->expects_no_body || is_interim (reader) ? 1 : 0;
 }
 
 static int
@@ -294,14 +303,14 @@
   reader->expects_no_body = true;
 }
 
-/** Resets the reader after an interim response (1xx), which is not the answer.
+/** Resets the reader after an interim response, which is not the answer.
  * @return false if the message is not an interim response */
 static bool
 skip_interim (http_reader_t *reader)
 {
   bool expects_no_body = reader->expects_no_body;
 
-  if (reader->parser.type != HTTP_RESPONSE || reader->parser.status_code >= 200)
+  if (!is_interim (reader))
     return false;
   http_reader_reset (reader);
   reader->expects_no_body = expects_no_body;
--- a/t/t8087-gateway-invalid-answers.c
+++ b/t/t8087-gateway-invalid-answers.c
@@ -117,6 +117,18 @@
   gateway_fixture_free (fixture);
 }
 
+/* Guards against: the body that an interim answer names, though it has none, is
+ * put before the body of the answer that follows. */
+static void
+test_interim_body (void)
+{
+  expect_invalid ("HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nevil"
+                  "HTTP/1.1 200 OK\r\n" WITH_LENGTH);
+  expect_invalid ("HTTP/1.1 103 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "4\r\nevil\r\n0\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\n" WITH_LENGTH);
+}
+
 /* Guards against: callers get an answer with a line whose name is none, or with
  * a body that is not the upstream's. */
 static void
@@ -179,6 +191,7 @@
   g_test_add_func ("/invalid-answers/switched-protocols",
                    test_switched_protocols);
   g_test_add_func ("/invalid-answers/interim", test_interim);
+  g_test_add_func ("/invalid-answers/interim-body", test_interim_body);
   g_test_add_func ("/invalid-answers/blank-in-name", test_blank_in_name);
   g_test_add_func ("/invalid-answers/blank-in-framing", test_blank_in_framing);
   g_test_add_func ("/invalid-answers/control-byte-in-name",
