--- a/upstream-http-internal.h
+++ b/upstream-http-internal.h
@@ -1,6 +1,6 @@
 /**
  * @file upstream-http-internal.h
- * Declarations shared by upstream-http.c and upstream-http-once.c only.
+ * Declarations shared by the files of upstream-http.h only.
  *
  * The functions that take an upstream_target_t are one-shot calls: members of
  * upstream_ops_t, described in upstream.h. Their context is an upstream_http_t.
@@ -12,11 +12,24 @@
 
 #include "upstream-http.h"
 
+/** Kinds of calls whose response may take long. */
+typedef enum
+{
+  CALL_STREAM, /**< opens a stream of tokens */
+  CALL_RESUME, /**< continues an open stream at an offset */
+  CALL_PLAIN,  /**< calls a plain service */
+} upstream_http_kind_t;
+
 struct upstream_http
 {
   struct event_base *base;
 };
 
+/** Returns what the status and the body of an error response mean. */
+upstream_result_t upstream_http_read_refusal (upstream_http_kind_t kind,
+                                              int status,
+                                              struct evbuffer *body);
+
 /** Adds a string member unless @a value is NULL or empty. */
 void upstream_http_add_text (JsonBuilder *builder,
                              const char *name,
--- a/upstream-http.c
+++ b/upstream-http.c
@@ -29,17 +29,10 @@
 /* Responses of plain services may be as large as requests. */
 #define MAX_RESPONSE_BYTES (16 * 1024 * 1024)
 
-typedef enum
-{
-  CALL_STREAM, /* opens a stream of tokens */
-  CALL_RESUME, /* continues an open stream at an offset */
-  CALL_PLAIN,  /* calls a plain service */
-} call_kind_t;
-
 struct upstream_call
 {
   upstream_http_t *http;
-  call_kind_t kind;
+  upstream_http_kind_t kind;
   struct evhttp_connection *connection;
   struct event *deferred_end;  /* reports the end or frees the call, outside
                                   of evhttp callbacks */
@@ -281,53 +274,13 @@
     end_call (call, UPSTREAM_BROKEN);
 }
 
-/** Maps the status and body of an error response to a result. */
-static upstream_result_t
-classify_refusal (upstream_call_t *call)
-{
-  upstream_result_t result = UPSTREAM_ERROR;
-  const char *text = (const char *)evbuffer_pullup (call->input, -1);
-  JsonObject *body
-      = json_text_read_object (text, evbuffer_get_length (call->input), NULL);
-  const char *kind = "";
-  bool not_run = false;
-
-  if (body != NULL)
-    {
-      JsonObject *object = body;
-      JsonNode *error = json_object_get_member (object, "error");
-
-      if (error != NULL && JSON_NODE_HOLDS_OBJECT (error))
-        object = json_node_get_object (error);
-      kind = http_json_text_member (object, "kind", "");
-      not_run = http_json_bool_member (object, "not_run", false);
-    }
-  if (strcmp (kind, "duplicate") == 0)
-    result = UPSTREAM_DUPLICATE;
-  else if (call->kind == CALL_RESUME)
-    result
-        = call->status == HTTP_NOTFOUND ? UPSTREAM_NO_STREAM : UPSTREAM_ERROR;
-  else if (call->kind == CALL_STREAM && call->status == 409)
-    result = UPSTREAM_NOT_LOADED;
-  else if (call->kind == CALL_STREAM && call->status == 410)
-    result = UPSTREAM_LEAVING;
-  else if (not_run && strcmp (kind, "leaving") == 0)
-    result = UPSTREAM_LEAVING;
-  else if (not_run && call->status == 503)
-    result = UPSTREAM_BUSY;
-  else if (not_run)
-    result = UPSTREAM_REFUSED;
-  g_clear_pointer (&body, json_object_unref);
-  return result;
-}
-
 static upstream_result_t
 final_result (upstream_call_t *call)
 {
   upstream_result_t result = UPSTREAM_DONE;
 
   if (call->kind != CALL_PLAIN || call->status >= 400)
-    result = classify_refusal (call);
+    result = upstream_http_read_refusal (call->kind, call->status, call->input);
   call->end.is_leaving = result == UPSTREAM_LEAVING;
   if (call->kind != CALL_PLAIN)
     return result;
@@ -383,7 +336,7 @@
 static upstream_call_t *
 new_call (upstream_http_t *http,
           const upstream_target_t *target,
-          call_kind_t kind,
+          upstream_http_kind_t kind,
           const char *request_id,
           const upstream_sink_t *sink)
 {
