response-check: reject responses whose status is none

The readers over evhttp had the fault of the other one: on the product's own path plain calls passed on 001, 099, 20, 600, 999, 2000 and -200, took 0200, 00200, +200 and 200x for a 200, and gave callers a 101 or 103 as the answer.

Cause: evhttp reads a status with atoi() and rejects 0 alone; it waits for the answer after a 100, but takes any other interim response for the answer. The readers added no check.

Change: response-check.c checks the status: one of 200 to 599, written in three digits, which evhttp does not tell and which it reads from the bytes as they come (status-line.c, shared with http-reader.c; the first line of a connection alone). A call with another one is broken, and its upstream has not crashed; a forwarded request gets the error of an owner that cannot be reached.

Test: t2111 and t3212.

--- a/forward.c
+++ b/forward.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "http.h"
+#include "response-check.h"
 #include "settings.h"
 
 #define FORWARDED_BY_HEADER "X-Forwarded-By-Instance"
@@ -24,6 +25,7 @@
   struct evhttp_request *http; /* the caller's request; NULL once finished */
   struct evhttp_connection *caller_connection; /* NULL once closed */
   struct evhttp_connection *owner_connection;
+  response_check_t *check;
   struct event *finish_event; /* frees the state outside of evhttp callbacks */
   bool headers_sent;
   bool is_writing; /* a part of the response is in the caller's buffer */
@@ -111,7 +113,8 @@
 {
   forward_t *forward = arg;
 
-  if (forward->http == NULL)
+  if (forward->http == NULL
+      || response_check_error (forward->check, response) != NULL)
     return 0;
   copy_header (forward, response, "Content-Type");
   copy_header (forward, response, "X-Request-Id");
@@ -142,7 +145,7 @@
   forward_t *forward = arg;
   struct evbuffer *backlog;
 
-  if (forward->http == NULL)
+  if (forward->http == NULL || !forward->headers_sent)
     return;
   forward->is_writing = true;
   evhttp_send_reply_chunk_with_cb (forward->http,
@@ -220,6 +223,7 @@
   forward->finish_event = event_new (options->base, -1, 0, on_finish, forward);
   forward->owner_connection
       = evhttp_connection_base_new (options->base, NULL, ip, port);
+  forward->check = response_check_new (forward, forward->owner_connection);
   evhttp_connection_set_timeout_tv (forward->owner_connection, &owner_idle);
   evhttp_connection_set_closecb (forward->caller_connection,
                                  on_caller_disconnected, forward);
--- a/forward.h
+++ b/forward.h
@@ -31,8 +31,8 @@
 bool forward_is_forwarded (struct evhttp_request *http);
 
 /**
- * Starts to forward the request. When the other instance cannot be reached, the
- * caller gets ERROR_NO_UPSTREAM.
+ * Starts to forward the request. When the other instance cannot be reached, or
+ * sends no valid response, the caller gets ERROR_NO_UPSTREAM.
  * @param parent frees the forwarding state early when freed itself (talloc);
  *        otherwise the state is freed just before options.closed is called
  * @param options copied; address is only read during the call
--- a/http-reader.c
+++ b/http-reader.c
@@ -7,26 +7,18 @@
 #include <talloc.h>
 
 #include "http-token.h"
+#include "status-line.h"
 
 #define MAX_FIELDS 200
 /** Memory that a string takes beside its text, and a field beside its two. */
 #define STRING_BYTES 128u
 #define FIELD_BYTES  64u
 /** The status codes that exist (RFC 9110, section 15). */
-#define STATUS_DIGITS       3
 #define MIN_STATUS          100
 #define MAX_STATUS          599
 #define FIRST_FINAL_STATUS  200
 #define SWITCHING_PROTOCOLS 101
 
-/** Progress within the status line, as far as the digits of the status. */
-typedef enum
-{
-  STATUS_LINE_VERSION,
-  STATUS_LINE_DIGITS,
-  STATUS_LINE_REST,
-} status_line_t;
-
 struct http_reader
 {
   http_reader_options_t options;
@@ -39,7 +31,6 @@
   http_fields_t fields;
   uint32_t head_bytes;
   status_line_t status_line;
-  uint32_t status_digits;
   bool has_begun;
   bool has_head;
   bool is_whole;
@@ -190,23 +181,6 @@
   return count_head_bytes (reader, length);
 }
 
-/** Counts the digits of the status: http_parser takes any number of them. */
-static void
-count_status_digits (http_reader_t *reader,
-                     const uint8_t *data,
-                     size_t size_bytes)
-{
-  for (size_t i = 0; i < size_bytes && reader->status_line != STATUS_LINE_REST;
-       i++)
-    if (reader->status_line == STATUS_LINE_VERSION)
-      reader->status_line
-          = data[i] == ' ' ? STATUS_LINE_DIGITS : STATUS_LINE_VERSION;
-    else if (g_ascii_isdigit (data[i]))
-      reader->status_digits++;
-    else if (reader->status_digits > 0)
-      reader->status_line = STATUS_LINE_REST;
-}
-
 /** Returns whether the status exists and may answer a request of this system,
  * which never asks to switch protocols. */
 static bool
@@ -214,7 +188,7 @@
 {
   uint32_t status = reader->parser.status_code;
 
-  return reader->status_digits == STATUS_DIGITS && status >= MIN_STATUS
+  return status_line_is_valid (&reader->status_line) && status >= MIN_STATUS
          && status <= MAX_STATUS && status != SWITCHING_PROTOCOLS;
 }
 
@@ -287,8 +261,7 @@
   reader->target = reader->reason = reader->name = reader->value = NULL;
   reader->fields = (http_fields_t){ 0 };
   reader->head_bytes = 0;
-  reader->status_line = STATUS_LINE_VERSION;
-  reader->status_digits = 0;
+  reader->status_line = (status_line_t){ 0 };
   reader->has_begun = reader->has_head = false;
   reader->is_whole = reader->expects_no_body = false;
   http_parser_init (&reader->parser, reader->options.kind == HTTP_READER_REQUEST
@@ -329,7 +302,7 @@
       enum http_errno error;
 
       reader->has_begun = true;
-      count_status_digits (reader, data + *used, size_bytes - *used);
+      status_line_read (&reader->status_line, data + *used, size_bytes - *used);
       *used += http_parser_execute (&reader->parser, &callbacks,
                                     (const char *)data + *used,
                                     size_bytes - *used);
--- a/http.c
+++ b/http.c
@@ -11,6 +11,7 @@
 
 #include "base.h"
 #include "json-text.h"
+#include "response-check.h"
 #include "settings.h"
 #include "tls.h"
 
@@ -22,6 +23,7 @@
 {
   struct event_base *base;
   struct evhttp_connection *connection;
+  response_check_t *check;
   http_done_cb_t done;
   void *context;
   /* Event that frees the connection, which must not be freed in its own
@@ -267,7 +269,7 @@
 {
   call_t *call = arg;
 
-  if (request != NULL && evhttp_request_get_response_code (request) > 0)
+  if (request != NULL && response_check_error (call->check, request) == NULL)
     {
       call->status = evhttp_request_get_response_code (request);
       call->body
@@ -332,6 +334,7 @@
           ? tls_client_bufferevent (options->tls, options->base, ip)
           : NULL,
       ip, port);
+  call->check = response_check_new (call, call->connection);
   talloc_set_destructor (call, free_call);
   evhttp_connection_set_timeout_tv (call->connection, &timeout);
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
--- a/upstream-http.c
+++ b/upstream-http.c
@@ -14,9 +14,11 @@
 #include "base.h"
 #include "http.h"
 #include "json-text.h"
+#include "response-check.h"
 #include "settings.h"
 #include "upstream-http-internal.h"
 
+#define STATUS_CONTINUE    100
 #define CONNECT_TIMEOUT_MS 2000
 /* How long a connection may stay open after the deadline of its request. */
 #define DEADLINE_GRACE_MS 5000
@@ -34,6 +36,7 @@
   upstream_http_t *http;
   upstream_http_kind_t kind;
   struct evhttp_connection *connection;
+  response_check_t *check;
   struct event *deferred_end;  /* reports the end or frees the call, outside
                                   of evhttp callbacks */
   struct event *connect_timer; /* ends a call that has written nothing yet */
@@ -44,6 +47,7 @@
   char *content_type;
   uint64_t next_offset; /* expected in the next token event */
   int status;           /* HTTP status; 0 before the headers have arrived */
+  bool is_invalid;      /* the response is none, its rest is ignored */
   bool has_written;     /* a byte of the request left this process */
   bool paused;          /* received lines are not parsed for now */
   bool input_ended;     /* the response ended; lines may be unparsed still */
@@ -250,6 +254,14 @@
   upstream_call_t *call = arg;
   const char *type = http_header (request, "Content-Type");
 
+  if (evhttp_request_get_response_code (request) == STATUS_CONTINUE)
+    return 0;
+  if (response_check_error (call->check, request) != NULL)
+    {
+      call->is_invalid = true;
+      end_call (call, UPSTREAM_BROKEN);
+      return 0;
+    }
   call->status = evhttp_request_get_response_code (request);
   if (type != NULL)
     call->content_type = talloc_strdup (call, type);
@@ -300,7 +312,7 @@
   upstream_call_t *call = arg;
 
   call->end.is_broken_off
-      = call->has_written
+      = call->has_written && !call->is_invalid
         && (error == EVREQ_HTTP_EOF || error == EVREQ_HTTP_BUFFER_ERROR);
 }
 
@@ -322,6 +334,8 @@
 {
   upstream_call_t *call = arg;
 
+  if (call->is_invalid)
+    return;
   if (request != NULL && is_stream (call))
     call->end.is_broken_off = ended_with_connection (request);
   if (request == NULL || evhttp_request_get_response_code (request) == 0)
@@ -354,6 +368,7 @@
   call->connect_timer = event_new (http->base, -1, 0, on_connect_timeout, call);
   call->next_batch = event_new (http->base, -1, 0, on_next_batch, call);
   call->connection = evhttp_connection_base_new (http->base, NULL, ip, port);
+  call->check = response_check_new (call, call->connection);
   evbuffer_add_cb (bufferevent_get_output (
                        evhttp_connection_get_bufferevent (call->connection)),
                    on_output, call);
