response-check: reject fields whose names are none

On the product's own path plain calls passed on answers with "Bad Name: x", "Name : x" and names with control bytes in the head; with "Content-Length : 4" or "Content Length: 4" the end of the connection ended the body, and with "Transfer-Encoding : chunked" the framing of the chunks was the body. Answers fetched from another entry instance were passed on in the same way.

Cause: evhttp compares and stores any text before the colon as a name, and only requests were checked (framing.c).

Change: response-check.c checks the names of the fields too, with the same characters as framing.c. The load generator, which pools its connections, uses the check without the digits of the status.

Test: on the code before, blank-in-name, control-byte-in-name, blank-in-framing and not-broken-off of /upstream-http-answers, /forward-answers/field-names and /load-client/invalid failed. All cases of t2111, t3212 and t6011 pass now.

--- a/load-client.c
+++ b/load-client.c
@@ -12,6 +12,7 @@
 #include "base.h"
 #include "http.h"
 #include "load-answer.h"
+#include "response-check.h"
 #include "settings.h"
 
 #define US_PER_MS 1000
@@ -236,7 +237,9 @@
 on_answer (struct evhttp_request *request, void *context)
 {
   call_t *call = context;
-  int status = request != NULL ? evhttp_request_get_response_code (request) : 0;
+  bool is_valid
+      = request != NULL && response_check_error (NULL, request) == NULL;
+  int status = is_valid ? evhttp_request_get_response_code (request) : 0;
 
   call->record.status = status;
   if (status == 0)
--- a/response-check.c
+++ b/response-check.c
@@ -3,8 +3,11 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/queue.h>
 #include <talloc.h>
 
+#include "http-token.h"
 #include "status-line.h"
 
 /** The final statuses that exist (RFC 9110, section 15). */
@@ -65,11 +68,18 @@
 response_check_error (const response_check_t *check,
                       struct evhttp_request *response)
 {
+  struct evkeyvalq *fields = evhttp_request_get_input_headers (response);
   int status = evhttp_request_get_response_code (response);
+  struct evkeyval *field;
 
   if (status < MIN_STATUS || status > MAX_STATUS)
     return "the status is none";
   if (check != NULL && !status_line_is_valid (&check->line))
     return "the status has not three digits";
+  TAILQ_FOREACH (field, fields, next)
+  {
+    if (!http_token_is_valid (field->key))
+      return "a header's name is malformed";
+  }
   return NULL;
 }
--- a/response-check.h
+++ b/response-check.h
@@ -1,7 +1,8 @@
 /**
  * @file response-check.h
- * Checks responses that evhttp has parsed: it takes any number for a status,
- * and an interim response other than 100 for the response itself.
+ * Checks responses that evhttp has parsed: it takes any number for a status and
+ * any characters for the name of a field, and an interim response other than
+ * 100 for the response itself.
  */
 #ifndef RESPONSE_CHECK_H
 #define RESPONSE_CHECK_H
@@ -18,7 +19,7 @@
                                       struct evhttp_connection *connection);
 
 /**
- * Checks the status.
+ * Checks the status and the names of the fields.
  * @param check tells how the status was written; may be NULL for a connection
  *        that is used again
  * @return NULL if the response is valid, else a static description of the first
--- a/t/t2111-upstream-http-answers.c
+++ b/t/t2111-upstream-http-answers.c
@@ -289,18 +289,68 @@
     expect_invalid (heads[i]);
 }
 
-/** An answer that is none does not show that its upstream has crashed. */
+/* Guards against: callers get an answer in whose head a name holds a blank or a
+ * control byte, or with a body that is not the upstream's. */
 static void
-test_not_broken_off (void)
+test_blank_in_name (void)
+{
+  static const char *const heads[]
+      = { OK_HEAD "Bad Name: x\r\n", OK_HEAD "Name : x\r\n",
+          OK_HEAD " Name: x\r\n", OK_HEAD "Content-Length : 4\r\n",
+          OK_HEAD "Content Length: 4\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    expect_invalid (heads[i]);
+}
+
+static void
+test_control_byte_in_name (void)
+{
+  static const char bytes[] = { '\t', '\001', '\177', '\200', '\r', '(' };
+
+  for (size_t i = 0; i < sizeof bytes; i++)
+    {
+      char *head = g_strdup_printf (OK_HEAD "Na%cme: x\r\n", bytes[i]);
+
+      expect_invalid (head);
+      g_free (head);
+    }
+  expect_invalid (OK_HEAD ": x\r\n");
+  expect_invalid (OK_HEAD "no colon\r\n");
+}
+
+/** The framing of the chunks must not become the body. */
+static void
+test_blank_in_framing (void)
 {
   rig_t rig;
 
-  call_plain (&rig, ACT_TEXT, "HTTP/1.1 600 x\r\n" WITH_LENGTH);
+  call_plain (&rig, ACT_TEXT_CUT,
+              OK_HEAD "Transfer-Encoding : chunked\r\n\r\n"
+                      "4\r\nevil\r\n0\r\n\r\n");
   g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
-  g_assert_false (rig.is_broken_off);
+  g_assert_null (rig.body);
   tear_down (&rig);
 }
 
+/** An answer that is none does not show that its upstream has crashed. */
+static void
+test_not_broken_off (void)
+{
+  static const char *const texts[] = { "HTTP/1.1 600 x\r\n" WITH_LENGTH,
+                                       OK_HEAD "Bad Name: x\r\n" WITH_LENGTH };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      rig_t rig;
+
+      call_plain (&rig, ACT_TEXT, texts[i]);
+      g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
+      g_assert_false (rig.is_broken_off);
+      tear_down (&rig);
+    }
+}
+
 static void
 test_valid (void)
 {
@@ -365,6 +415,11 @@
   g_test_add_func ("/upstream-http-answers/status-interim",
                    test_status_interim);
   g_test_add_func ("/upstream-http-answers/status-digits", test_status_digits);
+  g_test_add_func ("/upstream-http-answers/blank-in-name", test_blank_in_name);
+  g_test_add_func ("/upstream-http-answers/control-byte-in-name",
+                   test_control_byte_in_name);
+  g_test_add_func ("/upstream-http-answers/blank-in-framing",
+                   test_blank_in_framing);
   g_test_add_func ("/upstream-http-answers/not-broken-off",
                    test_not_broken_off);
   g_test_add_func ("/upstream-http-answers/valid", test_valid);
--- a/t/t3212-forward-answers.c
+++ b/t/t3212-forward-answers.c
@@ -117,6 +117,21 @@
     expect_invalid (heads[i]);
 }
 
+/* Guards against: callers get an answer in whose head a name holds a blank or a
+ * control byte. */
+static void
+test_field_names (void)
+{
+  static const char *const heads[]
+      = { "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+          "HTTP/1.1 200 OK\r\nNa\001me: x\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    expect_invalid (heads[i]);
+}
+
 static void
 test_valid (void)
 {
@@ -130,6 +145,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/forward-answers/status", test_status);
+  g_test_add_func ("/forward-answers/field-names", test_field_names);
   g_test_add_func ("/forward-answers/valid", test_valid);
   return g_test_run ();
 }
--- a/t/t6011-load-client.c
+++ b/t/t6011-load-client.c
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <glib.h>
 #include <string.h>
 #include <talloc.h>
@@ -21,6 +22,7 @@
   FAKE_SHORT,
   FAKE_REFUSED,
   FAKE_SILENT,
+  FAKE_BAD_NAME, /* a blank in the name of a field */
 } fake_t;
 
 typedef struct
@@ -71,6 +73,9 @@
 static void
 send_stream (bed_t *bed, struct evhttp_request *request)
 {
+  if (bed->fake == FAKE_BAD_NAME)
+    evhttp_add_header (evhttp_request_get_output_headers (request), "Bad Name",
+                       "x");
   evhttp_send_reply_start (request, 200, "OK");
   for (int offset = 0; offset <= TOKENS; offset++)
     {
@@ -239,6 +244,13 @@
   expect_outcome (FAKE_REFUSED, LOAD_REFUSED, "queue_full");
 }
 
+/* Guards against an answer that is none counting as answered. */
+static void
+test_invalid_answer (void)
+{
+  expect_outcome (FAKE_BAD_NAME, LOAD_FAILED, "connection_broken");
+}
+
 static void
 test_silent_server_loses_request (void)
 {
@@ -265,6 +277,7 @@
   g_test_add_func ("/load-client/whole-answers", test_whole_answers);
   g_test_add_func ("/load-client/wrong-answers", test_wrong_answers);
   g_test_add_func ("/load-client/refused", test_refused_request);
+  g_test_add_func ("/load-client/invalid", test_invalid_answer);
   g_test_add_func ("/load-client/lost", test_silent_server_loses_request);
   g_test_add_func ("/load-client/unreachable", test_unreachable);
   return g_test_run ();
