--- a/exchange.c
+++ b/exchange.c
@@ -222,8 +222,8 @@
 }
 
 /** Ends an answer that ended with its connection, once the request is written.
- * The end alone does not show whether the upstream takes the rest of the
- * request or has died, and its answer is cut: the next write does. */
+ * Only the next write shows whether the upstream takes the rest of the request,
+ * or has died within its answer. */
 static void
 finish_after_request (connection_t *connection)
 {
--- a/forward.c
+++ b/forward.c
@@ -114,7 +114,7 @@
   forward_t *forward = arg;
 
   if (forward->http == NULL
-      || response_check_error (forward->check, response) != NULL)
+      || !response_check_is_valid (forward->check, response))
     return 0;
   copy_header (forward, response, "Content-Type");
   copy_header (forward, response, "X-Request-Id");
--- a/http-reader.c
+++ b/http-reader.c
@@ -162,8 +162,8 @@
 {
   http_reader_t *reader = get_reader (parser);
 
-  /* http_parser allows blanks in names. The fields of a trailer are not passed
-     on. */
+  /* http_parser allows blanks in names. Fields of a trailer are not checked, as
+     they are not passed on. */
   if (!reader->has_head && !http_token_has_only (at, length))
     return -1;
   if (reader->value != NULL)
--- a/http.c
+++ b/http.c
@@ -269,7 +269,7 @@
 {
   call_t *call = arg;
 
-  if (request != NULL && response_check_error (call->check, request) == NULL)
+  if (request != NULL && response_check_is_valid (call->check, request))
     {
       call->status = evhttp_request_get_response_code (request);
       call->body
--- a/load-client.c
+++ b/load-client.c
@@ -237,8 +237,7 @@
 on_answer (struct evhttp_request *request, void *context)
 {
   call_t *call = context;
-  bool is_valid
-      = request != NULL && response_check_error (NULL, request) == NULL;
+  bool is_valid = request != NULL && response_check_is_valid (NULL, request);
   int status = is_valid ? evhttp_request_get_response_code (request) : 0;
 
   call->record.status = status;
--- a/response-check.c
+++ b/response-check.c
@@ -64,22 +64,28 @@
   return check;
 }
 
-const char *
-response_check_error (const response_check_t *check,
-                      struct evhttp_request *response)
+/** Returns whether a response may have the status, which was read as a number.
+ * @param check may be NULL */
+static bool
+has_valid_status (const response_check_t *check, int status)
+{
+  return status >= MIN_STATUS && status <= MAX_STATUS
+         && (check == NULL || status_line_is_valid (&check->line));
+}
+
+bool
+response_check_is_valid (const response_check_t *check,
+                         struct evhttp_request *response)
 {
   struct evkeyvalq *fields = evhttp_request_get_input_headers (response);
-  int status = evhttp_request_get_response_code (response);
   struct evkeyval *field;
 
-  if (status < MIN_STATUS || status > MAX_STATUS)
-    return "the status is none";
-  if (check != NULL && !status_line_is_valid (&check->line))
-    return "the status has not three digits";
+  if (!has_valid_status (check, evhttp_request_get_response_code (response)))
+    return false;
   TAILQ_FOREACH (field, fields, next)
   {
     if (!http_token_is_valid (field->key))
-      return "a header's name is malformed";
+      return false;
   }
-  return NULL;
+  return true;
 }
--- a/response-check.h
+++ b/response-check.h
@@ -7,25 +7,26 @@
 #ifndef RESPONSE_CHECK_H
 #define RESPONSE_CHECK_H
 
+#include <stdbool.h>
+
 struct evhttp_connection;
 struct evhttp_request;
 
 typedef struct response_check response_check_t;
 
-/** Watches what @a connection receives, on which one request is sent. Freed
- * with
- * @a parent (talloc), whose destructor frees the connection. */
+/**
+ * Watches what @a connection receives, on which one request is sent.
+ * @param parent frees the check (talloc), and the connection before it
+ */
 response_check_t *response_check_new (void *parent,
                                       struct evhttp_connection *connection);
 
 /**
- * Checks the status and the names of the fields.
+ * Returns whether the status is valid and the names of all fields are tokens.
  * @param check tells how the status was written; may be NULL for a connection
  *        that is used again
- * @return NULL if the response is valid, else a static description of the first
- *         error
  */
-const char *response_check_error (const response_check_t *check,
-                                  struct evhttp_request *response);
+bool response_check_is_valid (const response_check_t *check,
+                              struct evhttp_request *response);
 
 #endif
--- a/upstream-http.c
+++ b/upstream-http.c
@@ -47,7 +47,7 @@
   char *content_type;
   uint64_t next_offset; /* expected in the next token event */
   int status;           /* HTTP status; 0 before the headers have arrived */
-  bool is_invalid;      /* the response is none, its rest is ignored */
+  bool is_invalid;      /* the response is not valid and is ignored */
   bool has_written;     /* a byte of the request left this process */
   bool paused;          /* received lines are not parsed for now */
   bool input_ended;     /* the response ended; lines may be unparsed still */
@@ -256,7 +256,7 @@
 
   if (evhttp_request_get_response_code (request) == STATUS_CONTINUE)
     return 0;
-  if (response_check_error (call->check, request) != NULL)
+  if (!response_check_is_valid (call->check, request))
     {
       call->is_invalid = true;
       end_call (call, UPSTREAM_BROKEN);
