--- a/t/t0009-json-text.c
+++ b/t/t0009-json-text.c
@@ -176,6 +176,19 @@
   corpus_replay ("fuzz/corpus-json", 9, LLVMFuzzerTestOneInput);
 }
 
+/* Guards against: an object is accepted with the beginning of another value
+ * behind it. */
+static void
+test_unfinished_after_object (void)
+{
+  static const char *const texts[]
+      = { "{\"a\":1}\"", "{\"a\":1}\"x", "{\"a\":1}\":[922" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    if (is_accepted (texts[i], strlen (texts[i])))
+      g_error ("accepted: %s", texts[i]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -184,6 +197,8 @@
   g_test_add_func ("/json-text/refused", test_refused);
   g_test_add_func ("/json-text/values", test_values);
   g_test_add_func ("/json-text/hidden-depth", test_hidden_depth);
+  g_test_add_func ("/json-text/unfinished-after-object",
+                   test_unfinished_after_object);
   g_test_add_func ("/json-text/max-values", test_max_values);
   g_test_add_func ("/json-text/corpus", test_corpus);
   return g_test_run ();
