--- a/http-reader.h
+++ b/http-reader.h
@@ -6,9 +6,9 @@
  * belong to it, so that the owner of the connection notices bytes that follow
  * the message. The parser does no I/O.
  *
- * A message is not valid if a name of a field in its head is no token, as one
- * that holds a blank. A response whose status is not one of 100 to 599, in
- * three digits, is no valid message, nor is one that switches protocols.
+ * A message is not valid if the name of a field in its head is not a token, for
+ * example because it contains a blank. A response is not valid unless its
+ * status is one of 100 to 599, in three digits, and not 101.
  */
 #ifndef HTTP_READER_H
 #define HTTP_READER_H
--- a/t/t2111-upstream-http-answers.c
+++ b/t/t2111-upstream-http-answers.c
@@ -1,5 +1,5 @@
 /*
- * Upstreams of the product's own path whose answers are none, or break off
+ * Upstreams of the product's own path whose answers are not valid, or break off
  * while the request is still being sent: a plain call, a stream and a call with
  * a JSON body have to fail, whatever looks like an answer in them.
  */
@@ -156,45 +156,30 @@
   http_call (&options);
 }
 
-/** Makes a plain call to an upstream that sends @a text. */
 static void
-call_plain (rig_t *rig, act_t act, const char *text)
+send_short_plain (rig_t *rig, const char *address)
 {
-  scripted_t upstream = { .act = act, .text = text };
-
-  set_up (rig);
-  scripted_start (&upstream, rig->base);
-  send_plain (rig, upstream.address, 5);
-  wait_for_end (rig);
-  scripted_stop (&upstream);
-}
-
-static void
-call_stream (rig_t *rig, act_t act, const char *text)
-{
-  scripted_t upstream = { .act = act, .text = text };
-
-  set_up (rig);
-  scripted_start (&upstream, rig->base);
-  send_stream (rig, upstream.address);
-  wait_for_end (rig);
-  scripted_stop (&upstream);
+  send_plain (rig, address, 5);
 }
 
+/** Sends a request to an upstream that sends @a text, and waits for the end. */
 static void
-call_json (rig_t *rig, act_t act, const char *text)
+call (rig_t *rig,
+      void (*send) (rig_t *rig, const char *address),
+      act_t act,
+      const char *text)
 {
   scripted_t upstream = { .act = act, .text = text };
 
   set_up (rig);
   scripted_start (&upstream, rig->base);
-  send_json (rig, upstream.address);
+  send (rig, upstream.address);
   wait_for_end (rig);
   scripted_stop (&upstream);
 }
 
 static void
-expect_invalid_plain (act_t act, const char *head)
+expect_invalid_plain (const char *head)
 {
   static const char *const bodies[] = { WITH_LENGTH, WITHOUT };
 
@@ -203,7 +188,7 @@
       char *text = g_strconcat (head, bodies[i], NULL);
       rig_t rig;
 
-      call_plain (&rig, act, text);
+      call (&rig, send_short_plain, ACT_TEXT_CUT, text);
       g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
       g_assert_cmpint (rig.status, ==, 0);
       g_assert_null (rig.body);
@@ -213,12 +198,12 @@
 }
 
 static void
-expect_invalid_stream (act_t act, const char *head)
+expect_invalid_stream (const char *head)
 {
   char *text = g_strconcat (head, STREAM_BODY, NULL);
   rig_t rig;
 
-  call_stream (&rig, act, text);
+  call (&rig, send_stream, ACT_TEXT_CUT, text);
   g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
   g_assert_false (rig.is_accepted);
   g_assert_cmpuint (rig.tokens, ==, 0);
@@ -227,12 +212,12 @@
 }
 
 static void
-expect_invalid_json (act_t act, const char *head)
+expect_invalid_json (const char *head)
 {
   char *text = g_strconcat (head, JSON_BODY, NULL);
   rig_t rig;
 
-  call_json (&rig, act, text);
+  call (&rig, send_json, ACT_TEXT_CUT, text);
   g_assert_cmpint (rig.status, ==, 0);
   g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
   tear_down (&rig);
@@ -245,12 +230,12 @@
 expect_invalid (const char *head)
 {
   g_test_message ("%s", head);
-  expect_invalid_plain (ACT_TEXT_CUT, head);
-  expect_invalid_stream (ACT_TEXT_CUT, head);
-  expect_invalid_json (ACT_TEXT_CUT, head);
+  expect_invalid_plain (head);
+  expect_invalid_stream (head);
+  expect_invalid_json (head);
 }
 
-/* Guards against: callers get an answer whose status is none. */
+/* Guards against: callers get an answer whose status does not exist. */
 static void
 test_status_zero (void)
 {
@@ -325,15 +310,15 @@
 {
   rig_t rig;
 
-  call_plain (&rig, ACT_TEXT_CUT,
-              OK_HEAD "Transfer-Encoding : chunked\r\n\r\n"
-                      "4\r\nevil\r\n0\r\n\r\n");
+  call (&rig, send_short_plain, ACT_TEXT_CUT,
+        OK_HEAD "Transfer-Encoding : chunked\r\n\r\n"
+                "4\r\nevil\r\n0\r\n\r\n");
   g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
   g_assert_null (rig.body);
   tear_down (&rig);
 }
 
-/** An answer that is none does not show that its upstream has crashed. */
+/** An answer that is not valid does not show that its upstream has crashed. */
 static void
 test_not_broken_off (void)
 {
@@ -344,7 +329,7 @@
     {
       rig_t rig;
 
-      call_plain (&rig, ACT_TEXT, texts[i]);
+      call (&rig, send_short_plain, ACT_TEXT, texts[i]);
       g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
       g_assert_false (rig.is_broken_off);
       tear_down (&rig);
@@ -356,22 +341,23 @@
 {
   rig_t rig;
 
-  call_plain (&rig, ACT_TEXT, OK_HEAD "X-A!: b\r\n" WITH_LENGTH);
+  call (&rig, send_short_plain, ACT_TEXT, OK_HEAD "X-A!: b\r\n" WITH_LENGTH);
   g_assert_cmpint (rig.result, ==, UPSTREAM_DONE);
   g_assert_cmpint (rig.status, ==, 200);
   g_assert_cmpstr (rig.body, ==, "evil");
   tear_down (&rig);
-  call_plain (&rig, ACT_TEXT_CUT, "HTTP/1.1 404 Not Found\r\n" WITHOUT);
+  call (&rig, send_short_plain, ACT_TEXT_CUT,
+        "HTTP/1.1 404 Not Found\r\n" WITHOUT);
   g_assert_cmpint (rig.result, ==, UPSTREAM_DONE);
   g_assert_cmpint (rig.status, ==, 404);
   g_assert_cmpstr (rig.body, ==, "evil");
   tear_down (&rig);
-  call_stream (&rig, ACT_TEXT, OK_HEAD STREAM_BODY);
+  call (&rig, send_stream, ACT_TEXT, OK_HEAD STREAM_BODY);
   g_assert_cmpint (rig.result, ==, UPSTREAM_DONE);
   g_assert_true (rig.is_accepted);
   g_assert_cmpuint (rig.tokens, ==, 1);
   tear_down (&rig);
-  call_json (&rig, ACT_TEXT, OK_HEAD JSON_BODY);
+  call (&rig, send_json, ACT_TEXT, OK_HEAD JSON_BODY);
   g_assert_cmpint (rig.result, ==, UPSTREAM_DONE);
   g_assert_cmpint (rig.status, ==, 200);
   tear_down (&rig);
--- a/t/t3212-forward-answers.c
+++ b/t/t3212-forward-answers.c
@@ -1,6 +1,6 @@
 /*
  * Answers that an entry instance fetches from another one, their owner, when
- * they are none.
+ * they are not valid.
  */
 #include <event2/event.h>
 #include <event2/http.h>
@@ -104,7 +104,7 @@
   g_free (without);
 }
 
-/* Guards against: callers get an answer whose status is none. */
+/* Guards against: callers get an answer whose status does not exist. */
 static void
 test_status (void)
 {
--- a/t/t6011-load-client.c
+++ b/t/t6011-load-client.c
@@ -244,7 +244,7 @@
   expect_outcome (FAKE_REFUSED, LOAD_REFUSED, "queue_full");
 }
 
-/* Guards against an answer that is none counting as answered. */
+/* Guards against an answer that is not valid counting as answered. */
 static void
 test_invalid_answer (void)
 {
--- a/t/t8000-http-reader.c
+++ b/t/t8000-http-reader.c
@@ -186,7 +186,7 @@
   g_free (text);
 }
 
-/** Guards against answers whose status is none being passed on. */
+/** Guards against answers whose status does not exist being passed on. */
 static void
 test_status (void)
 {
--- a/t/t8087-gateway-invalid-answers.c
+++ b/t/t8087-gateway-invalid-answers.c
@@ -64,7 +64,7 @@
     }
 }
 
-/* Guards against: callers get an answer whose status is none, or the answer
+/* Guards against: callers get an answer whose status does not exist, or the one
  * that follows it on its connection. */
 static void
 test_status_zero (void)
@@ -129,8 +129,8 @@
                   "HTTP/1.1 200 OK\r\n" WITH_LENGTH);
 }
 
-/* Guards against: callers get an answer with a line whose name is none, or with
- * a body that is not the upstream's. */
+/* Guards against: callers get an answer with a line whose name is not valid, or
+ * with a body that is not the upstream's. */
 static void
 test_blank_in_name (void)
 {
