t: keep the ports that tests choose reserved

Cause: a test asked the kernel for a free port, closed the socket and listened there later.

Change: choose_free_address() keeps a socket bound to the port, with SO_REUSEADDR and without listening, until the process ends. It replaces scripted_find_free_address(), which did the same as the old one.

--- a/t/lib-caller-server.c
+++ b/t/lib-caller-server.c
@@ -5,7 +5,7 @@
 #include <talloc.h>
 
 #include "base.h"
-#include "lib-scripted.h"
+#include "lib-address.h"
 
 /** Answers at once, with a large body except for one target. */
 static void
@@ -45,7 +45,7 @@
   *served = (served_t){ .base = event_base_new () };
   options.base = served->base;
   served->metrics = options.metrics = metrics_new (NULL);
-  scripted_find_free_address (served->base, served->listen);
+  choose_free_address (served->listen);
   served->server = caller_server_new (NULL, &options);
   g_assert_nonnull (served->server);
   served->caller = caller_new (served->listen);
--- a/t/lib-early-answer.c
+++ b/t/lib-early-answer.c
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 #include "base.h"
-#include "lib-scripted.h"
+#include "lib-address.h"
 
 #define MORE_INTERVAL_MS 20
 #define READ_BYTES       (64u * 1024)
@@ -219,7 +219,7 @@
   int size_bytes = sizeof address;
 
   upstream->open = g_ptr_array_new_with_free_func (free_connection);
-  scripted_find_free_address (base, upstream->address);
+  choose_free_address (upstream->address);
   evutil_parse_sockaddr_port (upstream->address, (struct sockaddr *)&address,
                               &size_bytes);
   upstream->listener = evconnlistener_new_bind (
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "lib-address.h"
+
 #define STREAM_EVENT_BYTES (64u * 1024)
 
 static void
@@ -155,8 +157,8 @@
   fixture->base = options.base = event_base_new ();
   fixture->metrics = options.metrics = metrics_new (NULL);
   fixture->directory = directory_new (NULL);
-  scripted_find_free_address (fixture->base, fixture->listen);
-  scripted_find_free_address (fixture->base, fixture->share);
+  choose_free_address (fixture->listen);
+  choose_free_address (fixture->share);
   fixture->gateway = gateway_new (NULL, &options);
   g_assert_nonnull (fixture->gateway);
   for (int i = 0; i < GATEWAY_UPSTREAMS; i++)
--- a/t/lib-scripted.c
+++ b/t/lib-scripted.c
@@ -263,12 +263,6 @@
   return listener;
 }
 
-void
-scripted_find_free_address (struct event_base *base, char text[32])
-{
-  evconnlistener_free (listen_on_free_port (base, NULL, NULL, text));
-}
-
 void
 scripted_start (scripted_t *upstream, struct event_base *base)
 {
--- a/t/lib-scripted.h
+++ b/t/lib-scripted.h
@@ -72,7 +72,4 @@
  * event loop. */
 void scripted_send_latest (scripted_t *upstream, const char *text);
 
-/** Writes a loopback address whose port was free at the time of the call. */
-void scripted_find_free_address (struct event_base *base, char text[32]);
-
 #endif
--- a/t/t3212-forward-answers.c
+++ b/t/t3212-forward-answers.c
@@ -10,6 +10,7 @@
 #include <talloc.h>
 
 #include "forward.h"
+#include "lib-address.h"
 #include "lib-caller.h"
 #include "lib-scripted.h"
 #include "lib-wait.h"
@@ -53,7 +54,7 @@
   *rig = (rig_t){ .base = event_base_new (),
                   .owner = { .act = ACT_TEXT_CUT, .text = text } };
   scripted_start (&rig->owner, rig->base);
-  scripted_find_free_address (rig->base, rig->address);
+  choose_free_address (rig->address);
   port = (uint16_t)strtoul (strchr (rig->address, ':') + 1, NULL, 10);
   rig->http = evhttp_new (rig->base);
   evhttp_set_gencb (rig->http, on_request, rig);
--- a/t/t8323-gateway-zone-drain.c
+++ b/t/t8323-gateway-zone-drain.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 #include <xxhash.h>
 
+#include "lib-address.h"
 #include "lib-gateway.h"
 
 #define REQUESTS 6
@@ -105,10 +106,11 @@
 /** Writes a free address whose rank makes an instance the placer for the
  * gateway. */
 static void
-choose_placer_address (gateway_fixture_t *fixture, char address[32])
+choose_placer_address (const gateway_fixture_t *fixture,
+                       char address[ADDRESS_BYTES])
 {
   do
-    scripted_find_free_address (fixture->base, address);
+    choose_free_address (address);
   while (XXH64 (address, strlen (address), 0)
          >= XXH64 (fixture->share, strlen (fixture->share), 0));
 }
