t8086: expect the answer to a whole request to be passed on

The gateway passes on an answer without a length that ends in order after its whole request was written. The code already handles it; the case keeps it.

--- a/t/t8086-gateway-early-answers.c
+++ b/t/t8086-gateway-early-answers.c
@@ -16,6 +16,8 @@
 #define UPLOAD_BYTES (3u * 1024 * 1024 + 512 * 1024)
 /** Part of a request that the caller sends before it pauses. */
 #define FIRST_PART_BYTES (64u * 1024)
+/** A body that is written whole before the answer comes. */
+#define SMALL_BODY_BYTES 5u
 
 #define SIGNED_HEAD "HTTP/1.1 200 OK\r\nX-Signed: 1\r\n"
 #define PART        SIGNED_HEAD "\r\npart"
@@ -228,6 +230,24 @@
                 "\r\n\r\npart");
 }
 
+/** The same after the whole request: its answer ends in order and is passed on,
+ * though nothing says that it is whole. */
+static void
+test_whole_request (void)
+{
+  early_fixture_t early
+      = set_up ("/unsafe/a", &(early_answer_t){ .text = PART,
+                                                .delay_ms = 300,
+                                                .end = EARLY_HALF_CLOSE });
+
+  g_free (early.request);
+  early.request = make_upload ("/unsafe/a", SMALL_BODY_BYTES);
+  call (&early);
+  g_assert_true (gateway_fixture_has_text (early.gateway, "HTTP/1.1 200 "));
+  g_assert_true (g_str_has_suffix (early.gateway->answer->str, "\r\n\r\npart"));
+  tear_down (&early);
+}
+
 /** A request that may be repeated is answered by the other upstream. */
 static void
 test_other_upstream (void)
@@ -304,6 +324,7 @@
   g_test_add_func ("/early-answers/whole-length", test_whole_length);
   g_test_add_func ("/early-answers/half-close", test_half_close);
   g_test_add_func ("/early-answers/half-close-stall", test_half_close_stall);
+  g_test_add_func ("/early-answers/whole-request", test_whole_request);
   g_test_add_func ("/early-answers/other-upstream", test_other_upstream);
   g_test_add_func ("/early-answers/stream", test_stream);
   g_test_add_func ("/early-answers/paused-upload", test_paused_upload);
