status-line: reject a status that is followed by a NUL

What callers saw: on the product's own path an answer that begins with "HTTP/1.1 200", a NUL and more was taken for a 200 and passed on.

Cause: the check of the status looks for a byte with strchr(), which finds the NUL at the end of its own list, so that a NUL counted as the end of the status. evhttp reads the status as a string and stops there as well. The reader of the platform's path was not affected: http_parser takes only a blank or the end of the line after the status.

Change: a NUL is a sign that does not belong to a status. The scripted upstream of the tests can send a text that holds one.

--- a/status-line.c
+++ b/status-line.c
@@ -10,7 +10,7 @@
 {
   if (byte >= '0' && byte <= '9')
     line->digit_count++;
-  else if (strchr (" \r\n", byte) == NULL)
+  else if (byte == '\0' || strchr (" \r\n", byte) == NULL)
     line->has_other_sign = true;
   else if (line->digit_count > 0 || byte != ' ')
     line->part = STATUS_LINE_REST;
--- a/t/lib-scripted.c
+++ b/t/lib-scripted.c
@@ -100,6 +100,15 @@
   g_free (head);
 }
 
+static void
+send_text (const scripted_t *upstream, struct bufferevent *stream)
+{
+  if (upstream->text_bytes > 0)
+    bufferevent_write (stream, upstream->text, upstream->text_bytes);
+  else
+    scripted_write (stream, upstream->text);
+}
+
 static void
 send_answer (connection_t *connection,
              struct bufferevent *stream,
@@ -162,7 +171,7 @@
       break;
     case ACT_TEXT:
     case ACT_TEXT_CUT:
-      scripted_write (stream, connection->upstream->text);
+      send_text (connection->upstream, stream);
       break;
     case ACT_COPY:
       send_after_copy (connection, request);
--- a/t/lib-scripted.h
+++ b/t/lib-scripted.h
@@ -39,6 +39,7 @@
   char address[32];
   act_t act;
   const char *text;      /* for ACT_TEXT, ACT_TEXT_CUT and ACT_ENDLESS */
+  size_t text_bytes;     /* of "text" if it holds a NUL, else 0 */
   const char *filler;    /* for ACT_ENDLESS */
   uint32_t interval_ms;  /* between two fillers */
   uint64_t filler_bytes; /* sent by all connections */
--- a/t/t2111-upstream-http-answers.c
+++ b/t/t2111-upstream-http-answers.c
@@ -165,6 +165,19 @@
   send_plain (rig, address, 5);
 }
 
+/** Sends a request to an upstream that acts as given, and waits for the end. */
+static void
+call_scripted (rig_t *rig,
+               void (*send) (rig_t *rig, const char *address),
+               const scripted_t *upstream)
+{
+  set_up (rig);
+  rig->upstream = *upstream;
+  scripted_start (&rig->upstream, rig->base);
+  send (rig, rig->upstream.address);
+  wait_for_end (rig);
+}
+
 /** Sends a request to an upstream that sends @a text, and waits for the end. */
 static void
 call (rig_t *rig,
@@ -172,11 +185,7 @@
       act_t act,
       const char *text)
 {
-  set_up (rig);
-  rig->upstream = (scripted_t){ .act = act, .text = text };
-  scripted_start (&rig->upstream, rig->base);
-  send (rig, rig->upstream.address);
-  wait_for_end (rig);
+  call_scripted (rig, send, &(scripted_t){ .act = act, .text = text });
 }
 
 static void
@@ -275,6 +284,24 @@
     expect_invalid (heads[i]);
 }
 
+/** evhttp reads the status up to the NUL. */
+static void
+test_status_nul (void)
+{
+  static const char text[] = "HTTP/1.1 200\0 OK\r\n" JSON_BODY;
+  static const scripted_t upstream
+      = { .act = ACT_TEXT_CUT, .text = text, .text_bytes = sizeof text - 1 };
+  rig_t rig;
+
+  call_scripted (&rig, send_short_plain, &upstream);
+  g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
+  g_assert_null (rig.body);
+  tear_down (&rig);
+  call_scripted (&rig, send_json, &upstream);
+  g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
+  tear_down (&rig);
+}
+
 /* Guards against: callers get an answer in whose head a name holds a blank or a
  * control byte, or with a body that is not the upstream's. */
 static void
@@ -402,6 +429,7 @@
   g_test_add_func ("/upstream-http-answers/status-interim",
                    test_status_interim);
   g_test_add_func ("/upstream-http-answers/status-digits", test_status_digits);
+  g_test_add_func ("/upstream-http-answers/status-nul", test_status_nul);
   g_test_add_func ("/upstream-http-answers/blank-in-name", test_blank_in_name);
   g_test_add_func ("/upstream-http-answers/control-byte-in-name",
                    test_control_byte_in_name);
