response-check: read the status that follows a 100 Continue

What callers saw: on the product's own path an answer whose status is written "0200", "200x" or "+200" was passed on as a 200 if a "100 Continue" came before it.

Cause: evhttp skips a 100 and reads the next status on the same connection; the check of how a status is written read the first line of the connection alone, and so the digits of the 100.

Other interim answers are no answers for evhttp's callers, as before.

--- a/status-line.c
+++ b/status-line.c
@@ -9,7 +9,10 @@
 read_status_byte (status_line_t *line, char byte)
 {
   if (byte >= '0' && byte <= '9')
-    line->digit_count++;
+    {
+      line->digit_count++;
+      line->code = line->code * 10 + (uint32_t)(byte - '0');
+    }
   else if (byte == '\0' || strchr (" \r\n", byte) == NULL)
     line->has_other_sign = true;
   else if (line->digit_count > 0 || byte != ' ')
--- a/status-line.h
+++ b/status-line.h
@@ -24,6 +24,7 @@
 {
   status_line_part_t part;
   uint32_t digit_count;
+  uint32_t code; /**< the digits as a number; wraps if they are too many */
   bool has_other_sign; /**< the status is not of digits alone */
 } status_line_t;
 
--- a/t/t2111-upstream-http-answers.c
+++ b/t/t2111-upstream-http-answers.c
@@ -21,6 +21,7 @@
 #define DEADLINE_MS  15000
 
 #define OK_HEAD     "HTTP/1.1 200 OK\r\n"
+#define CONTINUE    "HTTP/1.1 100 Continue\r\n\r\n"
 #define WITH_LENGTH "Content-Length: 4\r\n\r\nevil"
 #define WITHOUT     "\r\nevil"
 #define STREAM_BODY                                                            \
@@ -284,6 +285,30 @@
     expect_invalid (heads[i]);
 }
 
+/** evhttp skips the 100 and reads the next status on the same connection. */
+static void
+test_status_after_continue (void)
+{
+  static const char *const heads[]
+      = { CONTINUE "HTTP/1.1 0200 OK\r\n", CONTINUE "HTTP/1.1 200x OK\r\n",
+          CONTINUE CONTINUE "HTTP/1.1 +200 OK\r\n",
+          "HTTP/1.1 0100 Continue\r\n\r\n" OK_HEAD,
+          "HTTP/1.1 100\nX-A: b\n\nHTTP/1.1 0200 OK\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      char *text = g_strconcat (heads[i], WITH_LENGTH, NULL);
+      rig_t rig;
+
+      g_test_message ("%s", heads[i]);
+      call (&rig, send_short_plain, ACT_TEXT, text);
+      g_assert_cmpint (rig.result, ==, UPSTREAM_BROKEN);
+      g_assert_null (rig.body);
+      tear_down (&rig);
+      g_free (text);
+    }
+}
+
 /** evhttp reads the status up to the NUL. */
 static void
 test_status_nul (void)
@@ -391,6 +416,30 @@
   tear_down (&rig);
 }
 
+/** An answer after one or more 100s is passed on, however their lines end. */
+static void
+test_valid_after_continue (void)
+{
+  static const char *const heads[]
+      = { CONTINUE OK_HEAD, CONTINUE CONTINUE OK_HEAD,
+          "HTTP/1.1 100 \r\nX-A: b\r\n\r\n" OK_HEAD,
+          "HTTP/1.1 100\n\nHTTP/1.1 200 OK\n",
+          "HTTP/1.1 100\r\n\r\nHTTP/1.1 200\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      char *text = g_strconcat (heads[i], WITH_LENGTH, NULL);
+      rig_t rig;
+
+      call (&rig, send_short_plain, ACT_TEXT, text);
+      g_assert_cmpint (rig.result, ==, UPSTREAM_DONE);
+      g_assert_cmpint (rig.status, ==, 200);
+      g_assert_cmpstr (rig.body, ==, "evil");
+      tear_down (&rig);
+      g_free (text);
+    }
+}
+
 /** Uploads to an upstream that answers early and then ends its connection. */
 static void
 expect_cut (early_end_t end)
@@ -429,7 +478,11 @@
   g_test_add_func ("/upstream-http-answers/status-interim",
                    test_status_interim);
   g_test_add_func ("/upstream-http-answers/status-digits", test_status_digits);
+  g_test_add_func ("/upstream-http-answers/status-after-continue",
+                   test_status_after_continue);
   g_test_add_func ("/upstream-http-answers/status-nul", test_status_nul);
+  g_test_add_func ("/upstream-http-answers/valid-after-continue",
+                   test_valid_after_continue);
   g_test_add_func ("/upstream-http-answers/blank-in-name", test_blank_in_name);
   g_test_add_func ("/upstream-http-answers/control-byte-in-name",
                    test_control_byte_in_name);
