t8042: check that the largest prompts are served by fewer engines

Callers on the large deployment got no answer to most prompts that need the memory of several engines.

--- a/t/t8042-prompt-sizes.c
+++ b/t/t8042-prompt-sizes.c
@@ -6,10 +6,11 @@
 
 #include "lib-engines.h"
 
-/** Engines for which the load is meant, and those that are left on a day on
- * which others leave or crash. */
+/** Engines for which the load is meant, those that are left on a day on which
+ * others leave or crash, and those that are left when more do. */
 #define FLEET_ENGINES 112
 #define ENGINES       100
+#define FEWER_ENGINES 90
 #define ZONES         5
 #define SEEDS         3
 /** The largest tenth of a kind, and the fifth below it, are served at least
@@ -87,15 +88,14 @@
   g_assert_cmpfloat (engines_served_share (&fifth), >=, least);
 }
 
-/* Guards against refusing the largest prompts, which need the memory of several
- * engines at the same time, although the fleet has the time to read them. */
 static void
-test_largest_served_in_bursts (void)
+check_bursts (uint32_t engines)
 {
   engines_kind_t kinds[ENGINES_FLEET_KINDS];
   engines_load_t load = make_load (kinds);
   engines_result_t result;
 
+  load.engines = engines;
   engines_fleet_kinds (FLEET_ENGINES, kinds);
   load.bursts = bursts_in_turns;
   load.burst_count = G_N_ELEMENTS (bursts_in_turns);
@@ -104,11 +104,29 @@
     check_sizes (&result, i);
 }
 
+/* Guards against refusing the largest prompts, which need the memory of several
+ * engines at the same time, although the fleet has the time to read them. */
+static void
+test_largest_served_in_bursts (void)
+{
+  check_bursts (ENGINES);
+}
+
+/* Guards against limits that a waiting prompt never meets while the fleet is
+ * busy, however long it waits. */
+static void
+test_largest_served_by_fewer (void)
+{
+  check_bursts (FEWER_ENGINES);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/prompt-sizes/largest-served-in-bursts",
                    test_largest_served_in_bursts);
+  g_test_add_func ("/prompt-sizes/largest-served-by-fewer",
+                   test_largest_served_by_fewer);
   return g_test_run ();
 }
