gateway: reach upstreams through another instance when cut off

Cause: an instance had no other way to an upstream than connections of its own. Retries and ejections only moved its requests among upstreams that it did not reach; 120 of 123 failed attempts ended with the connection. The class: a local fault is answered as if the remote side were at fault.

upstream-path decides, without I/O, whether an upstream is connected to through a relay; tunnel-server passes connections of other instances on (CONNECT); exchange writes a request only once its connection is there, so that another way may be tried before.

--- a/exchange.c
+++ b/exchange.c
@@ -22,6 +22,13 @@
 #define MAX_IDLE_CONNECTIONS 8
 /** An idle connection is no longer used this long before its peer closes it. */
 #define IDLE_MARGIN_MS 500
+/** Ways to an upstream that are tried for one request. */
+#define MAX_WAYS 4
+/** Limit on the answer of a relay to CONNECT. */
+#define MAX_RELAY_HEAD_BYTES 512
+#define RELAY_HEAD_END       "\r\n\r\n"
+#define RELAY_CONNECTED      "HTTP/1.1 200 "
+#define RELAY_NOT_CONNECTED  "HTTP/1.1 502 "
 /** Longest pause in writing a request whose answer has ended already. */
 #define LATE_WRITE_TIMEOUT_MS 1000
 
@@ -43,10 +50,14 @@
 {
   exchange_pool_t *pool;
   uint64_t owner;
+  char *address;
+  const char *relay; /* which connects to the upstream, or NULL */
+  uint32_t ways;     /* that were tried */
   struct bufferevent *stream;
+  struct evbuffer *unsent; /* the request, until the connection is there */
   http_reader_t *reader;
   exchange_t *exchange; /* NULL while idle */
-  bool is_connected;
+  bool is_connected;    /* to the upstream */
   bool is_parsing;      /* reader callbacks may be running */
   bool has_peer_closed; /* or reset the connection */
   bool awaits_written;  /* the answer has ended, the request is being written */
@@ -67,6 +78,7 @@
 {
   g_ptr_array_remove (connection->pool->idle, connection);
   bufferevent_free (connection->stream);
+  evbuffer_free (connection->unsent);
   return 0;
 }
 
@@ -182,6 +194,94 @@
   g_ptr_array_add (connection->pool->idle, connection);
 }
 
+/** Writes the request once the connection to the upstream is there. */
+static void
+on_connected (connection_t *connection)
+{
+  connection->is_connected = true;
+  bufferevent_set_timeouts (connection->stream, NULL, NULL);
+  bufferevent_write_buffer (connection->stream, connection->unsent);
+}
+
+static void open_stream (connection_t *connection);
+
+static void
+record_direct (const connection_t *connection, bool is_connected)
+{
+  upstream_path_t *path = connection->pool->options.path;
+
+  if (path != NULL && connection->relay == NULL)
+    upstream_path_record (path, connection->owner, is_connected,
+                          clock_mono_ms ());
+}
+
+/** Returns whether another way to the upstream may succeed after one failed. */
+static bool
+has_other_way (const connection_t *connection)
+{
+  const upstream_path_t *path = connection->pool->options.path;
+
+  return path != NULL && connection->ways < MAX_WAYS
+         && upstream_path_relay (path, connection->owner, clock_mono_ms ())
+                != NULL;
+}
+
+/** Handles a connection that could not be established: tries another way, if
+ * this one is at fault. */
+static void
+on_not_connected (connection_t *connection, bool is_way_at_fault)
+{
+  if (connection->exchange != NULL && is_way_at_fault
+      && has_other_way (connection))
+    {
+      bufferevent_free (connection->stream);
+      open_stream (connection);
+      return;
+    }
+  if (connection->exchange != NULL)
+    fail_exchange (connection, EXCHANGE_NOT_SENT);
+  else
+    talloc_free (connection);
+}
+
+static void
+on_relay_failed (connection_t *connection)
+{
+  upstream_path_relay_failed (connection->pool->options.path, connection->relay,
+                              clock_mono_ms ());
+  on_not_connected (connection, true);
+}
+
+/** Reads the answer of a relay to CONNECT. Returns whether the connection to
+ * the upstream is there; else @a connection may be freed. */
+static bool
+read_relay_answer (connection_t *connection)
+{
+  struct evbuffer *in = bufferevent_get_input (connection->stream);
+  struct evbuffer_ptr end
+      = evbuffer_search (in, RELAY_HEAD_END, strlen (RELAY_HEAD_END), NULL);
+  struct evbuffer_ptr begin
+      = evbuffer_search (in, RELAY_CONNECTED, strlen (RELAY_CONNECTED), NULL);
+  bool is_refused = evbuffer_search (in, RELAY_NOT_CONNECTED,
+                                     strlen (RELAY_NOT_CONNECTED), NULL)
+                        .pos
+                    == 0;
+
+  if (end.pos < 0 && evbuffer_get_length (in) <= MAX_RELAY_HEAD_BYTES)
+    return false;
+  if (end.pos < 0 || begin.pos != 0)
+    {
+      if (is_refused)
+        on_not_connected (connection, false);
+      else
+        on_relay_failed (connection);
+      return false;
+    }
+  evbuffer_drain (in, (size_t)end.pos + strlen (RELAY_HEAD_END));
+  on_connected (connection);
+  return true;
+}
+
 static void
 on_readable (struct bufferevent *stream, void *context)
 {
@@ -194,6 +294,8 @@
       talloc_free (connection);
       return;
     }
+  if (!connection->is_connected && !read_relay_answer (connection))
+    return;
   while (evbuffer_get_length (in) > 0)
     {
       size_t length = evbuffer_get_contiguous_space (in);
@@ -279,6 +381,27 @@
          && (what & (BEV_EVENT_ERROR | BEV_EVENT_WRITING)) == 0;
 }
 
+/** Handles a connection to the upstream or its relay that was not
+ * established. */
+static void
+on_connect_failed (connection_t *connection, bool is_timeout)
+{
+  const upstream_path_t *path = connection->pool->options.path;
+
+  if (connection->relay != NULL)
+    {
+      on_relay_failed (connection);
+      return;
+    }
+  /* Idle ones to that upstream may be dead without a sign of it. */
+  exchange_pool_close_idle (connection->pool, connection->owner);
+  record_direct (connection, false);
+  /* After a timeout, another upstream is the better choice while there is one
+     that can be reached. */
+  on_not_connected (
+      connection, !is_timeout || (path != NULL && upstream_path_is_cut (path)));
+}
+
 static void
 on_event (struct bufferevent *stream, short what, void *context)
 {
@@ -286,11 +409,14 @@
 
   if ((what & BEV_EVENT_CONNECTED) != 0)
     {
-      connection->is_connected = true;
-      bufferevent_set_timeouts (stream, NULL, NULL);
+      record_direct (connection, true);
+      if (connection->relay == NULL)
+        on_connected (connection);
       return;
     }
-  if (connection->exchange == NULL)
+  if (!connection->is_connected)
+    on_connect_failed (connection, (what & BEV_EVENT_TIMEOUT) != 0);
+  else if (connection->exchange == NULL)
     talloc_free (connection);
   else if (is_orderly_end (what))
     on_closed (connection);
@@ -314,30 +440,32 @@
                 &size, sizeof size);
 }
 
-static connection_t *
-open_connection (exchange_pool_t *pool, const char *address, uint64_t owner)
+/** Opens a socket to the upstream, or to the relay through which it is
+ * reached. */
+static void
+open_stream (connection_t *connection)
 {
-  connection_t *connection = talloc_zero (pool, connection_t);
-  http_reader_options_t reader_options = { .kind = HTTP_READER_RESPONSE,
-                                           .max_head_bytes = MAX_HEAD_BYTES,
-                                           .on_head = on_head,
-                                           .on_body = on_body,
-                                           .context = connection };
-  uint32_t timeout_ms = pool->options.connect_timeout_ms;
-  struct timeval timeout = timeval_from_ms (timeout_ms);
+  const exchange_pool_options_t *options = &connection->pool->options;
+  struct timeval timeout = timeval_from_ms (options->connect_timeout_ms);
   struct sockaddr_storage peer;
   int peer_bytes = sizeof peer;
+  const char *address;
 
-  connection->pool = pool;
-  connection->owner = owner;
-  connection->reader = http_reader_new (connection, &reader_options);
+  connection->ways++;
+  connection->relay = options->path != NULL ? upstream_path_relay (
+                          options->path, connection->owner, clock_mono_ms ())
+                                            : NULL;
+  address = connection->relay != NULL ? connection->relay : connection->address;
   connection->stream = bufferevent_socket_new (
-      pool->options.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-  talloc_set_destructor (connection, free_connection);
+      options->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb (connection->stream, on_readable, on_written, on_event,
                      connection);
   bufferevent_set_timeouts (connection->stream, &timeout, &timeout);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+  if (connection->relay != NULL)
+    evbuffer_add_printf (bufferevent_get_output (connection->stream),
+                         "CONNECT %s HTTP/1.1\r\nHost: %s" RELAY_HEAD_END,
+                         connection->address, connection->address);
   if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&peer,
                                   &peer_bytes)
           != 0
@@ -354,6 +482,25 @@
       socket_watch (bufferevent_getfd (connection->stream), &upstream_watch);
       set_receive_buffer (connection);
     }
+}
+
+static connection_t *
+open_connection (exchange_pool_t *pool, const char *address, uint64_t owner)
+{
+  connection_t *connection = talloc_zero (pool, connection_t);
+  http_reader_options_t reader_options = { .kind = HTTP_READER_RESPONSE,
+                                           .max_head_bytes = MAX_HEAD_BYTES,
+                                           .on_head = on_head,
+                                           .on_body = on_body,
+                                           .context = connection };
+
+  connection->pool = pool;
+  connection->owner = owner;
+  connection->address = talloc_strdup (connection, address);
+  connection->unsent = evbuffer_new ();
+  connection->reader = http_reader_new (connection, &reader_options);
+  open_stream (connection);
+  talloc_set_destructor (connection, free_connection);
   return connection;
 }
 
@@ -409,6 +556,12 @@
   close_idle_connections (pool, owner, 0);
 }
 
+void
+exchange_pool_close_all_idle (exchange_pool_t *pool)
+{
+  close_idle_connections (pool, 0, UINT64_MAX);
+}
+
 static void
 on_sweep (evutil_socket_t fd, short what, void *context)
 {
@@ -439,7 +592,9 @@
 static void
 write_request (connection_t *connection, const exchange_options_t *options)
 {
-  struct evbuffer *out = bufferevent_get_output (connection->stream);
+  struct evbuffer *out = connection->is_connected
+                             ? bufferevent_get_output (connection->stream)
+                             : connection->unsent;
   size_t body_bytes = options->shared_body != NULL
                           ? options->shared_body->size_bytes
                           : options->body_bytes;
--- a/exchange.h
+++ b/exchange.h
@@ -15,6 +15,9 @@
  * An answer without a length ends with its connection. It is complete if the
  * upstream shuts its sending side in order and takes the rest of the request;
  * it is broken if the connection fails before the request is written.
+ *
+ * A request is written once its connection is established, to the upstream or
+ * through a relay. Until then another way to the upstream may be tried.
  */
 #ifndef EXCHANGE_H
 #define EXCHANGE_H
@@ -25,6 +28,7 @@
 
 #include "http-reader.h"
 #include "shared-bytes.h"
+#include "upstream-path.h"
 
 struct event_base;
 
@@ -66,6 +70,9 @@
   /** Size of the kernel's receive buffer, which fills while an answer is not
    * read; 0: the kernel chooses. */
   uint32_t receive_buffer_bytes;
+  /** Whether connections are opened through a relay, see tunnel-server.h; NULL:
+   * never. Records whether connections were established. */
+  upstream_path_t *path;
 } exchange_pool_options_t;
 
 typedef struct
@@ -93,6 +100,9 @@
 /** Closes all idle connections to the upstream with the key @a owner. */
 void exchange_pool_close_idle (exchange_pool_t *pool, uint64_t owner);
 
+/** Closes all idle connections. */
+void exchange_pool_close_all_idle (exchange_pool_t *pool);
+
 /** Sends a request; callbacks are never called from within this function. */
 exchange_t *exchange_send (exchange_pool_t *pool,
                            const exchange_options_t *options);
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -4,7 +4,8 @@
  * gateway.c (admits and ends requests), gateway-startup.c (requests that arrive
  * while the instance starts), gateway-place.c (finding upstreams),
  * gateway-attempt.c (sending and retries), gateway-helpers.c
- * (helpers and reserved memory), gateway-relay.c (answers),
+ * (helpers and reserved memory), gateway-path.c (connections to upstreams
+ * through other instances), gateway-relay.c (answers),
  * gateway-quarantine.c (requests on which upstreams crash), gateway-stop.c (the
  * end of the process) and gateway-metrics.c. No other file includes this
  * header.
@@ -23,6 +24,8 @@
 #include "pause-detector.h"
 #include "retry.h"
 #include "silence.h"
+#include "tunnel-server.h"
+#include "upstream-path.h"
 #include "zone-placement.h"
 
 struct event;
@@ -70,6 +73,8 @@
   gateway_config_t *config; /* active configuration, or NULL */
   caller_server_t *callers;
   exchange_pool_t *pool;
+  upstream_path_t *path;
+  tunnel_server_t *tunnels; /* for other instances, or NULL */
   upstream_set_t *set;
   zone_placement_t *placement;
   engine_memory_t *memory;
@@ -257,6 +262,17 @@
 /** Creates the placement; returns false when its address cannot be bound. */
 bool gateway_open_placement (gateway_t *gateway);
 
+/** Creates the path to the upstreams. */
+upstream_path_t *gateway_new_path (gateway_t *gateway);
+
+/** Starts to relay connections of other instances; returns false when the
+ * address cannot be bound. */
+bool gateway_open_tunnels (gateway_t *gateway);
+
+/** Tries a connection to an upstream if it is doubtful whether this instance
+ * reaches them. */
+void gateway_probe_path (gateway_t *gateway);
+
 /** Returns whether this instance may not send the current attempt any more,
  * because its upstream or a helper has become unavailable. */
 bool gateway_has_unavailable (const gateway_request_t *request);
--- a/gateway-stop.c
+++ b/gateway-stop.c
@@ -138,5 +138,7 @@
 bool
 gateway_has_ended (const gateway_t *gateway)
 {
-  return !caller_server_is_busy (gateway->callers);
+  return !caller_server_is_busy (gateway->callers)
+         && (gateway->tunnels == NULL
+             || !tunnel_server_is_busy (gateway->tunnels, clock_mono_ms ()));
 }
--- a/gateway.c
+++ b/gateway.c
@@ -404,6 +404,7 @@
   pause_detector_update (&gateway->process_pause, GATEWAY_TICK_MS, now_ms);
   upstream_set_tick (gateway->set, now_ms);
   quarantine_tick (gateway->quarantine, now_ms);
+  gateway_probe_path (gateway);
 }
 
 static void
@@ -470,7 +471,7 @@
           .metrics = gateway->options.metrics };
 
   talloc_free (empty);
-  if (!gateway_open_placement (gateway))
+  if (!gateway_open_placement (gateway) || !gateway_open_tunnels (gateway))
     return false;
   gateway->callers = caller_server_new (gateway, &callers);
   return gateway->callers != NULL;
@@ -516,6 +517,7 @@
   event_add (gateway->tick, &interval);
   gateway->quarantine = quarantine_new (gateway, options->metrics);
   gateway->set = upstream_set_new (gateway, &set);
+  gateway->path = pool.path = gateway_new_path (gateway);
   gateway->pool = exchange_pool_new (gateway, &pool);
   memory.pool = gateway->pool;
   gateway->memory = engine_memory_new (gateway, &memory);
--- a/gateway.h
+++ b/gateway.h
@@ -103,6 +103,9 @@
   const char *listen;       /**< IP:PORT for callers */
   const char *zone;         /**< availability zone of this instance */
   const char *share_listen; /**< IP:PORT for other entry instances */
+  /** Port at which instances accept tunnels of each other (tunnel-server.h), at
+   * the IP addresses for other entry instances; 0: none. */
+  uint16_t tunnel_port;
   const gateway_protocol_t *protocol;
   uint32_t retry_percent; /**< share of recent requests that may be retried */
   /** Retries allowed in ten seconds on top of that share, by all instances
@@ -140,6 +143,13 @@
 /** Sets the drained zones, see upstream_set_drain_zones(). */
 void gateway_drain_zones (gateway_t *gateway, char *const *zones, size_t count);
 
+/** Adds other entry instances: their addresses for entry instances, and their
+ * availability zones. Known ones are ignored. */
+void gateway_add_instances (gateway_t *gateway,
+                            char *const *addresses,
+                            char *const *zones,
+                            size_t count);
+
 /** Returns the placement of the gateway, which owns it. */
 zone_placement_t *gateway_placement (gateway_t *gateway);
 
@@ -173,8 +183,8 @@
 /** Returns the number of open requests. */
 uint32_t gateway_open_requests (const gateway_t *gateway);
 
-/** Returns whether the gateway, after gateway_close(), owes its callers nothing
- * more: the process may end. */
+/** Returns whether the gateway, after gateway_close(), owes nothing more to its
+ * callers and to instances that use it as a relay: the process may end. */
 bool gateway_has_ended (const gateway_t *gateway);
 
 #endif
--- a/node-entry.c
+++ b/node-entry.c
@@ -205,9 +205,8 @@
       directory_put (entry->directory, &statement, clock_mono_ms ());
     }
   if (part->n_watchers == part->n_watcher_zones)
-    zone_placement_add_instances (gateway_placement (entry->gateway),
-                                  part->watchers, part->watcher_zones,
-                                  part->n_watchers);
+    gateway_add_instances (entry->gateway, part->watchers, part->watcher_zones,
+                           part->n_watchers);
   if (directory_version (entry->directory) != version)
     gateway_set_directory (entry->gateway, entry->directory);
 }
@@ -410,6 +409,7 @@
           .cold_excess = settings->cold_excess,
           .cold_slack = settings->cold_slack,
           .metrics = daemon_metrics (entry->daemon),
+          .tunnel_port = node_settings_tunnel_port (settings),
           .max_connections = max_connections (settings) };
 
   set_up_memory (entry, settings);
--- a/node-settings.c
+++ b/node-settings.c
@@ -286,3 +286,11 @@
   return talloc_asprintf (parent, "%s:%u", settings->address,
                           settings->first_port);
 }
+
+uint16_t
+node_settings_tunnel_port (const Lwm__NodeSettings *settings)
+{
+  return settings->last_port > settings->first_port
+             ? (uint16_t)settings->last_port
+             : 0;
+}
--- a/node-settings.h
+++ b/node-settings.h
@@ -55,4 +55,8 @@
 char *node_settings_own_address (void *parent,
                                  const Lwm__NodeSettings *settings);
 
+/** Returns the port at which entry instances accept tunnels of each other, 0 if
+ * the settings leave none for it. */
+uint16_t node_settings_tunnel_port (const Lwm__NodeSettings *settings);
+
 #endif
--- /dev/null
+++ b/t/t8351-tunnel.c
@@ -0,0 +1,349 @@
+/*
+ * Requests to upstreams through another entry instance: the relay passes
+ * answers on as they are, and what breaks off does not look complete.
+ */
+#include <event2/event.h>
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base.h"
+#include "exchange.h"
+#include "lib-address.h"
+#include "lib-early-answer.h"
+#include "lib-scripted.h"
+#include "tunnel-server.h"
+
+#define WAIT_MS 10000
+/** More than the buffers of the connections take while nothing is read. */
+#define UPLOAD_BYTES (8u * 1024 * 1024)
+
+typedef enum
+{
+  RESULT_NONE,
+  RESULT_END,
+  RESULT_FAILED,
+} result_t;
+
+/** An instance that is cut off, its relay, and an upstream. */
+typedef struct
+{
+  struct event_base *base;
+  upstream_path_t *path;
+  exchange_pool_t *pool;
+  tunnel_server_t *relay;
+  scripted_t upstream;
+  char relay_address[32];
+  char known[32]; /* address of the only upstream that the relay knows */
+  bool may_relay;
+  uint32_t relay_connects;
+  result_t result;
+  exchange_failure_t failure;
+  GString *body;
+} fixture_t;
+
+static bool
+may_relay (void *context)
+{
+  return ((fixture_t *)context)->may_relay;
+}
+
+static uint64_t
+find_upstream (const char *address, void *context)
+{
+  return strcmp (address, ((fixture_t *)context)->known) == 0 ? 1 : 0;
+}
+
+static void
+on_connect (uint64_t upstream, bool is_connected, void *context)
+{
+  ((fixture_t *)context)->relay_connects += is_connected;
+}
+
+static void
+on_head (exchange_t *exchange, void *context)
+{
+}
+
+static void
+on_body (exchange_t *exchange,
+         const uint8_t *data,
+         size_t size_bytes,
+         void *context)
+{
+  g_string_append_len (((fixture_t *)context)->body, (const char *)data,
+                       (gssize)size_bytes);
+}
+
+static void
+on_end (exchange_t *exchange, void *context)
+{
+  ((fixture_t *)context)->result = RESULT_END;
+}
+
+static void
+on_failed (exchange_t *exchange, exchange_failure_t how, void *context)
+{
+  fixture_t *fixture = context;
+
+  fixture->result = RESULT_FAILED;
+  fixture->failure = how;
+}
+
+static const exchange_callbacks_t callbacks = { .on_head = on_head,
+                                                .on_body = on_body,
+                                                .on_end = on_end,
+                                                .on_failed = on_failed };
+
+static fixture_t *
+set_up (void)
+{
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+  upstream_path_options_t path = { .seed = 1 };
+  exchange_pool_options_t pool
+      = { .connect_timeout_ms = 1000, .idle_timeout_ms = 4000 };
+  tunnel_server_options_t relay = { .listen = fixture->relay_address,
+                                    .max_tunnels = 4,
+                                    .may_relay = may_relay,
+                                    .find_upstream = find_upstream,
+                                    .on_connect = on_connect,
+                                    .context = fixture };
+
+  fixture->base = pool.base = relay.base = event_base_new ();
+  fixture->may_relay = true;
+  fixture->body = g_string_new (NULL);
+  choose_free_address (fixture->relay_address);
+  fixture->relay = tunnel_server_new (NULL, &relay);
+  g_assert_nonnull (fixture->relay);
+  fixture->path = pool.path = upstream_path_new (NULL, &path);
+  fixture->pool = exchange_pool_new (NULL, &pool);
+  upstream_path_add_relay (fixture->path, fixture->relay_address, true);
+  for (uint64_t upstream = 1; upstream <= 3; upstream++)
+    upstream_path_record (fixture->path, upstream, false, clock_mono_ms ());
+  scripted_start (&fixture->upstream, fixture->base);
+  g_strlcpy (fixture->known, fixture->upstream.address, sizeof fixture->known);
+  return fixture;
+}
+
+static void
+run (fixture_t *fixture, uint32_t for_ms)
+{
+  uint64_t end_ms = clock_mono_ms () + for_ms;
+
+  while (clock_mono_ms () < end_ms)
+    {
+      event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+      g_usleep (500);
+    }
+}
+
+static void
+tear_down (fixture_t *fixture)
+{
+  talloc_free (fixture->pool);
+  talloc_free (fixture->path);
+  scripted_stop (&fixture->upstream);
+  run (fixture, 50);
+  /* The relay has closed what its callers have closed. */
+  g_assert_cmpuint (tunnel_server_open (fixture->relay), ==, 0);
+  talloc_free (fixture->relay);
+  event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+  g_string_free (fixture->body, TRUE);
+  event_base_free (fixture->base);
+  g_free (fixture);
+}
+
+/** Sends a request and waits for its end. */
+static void
+call_with (fixture_t *fixture, const char *address, size_t body_bytes)
+{
+  http_fields_t fields = { 0 };
+  uint8_t *body = g_malloc0 (body_bytes + 1);
+  exchange_options_t options = { .address = address,
+                                 .owner = 1,
+                                 .method = "POST",
+                                 .target = "/a",
+                                 .fields = &fields,
+                                 .body = body,
+                                 .body_bytes = body_bytes,
+                                 .always_send_length = true,
+                                 .callbacks = &callbacks,
+                                 .context = fixture };
+  uint64_t end_ms = clock_mono_ms () + WAIT_MS;
+
+  fixture->result = RESULT_NONE;
+  exchange_send (fixture->pool, &options);
+  while (fixture->result == RESULT_NONE && clock_mono_ms () < end_ms)
+    run (fixture, 1);
+  g_free (body);
+}
+
+static void
+call (fixture_t *fixture)
+{
+  call_with (fixture, fixture->upstream.address, 5);
+}
+
+/* Guards against requests that fail while another instance could pass them on;
+ * the connection is used again. */
+static void
+test_answer (void)
+{
+  fixture_t *fixture = set_up ();
+
+  fixture->upstream.act = ACT_ANSWER;
+  call (fixture);
+  g_assert_cmpint (fixture->result, ==, RESULT_END);
+  call (fixture);
+  g_assert_cmpint (fixture->result, ==, RESULT_END);
+  g_assert_cmpuint (fixture->upstream.requests, ==, 2);
+  g_assert_cmpuint (fixture->upstream.connections, ==, 1);
+  g_assert_cmpuint (fixture->relay_connects, ==, 1);
+  tear_down (fixture);
+}
+
+/** Expects that no request is sent and the relay is not used again at once. */
+static void
+expect_not_sent (fixture_t *fixture, const char *address, bool uses_relay)
+{
+  call_with (fixture, address, 5);
+  g_assert_cmpint (fixture->result, ==, RESULT_FAILED);
+  g_assert_cmpint (fixture->failure, ==, EXCHANGE_NOT_SENT);
+  g_assert_cmpuint (fixture->upstream.requests, ==, 0);
+  g_assert_true (
+      (upstream_path_relay (fixture->path, 9, clock_mono_ms ()) != NULL)
+      == uses_relay);
+  tear_down (fixture);
+}
+
+/* Guards against a request that is called sent though the relay refused it. */
+static void
+test_relay_refuses (void)
+{
+  fixture_t *fixture = set_up ();
+
+  fixture->may_relay = false;
+  expect_not_sent (fixture, fixture->upstream.address, false);
+}
+
+/* Guards against a relay that connects callers to any address. */
+static void
+test_unknown_address (void)
+{
+  fixture_t *fixture = set_up ();
+
+  fixture->known[0] = '\0';
+  expect_not_sent (fixture, fixture->upstream.address, false);
+}
+
+/* Guards against giving up a relay for the fault of an upstream. */
+static void
+test_upstream_down (void)
+{
+  fixture_t *fixture = set_up ();
+
+  choose_free_address (fixture->known);
+  expect_not_sent (fixture, fixture->known, true);
+}
+
+/* Guards against a request that is lost with its first way: one that fails is
+ * sent over the next. */
+static void
+test_next_relay (void)
+{
+  fixture_t *fixture = set_up ();
+  char nobody[32];
+
+  choose_free_address (nobody);
+  for (int i = 0; i < 2; i++)
+    {
+      upstream_path_add_relay (fixture->path, nobody, true);
+      fixture->upstream.act = ACT_ANSWER;
+      call (fixture);
+      g_assert_cmpint (fixture->result, ==, RESULT_END);
+      exchange_pool_close_all_idle (fixture->pool);
+    }
+  tear_down (fixture);
+}
+
+/** Expects an answer without a length that ends as @a end to be complete or
+ * broken. */
+static void
+expect_end (early_end_t end, size_t body_bytes, result_t expected)
+{
+  fixture_t *fixture = set_up ();
+  early_answer_t upstream
+      = { .text = "HTTP/1.1 200 OK\r\n\r\npart", .end = end, .delay_ms = 50 };
+
+  early_answer_start (&upstream, fixture->base);
+  g_strlcpy (fixture->known, upstream.address, sizeof fixture->known);
+  call_with (fixture, upstream.address, body_bytes);
+  g_assert_cmpint (fixture->result, ==, expected);
+  if (expected == RESULT_END)
+    g_assert_cmpstr (fixture->body->str, ==, "part");
+  else
+    g_assert_cmpint (fixture->failure, ==, EXCHANGE_BROKEN);
+  early_answer_stop (&upstream);
+  tear_down (fixture);
+}
+
+/* Guards against an answer that is broken though it ended in order. */
+static void
+test_ends_in_order (void)
+{
+  expect_end (EARLY_READ_CLOSE, 5, RESULT_END);
+  expect_end (EARLY_HALF_CLOSE, UPLOAD_BYTES, RESULT_END);
+}
+
+/* Guards against an answer that broke off and looks complete. */
+static void
+test_reset (void)
+{
+  expect_end (EARLY_READ_RESET, 5, RESULT_FAILED);
+  expect_end (EARLY_RESET, UPLOAD_BYTES, RESULT_FAILED);
+  expect_end (EARLY_HALF_RESET, UPLOAD_BYTES, RESULT_FAILED);
+}
+
+/* Guards against an upstream that goes on with a request whose sender has
+ * left. */
+static void
+test_sender_leaves (void)
+{
+  fixture_t *fixture = set_up ();
+  http_fields_t fields = { 0 };
+  exchange_options_t options = { .address = fixture->upstream.address,
+                                 .owner = 1,
+                                 .method = "GET",
+                                 .target = "/a",
+                                 .fields = &fields,
+                                 .callbacks = &callbacks,
+                                 .context = fixture };
+  exchange_t *exchange;
+
+  fixture->upstream.act = ACT_NO_ANSWER;
+  exchange = exchange_send (fixture->pool, &options);
+  for (int i = 0; i < WAIT_MS && fixture->upstream.requests == 0; i++)
+    run (fixture, 1);
+  exchange_cancel (exchange);
+  for (int i = 0; i < WAIT_MS && fixture->upstream.closed == 0; i++)
+    run (fixture, 1);
+  g_assert_cmpuint (fixture->upstream.closed, ==, 1);
+  tear_down (fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  signal (SIGPIPE, SIG_IGN);
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/tunnel/answer", test_answer);
+  g_test_add_func ("/tunnel/relay-refuses", test_relay_refuses);
+  g_test_add_func ("/tunnel/unknown-address", test_unknown_address);
+  g_test_add_func ("/tunnel/upstream-down", test_upstream_down);
+  g_test_add_func ("/tunnel/next-relay", test_next_relay);
+  g_test_add_func ("/tunnel/ends-in-order", test_ends_in_order);
+  g_test_add_func ("/tunnel/reset", test_reset);
+  g_test_add_func ("/tunnel/sender-leaves", test_sender_leaves);
+  return g_test_run ();
+}
