gateway: place streams only while their callers wait

Callers of the largest prompts waited for an upstream until they left, after four times the target, or were placed so late that their answer could only begin after that.

Cause: a request counted as servable until its deadline, 15 s, though the caller leaves a stream without an event after 12 s. The class: work for a caller that will have left.

Routes have the patience of their callers, which platform/ computes. A request is placed, waits and is refused by the earlier of the deadline and the end of the patience; limits that ease with the waiting time ease by that. The two new cases of t8082 failed before: the stream went on waiting.

--- a/gateway-config.h
+++ b/gateway-config.h
@@ -43,6 +43,8 @@
   uint32_t target_ms;     /**< target time of the answer, or of a stream's
                                first event */
   uint32_t gap_target_ms; /**< target for the longest pause between events */
+  uint32_t patience_ms;   /**< callers leave a stream that has had no event for
+                               this time; 0: they stay until the deadline */
   uint32_t priority;      /**< 0 is the highest */
   uint32_t attempts;      /**< upstreams to which one request may be sent */
   route_target_t *targets;
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -252,6 +252,10 @@
                               uint64_t now_ms,
                               void *context);
 
+/** Returns until when the beginning of an answer is of use: at the deadline,
+ * and before when a stream has had no event, the caller leaves. */
+uint64_t gateway_last_useful_ms (const gateway_request_t *request);
+
 /** Asks for an upstream, sends the request to it, or refuses the request. */
 void gateway_place (gateway_request_t *request);
 
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -78,6 +78,16 @@
   return gateway->placement != NULL;
 }
 
+uint64_t
+gateway_last_useful_ms (const gateway_request_t *request)
+{
+  uint64_t leaves_ms = request->arrived_ms + request->route.patience_ms;
+
+  return request->route.patience_ms > 0 && !request->has_event
+             ? MIN (request->deadline_ms, leaves_ms)
+             : request->deadline_ms;
+}
+
 static placement_request_t
 make_placement_request (const gateway_request_t *request)
 {
@@ -89,7 +99,7 @@
           .priority = request->route.priority,
           .parts = request->terms.parts,
           .arrived_ms = request->arrived_ms,
-          .deadline_ms = request->deadline_ms,
+          .deadline_ms = gateway_last_useful_ms (request),
           .avoid_count = MIN (request->attempt_count, PLACEMENT_MAX_AVOID) };
 
   g_strlcpy (placement.service, request->service, sizeof placement.service);
--- a/gateway.c
+++ b/gateway.c
@@ -158,6 +158,13 @@
   return retry_ms + (uint32_t)(random_id () % (retry_ms / 2 + 1));
 }
 
+/** Returns whether a request waits for an upstream. */
+static bool
+is_waiting (const gateway_request_t *request)
+{
+  return request->ask != NULL && request->exchange == NULL;
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *context)
 {
@@ -172,6 +179,8 @@
       else
         gateway_refuse (request, ERROR_DEADLINE_PASSED, 0);
     }
+  else if (is_waiting (request) && now_ms >= gateway_last_useful_ms (request))
+    gateway_end_truly (request, ERROR_DEADLINE_UNMEETABLE);
   else if (request->exchange != NULL && request->attempt_due_ms > 0
            && now_ms >= request->attempt_due_ms)
     gateway_on_attempt_stalled (request);
@@ -183,9 +192,12 @@
 gateway_set_timer (gateway_request_t *request)
 {
   uint64_t now_ms = clock_mono_ms ();
+  uint64_t useful_ms = gateway_last_useful_ms (request);
   uint64_t due_ms = request->deadline_ms;
   struct timeval wait;
 
+  if (request->exchange == NULL && useful_ms > now_ms)
+    due_ms = useful_ms;
   if (request->attempt_due_ms > 0 && request->attempt_due_ms < due_ms)
     due_ms = request->attempt_due_ms;
   wait = timeval_from_ms (due_ms > now_ms ? due_ms - now_ms : 0);
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -107,8 +107,10 @@
                                make_route ("/unsafe/", ROUTE_UNSAFE, false),
                                make_route ("/stream/", ROUTE_STREAM, true),
                                make_route ("/once/", ROUTE_STREAM, false),
-                               make_route ("/keyed/", ROUTE_SAFE, false) };
+                               make_route ("/keyed/", ROUTE_SAFE, false),
+                               make_route ("/brief/", ROUTE_STREAM, true) };
 
+  routes[G_N_ELEMENTS (routes) - 1].patience_ms = GATEWAY_PATIENCE_MS;
   config->number = 1;
   config->routes = talloc_memdup (config, routes, sizeof routes);
   config->route_count = G_N_ELEMENTS (routes);
--- a/t/lib-gateway.h
+++ b/t/lib-gateway.h
@@ -17,6 +17,8 @@
 
 #define GATEWAY_WAIT_TIMEOUT_MS 20000
 #define GATEWAY_UPSTREAMS       2
+/** After which callers leave a stream of /brief/ without an event. */
+#define GATEWAY_PATIENCE_MS 400
 
 typedef struct
 {
--- a/t/t8082-gateway-upstream-state.c
+++ b/t/t8082-gateway-upstream-state.c
@@ -26,6 +26,9 @@
   "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Pause-Ms: 60000\r\nContent-Length: " \
   "0\r\n\r\n"
 
+/** More requests than both upstreams get at a time. */
+#define MANY_CALLERS 12
+
 /** An upstream that takes one request a second. */
 #define LIMIT_ANSWER                                                           \
   "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Limit: 1\r\nContent-Length: 4\r\n\r\n"  \
@@ -216,6 +219,49 @@
   gateway_fixture_free (fixture);
 }
 
+/* Guards against a stream that waits for an upstream that takes it only after
+ * its caller has left: it is refused at once, and can come back. */
+static void
+test_pause_outlasts_caller (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_TEXT, ACT_TEXT);
+
+  gateway_fixture_earn_retries (fixture);
+  answer_with (fixture, 0, ACT_TEXT, PAUSE_ANSWER);
+  answer_with (fixture, 1, ACT_TEXT, PAUSE_ANSWER);
+  gateway_fixture_call (fixture, GET ("/brief/"), "HTTP/1.1 503");
+  g_assert_cmpuint (gateway_fixture_requests (fixture), ==, 2);
+  gateway_fixture_free (fixture);
+}
+
+/* Guards against a stream that goes on waiting for a free upstream when its
+ * caller has left. */
+static void
+test_wait_ends_with_patience (void)
+{
+  gateway_fixture_t *fixture
+      = gateway_fixture_ready (ACT_NO_ANSWER, ACT_NO_ANSWER);
+  zone_placement_t *placement = gateway_placement (fixture->gateway);
+  caller_t *callers[MANY_CALLERS];
+  uint64_t begun_ms;
+
+  for (int i = 0; i < MANY_CALLERS; i++)
+    {
+      callers[i] = caller_new (fixture->listen);
+      caller_send (callers[i], GET ("/unsafe/"), strlen (GET ("/unsafe/")));
+    }
+  GATEWAY_WAIT (gateway_open_requests (fixture->gateway) == MANY_CALLERS);
+  GATEWAY_WAIT (zone_placement_queued (placement) > 0);
+  begun_ms = clock_mono_ms ();
+  gateway_fixture_send (fixture, GET ("/brief/"));
+  GATEWAY_WAIT (gateway_fixture_has_text (fixture, "HTTP/1.1 503"));
+  g_assert_cmpuint (clock_mono_ms () - begun_ms, >=, GATEWAY_PATIENCE_MS - 10);
+  g_assert_cmpuint (gateway_open_requests (fixture->gateway), ==, MANY_CALLERS);
+  for (int i = 0; i < MANY_CALLERS; i++)
+    caller_free (callers[i]);
+  gateway_fixture_free (fixture);
+}
+
 /* Guards against: a long prompt that waits at a process until it ends, and is
  * placed just before, so that its caller gets no answer (LOST) and the memory
  * that it reserves is not released (LEAK). */
@@ -254,6 +300,10 @@
   g_test_add_func ("/upstream-state/pause", test_pause);
   g_test_add_func ("/upstream-state/two-pauses", test_two_pauses);
   g_test_add_func ("/upstream-state/all-pause", test_all_pause);
+  g_test_add_func ("/upstream-state/pause-outlasts-caller",
+                   test_pause_outlasts_caller);
+  g_test_add_func ("/upstream-state/wait-ends-with-patience",
+                   test_wait_ends_with_patience);
   g_test_add_func ("/upstream-state/long-prompt-leaves-stopping-instance",
                    test_long_prompt_leaves_stopping_instance);
   return g_test_run ();
--- a/t/t8101-platform-config.c
+++ b/t/t8101-platform-config.c
@@ -59,6 +59,8 @@
   g_assert_true (route->is_resumable);
   g_assert_cmpuint (route->target_ms, ==, 300);
   g_assert_cmpuint (route->gap_target_ms, ==, 250);
+  /* Eight pauses, which is more than four targets. */
+  g_assert_cmpuint (route->patience_ms, ==, 2000);
   g_assert_cmpuint (route->target_count, ==, 2);
   g_assert_cmpint (gateway_config_route (config, "h", "/b/")->kind, ==,
                    ROUTE_UNSAFE);
