--- a/review/lib-2/harness.c
+++ b/review/lib-2/harness.c
@@ -546,8 +546,21 @@
 {
   server_t *server;
   int fd;
+  int generation;
 } connection_t;
 
+bool
+has_crashed (const request_t *request)
+{
+  return request->server->generation != request->generation;
+}
+
+bool
+write_bytes (int fd, const char *data, size_t size)
+{
+  return write_all (fd, data, size, now_ms () + 2000);
+}
+
 static void
 send_answer (server_t *server,
              int fd,
@@ -569,10 +582,12 @@
   write_all (fd, body, strlen (body), now_ms () + 1000);
 }
 
-/** Serves one request. */
-static void
-serve (server_t *server, int fd, const char *head)
+/** Serves one request. Returns false when the connection is to be reset. */
+static bool
+serve (const connection_t *connection, const char *head)
 {
+  server_t *server = connection->server;
+  int fd = connection->fd;
   char id[64] = "";
   char wanted[64] = "";
   char method[16] = "";
@@ -586,30 +601,48 @@
       && strcmp (wanted, server->id) != 0)
     {
       send_answer (server, fd, id, 421, "Not-Run: 1\r\n");
-      return;
+      return true;
     }
   if (strcmp (path, "/health") == 0)
     {
       snprintf (extra, sizeof extra, "Instance-Id: %s\r\n", server->id);
       send_answer (server, fd, id, server->is_ending ? 503 : 200, extra);
-      return;
+      return true;
     }
   if (*id == '\0')
     {
       send_answer (server, fd, id, 400, "Not-Run: 1\r\n");
-      return;
+      return true;
     }
   add_arrival (server, id);
   if (server->work != NULL)
-    status = server->work (server, id, path, extra, sizeof extra);
+    {
+      request_t request = { .server = server,
+                            .fd = fd,
+                            .generation = connection->generation,
+                            .id = id,
+                            .path = path,
+                            .head = head };
+
+      status = server->work (&request);
+    }
   else
     sleep_ms ((uint64_t)server->work_ms);
-  if (status == 0)
-    return;
+  if (status <= 0)
+    return status == WORK_ANSWERED;
   snprintf (extra + strlen (extra), sizeof extra - strlen (extra),
             "Server-Stamp: %s.%s\r\n", server->id, id);
   send_answer (server, fd, id, status, extra);
   record ("server %s answers %s: %d", server->id, id, status);
+  return true;
+}
+
+static void
+reset_connection (int fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
 static void *
@@ -621,12 +654,18 @@
 
   for (;;)
     {
+      const server_t *server = connection->server;
       size_t message = read_message (connection->fd, data, MAX_TEXT, &used,
                                      now_ms () + 20000);
 
-      if (message == 0 || connection->server->is_gone)
+      if (message == 0 || server->is_gone)
         break;
-      serve (connection->server, connection->fd, data);
+      if (server->generation != connection->generation
+          || !serve (connection, data))
+        {
+          reset_connection (connection->fd);
+          break;
+        }
       memmove (data, data + message, used - message);
       used -= message;
     }
@@ -636,7 +675,7 @@
   return NULL;
 }
 
-static void
+void
 start_thread (void *(*run) (void *), void *context)
 {
   pthread_t thread;
@@ -662,6 +701,14 @@
       connection->fd = accept4 (server->listener, NULL, NULL, SOCK_CLOEXEC);
       if (connection->fd < 0)
         return NULL;
+      connection->generation = server->generation;
+      if (server->is_down)
+        {
+          reset_connection (connection->fd);
+          close (connection->fd);
+          free (connection);
+          continue;
+        }
       fcntl (connection->fd, F_SETFL, O_NONBLOCK);
       start_thread (serve_connection, connection);
     }
@@ -712,7 +759,8 @@
 
   while (!server->is_gone)
     {
-      for (int tries = 0; server->beats && tries < machine_count; tries++)
+      for (int tries = 0; server->beats && !server->is_down
+                          && tries < machine_count; tries++)
         {
           const machine_t *control = &machines[turn++ % machine_count];
 
@@ -725,6 +773,47 @@
   return NULL;
 }
 
+typedef struct
+{
+  server_t *server;
+  int down_ms;
+} crash_t;
+
+static void *
+come_back (void *context)
+{
+  crash_t *crash = context;
+  server_t *server = crash->server;
+  char *dash = strrchr (server->id, '.');
+
+  sleep_ms ((uint64_t)crash->down_ms);
+  if (dash != NULL)
+    *dash = '\0';
+  snprintf (server->id + strlen (server->id),
+            sizeof server->id - strlen (server->id), ".%d", server->generation);
+  server->born_ms = wall_ms ();
+  server->sequence = 0;
+  server->is_down = false;
+  record ("server %s is back", server->id);
+  free (crash);
+  return NULL;
+}
+
+void
+server_crash (server_t *server, int down_ms)
+{
+  crash_t *crash = malloc (sizeof *crash);
+
+  pthread_mutex_lock (&lock);
+  server->generation++;
+  server->is_down = true;
+  pthread_mutex_unlock (&lock);
+  record ("server %s crashes", server->id);
+  crash->server = server;
+  crash->down_ms = down_ms;
+  start_thread (come_back, crash);
+}
+
 void
 server_start (server_t *server)
 {
--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -100,13 +100,22 @@
 /** A stand-in of a server, which registers itself and runs requests. */
 typedef struct server server_t;
 
-/** Called when the server has read a request that is meant for it. Returns the
- * answer's status; @a extra takes lines of further fields. */
-typedef int (*server_work_t) (server_t *server,
-                              const char *id,
-                              const char *path,
-                              char *extra,
-                              size_t extra_size);
+/** A request that a server has read and that is meant for it. */
+typedef struct
+{
+  server_t *server;
+  int fd;
+  int generation; /* of the server when the connection was opened */
+  const char *id;
+  const char *path;
+  const char *head;
+} request_t;
+
+/** What a server does with a request: the status of its answer, or one of the
+ * values below. */
+#define WORK_ANSWERED 0  /* the answer was written */
+#define WORK_RESET    -1 /* the connection is to be reset */
+typedef int (*server_work_t) (const request_t *request);
 
 struct server
 {
@@ -123,8 +132,23 @@
   int work_ms;
   server_work_t work; /* NULL: answers 200 */
   int listener;
+  volatile int generation; /* a crash begins a new one */
+  volatile bool is_down;   /* it has crashed and is not back yet */
 };
 
+/** Returns whether the server has crashed since the request came. */
+bool has_crashed (const request_t *request);
+
+/** Crashes the server: all its connections are reset. It is back under a new id
+ * after @a down_ms. */
+void server_crash (server_t *server, int down_ms);
+
+/** Writes bytes to a connection. */
+bool write_bytes (int fd, const char *data, size_t size);
+
+/** Runs a function in a thread of its own. */
+void start_thread (void *(*run) (void *), void *context);
+
 /** Starts to listen and to send heartbeats to the controls in turn. */
 void server_start (server_t *server);
 
