--- a/review/8/case.c
+++ b/review/8/case.c
@@ -16,7 +16,8 @@
 #define PART     "dead01:400"
 
 static const char config[]
-    = "{\"version\":3,\"routes\":[{\"name\":\"r-stream\",\"host\":\"a.example\","
+    = "{\"version\":3,\"routes\":[{\"name\":\"r-stream\",\"host\":\"a."
+      "example\","
       "\"path-prefix\":\"/s/\",\"kind\":\"stream\",\"timeout-ms\":10000,"
       "\"goal-ms\":300,\"priority\":1,\"service\":\"assist\",\"attempts\":2,"
       "\"public\":true,\"sticky\":true,\"resumable\":true,"
