--- a/review/9/case.c
+++ b/review/9/case.c
@@ -1,6 +1,7 @@
-/* A part of prompts that crashes servers is never held back if it is the ninth
- * of its prompt. */
+/* What the edge machines know of a part of prompts that crashes servers is lost
+ * when all processes are killed at once. */
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,23 +10,16 @@
 
 #define SERVERS  12
 #define EDGES    3
+#define BURST    9
 #define DOWN_MS  2500
-#define REQUESTS 40
-#define GAP_MS   400 /* between the requests with the part */
+#define PAUSE_MS 1000 /* from the kill to the start of all processes */
 #define PART     "dead01:400"
 
-/** The first eight parts of prompts; there are seven sets of them. */
-#define SETS 7
-#define FIRST_PARTS                                                            \
-  "a%x1:40,a%x2:60,a%x3:80,a%x4:90,a%x5:70,a%x6:50,a%x7:30,a%x8:20"
-
 static const char config[]
-    = "{\"version\":3,\"routes\":[{\"name\":\"r-stream\",\"host\":\"a."
-      "example\","
+    = "{\"version\":3,\"routes\":[{\"name\":\"r-stream\",\"host\":\"a.example\","
       "\"path-prefix\":\"/s/\",\"kind\":\"stream\",\"timeout-ms\":10000,"
       "\"goal-ms\":300,\"priority\":1,\"service\":\"assist\",\"attempts\":2,"
-      "\"public\":true,\"sticky\":true,\"resumable\":true,"
-      "\"gap-target-ms\":250}],"
+      "\"public\":true,\"sticky\":true,\"gap-target-ms\":250}],"
       "\"services\":[{\"name\":\"assist\","
       "\"health-path\":\"/health\",\"max-conns\":264,\"protocol\":\"h1\","
       "\"tls\":false,\"engine\":{\"slots\":16,\"kv-capacity\":232000,"
@@ -38,49 +32,38 @@
 static server_t servers[SERVERS];
 static machine_t *edges[EDGES];
 static volatile int crashes;
-static volatile uint64_t fifth_ms; /* time of the fifth crash */
 static volatile int poison_arrivals;
 static volatile int poison_late; /* in the judged time */
+static volatile bool is_judged;
 static volatile int sound_cut;
 static volatile int sound_done;
+static volatile bool sends_sound;
 static int sent;
 
-static bool
-is_judged (void)
-{
-  return fifth_ms > 0 && now_ms () > fifth_ms + CONTACT_MS;
-}
-
-/** Writes one event of a stream. */
-static bool
-write_event (const request_t *request, int number)
-{
-  char event[128];
-  char text[256];
-
-  snprintf (event, sizeof event, "id: %d\ndata: piece %d\n\n", number, number);
-  snprintf (text, sizeof text, "%zx\r\n%s\r\n", strlen (event), event);
-  return write_bytes (request->fd, text, strlen (text));
-}
-
 /** Answers a stream of ten events in half a second. A request with the part
- * crashes the server when it is to write the first event. */
+ * crashes the server as it begins to write. */
 static int
 work (const request_t *request)
 {
   char text[512];
-  char parts[512] = "";
-  bool has_part;
+  char parts[128] = "";
 
   find_field (request->head, "Prefix-Hash", parts, sizeof parts);
-  has_part = strstr (parts, "dead01") != NULL;
-  if (has_part)
+  if (strstr (parts, "dead01") != NULL)
     {
       __sync_fetch_and_add (&poison_arrivals, 1);
-      record ("%s with the part reaches server %s%s", request->id,
-              request->server->id, is_judged () ? ": COUNTED" : "");
-      if (is_judged ())
-        __sync_fetch_and_add (&poison_late, 1);
+      if (is_judged)
+        {
+          __sync_fetch_and_add (&poison_late, 1);
+          record ("COUNTED: %s with the part reaches server %s", request->id,
+                  request->server->id);
+        }
+      sleep_ms (60);
+      if (has_crashed (request))
+        return WORK_RESET;
+      __sync_fetch_and_add (&crashes, 1);
+      server_crash (request->server, DOWN_MS);
+      return WORK_RESET;
     }
   sleep_ms (40);
   snprintf (text, sizeof text,
@@ -88,20 +71,16 @@
             "Request-Id: %s\r\nServer-Stamp: %s.%s\r\n"
             "Transfer-Encoding: chunked\r\n\r\n",
             request->id, request->server->id, request->id);
-  if (has_part && has_trouble)
+  write_bytes (request->fd, text, strlen (text));
+  for (int i = 0; i < 10; i++)
     {
+      char event[128];
+
       if (has_crashed (request))
         return WORK_RESET;
-      if (__sync_add_and_fetch (&crashes, 1) == 5)
-        fifth_ms = now_ms ();
-      server_crash (request->server, DOWN_MS);
-      return WORK_RESET;
-    }
-  if (!write_bytes (request->fd, text, strlen (text)))
-    return WORK_RESET;
-  for (int i = 0; i < 10; i++)
-    {
-      if (has_crashed (request) || !write_event (request, i))
+      snprintf (event, sizeof event, "id: %d\ndata: piece %d\n\n", i, i);
+      snprintf (text, sizeof text, "%zx\r\n%s\r\n", strlen (event), event);
+      if (!write_bytes (request->fd, text, strlen (text)))
         return WORK_RESET;
       sleep_ms (50);
     }
@@ -109,23 +88,10 @@
   return WORK_ANSWERED;
 }
 
-/** Writes a prompt's parts: the first eight of a set, the ninth, its own. */
-static void
-write_parts (char *parts,
-             size_t size,
-             int set,
-             const char *ninth,
-             int own,
-             int own_tokens)
-{
-  snprintf (parts, size, FIRST_PARTS ",%s,b%x:%d", set, set, set, set, set, set,
-            set, set, ninth, own, own_tokens);
-}
-
 static answer_t
 send_stream (int edge, const char *parts, int tokens)
 {
-  char fields[1024];
+  char fields[512];
   char id[32];
   char body[64];
   answer_t answer;
@@ -147,14 +113,21 @@
 send_poison (void *context)
 {
   int number = (int)(intptr_t)context;
-  char parts[512];
+  char parts[128];
 
-  write_parts (parts, sizeof parts, number % SETS, PART, 0x1000 + number,
-               60000 + number);
-  send_stream (number % EDGES, parts, 60840 + number);
+  snprintf (parts, sizeof parts, "a%x:40," PART ",b%x:%d", number % 7,
+            0x1000 + number, 60000 + number);
+  send_stream (number % EDGES, parts, 60440 + number);
   return NULL;
 }
 
+static void
+send_burst (int first)
+{
+  for (int i = 0; i < BURST; i++)
+    start_thread (send_poison, (void *)(intptr_t)(first + i));
+}
+
 static void *
 send_sound (void *context)
 {
@@ -162,17 +135,16 @@
 
   for (int i = 0;; i++)
     {
-      char ninth[32];
-      char parts[512];
+      char parts[128];
       answer_t answer;
 
-      snprintf (ninth, sizeof ninth, "e%x:300", i % 5);
-      write_parts (parts, sizeof parts, i % SETS, ninth,
-                   0x10000 * (edge + 1) + i, 900);
-      answer = send_stream (edge % EDGES, parts, 1640);
+      while (!sends_sound)
+        sleep_ms (20);
+      snprintf (parts, sizeof parts, "a%x:40,c%x%x:900", i % 7, edge, 4096 + i);
+      answer = send_stream (edge % EDGES, parts, 1000);
       if (answer.status != 200)
         sleep_ms (200);
-      if (!is_judged ())
+      if (!is_judged)
         continue;
       if (answer.is_complete && answer.status == 200)
         __sync_fetch_and_add (&sound_done, 1);
@@ -185,6 +157,7 @@
 int
 main (int argc, char **argv)
 {
+  uint64_t restarted_ms;
   static const char *const zones[] = { "za", "zb", "zc" };
   char name[32];
 
@@ -217,19 +190,54 @@
   sleep_ms (CONTACT_MS);
   for (int i = 0; i < 9; i++)
     start_thread (send_sound, (void *)(intptr_t)i);
-  sleep_ms (3000);
+  sends_sound = true;
+  sleep_ms (2000);
 
-  /* The disruption: requests with the part come, one at a time. */
-  for (int i = 0; i < REQUESTS; i++)
+  /* The part crashes servers until the system sends it no more. */
+  send_burst (0);
+  sleep_ms (1500);
+  for (int i = 0; i < 8; i++)
     {
-      start_thread (send_poison, (void *)(intptr_t)i);
-      sleep_ms (GAP_MS);
+      send_poison ((void *)(intptr_t)(20 + i));
+      sleep_ms (300);
     }
-  sleep_ms (1000);
-  record ("%d requests with the part reached servers, %d servers crashed",
-          poison_arrivals, crashes);
-  if (has_trouble && crashes < 5)
+  record ("crashes so far: %d, requests with the part that reached servers: %d",
+          crashes, poison_arrivals);
+  if (crashes < 5)
     fail_case ("fewer than five crashes");
+  sleep_ms (CONTACT_MS + 500);
+
+  /* The disruption: all processes are killed, and are back after a second. */
+  if (has_trouble)
+    {
+      sends_sound = false;
+      sleep_ms (1000);
+      for (int i = 0; i < machine_count; i++)
+        signal_machine (&machines[i], SIGKILL);
+      for (int i = 0; i < machine_count; i++)
+        kill_machine (&machines[i]);
+      sleep_ms (PAUSE_MS);
+      for (int i = 0; i < machine_count; i++)
+        start_machine (&machines[i], false);
+    }
+  restarted_ms = now_ms ();
+  for (int i = 0; i < EDGES; i++)
+    if (!wait_ready (edges[i], 10000))
+      fail_case ("an edge machine is not ready again");
+  sends_sound = true;
+  while (now_ms () < restarted_ms + 2 * CONTACT_MS + 500)
+    sleep_ms (20);
+
+  /* All machines are in touch again. Requests with the part come on. */
+  is_judged = true;
+  send_burst (100);
+  sleep_ms (1500);
+  for (int i = 0; i < 8; i++)
+    {
+      send_poison ((void *)(intptr_t)(120 + i));
+      sleep_ms (300);
+    }
+  sleep_ms (1000);
   record ("later than contact-ms after the fifth crash, %d requests with the "
           "part reached servers, %d sound streams were cut, %d were whole",
           poison_late, sound_cut, sound_done);
