json-text: refuse a text that goes on behind its object

Cause: json-text.c took the library's word for the end of a text. yajl takes a string that begins behind the value and does not end for a value that is complete. Evidence: /json-text/unfinished-after-object failed, and the new /json-text/anything-after-object failed on the code before at the same token and at no other.

Change: the parser stops behind the first value, and what follows must be spaces. So no byte behind an object is judged by the library, whatever token it begins. Half of a surrogate pair, which the library turns into another character, is refused as well: what is obeyed must be what is read back (/json-text/lone-surrogates failed before). A reader that builds values by itself (jansson) was not taken: it bounds no number of values, so a body of 4 MB could take more than a control instance's memory.

--- a/json-text.c
+++ b/json-text.c
@@ -216,6 +216,80 @@
   return false;
 }
 
+static bool
+is_space (char byte)
+{
+  return byte == ' ' || byte == '\t' || byte == '\n' || byte == '\r';
+}
+
+/** Returns true if the text has nothing but spaces from @a at to its end. */
+static bool
+is_blank_from (const char *text, size_t size_bytes, size_t at)
+{
+  while (at < size_bytes && is_space (text[at]))
+    at++;
+  return at == size_bytes;
+}
+
+#define UNICODE_DIGITS 4 /* hexadecimal ones of an escape */
+
+/** Returns the code unit of the escape at @a at, or 0 if there is none that
+ * names a character by its number. */
+static uint16_t
+read_unicode_escape (const char *text, size_t size_bytes, size_t at)
+{
+  uint16_t unit = 0;
+
+  if (size_bytes - at < 2 + UNICODE_DIGITS || text[at] != '\\'
+      || text[at + 1] != 'u')
+    return 0;
+  for (size_t i = 0; i < UNICODE_DIGITS; i++)
+    unit = (uint16_t)(unit * 16 + g_ascii_xdigit_value (text[at + 2 + i]));
+  return unit;
+}
+
+static bool
+is_high_surrogate (uint16_t unit)
+{
+  return unit >= 0xd800 && unit <= 0xdbff;
+}
+
+static bool
+is_low_surrogate (uint16_t unit)
+{
+  return unit >= 0xdc00 && unit <= 0xdfff;
+}
+
+/**
+ * Returns true if an escape stands for half of a surrogate pair. The parser
+ * replaces some of those by other characters without an error.
+ * @param text a text that was parsed: backslashes are in strings only, and the
+ * digits of all escapes are valid
+ */
+static bool
+has_lone_surrogate (const char *text, size_t size_bytes)
+{
+  for (size_t i = 0; i + 1 < size_bytes; i++)
+    {
+      uint16_t unit;
+
+      if (text[i] != '\\')
+        continue;
+      unit = read_unicode_escape (text, size_bytes, i);
+      if (unit > 0)
+        i += UNICODE_DIGITS;
+      i++; /* the character that is escaped */
+      if (is_low_surrogate (unit))
+        return true;
+      if (!is_high_surrogate (unit))
+        continue;
+      if (!is_low_surrogate (read_unicode_escape (text, size_bytes, i + 1)))
+        return true;
+      i += 2 + UNICODE_DIGITS;
+    }
+  return false;
+}
+
 static const char *
 check_characters (const char *text, size_t size_bytes)
 {
@@ -243,18 +317,32 @@
   return error;
 }
 
-/** Feeds the text to the parser; returns NULL or an error message that the
- * caller frees with g_free(). */
+/**
+ * Feeds the text to the parser. The parser stops behind the first value, and
+ * what follows is checked here: by itself, it accepts a string that begins
+ * there and does not end.
+ * @return NULL or an error message that the caller frees with g_free()
+ */
 static char *
 build_value (json_build_t *build, const char *text, size_t size_bytes)
 {
   yajl_handle parser = yajl_alloc (&callbacks, NULL, build);
   const unsigned char *bytes = (const unsigned char *)text;
+  yajl_status status;
+  size_t end;
   char *error = NULL;
 
-  if (yajl_parse (parser, bytes, size_bytes) != yajl_status_ok
-      || yajl_complete_parse (parser) != yajl_status_ok)
+  yajl_config (parser, yajl_allow_trailing_garbage, 1);
+  status = yajl_parse (parser, bytes, size_bytes);
+  end = yajl_get_bytes_consumed (parser);
+  if (status == yajl_status_ok)
+    status = yajl_complete_parse (parser);
+  if (status != yajl_status_ok)
     error = describe_error (parser, build);
+  else if (!is_blank_from (text, size_bytes, end))
+    error = g_strdup ("the text goes on behind its object");
+  else if (has_lone_surrogate (text, size_bytes))
+    error = g_strdup ("a string has half of a surrogate pair");
   yajl_free (parser);
   return error;
 }
--- a/json-text.h
+++ b/json-text.h
@@ -3,7 +3,8 @@
  * The only reader of JSON text. It accepts what RFC 8259 defines and nothing
  * else: no comments, single quotes or bare words. It does not recurse into
  * nested values and bounds their depth itself, so that no second check has to
- * agree with it on how a text is nested.
+ * agree with it on how a text is nested. The end of the object must be the end
+ * of the text, but for spaces.
  */
 #ifndef JSON_TEXT_H
 #define JSON_TEXT_H
@@ -19,7 +20,8 @@
  *
  * Whole numbers of 64 bits become integers, other numbers doubles; one that
  * exceeds a double becomes the largest. Of members with the same name the last
- * one counts. A string that holds the character U+0000 makes the text invalid.
+ * one counts. A string that holds the character U+0000 or half of a surrogate
+ * pair makes the text invalid.
  * @param text need not end with a NUL byte; may be NULL if @a size_bytes is 0
  * @param why if not NULL, set to an error message when NULL is returned, freed
  * with g_free(), else to NULL
--- a/t/t0009-json-text.c
+++ b/t/t0009-json-text.c
@@ -173,7 +173,7 @@
 static void
 test_corpus (void)
 {
-  corpus_replay ("fuzz/corpus-json", 9, LLVMFuzzerTestOneInput);
+  corpus_replay ("fuzz/corpus-json", 11, LLVMFuzzerTestOneInput);
 }
 
 /* Guards against: an object is accepted with the beginning of another value
@@ -189,6 +189,69 @@
       g_error ("accepted: %s", texts[i]);
 }
 
+/** Guards against bytes behind the object that are not refused: each beginning
+ * of each kind of token, with and without a space before it and after it. */
+static void
+test_anything_after_object (void)
+{
+  static const char *const tokens[]
+      = { "{}",   "[]",    "\"text\"", "\"\\u00e9\\n\"", "-12.5e+3",
+          "true", "false", "null",     "/* comment */",  "// comment",
+          ":",    ",",     "'a'",      "\xc3\xa9",       "\"\xf0\x9f\x98\x80" };
+  static const char *const objects[]
+      = { "{}", "{\"a\":1}", "{\"a\":{\"b\":[\"c\"]}}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (objects); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (tokens); j++)
+      for (size_t length = 1; length <= strlen (tokens[j]); length++)
+        for (unsigned spaces = 0; spaces < 4; spaces++)
+          {
+            char *text = g_strdup_printf (
+                "%s%s%.*s%s", objects[i], (spaces & 1) != 0 ? " \n" : "",
+                (int)length, tokens[j], (spaces & 2) != 0 ? "\t " : "");
+
+            if (is_accepted (text, strlen (text)))
+              g_error ("accepted: %s", text);
+            g_free (text);
+          }
+}
+
+/** Guards against escapes of half a surrogate pair that are read as other
+ * characters, so that two different names become one. */
+static void
+test_lone_surrogates (void)
+{
+  static const char *const refused[]
+      = { "\\ud800",        "\\ud800x",
+          "\\ud800\\u0041", "\\udbff\\n",
+          "\\ud800\\ud800", "\\ud800\\ud800\\udc00",
+          "\\udc00\\ud800", "\\ud83d\\ude00\\udc00" };
+  static const char *const accepted[]
+      = { "\\ud83d\\ude00", "\\uD83D\\uDE00x\\ud83d\\ude00",
+          "\\\\ud800",      "\\ud7ff\\ue000",
+          "\\\\\\\\ud800",  "\\u005cud800" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refused); i++)
+    {
+      char *text = g_strdup_printf ("{\"a\":[\"%s\"]}", refused[i]);
+      char *name = g_strdup_printf ("{\"%s\":1}", refused[i]);
+
+      if (is_accepted (text, strlen (text))
+          || is_accepted (name, strlen (name)))
+        g_error ("accepted: %s", text);
+      g_free (text);
+      g_free (name);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (accepted); i++)
+    {
+      char *text = g_strdup_printf ("{\"a\":\"%s\"}", accepted[i]);
+
+      if (!is_accepted (text, strlen (text)))
+        g_error ("refused: %s", text);
+      g_free (text);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -199,6 +262,9 @@
   g_test_add_func ("/json-text/hidden-depth", test_hidden_depth);
   g_test_add_func ("/json-text/unfinished-after-object",
                    test_unfinished_after_object);
+  g_test_add_func ("/json-text/anything-after-object",
+                   test_anything_after_object);
+  g_test_add_func ("/json-text/lone-surrogates", test_lone_surrogates);
   g_test_add_func ("/json-text/max-values", test_max_values);
   g_test_add_func ("/json-text/corpus", test_corpus);
   return g_test_run ();
