directory: let only upstreams of known services replace others

Cause: an entry with the same address or id and a later start replaced an upstream whatever its service, also after it had long been silent.

Change: the set of upstreams asks the configuration in force whether the later entry has a service that requests can be sent to, and asks again with each configuration. One that has fallen silent takes nothing from one that announces itself. A statement that names another address or service than the incarnation that announces itself is ignored, and an entry instance is ready only when it knows an upstream of a configured service. So an announcement counts for or against others only once it is known to be of an upstream.

--- a/directory.c
+++ b/directory.c
@@ -118,6 +118,18 @@
          || strcmp (a->service, b->service) != 0;
 }
 
+/** Returns whether a statement names another address or service than the
+ * incarnation that announces itself. An upstream changes neither of them while
+ * it runs, so the statement is from another writer. */
+static bool
+is_contradiction (const directory_statement_t *said,
+                  const directory_statement_t *statement)
+{
+  return (said->state == DIRECTORY_READY || said->state == DIRECTORY_LEAVING)
+         && (strcmp (said->address, statement->address) != 0
+             || strcmp (said->service, statement->service) != 0);
+}
+
 /** Marks an entry as gone; its address and service remain as announced. */
 static directory_result_t
 put_gone (directory_t *directory,
@@ -149,7 +161,8 @@
                                                     : DIRECTORY_STALE;
   if (statement->state == DIRECTORY_GONE)
     return put_gone (directory, entry, statement->sequence, now_ms);
-  if (statement->sequence < entry->said.sequence)
+  if (statement->sequence < entry->said.sequence
+      || is_contradiction (&entry->said, statement))
     return DIRECTORY_STALE;
   next.state = next_state (entry->said.state, statement->state);
   is_changed = is_visible_change (&entry->said, &next);
@@ -253,18 +266,52 @@
   return find_entry (directory, key);
 }
 
+static bool
+is_known_service (const directory_services_t *services, const char *service)
+{
+  return services->is_known == NULL
+         || services->is_known (service, services->context);
+}
+
+/** A tombstone names its incarnation by its id. It has no service. */
+static bool
+is_tombstone (const directory_statement_t *said)
+{
+  return said->state == DIRECTORY_GONE && *said->service == '\0';
+}
+
+static bool
+has_same_place (const directory_statement_t *one,
+                const directory_statement_t *other)
+{
+  return strcmp (one->address, other->address) == 0
+         || strcmp (one->id, other->id) == 0;
+}
+
+/** Returns whether @a other takes the place of @a said. */
+static bool
+is_successor (const directory_statement_t *other,
+              const directory_statement_t *said,
+              const directory_services_t *services)
+{
+  if (other->born_ms <= said->born_ms || !has_same_place (other, said))
+    return false;
+  if (other->state == DIRECTORY_SILENT && said->state == DIRECTORY_READY)
+    return false;
+  return is_tombstone (other) || is_known_service (services, other->service);
+}
+
 bool
 directory_is_replaced (const directory_t *directory,
-                       const directory_entry_t *entry)
+                       const directory_entry_t *entry,
+                       const directory_services_t *services)
 {
   for (guint i = 0; i < directory->entries->len; i++)
     {
       const directory_entry_t *other
           = g_ptr_array_index (directory->entries, i);
 
-      if (other->said.born_ms > entry->said.born_ms
-          && (strcmp (other->said.address, entry->said.address) == 0
-              || strcmp (other->said.id, entry->said.id) == 0))
+      if (is_successor (&other->said, &entry->said, services))
         return true;
     }
   return false;
--- a/directory.h
+++ b/directory.h
@@ -11,6 +11,10 @@
  * comes back, whatever the sequence numbers say: the instance that recorded its
  * departure may never have heard its announcements. Such an entry is a
  * tombstone without address, zone and service.
+ *
+ * Announcements may also come from writers that are no upstreams of this
+ * deployment. The directory keeps what they say, as the service that they name
+ * may be added later, but they replace nobody before.
  */
 #ifndef DIRECTORY_H
 #define DIRECTORY_H
@@ -52,6 +56,14 @@
   uint64_t version; /**< directory version of the last change of this entry */
 } directory_entry_t;
 
+/** The services that requests can be sent to. */
+typedef struct
+{
+  /** Returns whether the service exists; NULL: all do. */
+  bool (*is_known) (const char *service, void *context);
+  void *context;
+} directory_services_t;
+
 /** Interval at which directory_expire() must be called. */
 #define DIRECTORY_EXPIRE_EVERY_MS 200
 
@@ -60,7 +72,8 @@
 /** Effect of a statement. */
 typedef enum
 {
-  DIRECTORY_STALE,   /**< ignored: older than the entry, or directory full */
+  DIRECTORY_STALE,   /**< ignored: older than the entry or not of the same
+                          upstream, or directory full */
   DIRECTORY_SAME,    /**< accepted, changes nothing but the time heard */
   DIRECTORY_CHANGED, /**< accepted, watchers must be informed */
 } directory_result_t;
@@ -106,9 +119,14 @@
 const directory_entry_t *directory_find (const directory_t *directory,
                                          uint64_t key);
 
-/** Returns whether an incarnation that started later has the same id or the
- * same address as @a entry. */
+/**
+ * Returns whether an incarnation that started later has taken over the id or
+ * the address of @a entry. It has only if requests can be sent to its service.
+ * One that has fallen silent takes nothing from an upstream that still
+ * announces itself.
+ */
 bool directory_is_replaced (const directory_t *directory,
-                            const directory_entry_t *entry);
+                            const directory_entry_t *entry,
+                            const directory_services_t *services);
 
 #endif
--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -76,6 +76,7 @@
   upstream_path_t *path;
   tunnel_server_t *tunnels; /* for other instances, or NULL */
   upstream_set_t *set;
+  const directory_t *directory; /* that the set was made from, or NULL */
   zone_placement_t *placement;
   engine_memory_t *memory;
   retry_t *retry;
@@ -194,6 +195,10 @@
  * they are to get their load slowly. @a context is the gateway. */
 bool gateway_is_paced (const char *name, void *context);
 
+/** Returns whether the configuration in force has a service.
+ * @param context the gateway */
+bool gateway_has_service (const char *name, void *context);
+
 /** Returns the bound for cold upstreams of a service. @a context is the
  * gateway. */
 upstream_cold_rate_t gateway_find_cold_rate (const char *name, void *context);
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -34,6 +34,12 @@
   return service != NULL && service->cold_start_s > 0;
 }
 
+bool
+gateway_has_service (const char *name, void *context)
+{
+  return find_configured (context, name) != NULL;
+}
+
 upstream_cold_rate_t
 gateway_find_cold_rate (const char *name, void *context)
 {
@@ -340,11 +346,25 @@
 void
 gateway_set_directory (gateway_t *gateway, const directory_t *directory)
 {
+  gateway->directory = directory;
   upstream_set_sync (gateway->set, directory, clock_mono_ms ());
   gateway_check_startup_queue (gateway);
   zone_placement_recheck (gateway->placement);
 }
 
+bool
+gateway_has_upstreams (const gateway_t *gateway)
+{
+  size_t count;
+  const upstream_member_t *const *members
+      = upstream_set_members (gateway->set, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if (find_configured (gateway, members[i]->service) != NULL)
+      return true;
+  return false;
+}
+
 void
 gateway_drain_zones (gateway_t *gateway, char *const *zones, size_t count)
 {
--- a/gateway.c
+++ b/gateway.c
@@ -493,14 +493,16 @@
 gateway_new (void *parent, const gateway_options_t *options)
 {
   gateway_t *gateway = talloc_zero (parent, gateway_t);
-  upstream_set_options_t set = { .on_gone = on_upstream_gone,
-                                 .on_answer = gateway_on_job_answered,
-                                 .on_broken = gateway_on_job_broken,
-                                 .on_complete = gateway_on_job_complete,
-                                 .find_cold_rate = gateway_find_cold_rate,
-                                 .is_paced = gateway_is_paced,
-                                 .on_cold = on_upstream_cold,
-                                 .context = gateway };
+  upstream_set_options_t set
+      = { .on_gone = on_upstream_gone,
+          .on_answer = gateway_on_job_answered,
+          .on_broken = gateway_on_job_broken,
+          .on_complete = gateway_on_job_complete,
+          .find_cold_rate = gateway_find_cold_rate,
+          .is_paced = gateway_is_paced,
+          .on_cold = on_upstream_cold,
+          .services = { .is_known = gateway_has_service, .context = gateway },
+          .context = gateway };
   exchange_pool_options_t pool = { .base = options->base,
                                    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                    .idle_timeout_ms = IDLE_TIMEOUT_MS };
@@ -559,6 +561,9 @@
   talloc_free (gateway->config);
   gateway->config = talloc_steal (gateway, config);
   caller_server_set_limits (gateway->callers, &config->limits);
+  /* The services of the configuration decide who has replaced whom. */
+  if (gateway->directory != NULL)
+    upstream_set_sync (gateway->set, gateway->directory, clock_mono_ms ());
   gateway_flush_startup_queue (gateway);
 }
 
--- a/gateway.h
+++ b/gateway.h
@@ -137,9 +137,13 @@
 /** Returns the number of the active configuration, 0 if there is none. */
 uint64_t gateway_config_number (const gateway_t *gateway);
 
-/** Updates the set of upstreams after a change of the directory. */
+/** Updates the set of upstreams after a change of the directory, which is kept
+ * by reference and must outlive the gateway. */
 void gateway_set_directory (gateway_t *gateway, const directory_t *directory);
 
+/** Returns whether an upstream of a configured service is known. */
+bool gateway_has_upstreams (const gateway_t *gateway);
+
 /** Sets the drained zones, see upstream_set_drain_zones(). */
 void gateway_drain_zones (gateway_t *gateway, char *const *zones, size_t count);
 
--- a/node-entry.c
+++ b/node-entry.c
@@ -85,22 +85,13 @@
   bool has_ended;      /* daemon_exit() was called */
 };
 
-static bool
-has_upstreams (const node_entry_t *entry)
-{
-  size_t count;
-
-  directory_entries (entry->directory, &count);
-  return count > 0;
-}
-
 /** Returns whether the instance is ready: it has a configuration, and it knows
  * upstreams or has waited long enough to conclude that there are none. */
 static bool
 is_ready (const node_entry_t *entry)
 {
   return entry->stop_requested_ms == 0 && entry->first_config_ms > 0
-         && (has_upstreams (entry)
+         && (gateway_has_upstreams (entry->gateway)
              || entry->first_config_ms + UPSTREAM_DISCOVERY_MS
                     < clock_mono_ms ());
 }
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -98,8 +98,10 @@
                             .target_count = 1 };
 }
 
-void
-gateway_fixture_configure (gateway_fixture_t *fixture)
+/** Puts a configuration in force.
+ * @param added name of a second service, or NULL */
+static void
+configure (gateway_fixture_t *fixture, uint64_t number, const char *added)
 {
   static const char *keys[] = { "secret" };
   gateway_config_t *config = gateway_config_new (NULL);
@@ -111,12 +113,13 @@
                                make_route ("/brief/", ROUTE_STREAM, true) };
 
   routes[G_N_ELEMENTS (routes) - 1].patience_ms = GATEWAY_PATIENCE_MS;
-  config->number = 1;
+  config->number = number;
   config->routes = talloc_memdup (config, routes, sizeof routes);
   config->route_count = G_N_ELEMENTS (routes);
-  config->services = talloc_zero (config, gateway_service_t);
+  config->services = talloc_zero_array (config, gateway_service_t, 2);
   config->services[0].name = "s";
-  config->service_count = 1;
+  config->services[1].name = added;
+  config->service_count = added != NULL ? 2 : 1;
   config->customers = talloc_zero (config, gateway_customer_t);
   config->customers[0]
       = (gateway_customer_t){ .name = "one", .keys = keys, .key_count = 1 };
@@ -126,6 +129,18 @@
   gateway_set_config (fixture->gateway, config);
 }
 
+void
+gateway_fixture_configure (gateway_fixture_t *fixture)
+{
+  configure (fixture, 1, NULL);
+}
+
+void
+gateway_fixture_add_service (gateway_fixture_t *fixture, const char *name)
+{
+  configure (fixture, gateway_config_number (fixture->gateway) + 1, name);
+}
+
 void
 gateway_fixture_announce (gateway_fixture_t *fixture)
 {
--- a/t/lib-gateway.h
+++ b/t/lib-gateway.h
@@ -45,6 +45,9 @@
 /** Puts the configuration of the tests in force. */
 void gateway_fixture_configure (gateway_fixture_t *fixture);
 
+/** Puts the same configuration in force with one more service. */
+void gateway_fixture_add_service (gateway_fixture_t *fixture, const char *name);
+
 /** Announces both upstreams. */
 void gateway_fixture_announce (gateway_fixture_t *fixture);
 
--- a/t/t8020-directory.c
+++ b/t/t8020-directory.c
@@ -1,8 +1,11 @@
 #include <glib.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "directory.h"
 
+static const directory_services_t all_services;
+
 static directory_statement_t
 make_statement (const char *id, uint64_t born_ms, uint64_t sequence)
 {
@@ -81,10 +84,10 @@
   directory_put (directory, &said, 1);
   said = make_statement ("u", 200, 1);
   g_assert_cmpint (directory_put (directory, &said, 2), ==, DIRECTORY_CHANGED);
-  g_assert_true (
-      directory_is_replaced (directory, find_entry (directory, "u", 100)));
-  g_assert_false (
-      directory_is_replaced (directory, find_entry (directory, "u", 200)));
+  g_assert_true (directory_is_replaced (
+      directory, find_entry (directory, "u", 100), &all_services));
+  g_assert_false (directory_is_replaced (
+      directory, find_entry (directory, "u", 200), &all_services));
   g_assert_true (directory_leave (directory, "u", 100, 3));
   g_assert_cmpint (find_entry (directory, "u", 200)->said.state, ==,
                    DIRECTORY_READY);
@@ -102,10 +105,10 @@
 
   directory_put (directory, &later, 1);
   directory_put (directory, &late, 2);
-  g_assert_true (
-      directory_is_replaced (directory, find_entry (directory, "old", 100)));
-  g_assert_false (
-      directory_is_replaced (directory, find_entry (directory, "new", 200)));
+  g_assert_true (directory_is_replaced (
+      directory, find_entry (directory, "old", 100), &all_services));
+  g_assert_false (directory_is_replaced (
+      directory, find_entry (directory, "new", 200), &all_services));
   talloc_free (directory);
 }
 
@@ -199,6 +202,104 @@
   talloc_free (origin);
 }
 
+static bool
+is_s (const char *service, void *context)
+{
+  return strcmp (service, "s") == 0;
+}
+
+/** Returns whether an upstream that announces itself is replaced by another
+ * statement. */
+static bool
+is_replaced_by (const directory_statement_t *said,
+                const directory_statement_t *other)
+{
+  static const directory_services_t services = { .is_known = is_s };
+  directory_t *directory = directory_new (NULL);
+  bool is_replaced;
+
+  directory_put (directory, said, 1000);
+  directory_put (directory, other, 1000);
+  is_replaced = directory_is_replaced (
+      directory, find_entry (directory, said->id, said->born_ms), &services);
+  talloc_free (directory);
+  return is_replaced;
+}
+
+/** Who takes over an address or an id: only an upstream of a known service that
+ * is there. Guards against announcements of other writers that take upstreams
+ * out of use. */
+static void
+test_successors (void)
+{
+  directory_statement_t said = make_statement ("u", 100, 1);
+  directory_statement_t silent = said;
+  directory_statement_t same_id = make_statement ("u", 200, 1);
+  directory_statement_t same_address = make_statement ("v", 200, 1);
+  directory_statement_t other = same_address;
+
+  silent.state = DIRECTORY_SILENT;
+  same_id.address = "10.0.0.2:80";
+  g_assert_true (is_replaced_by (&said, &same_id));
+  g_assert_true (is_replaced_by (&said, &same_address));
+  other.state = DIRECTORY_LEAVING;
+  g_assert_true (is_replaced_by (&said, &other));
+  other.state = DIRECTORY_GONE;
+  g_assert_true (is_replaced_by (&said, &other));
+  other.state = DIRECTORY_SILENT;
+  g_assert_false (is_replaced_by (&said, &other));
+  g_assert_true (is_replaced_by (&silent, &other));
+  other.born_ms = 50;
+  g_assert_false (is_replaced_by (&said, &other));
+
+  for (int state = DIRECTORY_READY; state <= DIRECTORY_SILENT; state++)
+    {
+      same_id.state = same_address.state = (directory_state_t)state;
+      same_id.service = same_address.service = "stray";
+      g_assert_false (is_replaced_by (&said, &same_id));
+      g_assert_false (is_replaced_by (&said, &same_address));
+      g_assert_false (is_replaced_by (&silent, &same_id));
+      g_assert_false (is_replaced_by (&silent, &same_address));
+    }
+  /* The tombstone of an upstream that started again under its id. */
+  other = (directory_statement_t){ .id = "u",
+                                   .address = "",
+                                   .zone = "",
+                                   .service = "",
+                                   .born_ms = 200,
+                                   .state = DIRECTORY_GONE };
+  g_assert_true (is_replaced_by (&said, &other));
+}
+
+/** Guards against a statement of another writer that takes over the entry of an
+ * upstream, as neither of them says when it started. */
+static void
+test_contradiction (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t said = make_statement ("u", 0, 5);
+  directory_statement_t stray = make_statement ("u", 0, 1000);
+
+  directory_put (directory, &said, 1000);
+  stray.service = "stray";
+  g_assert_cmpint (directory_put (directory, &stray, 1100), ==,
+                   DIRECTORY_STALE);
+  stray = said;
+  stray.address = "10.0.0.9:80";
+  stray.sequence = 1000;
+  g_assert_cmpint (directory_put (directory, &stray, 1200), ==,
+                   DIRECTORY_STALE);
+  said.sequence = 6;
+  g_assert_cmpint (directory_put (directory, &said, 1300), ==, DIRECTORY_SAME);
+  g_assert_cmpstr (find_entry (directory, "u", 0)->said.address, ==,
+                   "10.0.0.1:80");
+  /* It may have moved while it was not heard. */
+  directory_expire (directory, 500, 2000);
+  g_assert_cmpint (directory_put (directory, &stray, 2100), ==,
+                   DIRECTORY_CHANGED);
+  talloc_free (directory);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -212,5 +313,7 @@
   g_test_add_func ("/directory/own-standstill", test_own_process_pause);
   g_test_add_func ("/directory/leave-first", test_leave_before_announcement);
   g_test_add_func ("/directory/tombstone", test_tombstone_overrides_sequence);
+  g_test_add_func ("/directory/successors", test_successors);
+  g_test_add_func ("/directory/contradiction", test_contradiction);
   return g_test_run ();
 }
--- a/t/t8081-gateway-quarantine.c
+++ b/t/t8081-gateway-quarantine.c
@@ -321,6 +321,7 @@
 static void
 announce_leave (gateway_fixture_t *fixture, const scripted_t *upstream)
 {
+  static const directory_services_t services;
   size_t count;
   const directory_entry_t *const *entries
       = directory_entries (fixture->directory, &count);
@@ -331,7 +332,7 @@
       char *id;
 
       if (g_strcmp0 (said.address, upstream->address) != 0
-          || directory_is_replaced (fixture->directory, entries[i]))
+          || directory_is_replaced (fixture->directory, entries[i], &services))
         continue;
       /* The strings of the entry are replaced. */
       id = g_strdup (said.id);
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -133,8 +133,9 @@
   member->has_announced_end
       = state == DIRECTORY_LEAVING || state == DIRECTORY_GONE;
   member->is_silent = state == DIRECTORY_SILENT;
-  member->is_usable = (state == DIRECTORY_READY || state == DIRECTORY_SILENT)
-                      && !directory_is_replaced (directory, entry);
+  member->is_usable
+      = (state == DIRECTORY_READY || state == DIRECTORY_SILENT)
+        && !directory_is_replaced (directory, entry, &set->options.services);
   if (is_new)
     upstream_set_check_new (set, member, now_ms);
   upstream_set_check_announced (set, member, entry, now_ms);
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -127,6 +127,9 @@
   /** Returns whether the open requests at an upstream of a service are limited
    * after its start or return; NULL: always. */
   bool (*is_paced) (const char *service, void *context);
+  /** Services that requests can be sent to. When they change,
+   * upstream_set_sync() has to be called again. */
+  directory_services_t services;
   /** An upstream is taken for cold from now on; may be NULL. */
   void (*on_cold) (const upstream_member_t *member, void *context);
   void *context;
