quarantine: take only whole answers for proof that a part is sound

Cause: the first event withdrew the evidence against a part, and a crash after it counted against none. Evidence: /gateway/deadly-part-after-first-event is served a fourth time on the code before.

Change: a complete answer is the only evidence for a part, a break with the upstream's process at any moment is evidence against it. As sound streams break too, a whole answer counts for half an hour, and crashes at one moment count once against a part that proved sound.

t8080: "answer" is a whole one now; crashes of a proven part are 600 ms apart, as at one moment they have a common cause; reports state the time of each crash.

Old and new builds: parts cleared by a first event are told without is_complete and are not taken over; the rest is read by both.

--- a/gateway-quarantine.c
+++ b/gateway-quarantine.c
@@ -46,8 +46,7 @@
   gateway_t *gateway = context;
 
   if (!job->is_part)
-    quarantine_add_answer (gateway->quarantine, &job->parts, job->upstream,
-                           now_ms);
+    quarantine_add_answer (gateway->quarantine, job->upstream, now_ms);
 }
 
 void
@@ -56,13 +55,10 @@
                        void *context)
 {
   gateway_t *gateway = context;
-  prompt_parts_t parts = job->parts;
 
-  /* The first event shows that the shared parts were read. */
-  if (job->first_ms > 0)
-    parts.count = 0;
-  if (parts.count > 0 || parts.request != 0)
-    quarantine_add_crash (gateway->quarantine, &parts, job->upstream, now_ms);
+  if (job->parts.count > 0 || job->parts.request != 0)
+    quarantine_add_crash (gateway->quarantine, &job->parts, job->upstream,
+                          now_ms);
 }
 
 void
--- a/quarantine-evidence.c
+++ b/quarantine-evidence.c
@@ -12,8 +12,13 @@
  * answer in the place of the incarnation that crashed until it is announced. */
 #define RESTART_MS 10000
 
+/** Upstreams that crash within this time of each other have a common cause,
+ * such as a power failure or a lost network, unless nothing speaks for the part
+ * that they have in common. */
+#define COMMON_CAUSE_MS 500
+
 static const guint max_suspects[SUSPECT_KIND_COUNT]
-    = { [SUSPECT_PART] = 128, [SUSPECT_REQUEST] = 256 };
+    = { [SUSPECT_PART] = 256, [SUSPECT_REQUEST] = 256 };
 
 static suspect_kind_t
 kind_of (const quarantine_suspect_t *suspect)
@@ -38,6 +43,19 @@
   return NULL;
 }
 
+int
+quarantine_compare_evidence (const quarantine_suspect_t *one,
+                             const quarantine_suspect_t *other)
+{
+  uint32_t weight = one->crash_count * (one->was_proven ? 1 : PROVEN_FACTOR);
+  uint32_t other_weight
+      = other->crash_count * (other->was_proven ? 1 : PROVEN_FACTOR);
+
+  if (weight != other_weight)
+    return weight < other_weight ? -1 : 1;
+  return (one->last_ms > other->last_ms) - (one->last_ms < other->last_ms);
+}
+
 /** Returns the index of the suspect with the least evidence. */
 static guint
 find_weakest (const GPtrArray *suspects)
@@ -49,9 +67,7 @@
       const quarantine_suspect_t *one = g_ptr_array_index (suspects, i);
       const quarantine_suspect_t *other = g_ptr_array_index (suspects, weakest);
 
-      if (one->crash_count < other->crash_count
-          || (one->crash_count == other->crash_count
-              && one->last_ms < other->last_ms))
+      if (quarantine_compare_evidence (one, other) < 0)
         weakest = i;
     }
   return weakest;
@@ -144,6 +160,15 @@
   return true;
 }
 
+void
+quarantine_forget_crash (quarantine_suspect_t *suspect, uint32_t index)
+{
+  uint32_t last = --suspect->crash_count;
+
+  suspect->crashes[index] = suspect->crashes[last];
+  suspect->crashed_ms[index] = suspect->crashed_ms[last];
+}
+
 void
 quarantine_disprove (quarantine_suspect_t *suspect,
                      uint64_t upstream,
@@ -155,14 +180,41 @@
     if (suspect->crashes[i] == upstream
         && suspect->crashed_ms[i] + wait_ms < now_ms)
       {
-        uint32_t last = --suspect->crash_count;
-
-        suspect->crashes[i] = suspect->crashes[last];
-        suspect->crashed_ms[i] = suspect->crashed_ms[last];
+        quarantine_forget_crash (suspect, i);
         return;
       }
 }
 
+/** Returns whether no crash that is counted before @a index was at the same
+ * moment. */
+static bool
+is_first_of_moment (const quarantine_suspect_t *suspect, uint32_t index)
+{
+  uint64_t crashed_ms = suspect->crashed_ms[index];
+
+  for (uint32_t i = 0; i < suspect->crash_count; i++)
+    if (i != index
+        && (suspect->crashed_ms[i] < crashed_ms
+            || (suspect->crashed_ms[i] == crashed_ms && i < index))
+        && suspect->crashed_ms[i] + COMMON_CAUSE_MS > crashed_ms)
+      return false;
+  return true;
+}
+
+/** Returns the number of crashes that count against a suspect. */
+static uint32_t
+count_evidence (const quarantine_suspect_t *suspect)
+{
+  uint32_t count = 0;
+
+  if (!suspect->was_proven)
+    return suspect->crash_count;
+  for (uint32_t i = 0; i < suspect->crash_count; i++)
+    if (is_first_of_moment (suspect, i))
+      count++;
+  return count;
+}
+
 /** Returns whether @a other was there at all crashes of @a suspect and is the
  * more likely cause: it was at further ones, or only @a suspect has proved
  * sound before, or it is the whole request and @a suspect a part. */
@@ -207,11 +259,11 @@
                           const quarantine_suspect_t *suspect)
 {
   uint32_t factor = suspect->was_proven ? PROVEN_FACTOR : 1;
+  uint32_t count = count_evidence (suspect);
 
-  if (suspect->crash_count < SUSPECT_CRASHES * factor
-      || is_bystander (quarantine, suspect))
+  if (count < SUSPECT_CRASHES * factor || is_bystander (quarantine, suspect))
     return QUARANTINE_CLEAR;
-  if (suspect->crash_count < BLOCKED_CRASHES * factor)
+  if (count < BLOCKED_CRASHES * factor)
     return QUARANTINE_SUSPECT;
   /* A part is set back to suspect when its time is over. */
   if (suspect->is_request
--- a/quarantine-internal.h
+++ b/quarantine-internal.h
@@ -11,11 +11,11 @@
 
 #include "quarantine.h"
 
-/** Crashes without an answer in between after which a part or a request is
- * suspect, and blocked. */
+/** Crashes without a complete answer in between after which a part or a request
+ * is suspect, and blocked. */
 #define SUSPECT_CRASHES 2
 #define BLOCKED_CRASHES 3
-/** Factor on these numbers for a part on which answers began before. */
+/** Factor on these numbers for a part that proved sound before. */
 #define PROVEN_FACTOR 2
 
 /** What suspects are, and the index of their table. */
@@ -30,7 +30,7 @@
 {
   GPtrArray *suspects[SUSPECT_KIND_COUNT]; /* quarantine_suspect_t */
   GHashTable *proven;                      /* part -> proven_t */
-  GQueue proven_order;      /* proven_t, the one added first at the head */
+  GQueue proven_order;      /* proven_t, the one answered first at the head */
   GArray *cleared;          /* proven_t of parts that were suspects */
   GArray *cleared_requests; /* proven_t of requests that were suspects */
   uint64_t now_ms;          /* latest time that a caller has stated */
@@ -51,6 +51,12 @@
                                               suspect_kind_t kind,
                                               uint64_t id);
 
+/** Compares what speaks against two suspects: negative if it is less against
+ * @a one. A crash speaks less against a part that proved sound before; of two
+ * with the same evidence the older one has less. */
+int quarantine_compare_evidence (const quarantine_suspect_t *one,
+                                 const quarantine_suspect_t *other);
+
 /** Returns whether a table is full of entries with more crashes than this. */
 bool quarantine_is_full_of_worse (const quarantine_t *quarantine,
                                   suspect_kind_t kind,
@@ -64,6 +70,9 @@
                         uint64_t upstream,
                         uint64_t crashed_ms);
 
+/** Removes the crash at @a index from the evidence. */
+void quarantine_forget_crash (quarantine_suspect_t *suspect, uint32_t index);
+
 /** Removes a crash that an answer of the same incarnation has disproved. */
 void quarantine_disprove (quarantine_suspect_t *suspect,
                           uint64_t upstream,
--- a/quarantine-message.c
+++ b/quarantine-message.c
@@ -5,7 +5,7 @@
 
 /** Entries of one message, of parts and of requests each. */
 #define MAX_SUSPECTS 32
-#define MAX_CLEARED  64
+#define MAX_CLEARED  256
 
 typedef struct
 {
@@ -31,6 +31,13 @@
   message->part = suspect->part;
   message->crashes = (uint64_t *)suspect->crashes;
   message->n_crashes = suspect->crash_count;
+  message->crash_ago_ms
+      = talloc_array (message, uint32_t, QUARANTINE_MAX_CRASHES);
+  message->n_crash_ago_ms = suspect->crash_count;
+  for (uint32_t i = 0; i < suspect->crash_count; i++)
+    message->crash_ago_ms[i]
+        = (uint32_t)(writer->now_ms
+                     - MIN (suspect->crashed_ms[i], writer->now_ms));
   message->last_ago_ms = (uint32_t)(writer->now_ms - suspect->last_ms);
   message->was_proven = suspect->was_proven;
   message->is_request = writer->is_request;
@@ -52,6 +59,7 @@
   message->part = part;
   message->ago_ms = (uint32_t)(writer->now_ms - answered_ms);
   message->is_request = writer->is_request;
+  message->is_complete = true;
   ack->cleared[ack->n_cleared++] = message;
 }
 
@@ -91,8 +99,9 @@
 
       if (message->is_request)
         quarantine_merge_success (quarantine, message->part, answered_ms);
-      else
-        quarantine_merge_answer (quarantine, message->part, answered_ms);
+      /* Earlier versions report parts of answers that have only begun. */
+      else if (message->is_complete)
+        quarantine_merge_part_success (quarantine, message->part, answered_ms);
     }
   for (size_t i = 0; i < ack->n_suspects; i++)
     {
@@ -107,7 +116,14 @@
 
       for (size_t j = 0; j < message->n_crashes && j < QUARANTINE_MAX_CRASHES;
            j++)
-        suspect.crashes[suspect.crash_count++] = message->crashes[j];
+        {
+          uint32_t ago_ms = j < message->n_crash_ago_ms
+                                ? message->crash_ago_ms[j]
+                                : message->last_ago_ms;
+
+          suspect.crashed_ms[j] = now_ms - MIN (ago_ms, now_ms);
+          suspect.crashes[suspect.crash_count++] = message->crashes[j];
+        }
       quarantine_merge (quarantine, &suspect, now_ms);
     }
 }
--- a/quarantine.c
+++ b/quarantine.c
@@ -7,8 +7,8 @@
 #define LOG_PART "quarantine"
 #include "logging.h"
 
-/** Time for which an answer counts as such. */
-#define PROVEN_MS (60u * 1000)
+/** Time for which a complete answer speaks for the parts of its prompt. */
+#define PROVEN_MS (30u * 60 * 1000)
 /** Time after the last crash for which evidence against a part is kept. */
 #define SUSPECT_MS (2u * 60 * 1000)
 /** The same for a request. A caller that sends it seldom must not get three
@@ -16,17 +16,18 @@
 #define REQUEST_KEPT_MS (30u * 60 * 1000)
 /** Time for which other instances are told that a part was cleared. */
 #define CLEARED_MS  5000
-#define MAX_PROVEN  2048
-#define MAX_CLEARED 64
+#define MAX_PROVEN  8192
+#define MAX_CLEARED 256
 /** Requests of which it is kept that they were answered after a crash. */
 #define MAX_CLEARED_REQUESTS 256
 
-/** A part on which an answer began, or a request that was answered in full. */
+/** A part or a request of a complete answer. */
 typedef struct
 {
   uint64_t part;
   uint64_t answered_ms;
   bool is_told; /* other instances may hold evidence of several crashes */
+  GList link;   /* of a proven part, in the order of its last answer */
 } proven_t;
 
 static int
@@ -34,7 +35,6 @@
 {
   for (int kind = 0; kind < SUSPECT_KIND_COUNT; kind++)
     g_ptr_array_free (quarantine->suspects[kind], TRUE);
-  g_queue_clear (&quarantine->proven_order);
   g_hash_table_destroy (quarantine->proven);
   g_array_free (quarantine->cleared, TRUE);
   g_array_free (quarantine->cleared_requests, TRUE);
@@ -81,9 +81,9 @@
   quarantine->blocked_requests
       = metrics_counter (metrics, "lwm_quarantine_blocked_requests_total",
                          "Requests that were quarantined as a whole.", NULL);
-  quarantine->cleared_total
-      = metrics_counter (metrics, "lwm_quarantine_cleared_total",
-                         "Suspect parts on which an answer began.", NULL);
+  quarantine->cleared_total = metrics_counter (
+      metrics, "lwm_quarantine_cleared_total",
+      "Suspect parts of a prompt that was answered in full.", NULL);
   metrics_gauge_read (metrics, "lwm_quarantine_suspects",
                       "Parts of prompts with evidence against them.", NULL,
                       read_suspects, quarantine);
@@ -107,7 +107,7 @@
   quarantine->now_ms = MAX (quarantine->now_ms, now_ms);
 }
 
-/** Returns whether an answer began on a part lately. */
+/** Returns whether a prompt with the part was answered in full lately. */
 static bool
 is_proven (const quarantine_t *quarantine, uint64_t part, uint64_t now_ms)
 {
@@ -124,19 +124,23 @@
   if (proven != NULL)
     {
       proven->answered_ms = MAX (proven->answered_ms, answered_ms);
+      g_queue_unlink (&quarantine->proven_order, &proven->link);
+      g_queue_push_tail_link (&quarantine->proven_order, &proven->link);
       return;
     }
   if (g_hash_table_size (quarantine->proven) >= MAX_PROVEN)
     {
-      const proven_t *oldest = g_queue_pop_head (&quarantine->proven_order);
+      const proven_t *oldest
+          = g_queue_pop_head_link (&quarantine->proven_order)->data;
 
       g_hash_table_remove (quarantine->proven, &oldest->part);
     }
   proven = g_new0 (proven_t, 1);
   proven->part = part;
   proven->answered_ms = answered_ms;
+  proven->link.data = proven;
   g_hash_table_insert (quarantine->proven, &proven->part, proven);
-  g_queue_push_tail (&quarantine->proven_order, proven);
+  g_queue_push_tail_link (&quarantine->proven_order, &proven->link);
 }
 
 quarantine_level_t
@@ -291,7 +295,7 @@
   g_array_append_vals (cleared, added, 1);
 }
 
-/** Withdraws the evidence against a part, after an answer that began on it. */
+/** Withdraws the evidence against a part, after a complete answer. */
 static void
 clear_part (quarantine_t *quarantine, uint64_t part, uint64_t answered_ms)
 {
@@ -380,13 +384,10 @@
 
 void
 quarantine_add_answer (quarantine_t *quarantine,
-                       const prompt_parts_t *parts,
                        uint64_t upstream,
                        uint64_t now_ms)
 {
   update_time (quarantine, now_ms);
-  for (uint32_t i = 0; i < parts->count; i++)
-    clear_part (quarantine, parts->ids[i], now_ms);
   disprove_crashes (quarantine, upstream, now_ms);
 }
 
@@ -399,20 +400,27 @@
   update_time (quarantine, now_ms);
   if (parts->request != 0)
     clear_request (quarantine, parts->request, now_ms);
+  for (uint32_t i = 0; i < parts->count; i++)
+    clear_part (quarantine, parts->ids[i], now_ms);
   disprove_crashes (quarantine, upstream, now_ms);
 }
 
-/** Returns whether an answer has disproved what another instance reports. */
-static bool
-is_disproved (const quarantine_t *quarantine,
-              const quarantine_suspect_t *reported)
+/** Removes the crashes from a report that a complete answer disproves. */
+static void
+drop_disproved (const quarantine_t *quarantine, quarantine_suspect_t *reported)
 {
   const proven_t *proven
       = reported->is_request
             ? find_cleared_request (quarantine, reported->part)
             : g_hash_table_lookup (quarantine->proven, &reported->part);
 
-  return proven != NULL && proven->answered_ms >= reported->last_ms;
+  if (proven == NULL)
+    return;
+  if (proven->answered_ms >= reported->last_ms)
+    reported->crash_count = 0;
+  for (uint32_t i = reported->crash_count; i-- > 0;)
+    if (proven->answered_ms >= reported->crashed_ms[i])
+      quarantine_forget_crash (reported, i);
 }
 
 void
@@ -423,28 +431,29 @@
   suspect_kind_t kind = reported->is_request ? SUSPECT_REQUEST : SUSPECT_PART;
   quarantine_suspect_t *suspect
       = quarantine_find (quarantine, kind, reported->part);
+  quarantine_suspect_t fresh = *reported;
   quarantine_level_t before;
 
   update_time (quarantine, now_ms);
-  if (reported->crash_count == 0 || is_disproved (quarantine, reported)
-      || (reported->is_request && reported->part == 0))
+  drop_disproved (quarantine, &fresh);
+  if (fresh.crash_count == 0 || (fresh.is_request && fresh.part == 0))
     return;
   if (suspect == NULL
-      && quarantine_is_full_of_worse (quarantine, kind, reported->crash_count))
+      && quarantine_is_full_of_worse (quarantine, kind, fresh.crash_count))
     return;
-  suspect = find_or_add (quarantine, kind, reported->part, now_ms);
+  suspect = find_or_add (quarantine, kind, fresh.part, now_ms);
   before = quarantine_suspect_level (quarantine, suspect);
-  suspect->was_proven = suspect->was_proven || reported->was_proven;
-  for (uint32_t i = 0; i < reported->crash_count; i++)
-    quarantine_record (suspect, reported->crashes[i], reported->last_ms);
-  suspect->blocked_ms = MAX (suspect->blocked_ms, reported->blocked_ms);
+  suspect->was_proven = suspect->was_proven || fresh.was_proven;
+  for (uint32_t i = 0; i < fresh.crash_count; i++)
+    quarantine_record (suspect, fresh.crashes[i], fresh.crashed_ms[i]);
+  suspect->blocked_ms = MAX (suspect->blocked_ms, fresh.blocked_ms);
   log_if_blocked (quarantine, suspect, before);
 }
 
 void
-quarantine_merge_answer (quarantine_t *quarantine,
-                         uint64_t part,
-                         uint64_t answered_ms)
+quarantine_merge_part_success (quarantine_t *quarantine,
+                               uint64_t part,
+                               uint64_t answered_ms)
 {
   if (quarantine_find (quarantine, SUSPECT_PART, part) != NULL)
     clear_part (quarantine, part, answered_ms);
@@ -461,31 +470,31 @@
   add_cleared_request (quarantine, request, answered_ms, true);
 }
 
+/** Sorts the suspect with the most evidence first. */
 static gint
 compare_evidence (gconstpointer a, gconstpointer b)
 {
   const quarantine_suspect_t *one = *(const quarantine_suspect_t *const *)a;
   const quarantine_suspect_t *other = *(const quarantine_suspect_t *const *)b;
 
-  if (one->crash_count != other->crash_count)
-    return one->crash_count > other->crash_count ? -1 : 1;
-  return (one->last_ms < other->last_ms) - (one->last_ms > other->last_ms);
+  return -quarantine_compare_evidence (one, other);
 }
 
-void
-quarantine_each_request (const quarantine_t *quarantine,
-                         void (*each) (const quarantine_suspect_t *suspect,
-                                       void *context),
-                         void *context)
+/** Calls @a each for the suspects with at least so many crashes, the worst
+ * first. */
+static void
+each_sorted (const GPtrArray *suspects,
+             uint32_t min_crashes,
+             void (*each) (const quarantine_suspect_t *suspect, void *context),
+             void *context)
 {
-  const GPtrArray *suspects = quarantine->suspects[SUSPECT_REQUEST];
   GPtrArray *told = g_ptr_array_new ();
 
   for (guint i = 0; i < suspects->len; i++)
     {
       quarantine_suspect_t *suspect = g_ptr_array_index (suspects, i);
 
-      if (suspect->crash_count >= SUSPECT_CRASHES)
+      if (suspect->crash_count >= min_crashes)
         g_ptr_array_add (told, suspect);
     }
   g_ptr_array_sort (told, compare_evidence);
@@ -494,14 +503,23 @@
   g_ptr_array_free (told, TRUE);
 }
 
+void
+quarantine_each_request (const quarantine_t *quarantine,
+                         void (*each) (const quarantine_suspect_t *suspect,
+                                       void *context),
+                         void *context)
+{
+  each_sorted (quarantine->suspects[SUSPECT_REQUEST], SUSPECT_CRASHES, each,
+               context);
+}
+
 void
 quarantine_each_suspect (const quarantine_t *quarantine,
                          void (*each) (const quarantine_suspect_t *suspect,
                                        void *context),
                          void *context)
 {
-  for (guint i = 0; i < quarantine->suspects[SUSPECT_PART]->len; i++)
-    each (g_ptr_array_index (quarantine->suspects[SUSPECT_PART], i), context);
+  each_sorted (quarantine->suspects[SUSPECT_PART], 1, each, context);
 }
 
 static void
--- a/quarantine.h
+++ b/quarantine.h
@@ -4,15 +4,14 @@
  * crash (a query of death), and tells which requests must not be sent any more.
  * No I/O; time is an argument.
  *
- * Evidence against a part: an upstream crashed before the answer began to a
- * request that holds the part. Evidence for a part: an answer began on it,
- * which withdraws what spoke against it before. A part is quarantined after
- * crashes of several upstreams without an answer in between. Parts that
- * occurred only in requests that also held a more suspect one are bystanders.
- *
- * Evidence against a request, by its signature: an upstream crashed before the
- * answer to it was complete. Evidence for it: a complete answer. A request
- * that was at all crashes of a part explains them.
+ * Evidence against a part, and against a request by its signature: an upstream
+ * crashed before the answer to a request with it was complete. Evidence for it:
+ * a complete answer, which withdraws what spoke against it before. An answer
+ * that has begun, or goes on, is neither: an upstream may crash while it
+ * writes. A part is quarantined after crashes of several upstreams without a
+ * complete answer in between. Parts that occurred only in requests that also
+ * held a more suspect one are bystanders. A request that was at all crashes of
+ * a part explains them.
  *
  * Evidence is identified by the upstream's incarnation, so that reports of
  * several instances on the same crash can be merged in any order. It ages, and
@@ -52,8 +51,9 @@
   uint64_t crashed_ms[QUARANTINE_MAX_CRASHES];
   uint32_t crash_count;
   uint64_t last_ms;    /**< time of the last crash */
-  bool was_proven;     /**< answers began on it shortly before the first crash;
-                            never of a request */
+  bool was_proven;     /**< a prompt with it was answered in full within half
+                            an hour before the first crash; never of a
+                            request */
   uint32_t blocked_ms; /**< for how long a request is blocked after the last
                             crash, 0 before it is */
   bool was_blocked;    /**< it was logged that it is blocked */
@@ -63,22 +63,22 @@
  * @param metrics may be NULL */
 quarantine_t *quarantine_new (void *parent, metrics_t *metrics);
 
-/** Records that an upstream crashed on a request: before it began its answer,
- * or, if @a parts holds no part but the signature, before it completed it. */
+/** Records that an upstream crashed before it completed its answer to a
+ * request.
+ */
 void quarantine_add_crash (quarantine_t *quarantine,
                            const prompt_parts_t *parts,
                            uint64_t upstream,
                            uint64_t now_ms);
 
-/** Records that an upstream began its answer to a request. This does not speak
- * for the request as a whole. */
+/** Records that an upstream began an answer: it has not crashed before. This
+ * speaks neither for the request nor for its parts. */
 void quarantine_add_answer (quarantine_t *quarantine,
-                            const prompt_parts_t *parts,
                             uint64_t upstream,
                             uint64_t now_ms);
 
 /** Records that an upstream completed its answer to a request. This speaks for
- * the request as a whole. */
+ * the request as a whole and for its parts. */
 void quarantine_add_success (quarantine_t *quarantine,
                              const prompt_parts_t *parts,
                              uint64_t upstream,
@@ -105,17 +105,17 @@
                        const quarantine_suspect_t *reported,
                        uint64_t now_ms);
 
-/** Merges that an answer began on a part at @a answered_ms. */
-void quarantine_merge_answer (quarantine_t *quarantine,
-                              uint64_t part,
-                              uint64_t answered_ms);
+/** Merges that a prompt with a part was answered in full at @a answered_ms. */
+void quarantine_merge_part_success (quarantine_t *quarantine,
+                                    uint64_t part,
+                                    uint64_t answered_ms);
 
 /** Merges that a request was answered in full at @a answered_ms. */
 void quarantine_merge_success (quarantine_t *quarantine,
                                uint64_t request,
                                uint64_t answered_ms);
 
-/** Calls @a each for what is known against parts. */
+/** Calls @a each for what is known against parts, the worst first. */
 void quarantine_each_suspect (const quarantine_t *quarantine,
                               void (*each) (const quarantine_suspect_t *suspect,
                                             void *context),
@@ -128,8 +128,8 @@
                                             void *context),
                               void *context);
 
-/** Calls @a each for the parts that an answer cleared lately, the latest first.
- */
+/** Calls @a each for the parts that a complete answer cleared lately, the
+ * latest first. */
 void quarantine_each_cleared (const quarantine_t *quarantine,
                               uint64_t now_ms,
                               void (*each) (uint64_t part,
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -60,8 +60,7 @@
 {
   instance_t *instance = context;
 
-  quarantine_add_answer (instance->quarantine, &job->parts, job->upstream,
-                         now_ms);
+  quarantine_add_answer (instance->quarantine, job->upstream, now_ms);
 }
 
 static void
--- a/t/t8080-quarantine.c
+++ b/t/t8080-quarantine.c
@@ -11,6 +11,8 @@
 #define DEADLY_PART 2
 #define OTHER_PART  3
 #define HOUR_MS     (60u * 60 * 1000)
+/** Between crashes that have no common cause. */
+#define CRASH_GAP_MS 600
 
 static quarantine_t *quarantine;
 static uint64_t now_ms;
@@ -43,12 +45,13 @@
   quarantine_add_crash (quarantine, &parts, upstream, now_ms);
 }
 
+/** An answer that is complete. */
 static void
 answer (uint64_t first, uint64_t second, uint64_t upstream)
 {
   prompt_parts_t parts = parts_of (first, second);
 
-  quarantine_add_answer (quarantine, &parts, upstream, now_ms);
+  quarantine_add_success (quarantine, &parts, upstream, now_ms);
 }
 
 static quarantine_level_t
@@ -147,23 +150,104 @@
   set_up ();
   answer (DEADLY_PART, 0, 100);
   for (uint64_t upstream = 101; upstream < 106; upstream++)
-    crash (DEADLY_PART, 0, upstream);
+    {
+      now_ms += CRASH_GAP_MS;
+      crash (DEADLY_PART, 0, upstream);
+    }
   g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_SUSPECT);
+  now_ms += CRASH_GAP_MS;
   crash (DEADLY_PART, 0, 106);
   g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
   tear_down ();
 }
 
+/* Guards against: a part on which upstreams crash after the first event of the
+ * answer, which is taken for sound each time (BUDGET). */
+static void
+test_first_event_proves_nothing (void)
+{
+  set_up ();
+  for (uint64_t upstream = 101; upstream < 104; upstream++)
+    {
+      now_ms += CRASH_GAP_MS;
+      quarantine_add_answer (quarantine, upstream, now_ms);
+      now_ms += 20;
+      crash (COMMON_PART, DEADLY_PART, upstream);
+      answer (COMMON_PART, OTHER_PART, 200 + upstream);
+    }
+  g_assert_cmpint (level (COMMON_PART, DEADLY_PART), ==, QUARANTINE_BLOCKED);
+  g_assert_cmpint (level (COMMON_PART, OTHER_PART), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+/* Guards against: sound parts that are refused after all upstreams lost power,
+ * or an instance its network, at one moment (LOST). */
+static void
+test_common_cause (void)
+{
+  set_up ();
+  answer (COMMON_PART, 0, 100);
+  for (uint64_t upstream = 101; upstream < 130; upstream++)
+    {
+      now_ms += 10;
+      crash (COMMON_PART, 0, upstream);
+    }
+  g_assert_cmpint (level (COMMON_PART, 0), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+/* Guards against: sound prompts that are refused because their first part was
+ * not used for a while when a deadly one came with it (LOST). */
+static void
+test_proof_is_kept (void)
+{
+  set_up ();
+  answer (COMMON_PART, 0, 100);
+  now_ms += 10u * 60 * 1000;
+  quarantine_tick (quarantine, now_ms);
+  for (uint64_t upstream = 101; upstream < 110; upstream++)
+    {
+      now_ms += CRASH_GAP_MS;
+      crash (COMMON_PART, DEADLY_PART, upstream);
+    }
+  g_assert_cmpint (level (COMMON_PART, DEADLY_PART), ==, QUARANTINE_BLOCKED);
+  g_assert_cmpint (level (COMMON_PART, OTHER_PART), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
+/* Guards against: a crash that is counted again, as another instance reports it
+ * with a later one after an answer has withdrawn it. */
+static void
+test_report_with_disproved_crashes (void)
+{
+  quarantine_suspect_t reported
+      = { .part = COMMON_PART,
+          .crashes = { 101, 102, 103 },
+          .crashed_ms = { HOUR_MS, HOUR_MS + 10, HOUR_MS + 3000 },
+          .crash_count = 3,
+          .last_ms = HOUR_MS + 3000 };
+
+  set_up ();
+  now_ms += 2000;
+  answer (COMMON_PART, 0, 100);
+  now_ms += 2000;
+  quarantine_merge (quarantine, &reported, now_ms);
+  g_assert_cmpint (level (COMMON_PART, 0), ==, QUARANTINE_CLEAR);
+  tear_down ();
+}
+
 /** Reports of the same crash count once, in any order. */
 static void
 test_reports_are_merged (void)
 {
   quarantine_suspect_t one = { .part = DEADLY_PART,
                                .crashes = { 101, 102 },
+                               .crashed_ms = { HOUR_MS, HOUR_MS },
                                .crash_count = 2,
                                .last_ms = HOUR_MS };
   quarantine_suspect_t other = { .part = DEADLY_PART,
                                  .crashes = { 102, 103 },
+                                 .crashed_ms = { HOUR_MS, HOUR_MS },
                                  .crash_count = 2,
                                  .last_ms = HOUR_MS };
 
@@ -173,9 +257,9 @@
   g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_SUSPECT);
   quarantine_merge (quarantine, &other, now_ms);
   g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
-  quarantine_merge_answer (quarantine, DEADLY_PART, HOUR_MS - 1);
+  quarantine_merge_part_success (quarantine, DEADLY_PART, HOUR_MS - 1);
   g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
-  quarantine_merge_answer (quarantine, DEADLY_PART, HOUR_MS + 1);
+  quarantine_merge_part_success (quarantine, DEADLY_PART, HOUR_MS + 1);
   g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_CLEAR);
   /* A late report of what the answer has disproved. */
   quarantine_merge (quarantine, &one, now_ms);
@@ -250,6 +334,12 @@
                    test_living_upstream_has_not_crashed);
   g_test_add_func ("/quarantine/part-that-becomes-deadly",
                    test_part_that_becomes_deadly);
+  g_test_add_func ("/quarantine/first-event-proves-nothing",
+                   test_first_event_proves_nothing);
+  g_test_add_func ("/quarantine/common-cause", test_common_cause);
+  g_test_add_func ("/quarantine/proof-is-kept", test_proof_is_kept);
+  g_test_add_func ("/quarantine/report-with-disproved-crashes",
+                   test_report_with_disproved_crashes);
   g_test_add_func ("/quarantine/reports-are-merged", test_reports_are_merged);
   g_test_add_func ("/quarantine/ends", test_quarantine_ends);
   g_test_add_func ("/quarantine/memory-is-bounded", test_memory_is_bounded);
--- a/t/t8081-gateway-quarantine.c
+++ b/t/t8081-gateway-quarantine.c
@@ -110,6 +110,27 @@
   gateway_fixture_free (fixture);
 }
 
+/* Guards against: a part on which upstreams crash just after the first event,
+ * which is taken for sound each time and never held back (BUDGET). */
+static void
+test_deadly_part_after_first_event (void)
+{
+  gateway_fixture_t *fixture = gateway_fixture_ready (ACT_STREAM, ACT_STREAM);
+
+  expect_answer (fixture, SOUND, "HTTP/1.1 200");
+  set_act (fixture, ACT_STREAM_CUT);
+  expect_answer (fixture, DEADLY ("1"), "HTTP/1.1 200");
+  restart_upstreams (fixture);
+  expect_answer (fixture, DEADLY ("2"), "HTTP/1.1 200");
+  restart_upstreams (fixture);
+  expect_answer (fixture, DEADLY ("3"), "HTTP/1.1 200");
+  restart_upstreams (fixture);
+  set_act (fixture, ACT_STREAM);
+  expect_quarantined (fixture, DEADLY ("4"));
+  expect_answer (fixture, SOUND, "HTTP/1.1 200");
+  gateway_fixture_free (fixture);
+}
+
 /** How upstreams end while they run a request. */
 typedef struct
 {
@@ -386,6 +407,8 @@
   logging_init (LOGGING_ERROR);
   g_test_add_func ("/gateway/deadly-requests-are-refused",
                    test_deadly_requests_are_refused);
+  g_test_add_func ("/gateway/deadly-part-after-first-event",
+                   test_deadly_part_after_first_event);
   g_test_add_func ("/gateway/crash-before-head", test_crash_before_head);
   g_test_add_func ("/gateway/crash-within-head", test_crash_within_head);
   g_test_add_func ("/gateway/crash-within-body", test_crash_within_body);
--- a/t/t8085-quarantine-requests.c
+++ b/t/t8085-quarantine-requests.c
@@ -147,7 +147,7 @@
   prompt_parts_t common = request_of (0, COMMON_PART);
 
   set_up ();
-  quarantine_add_answer (quarantine, &common, 100, now_ms);
+  quarantine_add_success (quarantine, &common, 100, now_ms);
   for (uint64_t upstream = 101; upstream < 104; upstream++)
     crash_request (DEADLY, COMMON_PART, upstream);
   crash_request (SOUND, COMMON_PART, 104);
@@ -162,12 +162,10 @@
 static void
 test_only_complete_answer_withdraws (void)
 {
-  prompt_parts_t parts = request_of (DEADLY, COMMON_PART);
-
   set_up ();
   crash_request (DEADLY, 0, 101);
   crash_request (DEADLY, 0, 102);
-  quarantine_add_answer (quarantine, &parts, 103, now_ms);
+  quarantine_add_answer (quarantine, 103, now_ms);
   crash_request (DEADLY, 0, 103);
   g_assert_cmpint (request_level (DEADLY, 0), ==, QUARANTINE_BLOCKED);
   complete_request (DEADLY, 104);
