quarantine: know all parts of a prompt

Cause: only the first eight names were read, and sent to other instances. Evidence: the same program with the part in the eighth place was held back.

Change: a list of parts is as long as its field, owned by the request or job (prompt-parts.c). Messages have the first eight in the old field, which earlier versions read, and all of a longer list in a new one. The table of parts with evidence holds those of the longest prompts.

Crashes at one moment count once against a part that was not at all of them.

/platform/prompt-parts asked that a list of eleven is cut to eight, which was the fault; /platform/many-parts asks for all of 1,000. The table's bound is checked by its metric now, and what is told to others as before.

--- a/gateway-internal.h
+++ b/gateway-internal.h
@@ -113,6 +113,7 @@
   gateway_t *gateway;
   caller_request_t *caller;
   gateway_request_info_t terms;
+  prompt_parts_t parts;  /* of the prompt, and the request's signature */
   gateway_route_t route; /* a copy: the configuration may be replaced */
   const char *service;
   engine_model_t *engine;   /* NULL: a plain service */
--- a/gateway-place.c
+++ b/gateway-place.c
@@ -103,7 +103,7 @@
           .target_ms = request->route.target_ms,
           .gap_target_ms = request->route.gap_target_ms,
           .priority = request->route.priority,
-          .parts = request->terms.parts,
+          .parts = request->parts,
           .arrived_ms = request->arrived_ms,
           .deadline_ms = gateway_last_useful_ms (request),
           .avoid_count = MIN (request->attempt_count, PLACEMENT_MAX_AVOID) };
--- a/gateway-quarantine.c
+++ b/gateway-quarantine.c
@@ -21,7 +21,7 @@
 quarantine_level_t
 gateway_quarantine_level (const gateway_request_t *request)
 {
-  return quarantine_level (request->gateway->quarantine, &request->terms.parts);
+  return quarantine_level (request->gateway->quarantine, &request->parts);
 }
 
 void
@@ -34,7 +34,7 @@
   else
     gateway_refuse (request, ERROR_QUARANTINED,
                     quarantine_remaining_ms (request->gateway->quarantine,
-                                             &request->terms.parts,
+                                             &request->parts,
                                              clock_mono_ms ()));
 }
 
--- a/gateway.c
+++ b/gateway.c
@@ -267,6 +267,8 @@
   request->gateway = gateway;
   request->caller = caller;
   request->terms = *terms;
+  request->parts = gateway->options.protocol->read_parts (
+      request, caller_request_fields (caller));
   request->arrived_ms = caller_request_arrived_ms (caller);
   request->config_number = gateway->config->number;
   request->last_event = terms->last_event;
@@ -318,7 +320,7 @@
                        gateway_config_pick_service (gateway->config, route,
                                                     (uint32_t)random_id ()),
                        customer);
-  request->terms.parts.request = gateway_sign_request (request);
+  request->parts.request = gateway_sign_request (request);
   set_deadline (request);
   if (gateway_is_too_late (request))
     {
--- a/gateway.h
+++ b/gateway.h
@@ -34,7 +34,6 @@
   uint32_t answer_tokens; /**< upper bound; 0 if the request states none */
   bool has_last_event;
   uint64_t last_event; /**< id of the event after which the stream resumes */
-  prompt_parts_t parts;
 } gateway_request_info_t;
 
 /** Values sent to an upstream in addition to the caller's own fields. */
@@ -71,6 +70,9 @@
   /** Reads a request's fields into @a terms. */
   void (*read_request_info) (const http_fields_t *fields,
                              gateway_request_info_t *terms);
+  /** Returns the parts of the request's prompt; the list is a child of
+   * @a parent (talloc). */
+  prompt_parts_t (*read_parts) (void *parent, const http_fields_t *fields);
   /** Adds the fields for the upstream to @a out, owned by @a parent. */
   void (*write_upstream_fields) (void *parent,
                                  const http_fields_t *caller,
--- a/load-batch.c
+++ b/load-batch.c
@@ -10,6 +10,7 @@
 {
   load_batch_options_t options;
   GArray *begun;      /* upstream_job_t */
+  void *begun_parts;  /* owns the lists of their parts */
   GArray *answering;  /* uint64_t */
   GArray *ended;      /* Lwm__ShareEnded */
   GArray *orphans;    /* Lwm__ShareOrphan */
@@ -47,7 +48,12 @@
   message->is_part = job->is_part;
   message->has_reservation = job->has_reservation;
   message->parts = (uint64_t *)job->parts.ids;
-  message->n_parts = job->parts.count;
+  message->n_parts = prompt_parts_first_count (&job->parts);
+  if (message->n_parts < job->parts.count)
+    {
+      message->all_parts = (uint64_t *)job->parts.ids;
+      message->n_all_parts = job->parts.count;
+    }
   message->signature = job->parts.request;
   message->begun_ago_ms = (uint32_t)(now_ms - job->begun_ms);
   message->target_ms = (uint32_t)(job->due_ms - job->begun_ms);
@@ -132,6 +138,7 @@
     }
   send_to_targets (batch, &update);
   g_array_set_size (batch->begun, 0);
+  talloc_free_children (batch->begun_parts);
   g_array_set_size (batch->answering, 0);
   g_array_set_size (batch->ended, 0);
   g_array_set_size (batch->orphans, 0);
@@ -164,9 +171,14 @@
 void
 load_batch_add_begun (load_batch_t *batch, const upstream_job_t *job)
 {
+  upstream_job_t begun;
+
   if (batch->targets->len == 0)
     return;
-  g_array_append_val (batch->begun, *job);
+  begun = *job;
+  /* The job may end before the batch is sent. */
+  begun.parts = prompt_parts_copy (batch->begun_parts, &job->parts);
+  g_array_append_val (batch->begun, begun);
   schedule_batch (batch);
 }
 
@@ -245,6 +257,7 @@
 
   batch->options = *options;
   batch->begun = g_array_new (FALSE, FALSE, sizeof (upstream_job_t));
+  batch->begun_parts = talloc_new (batch);
   batch->answering = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   batch->ended = g_array_new (FALSE, FALSE, sizeof (Lwm__ShareEnded));
   batch->orphans = g_array_new (FALSE, FALSE, sizeof (Lwm__ShareOrphan));
--- a/load-share-receive.c
+++ b/load-share-receive.c
@@ -66,9 +66,9 @@
           .is_part = message->is_part,
           .has_reservation = message->has_reservation };
 
-  job.parts.count = (uint32_t)MIN (message->n_parts, PROMPT_MAX_PARTS);
-  for (uint32_t i = 0; i < job.parts.count; i++)
-    job.parts.ids[i] = message->parts[i];
+  job.parts
+      = prompt_parts_from_message (message->parts, message->n_parts,
+                                   message->all_parts, message->n_all_parts);
   job.parts.request = message->signature;
   job.value = upstream_job_value (job.prompt_tokens, job.answer_tokens);
   job.sent_ms = now_ms - message->sent_ago_ms;
--- a/placement-message.c
+++ b/placement-message.c
@@ -35,7 +35,12 @@
   message->avoid = (uint64_t *)request->avoid;
   message->n_avoid = request->avoid_count;
   message->parts = (uint64_t *)request->parts.ids;
-  message->n_parts = request->parts.count;
+  message->n_parts = prompt_parts_first_count (&request->parts);
+  if (message->n_parts < request->parts.count)
+    {
+      message->all_parts = (uint64_t *)request->parts.ids;
+      message->n_all_parts = request->parts.count;
+    }
   message->signature = request->parts.request;
   message->is_move = request->is_move;
   message->silent_ms = request->silent_ms;
@@ -51,7 +56,6 @@
 {
   if (strlen (message->service) >= sizeof request->service
       || message->n_avoid > PLACEMENT_MAX_AVOID
-      || message->n_parts > PROMPT_MAX_PARTS
       || message->n_current > PLACEMENT_MAX_JOBS || message->id == 0)
     return false;
   *request = (placement_request_t){
@@ -65,8 +69,9 @@
     .arrived_ms = now_ms - MIN (message->waited_ms, MIN (now_ms, MAX_TIME_MS)),
     .deadline_ms = now_ms + MIN (message->left_ms, MAX_TIME_MS),
     .avoid_count = (uint32_t)message->n_avoid,
-    .parts.count = (uint32_t)message->n_parts,
-    .parts.request = message->signature,
+    .parts
+    = prompt_parts_from_message (message->parts, message->n_parts,
+                                 message->all_parts, message->n_all_parts),
     .is_move = message->is_move,
     .silent_ms = message->silent_ms,
     .current_count = (uint32_t)message->n_current,
@@ -74,7 +79,7 @@
   g_strlcpy (request->service, message->service, sizeof request->service);
   COPY_LIST (request->avoid, message->avoid, message->n_avoid);
   COPY_LIST (request->current, message->current, message->n_current);
-  COPY_LIST (request->parts.ids, message->parts, message->n_parts);
+  request->parts.request = message->signature;
   return true;
 }
 
--- a/placer.c
+++ b/placer.c
@@ -309,6 +309,7 @@
   queued_t *queued = talloc (placer, queued_t);
 
   queued->request = *request;
+  queued->request.parts = prompt_parts_copy (queued, &request->parts);
   queued->next_ms = next_decision_ms (placer, request, now_ms);
   queued->reported_ms = now_ms;
   g_ptr_array_add (placer->queue, queued);
--- a/placer.h
+++ b/placer.h
@@ -37,7 +37,7 @@
   uint32_t target_ms;     /**< time to the first event, from the arrival */
   uint32_t gap_target_ms; /**< longest acceptable pause between events */
   uint32_t priority;      /**< lower ones are placed first */
-  prompt_parts_t parts;
+  prompt_parts_t parts;   /**< the list belongs to whoever made the request */
   uint64_t arrived_ms;
   uint64_t deadline_ms;
   uint64_t avoid[PLACEMENT_MAX_AVOID]; /**< keys of upstreams tried before */
--- a/quarantine-evidence.c
+++ b/quarantine-evidence.c
@@ -13,12 +13,16 @@
 #define RESTART_MS 10000
 
 /** Upstreams that crash within this time of each other have a common cause,
- * such as a power failure or a lost network, unless nothing speaks for the part
- * that they have in common. */
+ * such as a power failure or a lost network, if the part proved sound before or
+ * was not at all of them. */
 #define COMMON_CAUSE_MS 500
+/** Crashes of upstreams that are kept to tell this. */
+#define MAX_KEPT_CRASHES 128
 
+/* The parts of the longest prompts have room, so that none of them makes
+ * another one of the same prompt unknown. */
 static const guint max_suspects[SUSPECT_KIND_COUNT]
-    = { [SUSPECT_PART] = 256, [SUSPECT_REQUEST] = 256 };
+    = { [SUSPECT_PART] = 4096, [SUSPECT_REQUEST] = 256 };
 
 static suspect_kind_t
 kind_of (const quarantine_suspect_t *suspect)
@@ -31,16 +35,7 @@
                  suspect_kind_t kind,
                  uint64_t id)
 {
-  const GPtrArray *suspects = quarantine->suspects[kind];
-
-  for (guint i = 0; i < suspects->len; i++)
-    {
-      quarantine_suspect_t *suspect = g_ptr_array_index (suspects, i);
-
-      if (suspect->part == id)
-        return suspect;
-    }
-  return NULL;
+  return g_hash_table_lookup (quarantine->index[kind], &id);
 }
 
 int
@@ -84,11 +79,13 @@
   if (suspect != NULL)
     return suspect;
   if (suspects->len >= max_suspects[kind])
-    g_ptr_array_remove_index_fast (suspects, find_weakest (suspects));
+    quarantine_remove (quarantine,
+                       g_ptr_array_index (suspects, find_weakest (suspects)));
   suspect = g_new0 (quarantine_suspect_t, 1);
   suspect->part = id;
   suspect->is_request = kind == SUSPECT_REQUEST;
   g_ptr_array_add (suspects, suspect);
+  g_hash_table_insert (quarantine->index[kind], &suspect->part, suspect);
   return suspect;
 }
 
@@ -109,7 +106,10 @@
 void
 quarantine_remove (quarantine_t *quarantine, quarantine_suspect_t *suspect)
 {
-  g_ptr_array_remove_fast (quarantine->suspects[kind_of (suspect)], suspect);
+  suspect_kind_t kind = kind_of (suspect);
+
+  g_hash_table_remove (quarantine->index[kind], &suspect->part);
+  g_ptr_array_remove_fast (quarantine->suspects[kind], suspect);
 }
 
 uint32_t
@@ -201,16 +201,60 @@
   return true;
 }
 
+void
+quarantine_keep_crash (quarantine_t *quarantine,
+                       uint64_t upstream,
+                       uint64_t crashed_ms)
+{
+  GArray *crashed = quarantine->crashed;
+  quarantine_crash_t crash = { .upstream = upstream, .crashed_ms = crashed_ms };
+
+  for (guint i = 0; i < crashed->len; i++)
+    if (g_array_index (crashed, quarantine_crash_t, i).upstream == upstream)
+      return;
+  if (crashed->len == MAX_KEPT_CRASHES)
+    g_array_remove_index (crashed, 0);
+  g_array_append_val (crashed, crash);
+}
+
+/** Returns whether upstreams that did not work on the suspect crashed at the
+ * moment of its crash at @a index. That is unknown if the suspect may have had
+ * more crashes than are kept. */
+static bool
+has_crashes_without (const quarantine_t *quarantine,
+                     const quarantine_suspect_t *suspect,
+                     uint32_t index)
+{
+  uint64_t crashed_ms = suspect->crashed_ms[index];
+
+  if (suspect->crash_count == QUARANTINE_MAX_CRASHES)
+    return false;
+  for (guint i = 0; i < quarantine->crashed->len; i++)
+    {
+      const quarantine_crash_t *other
+          = &g_array_index (quarantine->crashed, quarantine_crash_t, i);
+
+      if (other->crashed_ms < crashed_ms + COMMON_CAUSE_MS
+          && crashed_ms < other->crashed_ms + COMMON_CAUSE_MS
+          && !has_crash (suspect, other->upstream))
+        return true;
+    }
+  return false;
+}
+
 /** Returns the number of crashes that count against a suspect. */
 static uint32_t
-count_evidence (const quarantine_suspect_t *suspect)
+count_evidence (const quarantine_t *quarantine,
+                const quarantine_suspect_t *suspect)
 {
   uint32_t count = 0;
 
-  if (!suspect->was_proven)
+  if (suspect->is_request)
     return suspect->crash_count;
   for (uint32_t i = 0; i < suspect->crash_count; i++)
-    if (is_first_of_moment (suspect, i))
+    if (is_first_of_moment (suspect, i)
+        || (!suspect->was_proven
+            && !has_crashes_without (quarantine, suspect, i)))
       count++;
   return count;
 }
@@ -222,7 +266,8 @@
 is_explained_by (const quarantine_suspect_t *suspect,
                  const quarantine_suspect_t *other)
 {
-  if (other == suspect || other->was_proven > suspect->was_proven)
+  if (other == suspect || other->was_proven > suspect->was_proven
+      || other->crash_count < suspect->crash_count)
     return false;
   for (uint32_t i = 0; i < suspect->crash_count; i++)
     if (!has_crash (other, suspect->crashes[i]))
@@ -259,7 +304,7 @@
                           const quarantine_suspect_t *suspect)
 {
   uint32_t factor = suspect->was_proven ? PROVEN_FACTOR : 1;
-  uint32_t count = count_evidence (suspect);
+  uint32_t count = count_evidence (quarantine, suspect);
 
   if (count < SUSPECT_CRASHES * factor || is_bystander (quarantine, suspect))
     return QUARANTINE_CLEAR;
--- a/quarantine-internal.h
+++ b/quarantine-internal.h
@@ -26,10 +26,19 @@
   SUSPECT_KIND_COUNT,
 } suspect_kind_t;
 
+/** A crash of an upstream. */
+typedef struct
+{
+  uint64_t upstream;
+  uint64_t crashed_ms;
+} quarantine_crash_t;
+
 struct quarantine
 {
   GPtrArray *suspects[SUSPECT_KIND_COUNT]; /* quarantine_suspect_t */
-  GHashTable *proven;                      /* part -> proven_t */
+  GHashTable *index[SUSPECT_KIND_COUNT];   /* part -> quarantine_suspect_t */
+  GArray *crashed;          /* quarantine_crash_t, the latest ones */
+  GHashTable *proven;       /* part -> proven_t */
   GQueue proven_order;      /* proven_t, the one answered first at the head */
   GArray *cleared;          /* proven_t of parts that were suspects */
   GArray *cleared_requests; /* proven_t of requests that were suspects */
@@ -65,6 +74,11 @@
 void quarantine_remove (quarantine_t *quarantine,
                         quarantine_suspect_t *suspect);
 
+/** Keeps that an upstream crashed, whatever it worked on. */
+void quarantine_keep_crash (quarantine_t *quarantine,
+                            uint64_t upstream,
+                            uint64_t crashed_ms);
+
 /** Adds a crash to the evidence. Returns whether it is new. */
 bool quarantine_record (quarantine_suspect_t *suspect,
                         uint64_t upstream,
--- a/quarantine.c
+++ b/quarantine.c
@@ -15,9 +15,11 @@
  * crashes again, nor the shortest time of a block. */
 #define REQUEST_KEPT_MS (30u * 60 * 1000)
 /** Time for which other instances are told that a part was cleared. */
-#define CLEARED_MS  5000
-#define MAX_PROVEN  8192
-#define MAX_CLEARED 256
+#define CLEARED_MS 5000
+#define MAX_PROVEN 8192
+/** Parts of a prompt whose first crash is logged. */
+#define MAX_LOGGED_PARTS 8
+#define MAX_CLEARED      256
 /** Requests of which it is kept that they were answered after a crash. */
 #define MAX_CLEARED_REQUESTS 256
 
@@ -34,8 +36,12 @@
 free_quarantine (quarantine_t *quarantine)
 {
   for (int kind = 0; kind < SUSPECT_KIND_COUNT; kind++)
-    g_ptr_array_free (quarantine->suspects[kind], TRUE);
+    {
+      g_hash_table_destroy (quarantine->index[kind]);
+      g_ptr_array_free (quarantine->suspects[kind], TRUE);
+    }
   g_hash_table_destroy (quarantine->proven);
+  g_array_free (quarantine->crashed, TRUE);
   g_array_free (quarantine->cleared, TRUE);
   g_array_free (quarantine->cleared_requests, TRUE);
   return 0;
@@ -63,10 +69,14 @@
   quarantine_t *quarantine = talloc_zero (parent, quarantine_t);
 
   for (int kind = 0; kind < SUSPECT_KIND_COUNT; kind++)
-    quarantine->suspects[kind] = g_ptr_array_new_with_free_func (g_free);
+    {
+      quarantine->suspects[kind] = g_ptr_array_new_with_free_func (g_free);
+      quarantine->index[kind] = g_hash_table_new (g_int64_hash, g_int64_equal);
+    }
   quarantine->proven
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   g_queue_init (&quarantine->proven_order);
+  quarantine->crashed = g_array_new (FALSE, FALSE, sizeof (quarantine_crash_t));
   quarantine->cleared = g_array_new (FALSE, FALSE, sizeof (proven_t));
   quarantine->cleared_requests = g_array_new (FALSE, FALSE, sizeof (proven_t));
   talloc_set_destructor (quarantine, free_quarantine);
@@ -152,7 +162,7 @@
 
   if (suspect != NULL)
     worst = quarantine_suspect_level (quarantine, suspect);
-  for (uint32_t i = 0; i < parts->count; i++)
+  for (uint32_t i = 0; i < parts->count && worst < QUARANTINE_BLOCKED; i++)
     {
       suspect = quarantine_find (quarantine, SUSPECT_PART, parts->ids[i]);
       if (suspect != NULL)
@@ -244,13 +254,15 @@
 }
 
 /** Records a crash on a part or a request.
- * @param is_explained a blocked one explains it: the others are bystanders */
+ * @param is_explained a blocked one explains it: the others are bystanders
+ * @param is_logged also the first crash of the part or request is logged */
 static void
 add_crash (quarantine_t *quarantine,
            suspect_kind_t kind,
            uint64_t id,
            uint64_t upstream,
-           bool is_explained)
+           bool is_explained,
+           bool is_logged)
 {
   quarantine_suspect_t *suspect = quarantine_find (quarantine, kind, id);
   quarantine_level_t before;
@@ -264,7 +276,8 @@
   before = quarantine_suspect_level (quarantine, suspect);
   if (!quarantine_record (suspect, upstream, quarantine->now_ms))
     return;
-  log_crash (suspect, upstream);
+  if (suspect->crash_count >= SUSPECT_CRASHES || is_logged)
+    log_crash (suspect, upstream);
   log_if_blocked (quarantine, suspect, before);
 }
 
@@ -282,9 +295,11 @@
   /* The request comes first, as it may explain the crashes of its parts. */
   if (parts->request != 0)
     add_crash (quarantine, SUSPECT_REQUEST, parts->request, upstream,
-               is_explained);
+               is_explained, true);
   for (uint32_t i = 0; i < parts->count; i++)
-    add_crash (quarantine, SUSPECT_PART, parts->ids[i], upstream, is_explained);
+    add_crash (quarantine, SUSPECT_PART, parts->ids[i], upstream, is_explained,
+               i < MAX_LOGGED_PARTS);
+  quarantine_keep_crash (quarantine, upstream, now_ms);
 }
 
 static void
@@ -445,7 +460,10 @@
   before = quarantine_suspect_level (quarantine, suspect);
   suspect->was_proven = suspect->was_proven || fresh.was_proven;
   for (uint32_t i = 0; i < fresh.crash_count; i++)
-    quarantine_record (suspect, fresh.crashes[i], fresh.crashed_ms[i]);
+    {
+      quarantine_record (suspect, fresh.crashes[i], fresh.crashed_ms[i]);
+      quarantine_keep_crash (quarantine, fresh.crashes[i], fresh.crashed_ms[i]);
+    }
   suspect->blocked_ms = MAX (suspect->blocked_ms, fresh.blocked_ms);
   log_if_blocked (quarantine, suspect, before);
 }
@@ -498,7 +516,7 @@
         g_ptr_array_add (told, suspect);
     }
   g_ptr_array_sort (told, compare_evidence);
-  for (guint i = 0; i < told->len; i++)
+  for (guint i = 0; i < MIN (told->len, QUARANTINE_MAX_TOLD); i++)
     each (g_ptr_array_index (told, i), context);
   g_ptr_array_free (told, TRUE);
 }
--- a/t/lib-gateway.c
+++ b/t/lib-gateway.c
@@ -19,7 +19,6 @@
   const char *id = http_fields_find (fields, "X-Id");
   const char *last = http_fields_find (fields, "Last-Event-Id");
   const char *prompt = http_fields_find (fields, "X-Prompt"); /* its tokens */
-  const char *parts = http_fields_find (fields, "X-Parts");   /* a digit each */
 
   terms->id = id != NULL ? id : "";
   terms->prompt_tokens
@@ -29,9 +28,19 @@
   terms->deadline_ms = 8000;
   terms->has_last_event = last != NULL;
   terms->last_event = last != NULL ? strtoull (last, NULL, 10) : 0;
-  terms->parts.count = 0;
-  for (; parts != NULL && *parts >= '0' && *parts <= '9'; parts++)
-    terms->parts.ids[terms->parts.count++] = (uint64_t)*parts;
+}
+
+/** Reads the parts of a prompt, a character each. */
+static prompt_parts_t
+read_parts (void *parent, const http_fields_t *fields)
+{
+  const char *names = http_fields_find (fields, "X-Parts");
+  size_t count = names != NULL ? strlen (names) : 0;
+  uint64_t *ids = talloc_array (parent, uint64_t, (unsigned)count);
+
+  for (size_t i = 0; i < count; i++)
+    ids[i] = (uint64_t)names[i];
+  return (prompt_parts_t){ .ids = ids, .count = (uint32_t)count };
 }
 
 static void
@@ -76,6 +85,7 @@
 
 static const gateway_protocol_t protocol
     = { .read_request_info = read_request_info,
+        .read_parts = read_parts,
         .write_upstream_fields = write_upstream_fields,
         .read_answer_info = read_answer_info };
 
--- a/t/t8070-load-share.c
+++ b/t/t8070-load-share.c
@@ -438,7 +438,8 @@
 {
   fixture_t *fixture = fixture_new ();
   instance_t far = { 0 };
-  prompt_parts_t parts = { .ids = { 7 }, .count = 1 };
+  static const uint64_t part = 7;
+  prompt_parts_t parts = { .ids = &part, .count = 1 };
 
   expect_shared_quarantine (fixture, &far, &parts);
   free_far_instance (&far);
--- a/t/t8072-placer.c
+++ b/t/t8072-placer.c
@@ -10,10 +10,13 @@
 #include "placement-message.h"
 #include "placer.h"
 
-#define ENGINES 4
-#define SLOTS   2
-#define NOW_MS  100000
-#define QUEUED  300
+#define ENGINES    4
+#define SLOTS      2
+#define MANY_PARTS 200
+/** Parts in a message that earlier versions take. */
+#define EARLIER_MAX_PARTS 8
+#define NOW_MS            100000
+#define QUEUED            300
 /** Tokens that one engine cannot read within the deadline of a long prompt. */
 #define TOO_LONG_FOR_ONE 450000
 /** Decisions that a small share of a core makes within the interval of two
@@ -436,10 +439,11 @@
 static void
 test_jobs_carry_signature (void)
 {
+  static const uint64_t part = 5;
   placement_request_t asked = { .id = 100,
                                 .service = "engines",
                                 .prompt_tokens = 300000,
-                                .parts = { .ids = { 5 }, .count = 1 },
+                                .parts = { .ids = &part, .count = 1 },
                                 .arrived_ms = NOW_MS,
                                 .deadline_ms = NOW_MS + 1000 };
   placement_answer_t answer
@@ -459,6 +463,41 @@
   g_assert_cmpuint (jobs[1].parts.request, ==, 0);
 }
 
+/* Guards against: parts of long prompts that are lost between instances
+ * (BUDGET), and requests with them that placers of earlier versions reject. */
+static void
+test_many_parts_in_message (void)
+{
+  uint64_t ids[MANY_PARTS];
+  placement_request_t asked = { .id = 100,
+                                .service = "engines",
+                                .parts = { .ids = ids, .request = 77 },
+                                .arrived_ms = NOW_MS,
+                                .deadline_ms = NOW_MS + 1000 };
+  placement_request_t received;
+  Lwm__PlaceRequest message;
+
+  for (uint32_t i = 0; i < MANY_PARTS; i++)
+    ids[i] = 1000 + i;
+  for (asked.parts.count = 0; asked.parts.count <= MANY_PARTS;
+       asked.parts.count++)
+    {
+      placement_request_to_message (&asked, NOW_MS, &message);
+      g_assert_cmpuint (message.n_parts, ==,
+                        MIN (asked.parts.count, EARLIER_MAX_PARTS));
+      g_assert_true (
+          placement_request_from_message (&message, 7, NOW_MS, &received));
+      g_assert_cmpmem (received.parts.ids, received.parts.count * sizeof *ids,
+                       ids, asked.parts.count * sizeof *ids);
+      g_assert_cmpuint (received.parts.request, ==, 77);
+    }
+  /* An earlier version sends no more than these. */
+  message.n_all_parts = 0;
+  g_assert_true (
+      placement_request_from_message (&message, 7, NOW_MS, &received));
+  g_assert_cmpuint (received.parts.count, ==, EARLIER_MAX_PARTS);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -476,5 +515,6 @@
   g_test_add_func ("/placer/unknown-service", test_unknown_service);
   g_test_add_func ("/placer/parts", test_jobs_of_parts);
   g_test_add_func ("/placer/signature", test_jobs_carry_signature);
+  g_test_add_func ("/placer/many-parts-in-message", test_many_parts_in_message);
   return g_test_run ();
 }
--- a/t/t8080-quarantine.c
+++ b/t/t8080-quarantine.c
@@ -2,7 +2,9 @@
  * Finds the part of prompts on which upstreams crash, among requests that share
  * their other parts with sound ones.
  */
+#include <event2/buffer.h>
 #include <glib.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "quarantine.h"
@@ -10,6 +12,8 @@
 #define COMMON_PART 1
 #define DEADLY_PART 2
 #define OTHER_PART  3
+#define KEPT_METRIC "lwm_quarantine_suspects"
+#define MAX_KEPT    4096
 #define HOUR_MS     (60u * 60 * 1000)
 /** Between crashes that have no common cause. */
 #define CRASH_GAP_MS 600
@@ -33,8 +37,10 @@
 static prompt_parts_t
 parts_of (uint64_t first, uint64_t second)
 {
-  return (prompt_parts_t){ .ids = { first, second },
-                           .count = second != 0 ? 2 : 1 };
+  const uint64_t ids[] = { first, second };
+  prompt_parts_t parts = { .ids = ids, .count = second != 0 ? 2 : 1 };
+
+  return prompt_parts_copy (quarantine, &parts);
 }
 
 static void
@@ -193,6 +199,11 @@
       crash (COMMON_PART, 0, upstream);
     }
   g_assert_cmpint (level (COMMON_PART, 0), ==, QUARANTINE_CLEAR);
+  /* Neither that of a part which was never answered and was not at all. */
+  crash (OTHER_PART, 0, 101);
+  crash (OTHER_PART, 0, 102);
+  crash (OTHER_PART, 0, 103);
+  g_assert_cmpint (level (OTHER_PART, 0), ==, QUARANTINE_CLEAR);
   tear_down ();
 }
 
@@ -297,15 +308,36 @@
   (*(uint32_t *)context)++;
 }
 
+/** Returns the number of parts with evidence. */
+static double
+count_kept (metrics_t *metrics)
+{
+  struct evbuffer *out = evbuffer_new ();
+  const char *line;
+  double count;
+
+  metrics_write (metrics, out);
+  evbuffer_add (out, "", 1);
+  line = strstr ((char *)evbuffer_pullup (out, -1), "\n" KEPT_METRIC " ");
+  g_assert_nonnull (line);
+  count = g_ascii_strtod (line + 1 + strlen (KEPT_METRIC), NULL);
+  evbuffer_free (out);
+  return count;
+}
+
 /** Callers cannot fill the memory, nor push out what is blocked. */
 static void
 test_memory_is_bounded (void)
 {
+  metrics_t *metrics = metrics_new (NULL);
   uint32_t suspects = 0;
 
   set_up ();
+  talloc_free (quarantine);
+  quarantine = quarantine_new (NULL, metrics);
   for (uint64_t upstream = 101; upstream < 104; upstream++)
     crash (DEADLY_PART, 0, upstream);
+  now_ms += CRASH_GAP_MS;
   for (uint64_t part = 1000; part < 50000; part++)
     {
       now_ms++;
@@ -314,8 +346,10 @@
     }
   quarantine_each_suspect (quarantine, count_suspect, &suspects);
   g_assert_cmpuint (suspects, <=, 256);
+  g_assert_cmpfloat (count_kept (metrics), <=, MAX_KEPT);
   g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
   tear_down ();
+  talloc_free (metrics);
 }
 
 int
--- a/t/t8085-quarantine-requests.c
+++ b/t/t8085-quarantine-requests.c
@@ -34,9 +34,10 @@
 static prompt_parts_t
 request_of (uint64_t request, uint64_t part)
 {
-  return (prompt_parts_t){ .ids = { part },
-                           .count = part != 0 ? 1 : 0,
-                           .request = request };
+  prompt_parts_t parts
+      = { .ids = &part, .count = part != 0 ? 1 : 0, .request = request };
+
+  return prompt_parts_copy (quarantine, &parts);
 }
 
 static void
--- a/t/t8089-quarantine-random.c
+++ b/t/t8089-quarantine-random.c
@@ -8,11 +8,12 @@
 
 #include "quarantine.h"
 
-#define SEEDS     150
-#define UPSTREAMS 12
-#define INSTANCES 3
-#define STEP_MS   10
-#define START_MS  (60u * 60 * 1000)
+#define SEEDS      150
+#define LONG_SEEDS 10
+#define UPSTREAMS  12
+#define INSTANCES  3
+#define STEP_MS    10
+#define START_MS   (60u * 60 * 1000)
 /** Sound prompts only, until the first deadly one. */
 #define WARM_UP_MS 20000
 #define END_MS     50000
@@ -28,6 +29,9 @@
 #define SHARED_PARTS     20
 #define DEADLY_PART      9999
 #define MAX_ATTEMPTS     2
+/** Parts of the longest prompts. */
+#define MAX_PARTS   400
+#define SHORT_PARTS 6
 
 /** What else crashes or breaks connections. */
 typedef enum
@@ -42,7 +46,9 @@
 
 typedef struct
 {
-  prompt_parts_t parts;
+  uint64_t ids[MAX_PARTS]; /* of its parts */
+  uint32_t count;
+  uint64_t number; /* of the request */
   int upstream;
   int instance;
   int attempts;
@@ -63,6 +69,8 @@
   uint64_t down_until_ms[UPSTREAMS];
   uint64_t next_incarnation;
   uint64_t next_request;
+  uint64_t next_part;
+  int max_parts; /* of a prompt */
   uint32_t crashes;
   uint64_t fifth_ms;
   uint32_t late_deadly;
@@ -70,6 +78,23 @@
   uint32_t refused;
 } world_t;
 
+static prompt_parts_t
+parts_of (const job_t *job)
+{
+  prompt_parts_t parts
+      = { .ids = job->ids, .count = job->count, .request = job->number };
+
+  return parts;
+}
+
+static quarantine_level_t
+level_of (const world_t *world, const job_t *job)
+{
+  prompt_parts_t parts = parts_of (job);
+
+  return quarantine_level (world->quarantine, &parts);
+}
+
 static void
 send_job (world_t *world, job_t job)
 {
@@ -99,32 +124,45 @@
   g_array_append_val (world->jobs, job);
 }
 
+/** Adds shared parts to a prompt, and in a long one also parts that no other
+ * prompt has. */
+static void
+fill_parts (world_t *world, job_t *job)
+{
+  uint32_t count
+      = (uint32_t)g_rand_int_range (world->random, 1, world->max_parts);
+
+  job->ids[0] = (uint64_t)g_rand_int_range (world->random, 1, 1 + COMMON_PARTS);
+  for (job->count = 1; job->count < count; job->count++)
+    job->ids[job->count]
+        = job->count < SHORT_PARTS || g_rand_boolean (world->random)
+              ? 100
+                    + (uint64_t)g_rand_int_range (world->random, 0,
+                                                  SHARED_PARTS)
+              : ++world->next_part;
+}
+
 /** Sends a request, unless it is known that upstreams crash on it. */
 static void
 arrive (world_t *world, bool is_deadly)
 {
-  uint32_t count = (uint32_t)g_rand_int_range (world->random, 1, 6);
-  uint32_t place = (uint32_t)g_rand_int_range (world->random, 0, 6);
   job_t job = { .is_deadly = is_deadly,
+                .number = ++world->next_request,
                 .instance = g_rand_int_range (world->random, 0, INSTANCES) };
 
-  job.parts.ids[0]
-      = (uint64_t)g_rand_int_range (world->random, 1, 1 + COMMON_PARTS);
-  for (uint32_t i = 1; i < count; i++)
-    job.parts.ids[i]
-        = 100 + (uint64_t)g_rand_int_range (world->random, 0, SHARED_PARTS);
-  job.parts.count = count;
+  fill_parts (world, &job);
   if (is_deadly)
     {
-      place = MIN (place, count);
-      for (uint32_t i = job.parts.count++; i > place; i--)
-        job.parts.ids[i] = job.parts.ids[i - 1];
-      job.parts.ids[place] = DEADLY_PART;
+      uint32_t place
+          = (uint32_t)g_rand_int_range (world->random, 0, (int)job.count + 1);
+
+      for (uint32_t i = job.count++; i > place; i--)
+        job.ids[i] = job.ids[i - 1];
+      job.ids[place] = DEADLY_PART;
     }
-  job.parts.request = ++world->next_request;
   if (!is_deadly && world->now_ms >= START_MS + WARM_UP_MS)
     world->sound++;
-  if (quarantine_level (world->quarantine, &job.parts) < QUARANTINE_BLOCKED)
+  if (level_of (world, &job) < QUARANTINE_BLOCKED)
     send_job (world, job);
   else if (!is_deadly)
     world->refused++;
@@ -135,12 +173,12 @@
 break_job (world_t *world, guint index)
 {
   job_t job = g_array_index (world->jobs, job_t, index);
+  prompt_parts_t parts = parts_of (&job);
 
   g_array_remove_index_fast (world->jobs, index);
-  quarantine_add_crash (world->quarantine, &job.parts,
+  quarantine_add_crash (world->quarantine, &parts,
                         world->incarnation[job.upstream], world->now_ms);
-  if (job.attempts < MAX_ATTEMPTS
-      && quarantine_level (world->quarantine, &job.parts) == QUARANTINE_CLEAR)
+  if (job.attempts < MAX_ATTEMPTS && level_of (world, &job) == QUARANTINE_CLEAR)
     send_job (world, job);
 }
 
@@ -160,6 +198,7 @@
 {
   job_t *job = &g_array_index (world->jobs, job_t, index);
   uint64_t incarnation = world->incarnation[job->upstream];
+  prompt_parts_t parts = parts_of (job);
 
   if (!job->has_begun && job->begins_ms <= world->now_ms)
     {
@@ -175,7 +214,7 @@
     }
   if (job->ends_ms > world->now_ms)
     return false;
-  quarantine_add_success (world->quarantine, &job->parts, incarnation,
+  quarantine_add_success (world->quarantine, &parts, incarnation,
                           world->now_ms);
   g_array_remove_index_fast (world->jobs, index);
   return true;
@@ -212,13 +251,15 @@
 }
 
 static void
-run_world (uint32_t seed, trouble_t trouble)
+run_world (uint32_t seed, trouble_t trouble, int max_parts)
 {
   world_t world = { .random = g_rand_new_with_seed (seed),
                     .quarantine = quarantine_new (NULL, NULL),
                     .jobs = g_array_new (FALSE, FALSE, sizeof (job_t)),
                     .now_ms = START_MS,
-                    .next_incarnation = 1000 };
+                    .next_incarnation = 1000,
+                    .next_part = 100000,
+                    .max_parts = max_parts };
   double served;
 
   for (int i = 0; i < UPSTREAMS; i++)
@@ -253,7 +294,16 @@
 test_random (gconstpointer trouble)
 {
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
-    run_world (seed, (trouble_t)GPOINTER_TO_INT (trouble));
+    run_world (seed, (trouble_t)GPOINTER_TO_INT (trouble), SHORT_PARTS);
+}
+
+/* Guards against: a part that is not held back because it is behind many others
+ * (BUDGET), or because others of its prompts fill the tables. */
+static void
+test_long_prompts (void)
+{
+  for (uint32_t seed = 1; seed <= LONG_SEEDS; seed++)
+    run_world (seed, (trouble_t)(seed % TROUBLE_COUNT), MAX_PARTS);
 }
 
 int
@@ -269,5 +319,6 @@
   g_test_init (&argc, &argv, NULL);
   for (int i = 0; i < TROUBLE_COUNT; i++)
     g_test_add_data_func (names[i], GINT_TO_POINTER (i), test_random);
+  g_test_add_func ("/quarantine-random/long-prompts", test_long_prompts);
   return g_test_run ();
 }
--- a/t/t8100-platform.c
+++ b/t/t8100-platform.c
@@ -8,6 +8,8 @@
 #include "platform/announcement.h"
 #include "platform/fields.h"
 
+#define MANY_PARTS 1000
+
 static bool
 read_announcement (const char *text, directory_statement_t *statement)
 {
@@ -105,15 +107,14 @@
   g_assert_cmpuint (terms.answer_tokens, ==, 0);
 }
 
-static gateway_request_info_t
-read_parts (const char *text)
+/** Returns the parts of a prompt; their list is a child of @a parent. */
+static prompt_parts_t
+read_parts (void *parent, const char *text)
 {
   http_field_t item = { "Prefix-Hash", (char *)text };
   http_fields_t caller = { .items = &item, .count = 1 };
-  gateway_request_info_t info = { 0 };
 
-  platform_protocol.read_request_info (&caller, &info);
-  return info;
+  return platform_protocol.read_parts (parent, &caller);
 }
 
 static gateway_answer_info_t
@@ -192,19 +193,38 @@
 static void
 test_parts (void)
 {
-  gateway_request_info_t three = read_parts ("5c:800,91:410,e4:250");
-  gateway_request_info_t spaced = read_parts ("5c:1, 91:2, aa:3");
-
-  g_assert_cmpuint (three.parts.count, ==, 2);
-  g_assert_cmpuint (three.parts.ids[0], !=, three.parts.ids[1]);
-  g_assert_cmpuint (spaced.parts.count, ==, 2);
-  g_assert_cmpuint (spaced.parts.ids[0], ==, three.parts.ids[0]);
-  g_assert_cmpuint (spaced.parts.ids[1], ==, three.parts.ids[1]);
-  g_assert_cmpuint (read_parts ("5c:800").parts.count, ==, 0);
-  g_assert_cmpuint (read_parts ("").parts.count, ==, 0);
-  g_assert_cmpuint (read_parts (",,,").parts.count, ==, 0);
-  g_assert_cmpuint (read_parts ("a,b,c,d,e,f,g,h,i,j,k,l").parts.count, ==,
-                    PROMPT_MAX_PARTS);
+  void *parent = talloc_new (NULL);
+  prompt_parts_t three = read_parts (parent, "5c:800,91:410,e4:250");
+  prompt_parts_t spaced = read_parts (parent, "5c:1, 91:2, aa:3");
+
+  g_assert_cmpuint (three.count, ==, 2);
+  g_assert_cmpuint (three.ids[0], !=, three.ids[1]);
+  g_assert_cmpuint (spaced.count, ==, 2);
+  g_assert_cmpuint (spaced.ids[0], ==, three.ids[0]);
+  g_assert_cmpuint (spaced.ids[1], ==, three.ids[1]);
+  g_assert_cmpuint (read_parts (parent, "5c:800").count, ==, 0);
+  g_assert_cmpuint (read_parts (parent, "").count, ==, 0);
+  g_assert_cmpuint (read_parts (parent, ",,,").count, ==, 0);
+  talloc_free (parent);
+}
+
+/** Guards against parts that are left out, as they stand behind many others. */
+static void
+test_many_parts (void)
+{
+  void *parent = talloc_new (NULL);
+  GString *text = g_string_new (NULL);
+  prompt_parts_t parts;
+
+  for (int i = 0; i < MANY_PARTS; i++)
+    g_string_append_printf (text, "%x:10,", i);
+  g_string_append (text, "own:500");
+  parts = read_parts (parent, text->str);
+  g_assert_cmpuint (parts.count, ==, MANY_PARTS);
+  for (uint32_t i = 1; i < parts.count; i++)
+    g_assert_cmpuint (parts.ids[i], !=, parts.ids[i - 1]);
+  g_string_free (text, TRUE);
+  talloc_free (parent);
 }
 
 /** Fields that a caller must not set itself are replaced. */
@@ -242,6 +262,7 @@
   g_test_add_func ("/platform/terms", test_request_info);
   g_test_add_func ("/platform/fields", test_fields);
   g_test_add_func ("/platform/prompt-parts", test_parts);
+  g_test_add_func ("/platform/many-parts", test_many_parts);
   g_test_add_func ("/platform/upstream-states", test_upstream_states);
   g_test_add_func ("/platform/upstream-limit", test_upstream_limit);
   g_test_add_func ("/platform/upstream-cold", test_upstream_cold);
--- a/upstream-set.c
+++ b/upstream-set.c
@@ -217,6 +217,7 @@
   if (member == NULL || upstream_set_job (set, job->id) != NULL)
     return false;
   copy = talloc_memdup (member, job, sizeof *job);
+  copy->parts = prompt_parts_copy (copy, &job->parts);
   if (!job->is_part)
     {
       upstream_limit_spend (&member->limit, job->sent_ms);
--- a/upstream-set.h
+++ b/upstream-set.h
@@ -50,7 +50,8 @@
   bool has_reservation; /**< memory is reserved there under the name of
                              upstream_reservation_name() */
   bool is_granted;      /**< this instance placed it */
-  prompt_parts_t parts; /**< of the prompt; none for a part's job */
+  prompt_parts_t parts; /**< of the prompt; none for a part's job. The list
+                             belongs to the set for a job that is in one. */
 } upstream_job_t;
 
 /** How a job ended, as far as this shows the state of the upstream. */
--- a/zone-ask.c
+++ b/zone-ask.c
@@ -183,6 +183,7 @@
 {
   zone_ask_cb_t on_answer = ask->on_answer;
   placement_request_t request = ask->request;
+  void *scratch;
   void *context = ask->context;
   bool was_queued = ask->is_queued;
 
@@ -194,8 +195,11 @@
         on_answer (&request, answer, context);
       return;
     }
+  scratch = talloc_new (ask->placement);
+  request.parts = prompt_parts_copy (scratch, &request.parts);
   talloc_free (ask);
   on_answer (&request, answer, context);
+  talloc_free (scratch);
 }
 
 /** Asks the next usable instance instead of one that does not decide, or
@@ -327,6 +331,7 @@
 
   ask->placement = placement;
   ask->request = *request;
+  ask->request.parts = prompt_parts_copy (ask, &request->parts);
   ask->request.id = 0;
   ask->request.owner = 0;
   ask->on_answer = on_answer;
