--- a/t/lib-early-answer.c
+++ b/t/lib-early-answer.c
@@ -1,5 +1,6 @@
 #include "lib-early-answer.h"
 
+#include <errno.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <glib.h>
@@ -160,22 +161,25 @@
   event_add (connection->timer, &wait);
 }
 
-/** Reads the head of a request byte by byte, so that its body stays unread. */
-static void
+/** Reads the head of a request byte by byte, so that its body stays unread.
+ * Returns false if the connection has ended before. */
+static bool
 read_head (connection_t *connection)
 {
   char byte;
+  ssize_t size;
 
-  while (recv (connection->fd, &byte, 1, 0) == 1)
+  while ((size = recv (connection->fd, &byte, 1, 0)) == 1)
     {
       g_string_append_c (connection->head, byte);
       connection->received_bytes++;
       if (g_str_has_suffix (connection->head->str, "\r\n\r\n"))
         {
           begin_answer (connection);
-          return;
+          return true;
         }
     }
+  return size < 0 && (errno == EAGAIN || errno == EINTR);
 }
 
 static void
@@ -183,9 +187,10 @@
 {
   connection_t *connection = context;
 
-  if (connection->end_ms == 0)
-    read_head (connection);
-  else if (!read_request (connection))
+  bool is_open = connection->end_ms == 0 ? read_head (connection)
+                                         : read_request (connection);
+
+  if (!is_open)
     close_connection (connection);
   else if (connection->upstream->end == EARLY_READ_RESET
            && has_whole_request (connection))
