tunnel: let a relay say how an answer ended

Cause, of what was reproduced: over a relay, the end of the connection was taken for the end of an answer without a length. The kernel ends the connections of a killed process in order, and a relay that stopped did the same. Evidence: with an entry instance as the relay, as a real process, the answer is called whole on after SIGKILL and after SIGTERM (t8352 killed and stopped failed there).

Change: the upstream's bytes come in frames, and behind them a message that they ended in order, or that the upstream broke off, which a process that is gone cannot send. An answer that ends with its connection is whole over a relay only with that message. The end of a relay is no sign of a crash of the upstream any more. A relay that stops resets the tunnels that are open.

Old and new builds: frames are asked for by a field that earlier relays ignore, and sent only when asked for (t8351 earlier-relay, earlier-caller).

--- a/exchange.c
+++ b/exchange.c
@@ -14,6 +14,7 @@
 
 #include "base.h"
 #include "socket-watch.h"
+#include "tunnel-frames.h"
 #define LOG_PART "exchange"
 #include "logging.h"
 
@@ -52,7 +53,10 @@
   uint64_t owner;
   char *address;
   const char *relay; /* which connects to the upstream, or NULL */
-  uint32_t ways;     /* that were tried */
+  bool is_framed;    /* the relay sends frames */
+  tunnel_frames_t frames;
+  struct evbuffer *framed; /* bytes of frames that are being parsed */
+  uint32_t ways;           /* that were tried */
   struct bufferevent *stream;
   struct evbuffer *unsent; /* the request, until the connection is there */
   http_reader_t *reader;
@@ -79,6 +83,7 @@
   g_ptr_array_remove (connection->pool->idle, connection);
   bufferevent_free (connection->stream);
   evbuffer_free (connection->unsent);
+  evbuffer_free (connection->framed);
   return 0;
 }
 
@@ -169,6 +174,7 @@
   return !connection->has_peer_closed && !connection->exchange->closes
          && http_reader_keeps_alive (connection->reader)
          && evbuffer_get_length (bufferevent_get_input (stream)) == 0
+         && evbuffer_get_length (connection->framed) == 0
          && evbuffer_get_length (bufferevent_get_output (stream)) == 0
          && keep_alive_ms (connection) > IDLE_MARGIN_MS;
 }
@@ -277,25 +283,21 @@
         on_relay_failed (connection);
       return false;
     }
+  connection->is_framed
+      = evbuffer_search_range (in, TUNNEL_FRAMES_FIELD,
+                               strlen (TUNNEL_FRAMES_FIELD), NULL, &end)
+            .pos
+        > 0;
   evbuffer_drain (in, (size_t)end.pos + strlen (RELAY_HEAD_END));
   on_connected (connection);
   return true;
 }
 
-static void
-on_readable (struct bufferevent *stream, void *context)
+/** Parses bytes of the answer. Returns whether it goes on; else @a connection
+ * may be freed. */
+static bool
+read_answer (connection_t *connection, struct evbuffer *in)
 {
-  connection_t *connection = context;
-  struct evbuffer *in = bufferevent_get_input (stream);
-
-  if (connection->exchange == NULL)
-    {
-      log_info ("Closed an idle connection on which an upstream sent data.");
-      talloc_free (connection);
-      return;
-    }
-  if (!connection->is_connected && !read_relay_answer (connection))
-    return;
   while (evbuffer_get_length (in) > 0)
     {
       size_t length = evbuffer_get_contiguous_space (in);
@@ -310,7 +312,7 @@
         {
           /* A callback has cancelled the exchange. */
           talloc_free (connection);
-          return;
+          return false;
         }
       evbuffer_drain (in, used);
       if (result == HTTP_READER_MORE)
@@ -319,8 +321,47 @@
         finish_exchange (connection);
       else
         fail_exchange (connection, classify_failure (connection));
+      return false;
+    }
+  return true;
+}
+
+static void on_closed (connection_t *connection);
+
+/** Reads the frames of a relay, and what they say of the upstream's end. */
+static void
+read_frames (connection_t *connection)
+{
+  struct evbuffer *in = bufferevent_get_input (connection->stream);
+  tunnel_frames_state_t state
+      = tunnel_frames_read (&connection->frames, in, connection->framed);
+
+  connection->has_peer_closed = state != TUNNEL_FRAMES_MORE;
+  if (!read_answer (connection, connection->framed))
+    return;
+  if (state == TUNNEL_FRAMES_END && !connection->awaits_written)
+    on_closed (connection);
+  else if (state == TUNNEL_FRAMES_BROKEN)
+    fail_exchange (connection, classify_failure (connection));
+}
+
+static void
+on_readable (struct bufferevent *stream, void *context)
+{
+  connection_t *connection = context;
+
+  if (connection->exchange == NULL)
+    {
+      log_info ("Closed an idle connection on which an upstream sent data.");
+      talloc_free (connection);
       return;
     }
+  if (!connection->is_connected && !read_relay_answer (connection))
+    return;
+  if (connection->is_framed)
+    read_frames (connection);
+  else
+    read_answer (connection, bufferevent_get_input (stream));
 }
 
 /** Ends an answer that ended with its connection, once the request is written.
@@ -381,6 +422,20 @@
          && (what & (BEV_EVENT_ERROR | BEV_EVENT_WRITING)) == 0;
 }
 
+/** Handles the end of the connection to a relay. Without a word of the relay on
+ * the upstream's end, it says nothing of the upstream: the relay has stopped or
+ * was killed, or is of a version that does not tell. */
+static void
+on_relay_closed (connection_t *connection)
+{
+  if (connection->awaits_written)
+    return;
+  if (connection->exchange == NULL)
+    talloc_free (connection);
+  else
+    fail_exchange (connection, classify_failure (connection));
+}
+
 /** Handles a connection to the upstream or its relay that was not
  * established. */
 static void
@@ -418,13 +473,16 @@
     on_connect_failed (connection, (what & BEV_EVENT_TIMEOUT) != 0);
   else if (connection->exchange == NULL)
     talloc_free (connection);
+  else if (is_orderly_end (what) && connection->relay != NULL)
+    on_relay_closed (connection);
   else if (is_orderly_end (what))
     on_closed (connection);
   else if (connection->awaits_written && (what & BEV_EVENT_TIMEOUT) != 0)
     finish_exchange (connection);
   else
     {
-      connection->has_peer_closed = (what & BEV_EVENT_ERROR) != 0
+      connection->has_peer_closed = connection->relay == NULL
+                                    && (what & BEV_EVENT_ERROR) != 0
                                     && !is_unreachable (EVUTIL_SOCKET_ERROR ());
       fail_exchange (connection, classify_failure (connection));
     }
@@ -463,9 +521,11 @@
   bufferevent_set_timeouts (connection->stream, &timeout, &timeout);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
   if (connection->relay != NULL)
-    evbuffer_add_printf (bufferevent_get_output (connection->stream),
-                         "CONNECT %s HTTP/1.1\r\nHost: %s" RELAY_HEAD_END,
-                         connection->address, connection->address);
+    evbuffer_add_printf (
+        bufferevent_get_output (connection->stream),
+        "CONNECT %s HTTP/1.1\r\nHost: %s\r\n" TUNNEL_FRAMES_FIELD
+            RELAY_HEAD_END,
+        connection->address, connection->address);
   if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&peer,
                                   &peer_bytes)
           != 0
@@ -498,6 +558,7 @@
   connection->owner = owner;
   connection->address = talloc_strdup (connection, address);
   connection->unsent = evbuffer_new ();
+  connection->framed = evbuffer_new ();
   connection->reader = http_reader_new (connection, &reader_options);
   open_stream (connection);
   talloc_set_destructor (connection, free_connection);
--- a/t/t8351-tunnel.c
+++ b/t/t8351-tunnel.c
@@ -11,8 +11,10 @@
 #include "base.h"
 #include "exchange.h"
 #include "lib-address.h"
+#include "lib-caller.h"
 #include "lib-early-answer.h"
 #include "lib-scripted.h"
+#include "lib-wait.h"
 #include "tunnel-server.h"
 
 #define WAIT_MS 10000
@@ -146,7 +148,8 @@
   scripted_stop (&fixture->upstream);
   run (fixture, 50);
   /* The relay has closed what its callers have closed. */
-  g_assert_cmpuint (tunnel_server_open (fixture->relay), ==, 0);
+  if (fixture->relay != NULL)
+    g_assert_cmpuint (tunnel_server_open (fixture->relay), ==, 0);
   talloc_free (fixture->relay);
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
   g_string_free (fixture->body, TRUE);
@@ -332,6 +335,82 @@
   tear_down (fixture);
 }
 
+/** Answers a request with a text through a relay of an earlier version, which
+ * passes bytes on as they are. */
+static void
+expect_over_earlier_relay (const char *answer, result_t expected)
+{
+  fixture_t *fixture = set_up ();
+  char *text = g_strconcat ("HTTP/1.1 200 OK\r\n\r\n", answer, NULL);
+  early_answer_t relay
+      = { .text = text, .end = EARLY_READ_CLOSE, .delay_ms = 50 };
+
+  early_answer_start (&relay, fixture->base);
+  upstream_path_relay_failed (fixture->path, fixture->relay_address,
+                              clock_mono_ms ());
+  upstream_path_add_relay (fixture->path, relay.address, true);
+  call (fixture);
+  g_assert_cmpuint (relay.requests, ==, 1);
+  g_assert_cmpint (fixture->result, ==, expected);
+  early_answer_stop (&relay);
+  tear_down (fixture);
+  g_free (text);
+}
+
+/* Guards against: an answer that ends with its connection and is taken for
+ * whole though its relay did not say so, and one with a length that is broken
+ * for that. */
+static void
+test_earlier_relay (void)
+{
+  expect_over_earlier_relay ("HTTP/1.1 200 OK\r\n\r\npart", RESULT_FAILED);
+  expect_over_earlier_relay ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                             RESULT_END);
+  expect_over_earlier_relay ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                             "\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                             RESULT_END);
+}
+
+/** Opens a tunnel as an earlier version does and waits for a text. */
+static caller_t *
+open_as_earlier_caller (fixture_t *fixture, const char *expected)
+{
+  struct event_base *base = fixture->base;
+  caller_t *caller = caller_new (fixture->relay_address);
+  char *text = g_strdup_printf ("CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n"
+                                "GET /a HTTP/1.1\r\n\r\n",
+                                fixture->known, fixture->known);
+
+  g_assert_cmpuint (caller_send (caller, text, strlen (text)), ==,
+                    strlen (text));
+  WAIT ((caller_read (caller), strcmp (caller->answer->str, expected) == 0));
+  g_free (text);
+  return caller;
+}
+
+/* Guards against: frames for a caller that did not ask for them, and a relay
+ * that stops and looks to it like the end of the answer. */
+static void
+test_earlier_caller (void)
+{
+  fixture_t *fixture = set_up ();
+  struct event_base *base = fixture->base;
+  early_answer_t upstream
+      = { .text = "HTTP/1.1 200 OK\r\n\r\npart", .delay_ms = WAIT_MS };
+  caller_t *caller;
+
+  early_answer_start (&upstream, fixture->base);
+  g_strlcpy (fixture->known, upstream.address, sizeof fixture->known);
+  caller = open_as_earlier_caller (fixture, "HTTP/1.1 200 OK\r\n\r\n"
+                                            "HTTP/1.1 200 OK\r\n\r\npart");
+  TALLOC_FREE (fixture->relay);
+  WAIT ((caller_read (caller), caller->was_reset || caller->has_end));
+  g_assert_true (caller->was_reset);
+  caller_free (caller);
+  early_answer_stop (&upstream);
+  tear_down (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -345,5 +424,7 @@
   g_test_add_func ("/tunnel/ends-in-order", test_ends_in_order);
   g_test_add_func ("/tunnel/reset", test_reset);
   g_test_add_func ("/tunnel/sender-leaves", test_sender_leaves);
+  g_test_add_func ("/tunnel/earlier-relay", test_earlier_relay);
+  g_test_add_func ("/tunnel/earlier-caller", test_earlier_caller);
   return g_test_run ();
 }
--- /dev/null
+++ b/t/t8352-relay-process.c
@@ -0,0 +1,255 @@
+/*
+ * Answers through a relay that is a real process, which ends or is killed
+ * within them: the kernel ends its connections as it ends others.
+ */
+#include <event2/event.h>
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base.h"
+#include "exchange.h"
+#include "lib-early-answer.h"
+#include "lib-nodes.h"
+#include "lib-wait.h"
+
+#define SERVICE "s"
+#define PART    "part"
+/** Of an answer that is not to end by itself. */
+#define LONG_MS 60000
+#define END_MS  50
+/** Longer than a relay that stops waits for the next bytes. */
+#define PAUSE_MS 2500
+/** Offset of the port for tunnels. */
+#define TUNNEL_OFFSET 9
+#define RETRY_MS      100
+#define BODY_BYTES    (300u * 1024)
+
+typedef enum
+{
+  RESULT_NONE,
+  RESULT_END,
+  RESULT_FAILED,
+} result_t;
+
+/** A relay, an upstream, and what asks for its answers. */
+typedef struct
+{
+  struct event_base *base;
+  nodes_t *nodes;
+  early_answer_t upstream;
+  upstream_path_t *path;
+  exchange_pool_t *pool;
+  GString *body;
+  result_t result;
+  bool was_closed; /* the upstream closed the connection, as far as known */
+} fixture_t;
+
+static void
+on_head (exchange_t *exchange, void *context)
+{
+}
+
+static void
+on_body (exchange_t *exchange,
+         const uint8_t *data,
+         size_t size_bytes,
+         void *context)
+{
+  g_string_append_len (((fixture_t *)context)->body, (const char *)data,
+                       (gssize)size_bytes);
+}
+
+static void
+on_end (exchange_t *exchange, void *context)
+{
+  ((fixture_t *)context)->result = RESULT_END;
+}
+
+static void
+on_failed (exchange_t *exchange, exchange_failure_t how, void *context)
+{
+  fixture_t *fixture = context;
+
+  fixture->result = RESULT_FAILED;
+  fixture->was_closed = exchange_was_closed (exchange);
+}
+
+static const exchange_callbacks_t callbacks = { .on_head = on_head,
+                                                .on_body = on_body,
+                                                .on_end = on_end,
+                                                .on_failed = on_failed };
+
+static void
+set_up_path (fixture_t *fixture)
+{
+  upstream_path_options_t path = { .seed = 1 };
+  exchange_pool_options_t pool = { .base = fixture->base,
+                                   .connect_timeout_ms = 1000,
+                                   .idle_timeout_ms = 4000 };
+  char *relay = nodes_address (fixture->nodes, NODES_ENTRY, TUNNEL_OFFSET);
+
+  fixture->path = pool.path = upstream_path_new (NULL, &path);
+  fixture->pool = exchange_pool_new (NULL, &pool);
+  upstream_path_add_relay (fixture->path, relay, true);
+  for (uint64_t upstream = 1; upstream <= 3; upstream++)
+    upstream_path_record (fixture->path, upstream, false, clock_mono_ms ());
+  g_free (relay);
+}
+
+static fixture_t *
+set_up (const early_answer_t *model)
+{
+  nodes_options_t options = { .version = 5, .has_all_kinds = true };
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+  nodes_announcement_t announcement
+      = { .id = "i-1", .service = SERVICE, .slots = 4, .sequence = 1 };
+
+  fixture->base = event_base_new ();
+  fixture->body = g_string_new (NULL);
+  fixture->nodes = nodes_new_with (&options);
+  fixture->upstream = *model;
+  early_answer_start (&fixture->upstream, fixture->base);
+  announcement.address = fixture->upstream.address;
+  g_assert_cmpint (nodes_announce (fixture->nodes, 0, &announcement), ==, 200);
+  set_up_path (fixture);
+  return fixture;
+}
+
+static void
+tear_down (fixture_t *fixture)
+{
+  talloc_free (fixture->pool);
+  talloc_free (fixture->path);
+  early_answer_stop (&fixture->upstream);
+  nodes_free (fixture->nodes);
+  event_base_free (fixture->base);
+  g_string_free (fixture->body, TRUE);
+  g_free (fixture);
+}
+
+/** Sends a request and waits for the begin of the answer. */
+static void
+send_request (fixture_t *fixture)
+{
+  struct event_base *base = fixture->base;
+  http_fields_t fields = { 0 };
+  exchange_options_t options = { .address = fixture->upstream.address,
+                                 .owner = 1,
+                                 .method = "GET",
+                                 .target = "/a",
+                                 .fields = &fields,
+                                 .callbacks = &callbacks,
+                                 .context = fixture };
+
+  fixture->result = RESULT_NONE;
+  g_string_truncate (fixture->body, 0);
+  exchange_send (fixture->pool, &options);
+  WAIT (fixture->body->len > 0 || fixture->result != RESULT_NONE);
+}
+
+/** Waits for the begin of an answer that comes through the relay. One that does
+ * not know the upstream yet refuses, and the request goes another way. */
+static void
+begin_answer (fixture_t *fixture)
+{
+  uint64_t until_ms = clock_mono_ms () + WAIT_TIMEOUT_MS;
+
+  send_request (fixture);
+  while (upstream_path_relay (fixture->path, 1, clock_mono_ms ()) == NULL
+         && clock_mono_ms () < until_ms)
+    {
+      talloc_free (fixture->pool);
+      talloc_free (fixture->path);
+      g_usleep (RETRY_MS * 1000);
+      set_up_path (fixture);
+      send_request (fixture);
+    }
+  g_assert_nonnull (upstream_path_relay (fixture->path, 1, clock_mono_ms ()));
+}
+
+/** Ends the relay within an answer, and expects that it is not called whole,
+ * nor the upstream one that broke it off. */
+static void
+expect_broken (int signal_number)
+{
+  static const early_answer_t model
+      = { .text = "HTTP/1.1 200 OK\r\n\r\n" PART, .delay_ms = LONG_MS };
+  fixture_t *fixture = set_up (&model);
+  struct event_base *base = fixture->base;
+
+  begin_answer (fixture);
+  if (signal_number == SIGTERM)
+    g_usleep (PAUSE_MS * 1000);
+  process_signal (fixture->nodes->process[NODES_ENTRY], signal_number);
+  WAIT (fixture->result != RESULT_NONE);
+  g_assert_cmpint (fixture->result, ==, RESULT_FAILED);
+  g_assert_false (fixture->was_closed);
+  g_assert_cmpstr (fixture->body->str, ==, PART);
+  tear_down (fixture);
+}
+
+/* Guards against: a part of an answer that is passed on as the whole one, as
+ * its relay was killed (MIXED, ORDER). */
+static void
+test_killed (void)
+{
+  expect_broken (SIGKILL);
+}
+
+/* Guards against: the same, as its relay stopped while the upstream paused. */
+static void
+test_stopped (void)
+{
+  expect_broken (SIGTERM);
+}
+
+/** Expects an answer of many bytes whose end is that of its connection. */
+static void
+expect_whole (early_end_t end, bool is_whole)
+{
+  char *filler = g_strnfill (BODY_BYTES, 'b');
+  char *text = g_strconcat ("HTTP/1.1 200 OK\r\n\r\n", filler, NULL);
+  early_answer_t model = { .text = text, .delay_ms = END_MS, .end = end };
+  fixture_t *fixture = set_up (&model);
+  struct event_base *base = fixture->base;
+
+  begin_answer (fixture);
+  WAIT (fixture->result != RESULT_NONE);
+  g_assert_cmpint (fixture->result, ==, is_whole ? RESULT_END : RESULT_FAILED);
+  if (is_whole)
+    g_assert_cmpstr (fixture->body->str, ==, filler);
+  else
+    g_assert_true (fixture->was_closed);
+  tear_down (fixture);
+  g_free (text);
+  g_free (filler);
+}
+
+/* Guards against: an answer that is broken though it ended in order. */
+static void
+test_whole (void)
+{
+  expect_whole (EARLY_READ_CLOSE, true);
+}
+
+/* Guards against: an upstream's reset that looks like an end, or like the end
+ * of the relay. */
+static void
+test_reset (void)
+{
+  expect_whole (EARLY_RESET, false);
+}
+
+int
+main (int argc, char **argv)
+{
+  signal (SIGPIPE, SIG_IGN);
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/relay-process/killed", test_killed);
+  g_test_add_func ("/relay-process/stopped", test_stopped);
+  g_test_add_func ("/relay-process/whole", test_whole);
+  g_test_add_func ("/relay-process/reset", test_reset);
+  return g_test_run ();
+}
--- a/tunnel-server.c
+++ b/tunnel-server.c
@@ -12,6 +12,7 @@
 
 #include "base.h"
 #include "socket-watch.h"
+#include "tunnel-frames.h"
 #define LOG_PART "tunnel"
 #include "logging.h"
 
@@ -37,7 +38,10 @@
   struct bufferevent *upstream; /* NULL before the request is read */
   uint64_t key;
   bool is_connected;
+  bool is_framed;      /* the caller gets frames */
   bool is_refused;     /* an error answer is being written */
+  bool is_end_sent;    /* so is the message of the end */
+  bool is_broken;      /* the upstream broke off, the caller is being told */
   bool upstream_ended; /* no more data comes from the upstream */
   uint64_t passed_ms;  /* when bytes were last passed on */
   bool is_write_late;  /* it has ended, and takes no data any more */
@@ -71,6 +75,14 @@
               sizeof linger);
 }
 
+static void
+set_timeout (struct bufferevent *stream, uint32_t timeout_ms)
+{
+  struct timeval timeout = timeval_from_ms (timeout_ms);
+
+  bufferevent_set_timeouts (stream, &timeout, &timeout);
+}
+
 /** Ends a tunnel that has failed on one side: the other side is to see a
  * failure, too. */
 static void
@@ -82,12 +94,21 @@
   talloc_free (tunnel);
 }
 
+/** Ends a tunnel whose upstream broke off. */
 static void
-set_timeout (struct bufferevent *stream, uint32_t timeout_ms)
+break_tunnel (tunnel_t *tunnel)
 {
-  struct timeval timeout = timeval_from_ms (timeout_ms);
-
-  bufferevent_set_timeouts (stream, &timeout, &timeout);
+  if (!tunnel->is_framed || tunnel->is_end_sent)
+    {
+      reset_tunnel (tunnel);
+      return;
+    }
+  tunnel->is_broken = true;
+  bufferevent_disable (tunnel->upstream, EV_READ | EV_WRITE);
+  bufferevent_disable (tunnel->caller, EV_READ);
+  set_timeout (tunnel->caller, LATE_WRITE_TIMEOUT_MS);
+  tunnel_frames_write_end (bufferevent_get_output (tunnel->caller),
+                           TUNNEL_FRAMES_BROKEN);
 }
 
 /** Answers CONNECT with an error and closes the connection. */
@@ -118,9 +139,17 @@
 static void
 end_if_written (tunnel_t *tunnel)
 {
-  if (tunnel->upstream_ended && is_all_written (tunnel->caller)
-      && (is_all_written (tunnel->upstream) || tunnel->is_write_late))
-    shutdown (bufferevent_getfd (tunnel->caller), SHUT_WR);
+  if (!tunnel->upstream_ended || !is_all_written (tunnel->caller)
+      || !(is_all_written (tunnel->upstream) || tunnel->is_write_late))
+    return;
+  if (!tunnel->is_framed || tunnel->is_end_sent)
+    {
+      shutdown (bufferevent_getfd (tunnel->caller), SHUT_WR);
+      return;
+    }
+  tunnel->is_end_sent = true;
+  tunnel_frames_write_end (bufferevent_get_output (tunnel->caller),
+                           TUNNEL_FRAMES_END);
 }
 
 /** Passes bytes on. Reading pauses while the receiver is slow. */
@@ -130,7 +159,10 @@
   struct bufferevent *to = other_side (tunnel, from);
   struct evbuffer *out = bufferevent_get_output (to);
 
-  evbuffer_add_buffer (out, bufferevent_get_input (from));
+  if (tunnel->is_framed && from == tunnel->upstream)
+    tunnel_frames_write (out, bufferevent_get_input (from));
+  else
+    evbuffer_add_buffer (out, bufferevent_get_input (from));
   tunnel->passed_ms = clock_mono_ms ();
   if (evbuffer_get_length (out) >= MAX_HELD_BYTES)
     bufferevent_disable (from, EV_READ);
@@ -150,7 +182,9 @@
 {
   tunnel_t *tunnel = context;
 
-  if (tunnel->is_refused)
+  if (tunnel->is_broken && !is_all_written (tunnel->caller))
+    return;
+  if (tunnel->is_refused || tunnel->is_broken)
     {
       talloc_free (tunnel);
       return;
@@ -170,8 +204,9 @@
   options->on_connect (tunnel->key, true, options->context);
   tunnel->is_connected = true;
   bufferevent_set_timeouts (tunnel->upstream, NULL, NULL);
-  bufferevent_write (tunnel->caller, "HTTP/1.1 200 OK" HEAD_END,
-                     strlen ("HTTP/1.1 200 OK" HEAD_END));
+  evbuffer_add_printf (bufferevent_get_output (tunnel->caller),
+                       "HTTP/1.1 200 OK%s" HEAD_END,
+                       tunnel->is_framed ? "\r\n" TUNNEL_FRAMES_FIELD : "");
   bufferevent_enable (tunnel->caller, EV_READ);
   pass_on (tunnel, tunnel->caller);
 }
@@ -213,7 +248,7 @@
       end_if_written (tunnel);
     }
   else
-    reset_tunnel (tunnel);
+    break_tunnel (tunnel);
 }
 
 static void
@@ -259,6 +294,7 @@
       refuse (tunnel, TUNNEL_UNAVAILABLE);
       return;
     }
+  tunnel->is_framed = strstr (head, "\r\n" TUNNEL_FRAMES_FIELD) != NULL;
   tunnel->key = options->find_upstream (address, options->context);
   if (tunnel->key == 0)
     {
@@ -345,8 +381,9 @@
 static int
 free_server (tunnel_server_t *server)
 {
+  /* Callers that get no frames see by the reset that an answer broke off. */
   while (server->tunnels->len > 0)
-    talloc_free (g_ptr_array_index (server->tunnels, 0));
+    reset_tunnel (g_ptr_array_index (server->tunnels, 0));
   g_ptr_array_free (server->tunnels, TRUE);
   if (server->listener != NULL)
     evconnlistener_free (server->listener);
--- a/tunnel-server.h
+++ b/tunnel-server.h
@@ -4,9 +4,11 @@
  * cannot reach them themselves (upstream-path.h).
  *
  * An instance sends "CONNECT IP:PORT HTTP/1.1" (RFC 9110, section 9.3.6). After
- * the answer 200 all bytes are passed on both ways. The end of the upstream's
- * data is passed on as an end, and a reset as a reset, so that an answer
- * without a length that broke off does not look complete. Only upstreams that
+ * the answer 200 all bytes are passed on both ways, those of the upstream in
+ * frames, with a message at their end (tunnel-frames.h), so that an answer
+ * without a length that broke off does not look complete. To an instance of an
+ * earlier version, which asks for no frames, the end of the upstream's data is
+ * passed on as an end, and a reset as a reset. Only upstreams that
  * this instance knows are connected to.
  */
 #ifndef TUNNEL_SERVER_H
