directory: bound the texts of announcements, and their sum

Cause: no text of an announcement had a bound, nor had their sum; control instances kept each for two minutes and sent it to each entry instance.

Change: the directory, which both ends use, takes texts of 1,024 bytes at most and 8 MiB in all.

--- a/control-directory.c
+++ b/control-directory.c
@@ -145,6 +145,8 @@
   if (result == DIRECTORY_STALE)
     log_info ("Ignored a late announcement. upstream=%s sequence=%ju",
               statement->id, (uintmax_t)statement->sequence);
+  if (result == DIRECTORY_TOO_LONG || result == DIRECTORY_FULL)
+    metric_add (directory->server->counters.refused_announcements, 1);
   if (result != DIRECTORY_CHANGED)
     return result;
   log_info ("An upstream announced a change. upstream=%s service=%s "
--- a/control-internal.h
+++ b/control-internal.h
@@ -36,6 +36,7 @@
   metric_t *syncs;
   metric_t *log_bytes;
   metric_t *elections;
+  metric_t *refused_announcements;
   metric_t *snapshots;
   metric_t *snapshots_received;
   metric_t *malformed;
--- a/control-report.c
+++ b/control-report.c
@@ -156,6 +156,9 @@
   counters->log_bytes
       = metrics_counter (metrics, "lwm_control_log_bytes_total",
                          "Bytes appended to the log file.", NULL);
+  counters->refused_announcements = metrics_counter (
+      metrics, "lwm_control_refused_announcements_total",
+      "Announcements refused for their size, or for want of room.", NULL);
   counters->elections = metrics_counter (metrics, "lwm_control_elections_total",
                                          "Campaigns begun here.", NULL);
   counters->snapshots = metrics_counter (metrics, "lwm_control_snapshots_total",
--- a/directory.c
+++ b/directory.c
@@ -17,6 +17,7 @@
   GHashTable *by_key; /* key -> directory_entry_t, children of directory */
   GPtrArray *entries;
   uint64_t version;
+  size_t text_bytes; /* of all entries */
   pause_detector_t pauses;
 };
 
@@ -52,13 +53,46 @@
   return g_hash_table_lookup (directory->by_key, &key);
 }
 
+static size_t
+count_text_bytes (const directory_statement_t *statement)
+{
+  return strlen (statement->id) + strlen (statement->address)
+         + strlen (statement->zone) + strlen (statement->service);
+}
+
+static bool
+is_too_long (const directory_statement_t *statement)
+{
+  return strlen (statement->id) > DIRECTORY_MAX_TEXT_BYTES
+         || strlen (statement->address) > DIRECTORY_MAX_TEXT_BYTES
+         || strlen (statement->zone) > DIRECTORY_MAX_TEXT_BYTES
+         || strlen (statement->service) > DIRECTORY_MAX_TEXT_BYTES;
+}
+
+/** Returns whether the texts of a statement have room.
+ * @param entry the one whose texts it replaces, or NULL */
+static bool
+has_room (const directory_t *directory,
+          const directory_entry_t *entry,
+          const directory_statement_t *statement)
+{
+  size_t others
+      = directory->text_bytes - (entry != NULL ? entry->text_bytes : 0);
+
+  return others + count_text_bytes (statement) <= DIRECTORY_MAX_BYTES;
+}
+
 static void
-copy_statement (directory_entry_t *entry,
+copy_statement (directory_t *directory,
+                directory_entry_t *entry,
                 const directory_statement_t *statement)
 {
   directory_statement_t *said = &entry->said;
 
   talloc_free_children (entry);
+  directory->text_bytes -= entry->text_bytes;
+  entry->text_bytes = count_text_bytes (statement);
+  directory->text_bytes += entry->text_bytes;
   *said = *statement;
   said->id = talloc_strdup (entry, statement->id);
   said->address = talloc_strdup (entry, statement->address);
@@ -80,10 +114,11 @@
 {
   directory_entry_t *entry;
 
-  if (directory->entries->len >= MAX_ENTRIES)
+  if (directory->entries->len >= MAX_ENTRIES
+      || !has_room (directory, NULL, statement))
     return false;
   entry = talloc_zero (directory, directory_entry_t);
-  copy_statement (entry, statement);
+  copy_statement (directory, entry, statement);
   entry->key = incarnation_key (statement);
   entry->heard_ms = now_ms;
   g_hash_table_insert (directory->by_key, &entry->key, entry);
@@ -156,17 +191,21 @@
   directory_statement_t next = *statement;
   bool is_changed;
 
+  if (is_too_long (statement))
+    return DIRECTORY_TOO_LONG;
   if (entry == NULL)
     return add_entry (directory, statement, now_ms) ? DIRECTORY_CHANGED
-                                                    : DIRECTORY_STALE;
+                                                    : DIRECTORY_FULL;
   if (statement->state == DIRECTORY_GONE)
     return put_gone (directory, entry, statement->sequence, now_ms);
   if (statement->sequence < entry->said.sequence
       || is_contradiction (&entry->said, statement))
     return DIRECTORY_STALE;
+  if (!has_room (directory, entry, statement))
+    return DIRECTORY_FULL;
   next.state = next_state (entry->said.state, statement->state);
   is_changed = is_visible_change (&entry->said, &next);
-  copy_statement (entry, &next);
+  copy_statement (directory, entry, &next);
   entry->heard_ms = now_ms;
   if (!is_changed)
     return DIRECTORY_SAME;
@@ -211,7 +250,8 @@
 
   if (entry != NULL)
     put_gone (directory, entry, entry->said.sequence, now_ms);
-  else if (born_ms == 0 || !add_entry (directory, &tombstone, now_ms))
+  else if (born_ms == 0 || is_too_long (&tombstone)
+           || !add_entry (directory, &tombstone, now_ms))
     return false;
   return true;
 }
@@ -221,6 +261,7 @@
 {
   directory_entry_t *entry = g_ptr_array_index (directory->entries, index);
 
+  directory->text_bytes -= entry->text_bytes;
   g_hash_table_remove (directory->by_key, &entry->key);
   g_ptr_array_remove_index_fast (directory->entries, index);
   talloc_free (entry);
--- a/directory.h
+++ b/directory.h
@@ -53,7 +53,8 @@
   directory_statement_t said; /**< last accepted statement */
   uint64_t key;               /**< hash of id and start time: the incarnation */
   uint64_t heard_ms;          /**< time of the last accepted statement */
-  uint64_t version; /**< directory version of the last change of this entry */
+  uint64_t version;  /**< directory version of the last change of this entry */
+  size_t text_bytes; /**< of the texts in said */
 } directory_entry_t;
 
 /** The services that requests can be sent to. */
@@ -64,6 +65,11 @@
   void *context;
 } directory_services_t;
 
+/** Bounds of what is kept, whoever announces it: of each text, and of the texts
+ * of all entries. */
+#define DIRECTORY_MAX_TEXT_BYTES 1024u
+#define DIRECTORY_MAX_BYTES      (8u * 1024 * 1024)
+
 /** Interval at which directory_expire() must be called. */
 #define DIRECTORY_EXPIRE_EVERY_MS 200
 
@@ -72,10 +78,12 @@
 /** Effect of a statement. */
 typedef enum
 {
-  DIRECTORY_STALE,   /**< ignored: older than the entry or not of the same
-                          upstream, or directory full */
-  DIRECTORY_SAME,    /**< accepted, changes nothing but the time heard */
-  DIRECTORY_CHANGED, /**< accepted, watchers must be informed */
+  DIRECTORY_STALE,    /**< ignored: older than the entry or not of the same
+                           upstream */
+  DIRECTORY_SAME,     /**< accepted, changes nothing but the time heard */
+  DIRECTORY_CHANGED,  /**< accepted, watchers must be informed */
+  DIRECTORY_TOO_LONG, /**< ignored: a text exceeds its bound */
+  DIRECTORY_FULL,     /**< ignored: there is no room for another entry */
 } directory_result_t;
 
 /** Creates an empty directory, freed with @a parent (talloc). */
@@ -91,7 +99,7 @@
  * announced itself here gets a tombstone.
  * @param born_ms start time of its incarnation, or 0 for the last one known
  * @return false when nothing was recorded: @a born_ms is 0 and the upstream is
- * not known, or the directory is full
+ * not known, its id is too long, or the directory is full
  */
 bool directory_leave (directory_t *directory,
                       const char *id,
--- a/t/t8020-directory.c
+++ b/t/t8020-directory.c
@@ -300,6 +300,58 @@
   talloc_free (directory);
 }
 
+/** Returns an id that no other entry has, of the longest allowed size. */
+static char *
+make_long_id (uint32_t number)
+{
+  return g_strdup_printf ("%0*u", (int)DIRECTORY_MAX_TEXT_BYTES, number);
+}
+
+/** Guards against announcements of other writers that fill the memory of all
+ * instances: of long texts, and of many. */
+static void
+test_bounds (void)
+{
+  directory_t *directory = directory_new (NULL);
+  directory_statement_t said = make_statement ("u", 100, 1);
+  char *too_long = g_strnfill (DIRECTORY_MAX_TEXT_BYTES + 1, 'z');
+  const char **texts[] = { &said.id, &said.address, &said.zone, &said.service };
+  uint32_t count = 0;
+  directory_result_t result;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      const char *text = *texts[i];
+
+      *texts[i] = too_long;
+      g_assert_cmpint (directory_put (directory, &said, 1), ==,
+                       DIRECTORY_TOO_LONG);
+      *texts[i] = text;
+    }
+  g_assert_false (directory_leave (directory, too_long, 100, 1));
+  g_assert_cmpint (directory_put (directory, &said, 1), ==, DIRECTORY_CHANGED);
+  do
+    {
+      char *id = make_long_id (++count);
+      directory_statement_t stray = make_statement (id, 100, 1);
+
+      result = directory_put (directory, &stray, 1);
+      g_free (id);
+    }
+  while (result == DIRECTORY_CHANGED);
+  g_assert_cmpint (result, ==, DIRECTORY_FULL);
+  g_assert_cmpuint (count, <=, DIRECTORY_MAX_BYTES / DIRECTORY_MAX_TEXT_BYTES);
+  /* Who is known goes on, and there is room again once the others are silent.
+   */
+  said.sequence = 2;
+  g_assert_cmpint (directory_put (directory, &said, 2), ==, DIRECTORY_SAME);
+  directory_expire (directory, 500, 3600 * 1000);
+  g_assert_cmpint (directory_put (directory, &said, 3600 * 1000), ==,
+                   DIRECTORY_CHANGED);
+  g_free (too_long);
+  talloc_free (directory);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -315,5 +367,6 @@
   g_test_add_func ("/directory/tombstone", test_tombstone_overrides_sequence);
   g_test_add_func ("/directory/successors", test_successors);
   g_test_add_func ("/directory/contradiction", test_contradiction);
+  g_test_add_func ("/directory/bounds", test_bounds);
   return g_test_run ();
 }
