--- a/json-text.c
+++ b/json-text.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <stdlib.h>
 #include <yajl/yajl_parse.h>
 
