quarantine: count crashes at one moment from the first of them

A part that had proved sound and then crashed upstreams every 400 ms was never held back: each crash passed for one moment with the crash before it, though the moment began long ago. A moment lasts half a second from its first crash now, crashes are kept in the order of their times, and one that does not count makes room for the next.

--- a/quarantine-evidence.c
+++ b/quarantine-evidence.c
@@ -1,5 +1,7 @@
 #include "quarantine-internal.h"
 
+#include <string.h>
+
 /** Time for which a part stays blocked after its last crash. */
 #define PART_BLOCKED_MS (10u * 60 * 1000)
 /** The same for a request at first; it doubles with each renewal. */
@@ -144,6 +146,52 @@
         = MIN (2 * suspect->blocked_ms, QUARANTINE_MAX_BLOCKED_MS);
 }
 
+void
+quarantine_forget_crash (quarantine_suspect_t *suspect, uint32_t index)
+{
+  uint32_t behind = --suspect->crash_count - index;
+
+  memmove (&suspect->crashes[index], &suspect->crashes[index + 1],
+           behind * sizeof *suspect->crashes);
+  memmove (&suspect->crashed_ms[index], &suspect->crashed_ms[index + 1],
+           behind * sizeof *suspect->crashed_ms);
+}
+
+/** Makes room for a crash of a part that proved sound: of two crashes at one
+ * moment only the first counts. */
+static void
+forget_uncounted_crash (quarantine_suspect_t *suspect)
+{
+  uint64_t next_ms = 0;
+
+  for (uint32_t i = 0; i < suspect->crash_count; i++)
+    {
+      if (suspect->crashed_ms[i] < next_ms)
+        {
+          quarantine_forget_crash (suspect, i);
+          return;
+        }
+      next_ms = suspect->crashed_ms[i] + COMMON_CAUSE_MS;
+    }
+}
+
+/** Adds a crash behind those of an earlier time. */
+static void
+insert_crash (quarantine_suspect_t *suspect,
+              uint64_t upstream,
+              uint64_t crashed_ms)
+{
+  uint32_t at = suspect->crash_count++;
+
+  for (; at > 0 && suspect->crashed_ms[at - 1] > crashed_ms; at--)
+    {
+      suspect->crashes[at] = suspect->crashes[at - 1];
+      suspect->crashed_ms[at] = suspect->crashed_ms[at - 1];
+    }
+  suspect->crashes[at] = upstream;
+  suspect->crashed_ms[at] = crashed_ms;
+}
+
 bool
 quarantine_record (quarantine_suspect_t *suspect,
                    uint64_t upstream,
@@ -153,22 +201,14 @@
     return false;
   renew_block (suspect, crashed_ms);
   suspect->last_ms = MAX (suspect->last_ms, crashed_ms);
+  if (suspect->crash_count == QUARANTINE_MAX_CRASHES && suspect->was_proven)
+    forget_uncounted_crash (suspect);
   if (suspect->crash_count == QUARANTINE_MAX_CRASHES)
     return false;
-  suspect->crashes[suspect->crash_count] = upstream;
-  suspect->crashed_ms[suspect->crash_count++] = crashed_ms;
+  insert_crash (suspect, upstream, crashed_ms);
   return true;
 }
 
-void
-quarantine_forget_crash (quarantine_suspect_t *suspect, uint32_t index)
-{
-  uint32_t last = --suspect->crash_count;
-
-  suspect->crashes[index] = suspect->crashes[last];
-  suspect->crashed_ms[index] = suspect->crashed_ms[last];
-}
-
 void
 quarantine_disprove (quarantine_suspect_t *suspect,
                      uint64_t upstream,
@@ -185,22 +225,6 @@
       }
 }
 
-/** Returns whether no crash that is counted before @a index was at the same
- * moment. */
-static bool
-is_first_of_moment (const quarantine_suspect_t *suspect, uint32_t index)
-{
-  uint64_t crashed_ms = suspect->crashed_ms[index];
-
-  for (uint32_t i = 0; i < suspect->crash_count; i++)
-    if (i != index
-        && (suspect->crashed_ms[i] < crashed_ms
-            || (suspect->crashed_ms[i] == crashed_ms && i < index))
-        && suspect->crashed_ms[i] + COMMON_CAUSE_MS > crashed_ms)
-      return false;
-  return true;
-}
-
 void
 quarantine_keep_crash (quarantine_t *quarantine,
                        uint64_t upstream,
@@ -242,20 +266,37 @@
   return false;
 }
 
-/** Returns the number of crashes that count against a suspect. */
+/** Returns whether other crashes at the same moment count with the one at
+ * @a index as one. */
+static bool
+has_common_cause (const quarantine_t *quarantine,
+                  const quarantine_suspect_t *suspect,
+                  uint32_t index)
+{
+  return !suspect->is_request
+         && (suspect->was_proven
+             || has_crashes_without (quarantine, suspect, index));
+}
+
+/** Returns the number of crashes that count against a suspect. The crashes are
+ * in the order of their times. */
 static uint32_t
 count_evidence (const quarantine_t *quarantine,
                 const quarantine_suspect_t *suspect)
 {
+  uint64_t next_ms = 0;
   uint32_t count = 0;
 
-  if (suspect->is_request)
-    return suspect->crash_count;
   for (uint32_t i = 0; i < suspect->crash_count; i++)
-    if (is_first_of_moment (suspect, i)
-        || (!suspect->was_proven
-            && !has_crashes_without (quarantine, suspect, i)))
+    {
+      if (has_common_cause (quarantine, suspect, i))
+        {
+          if (suspect->crashed_ms[i] < next_ms)
+            continue;
+          next_ms = suspect->crashed_ms[i] + COMMON_CAUSE_MS;
+        }
       count++;
+    }
   return count;
 }
 
--- a/quarantine.h
+++ b/quarantine.h
@@ -49,8 +49,8 @@
 {
   uint64_t part; /**< or the request's signature */
   bool is_request;
-  uint64_t crashes[QUARANTINE_MAX_CRASHES]; /**< keys of incarnations */
-  uint64_t crashed_ms[QUARANTINE_MAX_CRASHES];
+  uint64_t crashes[QUARANTINE_MAX_CRASHES];    /**< keys of incarnations */
+  uint64_t crashed_ms[QUARANTINE_MAX_CRASHES]; /**< ascending */
   uint32_t crash_count;
   uint64_t last_ms;    /**< time of the last crash */
   bool was_proven;     /**< a prompt with it was answered in full within half
--- a/t/t8080-quarantine.c
+++ b/t/t8080-quarantine.c
@@ -17,6 +17,7 @@
 #define HOUR_MS     (60u * 60 * 1000)
 /** Between crashes that have no common cause. */
 #define CRASH_GAP_MS 600
+#define FAST_GAP_MS  400
 
 static quarantine_t *quarantine;
 static uint64_t now_ms;
@@ -167,6 +168,22 @@
   tear_down ();
 }
 
+/* Guards against: a part that proved sound and then crashes upstreams so fast
+ * that all crashes pass for one moment (BUDGET). */
+static void
+test_fast_crashes (void)
+{
+  set_up ();
+  answer (DEADLY_PART, 0, 100);
+  for (uint64_t upstream = 101; upstream < 113; upstream++)
+    {
+      now_ms += FAST_GAP_MS;
+      crash (DEADLY_PART, 0, upstream);
+    }
+  g_assert_cmpint (level (DEADLY_PART, 0), ==, QUARANTINE_BLOCKED);
+  tear_down ();
+}
+
 /* Guards against: a part on which upstreams crash after the first event of the
  * answer, which is taken for sound each time (BUDGET). */
 static void
@@ -370,6 +387,7 @@
                    test_part_that_becomes_deadly);
   g_test_add_func ("/quarantine/first-event-proves-nothing",
                    test_first_event_proves_nothing);
+  g_test_add_func ("/quarantine/fast-crashes", test_fast_crashes);
   g_test_add_func ("/quarantine/common-cause", test_common_cause);
   g_test_add_func ("/quarantine/proof-is-kept", test_proof_is_kept);
   g_test_add_func ("/quarantine/report-with-disproved-crashes",
