--- a/t/t8351-tunnel.c
+++ b/t/t8351-tunnel.c
@@ -13,6 +13,7 @@
 #include "lib-address.h"
 #include "lib-caller.h"
 #include "lib-early-answer.h"
+#include "lib-exchange.h"
 #include "lib-scripted.h"
 #include "lib-wait.h"
 #include "tunnel-server.h"
@@ -21,13 +22,6 @@
 /** More than the buffers of the connections take while nothing is read. */
 #define UPLOAD_BYTES (8u * 1024 * 1024)
 
-typedef enum
-{
-  RESULT_NONE,
-  RESULT_END,
-  RESULT_FAILED,
-} result_t;
-
 /** An instance that is cut off, its relay, and an upstream. */
 typedef struct
 {
@@ -40,9 +34,7 @@
   char known[32]; /* address of the only upstream that the relay knows */
   bool may_relay;
   uint32_t relay_connects;
-  result_t result;
-  exchange_failure_t failure;
-  GString *body;
+  exchange_result_t answer;
 } fixture_t;
 
 static bool
@@ -63,41 +55,6 @@
   ((fixture_t *)context)->relay_connects += is_connected;
 }
 
-static void
-on_head (exchange_t *exchange, void *context)
-{
-}
-
-static void
-on_body (exchange_t *exchange,
-         const uint8_t *data,
-         size_t size_bytes,
-         void *context)
-{
-  g_string_append_len (((fixture_t *)context)->body, (const char *)data,
-                       (gssize)size_bytes);
-}
-
-static void
-on_end (exchange_t *exchange, void *context)
-{
-  ((fixture_t *)context)->result = RESULT_END;
-}
-
-static void
-on_failed (exchange_t *exchange, exchange_failure_t how, void *context)
-{
-  fixture_t *fixture = context;
-
-  fixture->result = RESULT_FAILED;
-  fixture->failure = how;
-}
-
-static const exchange_callbacks_t callbacks = { .on_head = on_head,
-                                                .on_body = on_body,
-                                                .on_end = on_end,
-                                                .on_failed = on_failed };
-
 static fixture_t *
 set_up (void)
 {
@@ -114,7 +71,7 @@
 
   fixture->base = pool.base = relay.base = event_base_new ();
   fixture->may_relay = true;
-  fixture->body = g_string_new (NULL);
+  fixture->answer.body = g_string_new (NULL);
   choose_free_address (fixture->relay_address);
   fixture->relay = tunnel_server_new (NULL, &relay);
   g_assert_nonnull (fixture->relay);
@@ -152,7 +109,7 @@
     g_assert_cmpuint (tunnel_server_open (fixture->relay), ==, 0);
   talloc_free (fixture->relay);
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
-  g_string_free (fixture->body, TRUE);
+  g_string_free (fixture->answer.body, TRUE);
   event_base_free (fixture->base);
   g_free (fixture);
 }
@@ -171,13 +128,13 @@
                                  .body = body,
                                  .body_bytes = body_bytes,
                                  .always_send_length = true,
-                                 .callbacks = &callbacks,
-                                 .context = fixture };
+                                 .callbacks = &exchange_result_callbacks,
+                                 .context = &fixture->answer };
   uint64_t end_ms = clock_mono_ms () + WAIT_MS;
 
-  fixture->result = RESULT_NONE;
+  exchange_result_reset (&fixture->answer);
   exchange_send (fixture->pool, &options);
-  while (fixture->result == RESULT_NONE && clock_mono_ms () < end_ms)
+  while (fixture->answer.result == RESULT_NONE && clock_mono_ms () < end_ms)
     run (fixture, 1);
   g_free (body);
 }
@@ -197,9 +154,9 @@
 
   fixture->upstream.act = ACT_ANSWER;
   call (fixture);
-  g_assert_cmpint (fixture->result, ==, RESULT_END);
+  g_assert_cmpint (fixture->answer.result, ==, RESULT_END);
   call (fixture);
-  g_assert_cmpint (fixture->result, ==, RESULT_END);
+  g_assert_cmpint (fixture->answer.result, ==, RESULT_END);
   g_assert_cmpuint (fixture->upstream.requests, ==, 2);
   g_assert_cmpuint (fixture->upstream.connections, ==, 1);
   g_assert_cmpuint (fixture->relay_connects, ==, 1);
@@ -211,8 +168,8 @@
 expect_not_sent (fixture_t *fixture, const char *address, bool uses_relay)
 {
   call_with (fixture, address, 5);
-  g_assert_cmpint (fixture->result, ==, RESULT_FAILED);
-  g_assert_cmpint (fixture->failure, ==, EXCHANGE_NOT_SENT);
+  g_assert_cmpint (fixture->answer.result, ==, RESULT_FAILED);
+  g_assert_cmpint (fixture->answer.failure, ==, EXCHANGE_NOT_SENT);
   g_assert_cmpuint (fixture->upstream.requests, ==, 0);
   g_assert_true (
       (upstream_path_relay (fixture->path, 9, clock_mono_ms ()) != NULL)
@@ -264,7 +221,7 @@
       upstream_path_add_relay (fixture->path, nobody, true);
       fixture->upstream.act = ACT_ANSWER;
       call (fixture);
-      g_assert_cmpint (fixture->result, ==, RESULT_END);
+      g_assert_cmpint (fixture->answer.result, ==, RESULT_END);
       exchange_pool_close_all_idle (fixture->pool);
     }
   tear_down (fixture);
@@ -282,11 +239,11 @@
   early_answer_start (&upstream, fixture->base);
   g_strlcpy (fixture->known, upstream.address, sizeof fixture->known);
   call_with (fixture, upstream.address, body_bytes);
-  g_assert_cmpint (fixture->result, ==, expected);
+  g_assert_cmpint (fixture->answer.result, ==, expected);
   if (expected == RESULT_END)
-    g_assert_cmpstr (fixture->body->str, ==, "part");
+    g_assert_cmpstr (fixture->answer.body->str, ==, "part");
   else
-    g_assert_cmpint (fixture->failure, ==, EXCHANGE_BROKEN);
+    g_assert_cmpint (fixture->answer.failure, ==, EXCHANGE_BROKEN);
   early_answer_stop (&upstream);
   tear_down (fixture);
 }
@@ -320,8 +277,8 @@
                                  .method = "GET",
                                  .target = "/a",
                                  .fields = &fields,
-                                 .callbacks = &callbacks,
-                                 .context = fixture };
+                                 .callbacks = &exchange_result_callbacks,
+                                 .context = &fixture->answer };
   exchange_t *exchange;
 
   fixture->upstream.act = ACT_NO_ANSWER;
@@ -351,7 +308,7 @@
   upstream_path_add_relay (fixture->path, relay.address, true);
   call (fixture);
   g_assert_cmpuint (relay.requests, ==, 1);
-  g_assert_cmpint (fixture->result, ==, expected);
+  g_assert_cmpint (fixture->answer.result, ==, expected);
   early_answer_stop (&relay);
   tear_down (fixture);
   g_free (text);
--- a/t/t8352-relay-process.c
+++ b/t/t8352-relay-process.c
@@ -9,8 +9,8 @@
 #include <talloc.h>
 
 #include "base.h"
-#include "exchange.h"
 #include "lib-early-answer.h"
+#include "lib-exchange.h"
 #include "lib-nodes.h"
 #include "lib-wait.h"
 
@@ -26,13 +26,6 @@
 #define RETRY_MS      100
 #define BODY_BYTES    (300u * 1024)
 
-typedef enum
-{
-  RESULT_NONE,
-  RESULT_END,
-  RESULT_FAILED,
-} result_t;
-
 /** A relay, an upstream, and what asks for its answers. */
 typedef struct
 {
@@ -41,46 +34,9 @@
   early_answer_t upstream;
   upstream_path_t *path;
   exchange_pool_t *pool;
-  GString *body;
-  result_t result;
-  bool was_closed; /* the upstream closed the connection, as far as known */
+  exchange_result_t answer;
 } fixture_t;
 
-static void
-on_head (exchange_t *exchange, void *context)
-{
-}
-
-static void
-on_body (exchange_t *exchange,
-         const uint8_t *data,
-         size_t size_bytes,
-         void *context)
-{
-  g_string_append_len (((fixture_t *)context)->body, (const char *)data,
-                       (gssize)size_bytes);
-}
-
-static void
-on_end (exchange_t *exchange, void *context)
-{
-  ((fixture_t *)context)->result = RESULT_END;
-}
-
-static void
-on_failed (exchange_t *exchange, exchange_failure_t how, void *context)
-{
-  fixture_t *fixture = context;
-
-  fixture->result = RESULT_FAILED;
-  fixture->was_closed = exchange_was_closed (exchange);
-}
-
-static const exchange_callbacks_t callbacks = { .on_head = on_head,
-                                                .on_body = on_body,
-                                                .on_end = on_end,
-                                                .on_failed = on_failed };
-
 static void
 set_up_path (fixture_t *fixture)
 {
@@ -107,7 +63,7 @@
       = { .id = "i-1", .service = SERVICE, .slots = 4, .sequence = 1 };
 
   fixture->base = event_base_new ();
-  fixture->body = g_string_new (NULL);
+  fixture->answer.body = g_string_new (NULL);
   fixture->nodes = nodes_new_with (&options);
   fixture->upstream = *model;
   early_answer_start (&fixture->upstream, fixture->base);
@@ -125,7 +81,7 @@
   early_answer_stop (&fixture->upstream);
   nodes_free (fixture->nodes);
   event_base_free (fixture->base);
-  g_string_free (fixture->body, TRUE);
+  g_string_free (fixture->answer.body, TRUE);
   g_free (fixture);
 }
 
@@ -140,13 +96,12 @@
                                  .method = "GET",
                                  .target = "/a",
                                  .fields = &fields,
-                                 .callbacks = &callbacks,
-                                 .context = fixture };
+                                 .callbacks = &exchange_result_callbacks,
+                                 .context = &fixture->answer };
 
-  fixture->result = RESULT_NONE;
-  g_string_truncate (fixture->body, 0);
+  exchange_result_reset (&fixture->answer);
   exchange_send (fixture->pool, &options);
-  WAIT (fixture->body->len > 0 || fixture->result != RESULT_NONE);
+  WAIT (fixture->answer.body->len > 0 || fixture->answer.result != RESULT_NONE);
 }
 
 /** Waits for the begin of an answer that comes through the relay. One that does
@@ -183,10 +138,10 @@
   if (signal_number == SIGTERM)
     g_usleep (PAUSE_MS * 1000);
   process_signal (fixture->nodes->process[NODES_ENTRY], signal_number);
-  WAIT (fixture->result != RESULT_NONE);
-  g_assert_cmpint (fixture->result, ==, RESULT_FAILED);
-  g_assert_false (fixture->was_closed);
-  g_assert_cmpstr (fixture->body->str, ==, PART);
+  WAIT (fixture->answer.result != RESULT_NONE);
+  g_assert_cmpint (fixture->answer.result, ==, RESULT_FAILED);
+  g_assert_false (fixture->answer.was_closed);
+  g_assert_cmpstr (fixture->answer.body->str, ==, PART);
   tear_down (fixture);
 }
 
@@ -216,12 +171,13 @@
   struct event_base *base = fixture->base;
 
   begin_answer (fixture);
-  WAIT (fixture->result != RESULT_NONE);
-  g_assert_cmpint (fixture->result, ==, is_whole ? RESULT_END : RESULT_FAILED);
+  WAIT (fixture->answer.result != RESULT_NONE);
+  g_assert_cmpint (fixture->answer.result, ==,
+                   is_whole ? RESULT_END : RESULT_FAILED);
   if (is_whole)
-    g_assert_cmpstr (fixture->body->str, ==, filler);
+    g_assert_cmpstr (fixture->answer.body->str, ==, filler);
   else
-    g_assert_true (fixture->was_closed);
+    g_assert_true (fixture->answer.was_closed);
   tear_down (fixture);
   g_free (text);
   g_free (filler);
