exchange, quarantine: give kept connections and proofs their own files

The connections that are kept between exchanges are in exchange-pool.c now, the request for a tunnel and its answer in tunnel-client.c, and what complete answers prove and withdraw in quarantine-proofs.c. No behaviour was changed; t8080, t8085, t8089, t8351 and t8352 pass as before (14, 15, 6, 10 and 4 cases).

--- a/exchange.c
+++ b/exchange.c
@@ -1,4 +1,4 @@
-#include "exchange.h"
+#include "exchange-internal.h"
 
 #include <errno.h>
 #include <event2/buffer.h>
@@ -8,28 +8,18 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
 #include "base.h"
 #include "socket-watch.h"
-#include "tunnel-frames.h"
+#include "tunnel-client.h"
 #define LOG_PART "exchange"
 #include "logging.h"
 
 #define MAX_HEAD_BYTES (64u * 1024)
-/** Limit on the idle connections to one upstream. */
-#define MAX_IDLE_CONNECTIONS 8
-/** An idle connection is no longer used this long before its peer closes it. */
-#define IDLE_MARGIN_MS 500
 /** Ways to an upstream that are tried for one request. */
 #define MAX_WAYS 4
-/** Limit on the answer of a relay to CONNECT. */
-#define MAX_RELAY_HEAD_BYTES 512
-#define RELAY_HEAD_END       "\r\n\r\n"
-#define RELAY_CONNECTED      "HTTP/1.1 200 "
-#define RELAY_NOT_CONNECTED  "HTTP/1.1 502 "
 /** Longest pause in writing a request whose answer has ended already. */
 #define LATE_WRITE_TIMEOUT_MS 1000
 
@@ -37,53 +27,13 @@
 static const socket_watch_t upstream_watch
     = { .user_timeout_ms = 1500, .idle_s = 1, .interval_s = 1, .probes = 2 };
 
-typedef struct connection connection_t;
-
-struct exchange
-{
-  connection_t *connection;
-  exchange_callbacks_t callbacks;
-  void *context;
-  bool closes; /* the connection is not kept after the answer */
-};
-
-struct connection
-{
-  exchange_pool_t *pool;
-  uint64_t owner;
-  char *address;
-  const char *relay; /* which connects to the upstream, or NULL */
-  bool is_framed;    /* the relay sends frames */
-  tunnel_frames_t frames;
-  struct evbuffer *framed; /* bytes of frames that are being parsed */
-  uint32_t ways;           /* that were tried */
-  struct bufferevent *stream;
-  struct evbuffer *unsent; /* the request, until the connection is there */
-  http_reader_t *reader;
-  exchange_t *exchange; /* NULL while idle */
-  bool is_connected;    /* to the upstream */
-  bool is_parsing;      /* reader callbacks may be running */
-  bool has_peer_closed; /* or reset the connection */
-  bool awaits_written;  /* the answer has ended, the request is being written */
-  uint64_t idle_until_ms;
-};
-
-struct exchange_pool
-{
-  exchange_pool_options_t options;
-  GPtrArray *idle; /* idle connection_t, oldest first */
-  struct event *sweep;
-};
-
-#define SWEEP_INTERVAL_MS 250
-
 static int
 free_connection (connection_t *connection)
 {
   g_ptr_array_remove (connection->pool->idle, connection);
   bufferevent_free (connection->stream);
   evbuffer_free (connection->unsent);
-  evbuffer_free (connection->framed);
+  evbuffer_free (connection->frame_bytes);
   return 0;
 }
 
@@ -128,44 +78,6 @@
     exchange->callbacks.on_body (exchange, data, size_bytes, exchange->context);
 }
 
-/** Returns how long the peer keeps an idle connection: the timeout in its last
- * answer's Keep-Alive field, or the pool's default. */
-static uint32_t
-keep_alive_ms (const connection_t *connection)
-{
-  const char *value = http_fields_find (http_reader_fields (connection->reader),
-                                        "Keep-Alive");
-  const char *timeout = value != NULL ? strstr (value, "timeout=") : NULL;
-  uint32_t seconds;
-
-  if (timeout == NULL)
-    return connection->pool->options.idle_timeout_ms;
-  seconds = (uint32_t)strtoul (timeout + strlen ("timeout="), NULL, 10);
-  return MIN (seconds, 3600) * 1000;
-}
-
-/** Closes the oldest idle connection to @a owner if there are as many as
- * allowed: the newest one can be used for longest. */
-static void
-make_room_for_idle (exchange_pool_t *pool, uint64_t owner)
-{
-  connection_t *oldest = NULL;
-  uint32_t count = 0;
-
-  for (guint i = 0; i < pool->idle->len; i++)
-    {
-      connection_t *connection = g_ptr_array_index (pool->idle, i);
-
-      if (connection->owner != owner)
-        continue;
-      if (oldest == NULL)
-        oldest = connection;
-      count++;
-    }
-  if (count >= MAX_IDLE_CONNECTIONS)
-    talloc_free (oldest);
-}
-
 static bool
 can_reuse_connection (const connection_t *connection)
 {
@@ -174,9 +86,9 @@
   return !connection->has_peer_closed && !connection->exchange->closes
          && http_reader_keeps_alive (connection->reader)
          && evbuffer_get_length (bufferevent_get_input (stream)) == 0
-         && evbuffer_get_length (connection->framed) == 0
+         && evbuffer_get_length (connection->frame_bytes) == 0
          && evbuffer_get_length (bufferevent_get_output (stream)) == 0
-         && keep_alive_ms (connection) > IDLE_MARGIN_MS;
+         && exchange_pool_can_keep (connection);
 }
 
 static void
@@ -193,11 +105,8 @@
       talloc_free (connection);
       return;
     }
-  connection->idle_until_ms
-      = clock_mono_ms () + keep_alive_ms (connection) - IDLE_MARGIN_MS;
+  exchange_pool_keep (connection);
   http_reader_reset (connection->reader);
-  make_room_for_idle (connection->pool, connection->owner);
-  g_ptr_array_add (connection->pool->idle, connection);
 }
 
 /** Writes the request once the connection to the upstream is there. */
@@ -258,39 +167,29 @@
   on_not_connected (connection, true);
 }
 
-/** Reads the answer of a relay to CONNECT. Returns whether the connection to
- * the upstream is there; else @a connection may be freed. */
+/** Reads the answer of a relay to the request for a tunnel. Returns whether the
+ * connection to the upstream is there; else @a connection may be freed. */
 static bool
 read_relay_answer (connection_t *connection)
 {
   struct evbuffer *in = bufferevent_get_input (connection->stream);
-  struct evbuffer_ptr end
-      = evbuffer_search (in, RELAY_HEAD_END, strlen (RELAY_HEAD_END), NULL);
-  struct evbuffer_ptr begin
-      = evbuffer_search (in, RELAY_CONNECTED, strlen (RELAY_CONNECTED), NULL);
-  bool is_refused = evbuffer_search (in, RELAY_NOT_CONNECTED,
-                                     strlen (RELAY_NOT_CONNECTED), NULL)
-                        .pos
-                    == 0;
-
-  if (end.pos < 0 && evbuffer_get_length (in) <= MAX_RELAY_HEAD_BYTES)
-    return false;
-  if (end.pos < 0 || begin.pos != 0)
+  tunnel_answer_t answer = tunnel_client_read (in, &connection->is_framed);
+
+  switch (answer)
     {
-      if (is_refused)
-        on_not_connected (connection, false);
-      else
-        on_relay_failed (connection);
-      return false;
+    case TUNNEL_ANSWER_MORE:
+      break;
+    case TUNNEL_ANSWER_OPEN:
+      on_connected (connection);
+      break;
+    case TUNNEL_ANSWER_NOT_CONNECTED:
+      on_not_connected (connection, false);
+      break;
+    case TUNNEL_ANSWER_UNUSABLE:
+      on_relay_failed (connection);
+      break;
     }
-  connection->is_framed
-      = evbuffer_search_range (in, TUNNEL_FRAMES_FIELD,
-                               strlen (TUNNEL_FRAMES_FIELD), NULL, &end)
-            .pos
-        > 0;
-  evbuffer_drain (in, (size_t)end.pos + strlen (RELAY_HEAD_END));
-  on_connected (connection);
-  return true;
+  return answer == TUNNEL_ANSWER_OPEN;
 }
 
 /** Parses bytes of the answer. Returns whether it goes on; else @a connection
@@ -334,10 +233,10 @@
 {
   struct evbuffer *in = bufferevent_get_input (connection->stream);
   tunnel_frames_state_t state
-      = tunnel_frames_read (&connection->frames, in, connection->framed);
+      = tunnel_frames_read (&connection->frames, in, connection->frame_bytes);
 
   connection->has_peer_closed = state != TUNNEL_FRAMES_MORE;
-  if (!read_answer (connection, connection->framed))
+  if (!read_answer (connection, connection->frame_bytes))
     return;
   if (state == TUNNEL_FRAMES_END && !connection->awaits_written)
     on_closed (connection);
@@ -521,11 +420,8 @@
   bufferevent_set_timeouts (connection->stream, &timeout, &timeout);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
   if (connection->relay != NULL)
-    evbuffer_add_printf (
-        bufferevent_get_output (connection->stream),
-        "CONNECT %s HTTP/1.1\r\nHost: %s\r\n" TUNNEL_FRAMES_FIELD
-            RELAY_HEAD_END,
-        connection->address, connection->address);
+    tunnel_client_ask (bufferevent_get_output (connection->stream),
+                       connection->address);
   if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&peer,
                                   &peer_bytes)
           != 0
@@ -558,98 +454,13 @@
   connection->owner = owner;
   connection->address = talloc_strdup (connection, address);
   connection->unsent = evbuffer_new ();
-  connection->framed = evbuffer_new ();
+  connection->frame_bytes = evbuffer_new ();
   connection->reader = http_reader_new (connection, &reader_options);
   open_stream (connection);
   talloc_set_destructor (connection, free_connection);
   return connection;
 }
 
-/** Returns whether the upstream has sent bytes while the connection was idle,
- * also such as the event loop has not read yet. */
-static bool
-has_received_bytes (const connection_t *connection)
-{
-  struct bufferevent *stream = connection->stream;
-  int waiting_bytes = 0;
-
-  return evbuffer_get_length (bufferevent_get_input (stream)) > 0
-         || (ioctl (bufferevent_getfd (stream), FIONREAD, &waiting_bytes) == 0
-             && waiting_bytes > 0);
-}
-
-/** Removes and returns the most recently used idle connection to @a owner, or
- * NULL if there is none. */
-static connection_t *
-take_idle_connection (exchange_pool_t *pool, uint64_t owner)
-{
-  uint64_t now_ms = clock_mono_ms ();
-
-  for (guint i = pool->idle->len; i-- > 0;)
-    {
-      connection_t *connection = g_ptr_array_index (pool->idle, i);
-
-      if (connection->owner != owner || connection->idle_until_ms <= now_ms
-          || has_received_bytes (connection))
-        continue;
-      g_ptr_array_remove_index (pool->idle, i);
-      return connection;
-    }
-  return NULL;
-}
-
-/** Closes the idle connections to @a owner and those that have expired. */
-static void
-close_idle_connections (exchange_pool_t *pool, uint64_t owner, uint64_t now_ms)
-{
-  for (guint i = pool->idle->len; i-- > 0;)
-    {
-      connection_t *connection = g_ptr_array_index (pool->idle, i);
-
-      if (connection->owner == owner || connection->idle_until_ms <= now_ms)
-        talloc_free (connection);
-    }
-}
-
-void
-exchange_pool_close_idle (exchange_pool_t *pool, uint64_t owner)
-{
-  close_idle_connections (pool, owner, 0);
-}
-
-void
-exchange_pool_close_all_idle (exchange_pool_t *pool)
-{
-  close_idle_connections (pool, 0, UINT64_MAX);
-}
-
-static void
-on_sweep (evutil_socket_t fd, short what, void *context)
-{
-  close_idle_connections (context, 0, clock_mono_ms ());
-}
-
-static int
-free_pool (exchange_pool_t *pool)
-{
-  event_free (pool->sweep);
-  return 0;
-}
-
-exchange_pool_t *
-exchange_pool_new (void *parent, const exchange_pool_options_t *options)
-{
-  exchange_pool_t *pool = talloc_zero (parent, exchange_pool_t);
-  struct timeval interval = { .tv_usec = SWEEP_INTERVAL_MS * 1000 };
-
-  pool->options = *options;
-  pool->idle = g_ptr_array_new ();
-  pool->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, pool);
-  event_add (pool->sweep, &interval);
-  talloc_set_destructor (pool, free_pool);
-  return pool;
-}
-
 static void
 write_request (connection_t *connection, const exchange_options_t *options)
 {
@@ -681,7 +492,7 @@
 {
   connection_t *connection = options->use_new_connection
                                  ? NULL
-                                 : take_idle_connection (pool, options->owner);
+                                 : exchange_pool_take (pool, options->owner);
   exchange_t *exchange;
 
   if (connection == NULL)
--- a/quarantine-internal.h
+++ b/quarantine-internal.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 
+#include "quarantine-proofs.h"
 #include "quarantine.h"
 
 /** Crashes without a complete answer in between after which a part or a request
@@ -37,12 +38,9 @@
 {
   GPtrArray *suspects[SUSPECT_KIND_COUNT]; /* quarantine_suspect_t */
   GHashTable *index[SUSPECT_KIND_COUNT];   /* part -> quarantine_suspect_t */
-  GArray *crashed;          /* quarantine_crash_t, the latest ones */
-  GHashTable *proven;       /* part -> proven_t */
-  GQueue proven_order;      /* proven_t, the one answered first at the head */
-  GArray *cleared;          /* proven_t of parts that were suspects */
-  GArray *cleared_requests; /* proven_t of requests that were suspects */
-  uint64_t now_ms;          /* latest time that a caller has stated */
+  GArray *crashed; /* quarantine_crash_t, the latest ones */
+  quarantine_proofs_t *proofs;
+  uint64_t now_ms; /* latest time that a caller has stated */
   metric_t *crashes;
   metric_t *blocked;
   metric_t *blocked_requests;
--- a/quarantine.c
+++ b/quarantine.c
@@ -7,30 +7,13 @@
 #define LOG_PART "quarantine"
 #include "logging.h"
 
-/** Time for which a complete answer speaks for the parts of its prompt. */
-#define PROVEN_MS (30u * 60 * 1000)
 /** Time after the last crash for which evidence against a part is kept. */
 #define SUSPECT_MS (2u * 60 * 1000)
 /** The same for a request. A caller that sends it seldom must not get three
  * crashes again, nor the shortest time of a block. */
 #define REQUEST_KEPT_MS (30u * 60 * 1000)
-/** Time for which other instances are told that a part was cleared. */
-#define CLEARED_MS 5000
-#define MAX_PROVEN 8192
 /** Parts of a prompt whose first crash is logged. */
 #define MAX_LOGGED_PARTS 8
-#define MAX_CLEARED      256
-/** Requests of which it is kept that they were answered after a crash. */
-#define MAX_CLEARED_REQUESTS 256
-
-/** A part or a request of a complete answer. */
-typedef struct
-{
-  uint64_t part;
-  uint64_t answered_ms;
-  bool is_told; /* other instances may hold evidence of several crashes */
-  GList link;   /* of a proven part, in the order of its last answer */
-} proven_t;
 
 static int
 free_quarantine (quarantine_t *quarantine)
@@ -40,10 +23,7 @@
       g_hash_table_destroy (quarantine->index[kind]);
       g_ptr_array_free (quarantine->suspects[kind], TRUE);
     }
-  g_hash_table_destroy (quarantine->proven);
   g_array_free (quarantine->crashed, TRUE);
-  g_array_free (quarantine->cleared, TRUE);
-  g_array_free (quarantine->cleared_requests, TRUE);
   return 0;
 }
 
@@ -73,12 +53,8 @@
       quarantine->suspects[kind] = g_ptr_array_new_with_free_func (g_free);
       quarantine->index[kind] = g_hash_table_new (g_int64_hash, g_int64_equal);
     }
-  quarantine->proven
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  g_queue_init (&quarantine->proven_order);
   quarantine->crashed = g_array_new (FALSE, FALSE, sizeof (quarantine_crash_t));
-  quarantine->cleared = g_array_new (FALSE, FALSE, sizeof (proven_t));
-  quarantine->cleared_requests = g_array_new (FALSE, FALSE, sizeof (proven_t));
+  quarantine->proofs = quarantine_proofs_new (quarantine);
   talloc_set_destructor (quarantine, free_quarantine);
   if (metrics == NULL)
     return quarantine;
@@ -117,42 +93,6 @@
   quarantine->now_ms = MAX (quarantine->now_ms, now_ms);
 }
 
-/** Returns whether a prompt with the part was answered in full lately. */
-static bool
-is_proven (const quarantine_t *quarantine, uint64_t part, uint64_t now_ms)
-{
-  const proven_t *proven = g_hash_table_lookup (quarantine->proven, &part);
-
-  return proven != NULL && proven->answered_ms + PROVEN_MS > now_ms;
-}
-
-static void
-add_proven (quarantine_t *quarantine, uint64_t part, uint64_t answered_ms)
-{
-  proven_t *proven = g_hash_table_lookup (quarantine->proven, &part);
-
-  if (proven != NULL)
-    {
-      proven->answered_ms = MAX (proven->answered_ms, answered_ms);
-      g_queue_unlink (&quarantine->proven_order, &proven->link);
-      g_queue_push_tail_link (&quarantine->proven_order, &proven->link);
-      return;
-    }
-  if (g_hash_table_size (quarantine->proven) >= MAX_PROVEN)
-    {
-      const proven_t *oldest
-          = g_queue_pop_head_link (&quarantine->proven_order)->data;
-
-      g_hash_table_remove (quarantine->proven, &oldest->part);
-    }
-  proven = g_new0 (proven_t, 1);
-  proven->part = part;
-  proven->answered_ms = answered_ms;
-  proven->link.data = proven;
-  g_hash_table_insert (quarantine->proven, &proven->part, proven);
-  g_queue_push_tail_link (&quarantine->proven_order, &proven->link);
-}
-
 quarantine_level_t
 quarantine_level (const quarantine_t *quarantine, const prompt_parts_t *parts)
 {
@@ -249,7 +189,8 @@
   quarantine_suspect_t *suspect = quarantine_find_or_add (quarantine, kind, id);
 
   if (suspect->crash_count == 0 && kind == SUSPECT_PART)
-    suspect->was_proven = is_proven (quarantine, id, now_ms);
+    suspect->was_proven
+        = quarantine_proofs_has_part (quarantine->proofs, id, now_ms);
   return suspect;
 }
 
@@ -302,66 +243,21 @@
   quarantine_keep_crash (quarantine, upstream, now_ms);
 }
 
-static void
-add_cleared (GArray *cleared, guint max_count, const proven_t *added)
-{
-  if (cleared->len >= max_count)
-    g_array_remove_index (cleared, 0);
-  g_array_append_vals (cleared, added, 1);
-}
-
 /** Withdraws the evidence against a part, after a complete answer. */
 static void
 clear_part (quarantine_t *quarantine, uint64_t part, uint64_t answered_ms)
 {
   quarantine_suspect_t *suspect
       = quarantine_find (quarantine, SUSPECT_PART, part);
-  proven_t cleared
-      = { .part = part, .answered_ms = answered_ms, .is_told = true };
 
-  add_proven (quarantine, part, answered_ms);
+  quarantine_proofs_add_part (quarantine->proofs, part, answered_ms);
   if (suspect == NULL || suspect->last_ms > answered_ms)
     return;
   count (quarantine->cleared_total);
   log_info ("A suspect part was answered. part=%016" PRIx64 " crashes=%u", part,
             suspect->crash_count);
   quarantine_remove (quarantine, suspect);
-  add_cleared (quarantine->cleared, MAX_CLEARED, &cleared);
-}
-
-/** Returns the latest answer to a request that crashed upstreams before, or
- * NULL. */
-static proven_t *
-find_cleared_request (const quarantine_t *quarantine, uint64_t request)
-{
-  const GArray *cleared = quarantine->cleared_requests;
-
-  for (guint i = cleared->len; i-- > 0;)
-    if (g_array_index (cleared, proven_t, i).part == request)
-      return &g_array_index (cleared, proven_t, i);
-  return NULL;
-}
-
-/** Keeps that a request was answered, so that earlier evidence in a late report
- * is not taken over. */
-static void
-add_cleared_request (quarantine_t *quarantine,
-                     uint64_t request,
-                     uint64_t answered_ms,
-                     bool is_told)
-{
-  proven_t *known = find_cleared_request (quarantine, request);
-  proven_t cleared
-      = { .part = request, .answered_ms = answered_ms, .is_told = is_told };
-
-  if (known == NULL)
-    {
-      add_cleared (quarantine->cleared_requests, MAX_CLEARED_REQUESTS,
-                   &cleared);
-      return;
-    }
-  known->is_told = known->is_told || is_told;
-  known->answered_ms = MAX (known->answered_ms, answered_ms);
+  quarantine_proofs_clear_part (quarantine->proofs, part, answered_ms);
 }
 
 /** Withdraws the evidence against a request that was answered in full. */
@@ -376,8 +272,8 @@
   log_info ("A suspect request was answered. request=%016" PRIx64 " crashes=%u",
             request, suspect->crash_count);
   /* Only evidence of several crashes is told to others. */
-  add_cleared_request (quarantine, request, answered_ms,
-                       suspect->crash_count >= SUSPECT_CRASHES);
+  quarantine_proofs_clear_request (quarantine->proofs, request, answered_ms,
+                                   suspect->crash_count >= SUSPECT_CRASHES);
   quarantine_remove (quarantine, suspect);
 }
 
@@ -424,17 +320,16 @@
 static void
 drop_disproved (const quarantine_t *quarantine, quarantine_suspect_t *reported)
 {
-  const proven_t *proven
+  const quarantine_proofs_t *proofs = quarantine->proofs;
+  uint64_t answered_ms
       = reported->is_request
-            ? find_cleared_request (quarantine, reported->part)
-            : g_hash_table_lookup (quarantine->proven, &reported->part);
+            ? quarantine_proofs_request_ms (proofs, reported->part)
+            : quarantine_proofs_part_ms (proofs, reported->part);
 
-  if (proven == NULL)
-    return;
-  if (proven->answered_ms >= reported->last_ms)
+  if (answered_ms >= reported->last_ms)
     reported->crash_count = 0;
   for (uint32_t i = reported->crash_count; i-- > 0;)
-    if (proven->answered_ms >= reported->crashed_ms[i])
+    if (answered_ms >= reported->crashed_ms[i])
       quarantine_forget_crash (reported, i);
 }
 
@@ -476,7 +371,7 @@
   if (quarantine_find (quarantine, SUSPECT_PART, part) != NULL)
     clear_part (quarantine, part, answered_ms);
   else
-    add_proven (quarantine, part, answered_ms);
+    quarantine_proofs_add_part (quarantine->proofs, part, answered_ms);
 }
 
 void
@@ -485,7 +380,8 @@
                           uint64_t answered_ms)
 {
   clear_request (quarantine, request, answered_ms);
-  add_cleared_request (quarantine, request, answered_ms, true);
+  quarantine_proofs_clear_request (quarantine->proofs, request, answered_ms,
+                                   true);
 }
 
 /** Sorts the suspect with the most evidence first. */
@@ -516,7 +412,7 @@
         g_ptr_array_add (told, suspect);
     }
   g_ptr_array_sort (told, compare_evidence);
-  for (guint i = 0; i < MIN (told->len, QUARANTINE_MAX_TOLD); i++)
+  for (guint i = 0; i < MIN (told->len, QUARANTINE_MAX_LISTED); i++)
     each (g_ptr_array_index (told, i), context);
   g_ptr_array_free (told, TRUE);
 }
@@ -540,21 +436,6 @@
   each_sorted (quarantine->suspects[SUSPECT_PART], 1, each, context);
 }
 
-static void
-each_cleared (const GArray *cleared,
-              uint64_t now_ms,
-              void (*each) (uint64_t part, uint64_t answered_ms, void *context),
-              void *context)
-{
-  for (guint i = cleared->len; i-- > 0;)
-    {
-      const proven_t *one = &g_array_index (cleared, proven_t, i);
-
-      if (one->is_told && one->answered_ms + CLEARED_MS > now_ms)
-        each (one->part, one->answered_ms, context);
-    }
-}
-
 void
 quarantine_each_cleared (const quarantine_t *quarantine,
                          uint64_t now_ms,
@@ -563,7 +444,7 @@
                                        void *context),
                          void *context)
 {
-  each_cleared (quarantine->cleared, now_ms, each, context);
+  quarantine_proofs_each_part (quarantine->proofs, now_ms, each, context);
 }
 
 void
@@ -574,7 +455,7 @@
                                                void *context),
                                  void *context)
 {
-  each_cleared (quarantine->cleared_requests, now_ms, each, context);
+  quarantine_proofs_each_request (quarantine->proofs, now_ms, each, context);
 }
 
 /** Ages the evidence against a part. A part that was blocked for long enough
--- a/quarantine.h
+++ b/quarantine.h
@@ -28,8 +28,9 @@
 #include "metric.h"
 #include "prompt-parts.h"
 
-/** Parts, and requests, of which others are told at most. */
-#define QUARANTINE_MAX_TOLD 256
+/** Parts, or requests, that quarantine_each_suspect() and
+ * quarantine_each_request() list. */
+#define QUARANTINE_MAX_LISTED 256
 /** Crashes that are kept of one part. */
 #define QUARANTINE_MAX_CRASHES 8
 /** Time for which a request is blocked at most after a crash. */
