tunnel: wait for the requests of others when a relay stops

A relay that stops refused new tunnels, but those that were there got further requests, and it ended 1.5 s after the last byte, though an upstream may be at work or pause for longer.

Change: a relay that stops says so in the frames. A caller closes a tunnel that is idle, and one in use after the answer; the relay waits for them, up to its stop timeout like for its own requests. So nothing has to be guessed from pauses. Callers that get no frames are waited for as before.

--- a/exchange.c
+++ b/exchange.c
@@ -84,6 +84,7 @@
   struct bufferevent *stream = connection->stream;
 
   return !connection->has_peer_closed && !connection->exchange->closes
+         && !connection->frames.is_stopping
          && http_reader_keeps_alive (connection->reader)
          && evbuffer_get_length (bufferevent_get_input (stream)) == 0
          && evbuffer_get_length (connection->frame_bytes) == 0
@@ -251,7 +252,9 @@
 
   if (connection->exchange == NULL)
     {
-      log_info ("Closed an idle connection on which an upstream sent data.");
+      /* A relay says so that it is going to stop, or the upstream's end. */
+      if (connection->relay == NULL)
+        log_info ("Closed an idle connection on which an upstream sent data.");
       talloc_free (connection);
       return;
     }
--- a/gateway-stop.c
+++ b/gateway-stop.c
@@ -103,6 +103,8 @@
   gateway->is_draining = true;
   gateway->stop_at_ms = end_ms;
   caller_server_drain (gateway->callers);
+  if (gateway->tunnels != NULL)
+    tunnel_server_stop (gateway->tunnels);
   refuse_waiting (gateway);
 }
 
--- a/t/t8351-tunnel.c
+++ b/t/t8351-tunnel.c
@@ -19,6 +19,8 @@
 #include "tunnel-server.h"
 
 #define WAIT_MS 10000
+/** Longer than a relay waits for callers that get no frames. */
+#define PAUSE_MS 2500
 /** More than the buffers of the connections take while nothing is read. */
 #define UPLOAD_BYTES (8u * 1024 * 1024)
 
@@ -114,9 +116,8 @@
   g_free (fixture);
 }
 
-/** Sends a request and waits for its end. */
 static void
-call_with (fixture_t *fixture, const char *address, size_t body_bytes)
+start_call (fixture_t *fixture, const char *address, size_t body_bytes)
 {
   http_fields_t fields = { 0 };
   uint8_t *body = g_malloc0 (body_bytes + 1);
@@ -130,13 +131,21 @@
                                  .always_send_length = true,
                                  .callbacks = &exchange_result_callbacks,
                                  .context = &fixture->answer };
-  uint64_t end_ms = clock_mono_ms () + WAIT_MS;
 
   exchange_result_reset (&fixture->answer);
   exchange_send (fixture->pool, &options);
+  g_free (body);
+}
+
+/** Sends a request and waits for its end. */
+static void
+call_with (fixture_t *fixture, const char *address, size_t body_bytes)
+{
+  uint64_t end_ms = clock_mono_ms () + WAIT_MS;
+
+  start_call (fixture, address, body_bytes);
   while (fixture->answer.result == RESULT_NONE && clock_mono_ms () < end_ms)
     run (fixture, 1);
-  g_free (body);
 }
 
 static void
@@ -292,6 +301,39 @@
   tear_down (fixture);
 }
 
+/* Guards against a relay that stops while an upstream pauses within an answer,
+ * or that is sent the next request over a tunnel that is there (LOST). */
+static void
+test_relay_stops (void)
+{
+  fixture_t *fixture = set_up ();
+  struct event_base *base = fixture->base;
+  early_answer_t upstream = { .text = "HTTP/1.1 200 OK\r\n\r\npart",
+                              .end = EARLY_READ_CLOSE,
+                              .delay_ms = PAUSE_MS };
+
+  /* An idle tunnel is closed at once. */
+  fixture->upstream.act = ACT_ANSWER;
+  call (fixture);
+  g_assert_cmpuint (tunnel_server_open (fixture->relay), ==, 1);
+  g_assert_true (tunnel_server_is_busy (fixture->relay, UINT64_MAX / 2));
+  tunnel_server_stop (fixture->relay);
+  WAIT (tunnel_server_open (fixture->relay) == 0);
+  g_assert_false (tunnel_server_is_busy (fixture->relay, UINT64_MAX / 2));
+
+  /* One in use is waited for, however long the upstream pauses. */
+  early_answer_start (&upstream, fixture->base);
+  g_strlcpy (fixture->known, upstream.address, sizeof fixture->known);
+  start_call (fixture, upstream.address, 5);
+  WAIT (fixture->answer.body->len > 0);
+  g_assert_true (tunnel_server_is_busy (fixture->relay, UINT64_MAX / 2));
+  WAIT (fixture->answer.result != RESULT_NONE);
+  g_assert_cmpint (fixture->answer.result, ==, RESULT_END);
+  WAIT (!tunnel_server_is_busy (fixture->relay, UINT64_MAX / 2));
+  early_answer_stop (&upstream);
+  tear_down (fixture);
+}
+
 /** Answers a request with a text through a relay of an earlier version, which
  * passes bytes on as they are. */
 static void
@@ -381,6 +423,7 @@
   g_test_add_func ("/tunnel/ends-in-order", test_ends_in_order);
   g_test_add_func ("/tunnel/reset", test_reset);
   g_test_add_func ("/tunnel/sender-leaves", test_sender_leaves);
+  g_test_add_func ("/tunnel/relay-stops", test_relay_stops);
   g_test_add_func ("/tunnel/earlier-relay", test_earlier_relay);
   g_test_add_func ("/tunnel/earlier-caller", test_earlier_caller);
   return g_test_run ();
--- a/t/t8352-relay-process.c
+++ b/t/t8352-relay-process.c
@@ -19,7 +19,7 @@
 /** Of an answer that is not to end by itself. */
 #define LONG_MS 60000
 #define END_MS  50
-/** Longer than a relay that stops waits for the next bytes. */
+/** Longer than a relay that stops waits for callers that get no frames. */
 #define PAUSE_MS 2500
 /** Offset of the port for tunnels. */
 #define TUNNEL_OFFSET 9
@@ -160,6 +160,25 @@
   expect_broken (SIGTERM);
 }
 
+/* Guards against: an answer that is cut, or called whole too early, as its
+ * relay stops while the upstream pauses (LOST). */
+static void
+test_stopped_within_pause (void)
+{
+  static const early_answer_t model = { .text = "HTTP/1.1 200 OK\r\n\r\n" PART,
+                                        .end = EARLY_READ_CLOSE,
+                                        .delay_ms = PAUSE_MS };
+  fixture_t *fixture = set_up (&model);
+  struct event_base *base = fixture->base;
+
+  begin_answer (fixture);
+  process_signal (fixture->nodes->process[NODES_ENTRY], SIGTERM);
+  WAIT (fixture->answer.result != RESULT_NONE);
+  g_assert_cmpint (fixture->answer.result, ==, RESULT_END);
+  g_assert_cmpstr (fixture->answer.body->str, ==, PART);
+  tear_down (fixture);
+}
+
 /** Expects an answer of many bytes whose end is that of its connection. */
 static void
 expect_whole (early_end_t end, bool is_whole)
@@ -205,6 +224,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/relay-process/killed", test_killed);
   g_test_add_func ("/relay-process/stopped", test_stopped);
+  g_test_add_func ("/relay-process/stopped-within-pause",
+                   test_stopped_within_pause);
   g_test_add_func ("/relay-process/whole", test_whole);
   g_test_add_func ("/relay-process/reset", test_reset);
   return g_test_run ();
--- a/tunnel-frames.c
+++ b/tunnel-frames.c
@@ -7,6 +7,7 @@
 
 #define SIZE_END    0u
 #define SIZE_BROKEN UINT32_MAX
+#define SIZE_STOP   (UINT32_MAX - 1)
 
 static void
 write_size (struct evbuffer *out, uint32_t size_bytes)
@@ -33,9 +34,16 @@
   write_size (out, state == TUNNEL_FRAMES_END ? SIZE_END : SIZE_BROKEN);
 }
 
-/** Reads the size of the next frame. Returns whether the frame has begun. */
+void
+tunnel_frames_write_stop (struct evbuffer *out)
+{
+  write_size (out, SIZE_STOP);
+}
+
+/** Reads the size of the next frame, or a message. Returns false if neither has
+ * come. */
 static bool
-begin_frame (tunnel_frames_t *frames, struct evbuffer *in)
+read_size (tunnel_frames_t *frames, struct evbuffer *in)
 {
   uint32_t size;
 
@@ -47,9 +55,11 @@
     frames->state = TUNNEL_FRAMES_END;
   else if (size == SIZE_BROKEN)
     frames->state = TUNNEL_FRAMES_BROKEN;
+  else if (size == SIZE_STOP)
+    frames->is_stopping = true;
   else
     frames->left_bytes = size;
-  return frames->state == TUNNEL_FRAMES_MORE;
+  return true;
 }
 
 tunnel_frames_state_t
@@ -58,7 +68,7 @@
                     struct evbuffer *data)
 {
   while (frames->state == TUNNEL_FRAMES_MORE && evbuffer_get_length (in) > 0
-         && (frames->left_bytes > 0 || begin_frame (frames, in)))
+         && (frames->left_bytes > 0 || read_size (frames, in)))
     {
       size_t size_bytes = MIN (frames->left_bytes, evbuffer_get_length (in));
 
--- a/tunnel-frames.h
+++ b/tunnel-frames.h
@@ -6,8 +6,9 @@
  * connections of a process that is killed as it ends others. A process that is
  * gone cannot send the message.
  *
- * A frame is its size in bytes (32 bits, big endian) and the bytes. Two sizes
- * that no frame has stand for the two ends.
+ * A frame is its size in bytes (32 bits, big endian) and the bytes. Sizes that
+ * no frame has stand for the two ends, and for a relay that is going to stop:
+ * what was asked before is still answered.
  *
  * The instance asks for frames with TUNNEL_FRAMES_FIELD in its CONNECT, and the
  * relay sends them if it has answered with the same field. Earlier versions
@@ -16,6 +17,7 @@
 #ifndef TUNNEL_FRAMES_H
 #define TUNNEL_FRAMES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct evbuffer;
@@ -35,6 +37,7 @@
 {
   uint32_t left_bytes; /* of the frame that is being received */
   tunnel_frames_state_t state;
+  bool is_stopping; /* the relay is to get no further request */
 } tunnel_frames_t;
 
 /** Moves all bytes of @a data to @a out, as one frame. */
@@ -44,6 +47,9 @@
 void tunnel_frames_write_end (struct evbuffer *out,
                               tunnel_frames_state_t state);
 
+/** Adds the message that the relay is going to stop. */
+void tunnel_frames_write_stop (struct evbuffer *out);
+
 /** Moves the bytes of frames from @a in to @a data, as far as they have come.
  * Nothing is read behind an end. */
 tunnel_frames_state_t tunnel_frames_read (tunnel_frames_t *frames,
--- a/tunnel-server.c
+++ b/tunnel-server.c
@@ -24,7 +24,8 @@
 #define LATE_WRITE_TIMEOUT_MS 1000
 /** Bytes held in each direction for a receiver that is slow to read. */
 #define MAX_HELD_BYTES (64u * 1024)
-/** Time without bytes after which a tunnel counts as idle. */
+/** Time without bytes after which the tunnel of a caller that gets no frames
+ * counts as idle. */
 #define IDLE_MS  1500
 #define HEAD_END "\r\n\r\n"
 
@@ -52,6 +53,7 @@
   tunnel_server_options_t options;
   struct evconnlistener *listener;
   GPtrArray *tunnels; /* tunnel_t, children of server */
+  bool is_stopping;
   metric_t *opened;
 };
 
@@ -196,6 +198,16 @@
     bufferevent_enable (other_side (tunnel, stream), EV_READ);
 }
 
+/** Tells the caller that this instance is going to stop: it closes the tunnel
+ * once its request is answered. */
+static void
+tell_stop (tunnel_t *tunnel)
+{
+  if (tunnel->is_framed && tunnel->is_connected && !tunnel->is_end_sent
+      && !tunnel->is_broken)
+    tunnel_frames_write_stop (bufferevent_get_output (tunnel->caller));
+}
+
 static void
 on_upstream_connected (tunnel_t *tunnel)
 {
@@ -207,6 +219,8 @@
   evbuffer_add_printf (bufferevent_get_output (tunnel->caller),
                        "HTTP/1.1 200 OK%s" HEAD_END,
                        tunnel->is_framed ? "\r\n" TUNNEL_FRAMES_FIELD : "");
+  if (tunnel->server->is_stopping)
+    tell_stop (tunnel);
   bufferevent_enable (tunnel->caller, EV_READ);
   pass_on (tunnel, tunnel->caller);
 }
@@ -439,15 +453,28 @@
   return server->tunnels->len;
 }
 
+void
+tunnel_server_stop (tunnel_server_t *server)
+{
+  server->is_stopping = true;
+  for (guint i = 0; i < server->tunnels->len; i++)
+    tell_stop (g_ptr_array_index (server->tunnels, i));
+}
+
+/** Returns whether a request goes on over a tunnel. A caller that was told of
+ * the stop has closed the others. */
+static bool
+is_busy (const tunnel_t *tunnel, uint64_t now_ms)
+{
+  return (tunnel->is_framed && tunnel->is_connected)
+         || tunnel->passed_ms + IDLE_MS > now_ms;
+}
+
 bool
 tunnel_server_is_busy (const tunnel_server_t *server, uint64_t now_ms)
 {
   for (guint i = 0; i < server->tunnels->len; i++)
-    {
-      const tunnel_t *tunnel = g_ptr_array_index (server->tunnels, i);
-
-      if (tunnel->passed_ms + IDLE_MS > now_ms)
-        return true;
-    }
+    if (is_busy (g_ptr_array_index (server->tunnels, i), now_ms))
+      return true;
   return false;
 }
--- a/tunnel-server.h
+++ b/tunnel-server.h
@@ -57,7 +57,12 @@
 /** Returns the number of tunnels that are open. */
 uint32_t tunnel_server_open (const tunnel_server_t *server);
 
-/** Returns whether a tunnel has passed bytes on lately. Others may be idle. */
+/** Tells the callers that this instance is going to stop. They use their
+ * tunnels for no further request. */
+void tunnel_server_stop (tunnel_server_t *server);
+
+/** Returns whether requests go on over tunnels, after tunnel_server_stop(). Of
+ * callers that get no frames: whether bytes were passed on lately. */
 bool tunnel_server_is_busy (const tunnel_server_t *server, uint64_t now_ms);
 
 #endif
