--- a/t/t8354-tunnel-frames.c
+++ b/t/t8354-tunnel-frames.c
@@ -19,8 +19,8 @@
   evbuffer_remove_buffer (from, to, (size_t)max_bytes);
 }
 
-/** Writes random bytes in frames of random sizes, and at times between them that
- * the relay is going to stop. Returns whether it wrote that. */
+/** Writes random bytes in frames of random sizes, and at times between them
+ * that the relay is going to stop. Returns whether it wrote that. */
 static bool
 write_frames (GRand *random, struct evbuffer *sent, GString *expected)
 {
